--- /dev/null
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -0,0 +1,176 @@
+#include <LibHttp/HttpClient.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/ioerror.h>
+#include <map>
+#include <mutex>
+#include <string_view>
+#include <vector>
+
+namespace paddle {
+
+namespace {
+
+/// The library has no type for a failure to connect, and its connect() takes
+/// no time-out, so the failure is told by its text. If a later version changes
+/// the text, the request counts as unknown, which is safe.
+bool
+IsConnectFailure(std::string_view aMessage)
+{
+  return aMessage.starts_with("while trying to connect to host");
+}
+
+struct Connection
+{
+  std::unique_ptr<cxxtools::http::Client> mClient;
+  MonotonicTime mLastUsed;
+};
+
+HttpReply
+FromLibrary(const cxxtools::http::Reply& aReply)
+{
+  HttpReply reply;
+  reply.mStatus = aReply.httpReturnCode();
+  for (auto it = aReply.header().begin(); it != aReply.header().end(); ++it) {
+    reply.mHeaders.emplace_back(it->first, it->second);
+  }
+  reply.mBody = aReply.body();
+  return reply;
+}
+
+/// Percent-encodes a path, because the server side of the library decodes it.
+std::string
+EncodePath(std::string_view aPath)
+{
+  constexpr std::string_view kPlain = "-._~/!$&'()*+,;=:@";
+  constexpr char kHex[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char c : aPath) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) || kPlain.find(c) != std::string_view::npos) {
+      encoded += c;
+    } else {
+      encoded += '%';
+      encoded += kHex[byte >> 4];
+      encoded += kHex[byte & 15];
+    }
+  }
+  return encoded;
+}
+
+void
+ToLibrary(const HttpRequest& aRequest, cxxtools::http::Request& aOut)
+{
+  // The library sends separate query parameters with GET only, so they are
+  // part of the URL.
+  std::string url = EncodePath(aRequest.mPath);
+  if (!aRequest.mQuery.empty()) {
+    url += '?' + aRequest.mQuery;
+  }
+  aOut.url(url);
+  aOut.method(aRequest.mMethod);
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    aOut.setHeader(name.c_str(), value.c_str());
+  }
+  aOut.body() << aRequest.mBody;
+}
+
+} // namespace
+
+struct HttpClient::State
+{
+  HttpClientSettings mSettings;
+  std::mutex mMutex;
+  std::map<Endpoint, std::vector<Connection>> mIdle;
+
+  std::unique_ptr<cxxtools::http::Client> TakeIdle(const Endpoint& aEndpoint)
+  {
+    const MonotonicTime oldest =
+      std::chrono::steady_clock::now() - mSettings.mMaxIdle;
+    std::lock_guard lock(mMutex);
+    std::vector<Connection>& idle = mIdle[aEndpoint];
+    std::erase_if(idle, [&](const Connection& aConnection) {
+      return aConnection.mLastUsed < oldest;
+    });
+    if (idle.empty()) {
+      return nullptr;
+    }
+    std::unique_ptr<cxxtools::http::Client> client =
+      std::move(idle.back().mClient);
+    idle.pop_back();
+    return client;
+  }
+
+  void Return(const Endpoint& aEndpoint,
+              std::unique_ptr<cxxtools::http::Client> aClient)
+  {
+    std::lock_guard lock(mMutex);
+    std::vector<Connection>& idle = mIdle[aEndpoint];
+    if (idle.size() >= mSettings.mMaxIdlePerEndpoint) {
+      return;
+    }
+    idle.push_back({ std::move(aClient), std::chrono::steady_clock::now() });
+  }
+};
+
+HttpClient::HttpClient(HttpClientSettings aSettings)
+  : mState(std::make_unique<State>())
+{
+  mState->mSettings = aSettings;
+}
+
+HttpClient::~HttpClient() = default;
+
+Outcome<HttpReply, HttpFailure>
+HttpClient::Execute(const Endpoint& aEndpoint,
+                    const HttpRequest& aRequest,
+                    Millis aTimeout,
+                    ConnectionUse aUse)
+{
+  const MonotonicTime end = std::chrono::steady_clock::now() + aTimeout;
+  SendState state = SendState::NotSent;
+  try {
+    cxxtools::http::Request request;
+    ToLibrary(aRequest, request);
+    std::unique_ptr<cxxtools::http::Client> client;
+    if (aUse == ConnectionUse::Reusable) {
+      client = mState->TakeIdle(aEndpoint);
+    }
+    if (!client) {
+      client = std::make_unique<cxxtools::http::Client>(aEndpoint.mHost,
+                                                        aEndpoint.mPort);
+      if (aUse == ConnectionUse::Fresh) {
+        request.setHeader("Connection", "close");
+      }
+    }
+    const Millis left = std::max(Millis(1),
+                                 std::chrono::duration_cast<Millis>(
+                                   end - std::chrono::steady_clock::now()));
+    state = SendState::Unknown;
+    client->execute(
+      request,
+      cxxtools::Milliseconds(left.count()),
+      cxxtools::Milliseconds(
+        std::min(left, mState->mSettings.mConnectTimeout).count()));
+    client->readBody();
+    HttpReply reply = FromLibrary(client->reply());
+    if (aUse == ConnectionUse::Reusable &&
+        client->reply().header().keepAlive()) {
+      mState->Return(aEndpoint, std::move(client));
+    }
+    return reply;
+  } catch (const cxxtools::IOTimeout& e) {
+    return HttpFailure{ state, true, e.what() };
+  } catch (const std::exception& e) {
+    if (IsConnectFailure(e.what())) {
+      state = SendState::NotSent;
+    }
+    return HttpFailure{ state, false, e.what() };
+  }
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -0,0 +1,188 @@
+#include <LibHttp/HttpServer.h>
+
+#include <atomic>
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+#include <exception>
+#include <thread>
+
+#include <LibBase/Log.h>
+
+namespace paddle {
+
+namespace {
+
+using InFlightCount = std::atomic<unsigned>;
+
+/// Time a finished reply gets to leave the socket before the server stops.
+constexpr Millis kFlushMs{ 50 };
+
+HttpRequest
+FromLibrary(const cxxtools::http::Request& aRequest)
+{
+  HttpRequest request;
+  request.mMethod = aRequest.method();
+  request.mPath = aRequest.url();
+  request.mQuery = aRequest.qparams();
+  for (auto it = aRequest.header().begin(); it != aRequest.header().end();
+       ++it) {
+    request.mHeaders.emplace_back(it->first, it->second);
+  }
+  request.mBody = aRequest.bodyStr();
+  return request;
+}
+
+class HandlerResponder : public cxxtools::http::Responder
+{
+public:
+  HandlerResponder(cxxtools::http::Service& aService,
+                   const HttpHandler& aHandler,
+                   InFlightCount& aInFlight)
+    : Responder(aService)
+    , mHandler(aHandler)
+    , mInFlight(aInFlight)
+  {
+  }
+
+  void reply(std::ostream& aOut,
+             cxxtools::http::Request& aRequest,
+             cxxtools::http::Reply& aReply) override
+  {
+    ++mInFlight;
+    const HttpReply answer = Handle(FromLibrary(aRequest));
+    aReply.httpReturn(answer.mStatus, answer.mStatus < 400 ? "OK" : "Error");
+    for (const auto& [name, value] : answer.mHeaders) {
+      aReply.setHeader(name.c_str(), value.c_str());
+    }
+    aOut << answer.mBody;
+    --mInFlight;
+  }
+
+private:
+  HttpReply Handle(const HttpRequest& aRequest) const
+  {
+    try {
+      return mHandler(aRequest);
+    } catch (const std::exception& e) {
+      // A handler reports its failures as replies; an exception comes from a
+      // library below it, and this connection's caller must still hear of it.
+      LogEvent(LogLevel::Error, "handler_exception", { { "error", e.what() } });
+      return HttpReply{ 500, {}, "internal error\n" };
+    }
+  }
+
+  const HttpHandler& mHandler;
+  InFlightCount& mInFlight;
+};
+
+class HandlerService : public cxxtools::http::Service
+{
+public:
+  HandlerService(HttpHandler aHandler, InFlightCount& aInFlight)
+    : mHandler(std::move(aHandler))
+    , mInFlight(aInFlight)
+  {
+  }
+
+protected:
+  cxxtools::http::Responder* createResponder(
+    const cxxtools::http::Request&) override
+  {
+    return new HandlerResponder(*this, mHandler, mInFlight);
+  }
+
+  void releaseResponder(cxxtools::http::Responder* aResponder) override
+  {
+    delete aResponder;
+  }
+
+private:
+  HttpHandler mHandler;
+  InFlightCount& mInFlight;
+};
+
+} // namespace
+
+struct HttpServer::State
+{
+  explicit State(HttpHandler aHandler)
+    : mService(std::move(aHandler), mInFlight)
+  {
+  }
+
+  InFlightCount mInFlight{ 0 };
+  cxxtools::EventLoop mLoop;
+  HandlerService mService;
+  std::unique_ptr<cxxtools::http::Server> mServer;
+  std::thread mThread;
+};
+
+HttpServer::HttpServer(std::unique_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  mState->mLoop.exit();
+  if (mState->mThread.joinable()) {
+    mState->mThread.join();
+  }
+}
+
+Outcome<std::unique_ptr<HttpServer>>
+HttpServer::Start(const HttpServerSettings& aSettings, HttpHandler aHandler)
+{
+  auto state = std::make_unique<State>(std::move(aHandler));
+  state->mServer = std::make_unique<cxxtools::http::Server>(state->mLoop);
+  state->mServer->minThreads(std::min(aSettings.mMaxThreads, 5U));
+  state->mServer->maxThreads(aSettings.mMaxThreads);
+  state->mServer->addService(cxxtools::Regex(".*"), state->mService);
+  for (const Endpoint& endpoint : aSettings.mListen) {
+    try {
+      state->mServer->listen(endpoint.mHost, endpoint.mPort);
+    } catch (const std::exception& e) {
+      return Error{ ErrorKind::Unavailable,
+                    "can't listen on " + ToText(endpoint) + ": " + e.what() };
+    }
+  }
+  State* raw = state.get();
+  raw->mThread = std::thread([raw] {
+    try {
+      raw->mLoop.run();
+    } catch (const std::exception& e) {
+      LogEvent(
+        LogLevel::Error, "http_server_failed", { { "error", e.what() } });
+    }
+  });
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+unsigned
+HttpServer::InFlight() const
+{
+  return mState->mInFlight.load();
+}
+
+bool
+HttpServer::StopAndDrain(Millis aLimit)
+{
+  const MonotonicTime end = std::chrono::steady_clock::now() + aLimit;
+  while (InFlight() > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(Millis(5));
+  }
+  const bool drained = InFlight() == 0;
+  std::this_thread::sleep_for(kFlushMs);
+  mState->mLoop.exit();
+  if (mState->mThread.joinable()) {
+    mState->mThread.join();
+  }
+  return drained;
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -0,0 +1,230 @@
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpServer.h>
+#include <LibRpc/RpcClient.h>
+#include <LibRpc/RpcServer.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+constexpr std::uint16_t kPort = 17311;
+constexpr Millis kTimeout{ 2000 };
+
+std::unique_ptr<HttpServer>
+StartServer(HttpHandler aHandler)
+{
+  auto server =
+    HttpServer::Start({ { { "127.0.0.1", kPort } }, 20 }, std::move(aHandler));
+  CHECK_TRUE(Succeeded(server));
+  return std::move(ValueOf(server));
+}
+
+/// A peer that answers the first request it reads and closes the connection
+/// of each later one without an answer.
+class ClosingPeer
+{
+public:
+  ClosingPeer()
+    : mListener(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const int on = 1;
+    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK_EQUAL(
+      0,
+      bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof address));
+    CHECK_EQUAL(0, listen(mListener, 8));
+    mThread = std::thread([this] { Serve(); });
+  }
+
+  /// Stops the peer.
+  /// @return the number of requests that arrived after the answered one
+  int Arrivals()
+  {
+    shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    close(mListener);
+    return mArrivals;
+  }
+
+private:
+  void Serve()
+  {
+    for (;;) {
+      const int connection = accept(mListener, nullptr, nullptr);
+      if (connection < 0) {
+        return;
+      }
+      ServeConnection(connection);
+      close(connection);
+    }
+  }
+
+  void ServeConnection(int aConnection)
+  {
+    char buffer[4096];
+    while (read(aConnection, buffer, sizeof buffer) > 0) {
+      if (mAnswered) {
+        ++mArrivals;
+        return;
+      }
+      mAnswered = true;
+      const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                "Connection: keep-alive\r\n\r\nok";
+      CHECK_EQUAL(static_cast<ssize_t>(reply.size()),
+                  write(aConnection, reply.data(), reply.size()));
+    }
+  }
+
+  int mListener;
+  bool mAnswered = false;
+  int mArrivals = 0;
+  std::thread mThread;
+};
+
+} // namespace
+
+TEST_GROUP(HttpClient){};
+
+// Guards against a request that is reported as possibly run although no byte
+// of it was sent.
+TEST(HttpClient, ReportsRefusedConnectionAsNotSent)
+{
+  HttpClient client({});
+  const auto reply = client.Execute(
+    { "127.0.0.1", kPort }, HttpRequest{}, kTimeout, ConnectionUse::Fresh);
+  CHECK_FALSE(Succeeded(reply));
+  CHECK_TRUE(ErrorOf(reply).mState == SendState::NotSent);
+}
+
+// Guards against paths, queries and bodies that are changed on the way.
+TEST(HttpClient, CarriesPathQueryHeadersAndBody)
+{
+  const auto server = StartServer([](const HttpRequest& aRequest) {
+    return HttpReply{ 201,
+                      { { "Paddle-Echo",
+                          std::string(FindHeader(aRequest.mHeaders, "a-b")) } },
+                      aRequest.mMethod + " " + aRequest.mPath + "?" +
+                        aRequest.mQuery + " " + aRequest.mBody };
+  });
+  HttpClient client({});
+  HttpRequest request{
+    "POST", "/a b%/c", "x=1&y=%20", { { "A-B", "v" } }, "line\nline"
+  };
+  for (const ConnectionUse use : { ConnectionUse::Reusable,
+                                   ConnectionUse::Reusable,
+                                   ConnectionUse::Fresh }) {
+    const auto reply =
+      client.Execute({ "127.0.0.1", kPort }, request, kTimeout, use);
+    CHECK_TRUE(Succeeded(reply));
+    LONGS_EQUAL(201, ValueOf(reply).mStatus);
+    STRCMP_EQUAL("POST /a b%/c?x=1&y=%20 line\nline",
+                 ValueOf(reply).mBody.c_str());
+    STRCMP_EQUAL(
+      "v",
+      std::string(FindHeader(ValueOf(reply).mHeaders, "paddle-echo")).c_str());
+  }
+}
+
+// Guards against the library's own second send of a request whose connection
+// was closed after the peer had read it: the peer must see it once.
+TEST(HttpClient, SendsOnceOnFreshConnectionThatIsClosedAfterReading)
+{
+  ClosingPeer peer;
+  const Endpoint endpoint{ "127.0.0.1", kPort };
+  {
+    HttpClient client({});
+    CHECK_TRUE(Succeeded(
+      client.Execute(endpoint, HttpRequest{}, kTimeout, ConnectionUse::Fresh)));
+    HttpRequest order{ "POST", "/order", "", {}, "one" };
+    const auto reply =
+      client.Execute(endpoint, order, kTimeout, ConnectionUse::Fresh);
+    CHECK_FALSE(Succeeded(reply));
+    CHECK_TRUE(ErrorOf(reply).mState == SendState::Unknown);
+  }
+  LONGS_EQUAL(1, peer.Arrivals());
+}
+
+// Records why ConnectionUse::Fresh exists: on a connection that has carried a
+// request before, the library sends the request a second time.
+TEST(HttpClient, LibraryResendsOnReusedConnection)
+{
+  ClosingPeer peer;
+  const Endpoint endpoint{ "127.0.0.1", kPort };
+  {
+    HttpClient client({});
+    CHECK_TRUE(Succeeded(client.Execute(
+      endpoint, HttpRequest{}, kTimeout, ConnectionUse::Reusable)));
+    HttpRequest order{ "POST", "/order", "", {}, "one" };
+    CHECK_FALSE(Succeeded(
+      client.Execute(endpoint, order, kTimeout, ConnectionUse::Reusable)));
+  }
+  LONGS_EQUAL(2, peer.Arrivals());
+}
+
+// Guards against an orderly stop that cuts a request in progress.
+TEST(HttpClient, DrainCompletesRequestInFlight)
+{
+  std::atomic<bool> entered{ false };
+  auto server = StartServer([&](const HttpRequest&) {
+    entered = true;
+    std::this_thread::sleep_for(Millis(200));
+    return HttpReply{ 200, {}, "whole" };
+  });
+  HttpClient client({});
+  std::string body;
+  std::thread caller([&] {
+    const auto reply = client.Execute(
+      { "127.0.0.1", kPort }, HttpRequest{}, kTimeout, ConnectionUse::Fresh);
+    if (Succeeded(reply)) {
+      body = ValueOf(reply).mBody;
+    }
+  });
+  while (!entered) {
+    std::this_thread::sleep_for(Millis(1));
+  }
+  CHECK_TRUE(server->StopAndDrain(Millis(5000)));
+  caller.join();
+  STRCMP_EQUAL("whole", body.c_str());
+}
+
+TEST_GROUP(Rpc){};
+
+// Guards against errors that lose their kind between processes.
+TEST(Rpc, CarriesResultsAndErrorKinds)
+{
+  RpcMethods methods;
+  methods["echo"] = [](const Json::Value& aIn) -> Outcome<Json::Value> {
+    return aIn;
+  };
+  methods["conflict"] = [](const Json::Value&) -> Outcome<Json::Value> {
+    return Error{ ErrorKind::Conflict, "version 3 is newer" };
+  };
+  const auto server = StartServer(MakeRpcHandler(std::move(methods)));
+  HttpClient client({});
+  Json::Value parameters(Json::objectValue);
+  parameters["x"] = 7;
+  const Endpoint endpoint{ "127.0.0.1", kPort };
+  const auto echoed = CallRpc(client, endpoint, "echo", parameters, kTimeout);
+  CHECK_TRUE(Succeeded(echoed));
+  LONGS_EQUAL(7, ValueOf(echoed)["x"].asInt());
+  const auto refused =
+    CallRpc(client, endpoint, "conflict", parameters, kTimeout);
+  CHECK_TRUE(ErrorOf(refused).mKind == ErrorKind::Conflict);
+  const auto absent =
+    CallRpc(client, { "127.0.0.1", kPort + 1 }, "echo", parameters, kTimeout);
+  CHECK_TRUE(ErrorOf(absent).mKind == ErrorKind::Unavailable);
+}
