LibHttp: Name the sending process in each request

Stand-ins need to tell processes apart to cut off one of them, and all of them share one loopback interface.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -120,7 +120,7 @@
 HttpClient::HttpClient(HttpClientSettings aSettings)
   : mState(std::make_unique<State>())
 {
-  mState->mSettings = aSettings;
+  mState->mSettings = std::move(aSettings);
 }
 
 HttpClient::~HttpClient() = default;
@@ -136,6 +136,7 @@
   try {
     cxxtools::http::Request request;
     ToLibrary(aRequest, request);
+    request.setHeader("User-Agent", mState->mSettings.mUserAgent.c_str());
     std::unique_ptr<cxxtools::http::Client> client;
     if (aUse == ConnectionUse::Reusable) {
       client = mState->TakeIdle(aEndpoint);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -34,6 +34,7 @@
 
 struct HttpClientSettings
 {
+  std::string mUserAgent = "savorypaddle"; ///< Daemons append "/MEMBER".
   Millis mConnectTimeout{ 500 };
   Millis mMaxIdle{ 10000 }; ///< Older idle connections are closed.
   unsigned mMaxIdlePerEndpoint = 16;
--- a/Libraries/LibRpc/RpcServer.cpp
+++ b/Libraries/LibRpc/RpcServer.cpp
@@ -39,7 +39,7 @@
 {
   auto dispatcher = std::make_shared<JsonRpcDispatcher>();
   for (const auto& [name, method] : aMethods) {
-    dispatcher->Add(name, [method](const Json::Value& aParameters) {
+    dispatcher->Add(name, [method = method](const Json::Value& aParameters) {
       return Invoke(method, aParameters);
     });
   }
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -213,7 +213,7 @@
   methods["conflict"] = [](const Json::Value&) -> Outcome<Json::Value> {
     return Error{ ErrorKind::Conflict, "version 3 is newer" };
   };
-  const auto server = StartServer(MakeRpcHandler(std::move(methods)));
+  const auto server = StartServer(MakeRpcHandler(methods));
   HttpClient client({});
   Json::Value parameters(Json::objectValue);
   parameters["x"] = 7;
