--- /dev/null
+++ b/Tests/StandIns/Platform/MemoryHosts.cpp
@@ -0,0 +1,87 @@
+#include <StandIns/Platform/MemoryHosts.h>
+
+#include <utility>
+
+namespace paddle {
+
+MemoryHosts::MemoryHosts(std::vector<HostEntry> aHosts, Millis aLag)
+  : mLag(aLag)
+{
+  for (HostEntry& host : aHosts) {
+    const std::string name = host.mName;
+    mChanges[name].push_back({ MonotonicTime::min(), std::move(host) });
+  }
+}
+
+std::vector<HostEntry>
+MemoryHosts::List(MonotonicTime aNow)
+{
+  std::lock_guard lock(mMutex);
+  std::vector<HostEntry> hosts;
+  for (auto& [name, changes] : mChanges) {
+    while (changes.size() > 1 && changes[1].mVisible <= aNow) {
+      changes.erase(changes.begin());
+    }
+    const Change& visible = changes.front();
+    if (visible.mVisible <= aNow && visible.mEntry) {
+      hosts.push_back(*visible.mEntry);
+    }
+  }
+  return hosts;
+}
+
+void
+MemoryHosts::Add(HostEntry aHost, MonotonicTime aNow)
+{
+  std::lock_guard lock(mMutex);
+  const std::string name = aHost.mName;
+  Append(name, std::move(aHost), aNow);
+}
+
+Outcome<Done>
+MemoryHosts::SetState(std::string_view aName,
+                      HostState aState,
+                      MonotonicTime aNow)
+{
+  std::lock_guard lock(mMutex);
+  Outcome<HostEntry> host = Newest(aName);
+  if (!Succeeded(host)) {
+    return ErrorOf(host);
+  }
+  ValueOf(host).mState = aState;
+  Append(std::string(aName), std::move(ValueOf(host)), aNow);
+  return Done{};
+}
+
+Outcome<Done>
+MemoryHosts::Remove(std::string_view aName, MonotonicTime aNow)
+{
+  std::lock_guard lock(mMutex);
+  const Outcome<HostEntry> host = Newest(aName);
+  if (!Succeeded(host)) {
+    return ErrorOf(host);
+  }
+  Append(std::string(aName), std::nullopt, aNow);
+  return Done{};
+}
+
+Outcome<HostEntry>
+MemoryHosts::Newest(std::string_view aName) const
+{
+  const auto found = mChanges.find(aName);
+  if (found == mChanges.end() || !found->second.back().mEntry) {
+    return Error{ ErrorKind::NotFound,
+                  "host \"" + std::string(aName) + "\" does not exist" };
+  }
+  return *found->second.back().mEntry;
+}
+
+void
+MemoryHosts::Append(const std::string& aName,
+                    std::optional<HostEntry> aEntry,
+                    MonotonicTime aNow)
+{
+  mChanges[aName].push_back({ aNow + mLag, std::move(aEntry) });
+}
+
+} // namespace paddle
