--- /dev/null
+++ b/Libraries/LibLeaseCore/LeaseDecisions.cpp
@@ -0,0 +1,243 @@
+#include <LibLeaseCore/LeaseCore.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <LibLeaseCore/LeaseInternals.h>
+#include <LibLeaseCore/LeaseMargins.h>
+#include <LibLeaseCore/LeaseWrites.h>
+#include <LibLeaseCore/Rendezvous.h>
+
+namespace paddle {
+
+namespace {
+
+/// Shards that stop at one time for a better owner; the others keep serving.
+constexpr std::size_t kStoppingAtOnce = 4;
+
+/// A shard that does not become quiescent in this time goes on with its owner,
+/// because callers would wait too long.
+constexpr Millis kStopLimitMs{ 2000 };
+
+/// Pause before the next attempt to hand over such a shard.
+constexpr Millis kStopPauseMs{ 30000 };
+
+std::optional<LeaseAction>
+NextPromise(LeaseState& aState, MonotonicTime aNow)
+{
+  if (!aState.mRenewalFailing || aState.mSessionVersion == 0) {
+    aState.mPromisesToAsk.clear();
+    return std::nullopt;
+  }
+  if (aNow >= aState.mNextPromise && SessionHolds(aState, aNow)) {
+    // Each second at the usual term; two requests may be lost.
+    aState.mNextPromise = aNow + aState.mConfirmed.mTerm / 3;
+    aState.mPromisesToAsk.clear();
+    for (const auto& [name, member] : aState.mPossibleSuccessors) {
+      if (!name.empty()) {
+        aState.mPromisesToAsk.push_back(member);
+      }
+    }
+  }
+  if (aState.mPromisesToAsk.empty()) {
+    return std::nullopt;
+  }
+  AskPromise ask{ aState.mPromisesToAsk.back(), aState.mConfirmed.mTerm };
+  aState.mPromisesToAsk.pop_back();
+  return ask;
+}
+
+ReadLeaseRows
+MakeRead(const LeaseState& aState)
+{
+  ReadLeaseRows read;
+  // The revision says nothing about a hand-over that may still arrive.
+  const bool unsettled =
+    std::ranges::any_of(aState.mStopping, [](const auto& aStopping) {
+      return aStopping.second.mSentVersion.has_value();
+    });
+  if (!unsettled) {
+    read.mKnownRevision = aState.mShardRevision;
+  }
+  for (const auto& [name, session] : aState.mSessions) {
+    if (name != aState.mSelf.mName && IsSuspect(aState, session)) {
+      read.mReleases.push_back(name);
+    }
+  }
+  return read;
+}
+
+bool
+ShouldCreateSession(const LeaseState& aState)
+{
+  return aState.mSessionVersion == 0 && !aState.mLeaving &&
+         !aState.mSessions.contains(aState.mSelf.mName);
+}
+
+/// @return whether the shard has a better owner that has proved to be stable
+bool
+HasBetterOwner(const LeaseState& aState,
+               const ShardPlace& aPlace,
+               std::span<const LeaseMember* const> aCandidates,
+               MonotonicTime aNow)
+{
+  const LeaseMember* best = ChooseOwner(aPlace, aCandidates);
+  if (!best || best == &aState.mSelf) {
+    return false;
+  }
+  const SeenSession& session = aState.mSessions.at(best->mName);
+  return aNow >= session.mFirstSeen + session.mRecord.mTerm;
+}
+
+void
+StopShard(LeaseState& aState, const std::string& aShard, MonotonicTime aNow)
+{
+  aState.mStopping.try_emplace(aShard,
+                               StoppingShard{ aNow, false, std::nullopt });
+}
+
+/// Goes on with shards that were to be handed over, where the better owner is
+/// gone or the work does not end.
+void
+ResumeShards(LeaseState& aState,
+             std::span<const LeaseMember* const> aCandidates,
+             MonotonicTime aNow)
+{
+  for (const ShardPlace& place : aState.mPlaces) {
+    const auto stopping = aState.mStopping.find(place.mId);
+    if (stopping == aState.mStopping.end() || stopping->second.mSentVersion) {
+      continue;
+    }
+    const bool tooLong = !stopping->second.mQuiescent &&
+                         aNow >= stopping->second.mSince + kStopLimitMs;
+    if (tooLong) {
+      aState.mNotBefore[place.mId] = aNow + kStopPauseMs;
+    }
+    if (tooLong || !HasBetterOwner(aState, place, aCandidates, aNow)) {
+      aState.mStopping.erase(stopping);
+    }
+  }
+}
+
+/// Chooses the shards whose work stops now.
+void
+UpdateStopping(LeaseState& aState, MonotonicTime aNow)
+{
+  if (aState.mLeaving) {
+    for (const auto& [shard, held] : aState.mHeld) {
+      StopShard(aState, shard, aNow);
+    }
+    return;
+  }
+  const std::vector<const LeaseMember*> candidates = OwnerCandidates(aState);
+  ResumeShards(aState, candidates, aNow);
+  for (const ShardPlace& place : aState.mPlaces) {
+    if (aState.mStopping.size() >= kStoppingAtOnce) {
+      return;
+    }
+    if (!aState.mHeld.contains(place.mId) ||
+        !HasBetterOwner(aState, place, candidates, aNow)) {
+      continue;
+    }
+    const auto notBefore = aState.mNotBefore.find(place.mId);
+    if (notBefore == aState.mNotBefore.end() || aNow >= notBefore->second) {
+      StopShard(aState, place.mId, aNow);
+    }
+  }
+}
+
+/// Marks a hand-over as unsettled before it is sent.
+void
+NoteHandOver(LeaseState& aState, const WriteLeaseRows& aAction)
+{
+  for (const LeaseRowWrite& write : aAction.mWrites) {
+    if (std::holds_alternative<ShardRecord>(write.mValue)) {
+      const std::string shard =
+        write.mKey.substr(std::string_view(kShardPrefix).size());
+      aState.mStopping.at(shard).mSentVersion = aState.mSessionVersion;
+    }
+  }
+}
+
+std::optional<LeaseAction>
+NextShardAction(LeaseState& aState, MonotonicTime aNow)
+{
+  if (!SessionHolds(aState, aNow)) {
+    return std::nullopt;
+  }
+  UpdateStopping(aState, aNow);
+  if (auto handOver = MakeHandOver(aState)) {
+    NoteHandOver(aState, *handOver);
+    return *handOver;
+  }
+  if (aState.mLeaving) {
+    return std::nullopt;
+  }
+  if (auto take = MakeTake(aState, aNow)) {
+    return *take;
+  }
+  return std::nullopt;
+}
+
+std::optional<LeaseAction>
+NextLeave(LeaseState& aState)
+{
+  if (!aState.mLeaving ||
+      (!aState.mEndNow && !(aState.mFresh && ReadyToLeave(aState)))) {
+    return std::nullopt;
+  }
+  if (aState.mSessionVersion == 0) {
+    aState.mLeft = true;
+    return std::nullopt;
+  }
+  // The row may be gone from here on, whatever the answer says.
+  aState.mValidUntil = kNever;
+  aState.mPromisedUntil.clear();
+  return MakeLeave(aState);
+}
+
+} // namespace
+
+std::optional<LeaseAction>
+NextAction(LeaseState& aState, MonotonicTime aNow)
+{
+  if (aState.mLeft) {
+    return std::nullopt;
+  }
+  if (auto promise = NextPromise(aState, aNow)) {
+    return promise;
+  }
+  if (auto leave = NextLeave(aState)) {
+    return leave;
+  }
+  if (aState.mSessionVersion != 0 && aNow >= aState.mNextRenewal) {
+    return MakeRenewal(aState, aNow);
+  }
+  if (aNow >= aState.mNextRead) {
+    aState.mNextRead = aNow + RenewInterval(aState);
+    return MakeRead(aState);
+  }
+  if (!aState.mFresh || aState.mLeft) {
+    return std::nullopt;
+  }
+  if (ShouldCreateSession(aState)) {
+    return MakeRenewal(aState, aNow);
+  }
+  if (auto end = MakeSessionEnd(aState, aNow)) {
+    return *end;
+  }
+  return NextShardAction(aState, aNow);
+}
+
+void
+BeginLeave(LeaseState& aState, MonotonicTime aNow)
+{
+  if (aState.mLeaving) {
+    return;
+  }
+  aState.mLeaving = true;
+  aState.mNextRenewal = aNow;
+  aState.mStopping.clear();
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibLeaseCore/LeaseQueries.cpp
@@ -0,0 +1,120 @@
+#include <LibLeaseCore/LeaseCore.h>
+
+#include <algorithm>
+
+#include <LibLeaseCore/LeaseInternals.h>
+#include <LibLeaseCore/LeaseMargins.h>
+
+namespace paddle {
+
+namespace {
+
+/// @return whether all possible successors have promised to wait. A promise
+///         does not count beyond the wait of all other processes.
+bool
+PromisesHold(const LeaseState& aState, MonotonicTime aNow)
+{
+  if (aState.mConfirmedSent == kNever || aState.mPossibleSuccessors.empty() ||
+      aNow >= aState.mConfirmedSent +
+                HolderLongWait(aState.mConfirmed.mForeignTakeoverWait)) {
+    return false;
+  }
+  return std::ranges::all_of(
+    aState.mPossibleSuccessors, [&](const auto& aSuccessor) {
+      const auto promise = aState.mPromisedUntil.find(aSuccessor.first);
+      return promise != aState.mPromisedUntil.end() && aNow < promise->second;
+    });
+}
+
+} // namespace
+
+bool
+SessionHolds(const LeaseState& aState, MonotonicTime aNow)
+{
+  return aState.mSessionVersion != 0 &&
+         (aNow < aState.mValidUntil || PromisesHold(aState, aNow));
+}
+
+const HeldShard*
+FindOwned(const LeaseState& aState, std::string_view aShard, MonotonicTime aNow)
+{
+  const auto held = aState.mHeld.find(aShard);
+  if (held == aState.mHeld.end() || aState.mStopping.contains(aShard) ||
+      !SessionHolds(aState, aNow)) {
+    return nullptr;
+  }
+  return &held->second;
+}
+
+bool
+IsSuspect(const LeaseState& aState, const SeenSession& aSession)
+{
+  // Judged as of the last read, so that a store outage makes nobody suspect.
+  return aState.mLastRead - aSession.mWatchedSince >=
+         TakerTerm(aSession.mRecord.mTerm);
+}
+
+bool
+IsSelf(const LeaseState& aState, const LeaseMember& aMember)
+{
+  return aMember.mName == aState.mSelf.mName &&
+         aMember.mIncarnation == aState.mSelf.mIncarnation;
+}
+
+std::vector<const LeaseMember*>
+LiveMembers(const LeaseState& aState, std::string_view aRole)
+{
+  std::vector<const LeaseMember*> members;
+  for (const auto& [name, session] : aState.mSessions) {
+    if (session.mRecord.mMember.mRole == aRole && !session.mRecord.mLeaving &&
+        !IsSuspect(aState, session)) {
+      members.push_back(&session.mRecord.mMember);
+    }
+  }
+  return members;
+}
+
+const LeaseMember*
+NamedSuccessor(const LeaseState& aState)
+{
+  if (aState.mSessionVersion == 0 || aState.mConfirmedSent == kNever) {
+    return nullptr;
+  }
+  const auto found =
+    aState.mPossibleSuccessors.find(aState.mConfirmed.mSuccessor);
+  if (found == aState.mPossibleSuccessors.end() || found->first.empty()) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::vector<const LeaseMember*>
+OwnerCandidates(const LeaseState& aState)
+{
+  std::vector<const LeaseMember*> members =
+    LiveMembers(aState, aState.mSelf.mRole);
+  // The own row may be missing or old in the last read.
+  std::erase_if(members, [&](const LeaseMember* aMember) {
+    return aMember->mName == aState.mSelf.mName;
+  });
+  if (aState.mSessionVersion != 0 && !aState.mLeaving) {
+    members.push_back(&aState.mSelf);
+  }
+  return members;
+}
+
+bool
+ReadyToLeave(const LeaseState& aState)
+{
+  if (aState.mHeld.empty() || aState.mSessionVersion == 0) {
+    return true;
+  }
+  return OwnerCandidates(aState).empty() &&
+         std::ranges::all_of(aState.mHeld, [&](const auto& aHeld) {
+           const auto stopping = aState.mStopping.find(aHeld.first);
+           return stopping != aState.mStopping.end() &&
+                  stopping->second.mQuiescent;
+         });
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibLeaseCore/LeaseReports.cpp
@@ -0,0 +1,341 @@
+#include <LibLeaseCore/LeaseCore.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <LibLeaseCore/LeaseInternals.h>
+#include <LibLeaseCore/LeaseMargins.h>
+#include <LibLeaseCore/LeaseWrites.h>
+
+namespace paddle {
+
+namespace {
+
+void
+SetIncarnation(LeaseState& aState)
+{
+  aState.mSelf.mIncarnation =
+    aState.mBaseIncarnation + "/" + std::to_string(aState.mGeneration);
+}
+
+/// The own session was ended. The next one gets another incarnation, so that
+/// shard rows which still name this one stay without a live owner.
+void
+LoseSession(LeaseState& aState)
+{
+  aState.mSessionVersion = 0;
+  aState.mValidUntil = kNever;
+  aState.mConfirmedSent = kNever;
+  aState.mRenewalFailing = false;
+  aState.mPossibleSuccessors.clear();
+  aState.mPromisedUntil.clear();
+  aState.mHeld.clear();
+  aState.mStopping.clear();
+  ++aState.mGeneration;
+  SetIncarnation(aState);
+}
+
+/// Reads again soon and decides nothing until then.
+void
+RequireRead(LeaseState& aState, MonotonicTime aNow)
+{
+  aState.mFresh = false;
+  aState.mNextRead = std::min(
+    aState.mNextRead, aNow + std::min(RenewInterval(aState) / 4, Millis(250)));
+}
+
+/// Adopts the version of the own session row, which a write of unknown effect
+/// may have changed, or notices that the session was ended.
+void
+AdoptOwnSession(LeaseState& aState,
+                const LeaseRow<SessionRecord>* aRow,
+                MonotonicTime aNow)
+{
+  if (aRow && IsSelf(aState, aRow->mRecord.mMember)) {
+    if (aState.mSessionVersion == 0) {
+      aState.mSessionSince = aNow;
+    }
+    if (aRow->mVersion != aState.mSessionVersion) {
+      aState.mSessionVersion = aRow->mVersion;
+      aState.mNextRenewal = aNow;
+    }
+    return;
+  }
+  if (aState.mSessionVersion != 0) {
+    LoseSession(aState);
+  }
+}
+
+void
+ReportRenewal(LeaseState& aState,
+              const LeaseWriteResult& aResult,
+              MonotonicTime aSent,
+              MonotonicTime aNow)
+{
+  const Millis interval = RenewInterval(aState);
+  switch (aResult.mStatus) {
+    case LeaseWriteStatus::Committed: {
+      if (aState.mSessionVersion == 0) {
+        aState.mSessionSince = aNow;
+        aState.mNextRead = aNow;
+      }
+      const LeaseMember successor =
+        aState.mPossibleSuccessors[aState.mSent.mSuccessor];
+      aState.mSessionVersion = aResult.mVersion;
+      aState.mConfirmed = aState.mSent;
+      aState.mConfirmedSent = aSent;
+      aState.mValidUntil = aSent + HolderTerm(aState.mSent.mTerm);
+      aState.mPossibleSuccessors = { { successor.mName, successor } };
+      aState.mRenewalFailing = false;
+      aState.mNextRenewal = aSent + interval;
+      return;
+    }
+    case LeaseWriteStatus::Conflict:
+      AdoptOwnSession(
+        aState, aResult.mOwnSession ? &*aResult.mOwnSession : nullptr, aNow);
+      RequireRead(aState, aNow);
+      return;
+    case LeaseWriteStatus::Unavailable:
+      aState.mPossibleSuccessors = aState.mSuccessorsBeforeSend;
+      [[fallthrough]];
+    case LeaseWriteStatus::Unknown:
+      if (!aState.mRenewalFailing) {
+        aState.mRenewalFailing = true;
+        aState.mNextPromise = aNow;
+      }
+      aState.mNextRenewal = aNow + interval / 2;
+      RequireRead(aState, aNow);
+      return;
+  }
+}
+
+void
+HoldShard(LeaseState& aState,
+          const std::string& aShard,
+          const ShardRecord& aRecord,
+          MonotonicTime aNow)
+{
+  const auto held = aState.mHeld.find(aShard);
+  if (held != aState.mHeld.end() && held->second.mEpoch == aRecord.mEpoch) {
+    return;
+  }
+  aState.mHeld.insert_or_assign(
+    aShard, HeldShard{ aRecord.mEpoch, aRecord.mAcquisition, aNow });
+}
+
+void
+DropShard(LeaseState& aState, const std::string& aShard)
+{
+  aState.mHeld.erase(aShard);
+  aState.mStopping.erase(aShard);
+}
+
+/// Takes the committed rows into the state, as if they had been read.
+void
+ApplyCommitted(LeaseState& aState,
+               const WriteLeaseRows& aAction,
+               std::uint64_t aVersion,
+               MonotonicTime aNow)
+{
+  for (const LeaseRowWrite& write : aAction.mWrites) {
+    const auto* record = std::get_if<ShardRecord>(&write.mValue);
+    if (!record) {
+      continue;
+    }
+    const std::string shard =
+      write.mKey.substr(std::string_view(kShardPrefix).size());
+    aState.mShards[shard] = { *record, aVersion };
+    if (IsSelf(aState, record->mOwner)) {
+      HoldShard(aState, shard, *record, aNow);
+    } else {
+      DropShard(aState, shard);
+    }
+  }
+}
+
+/// A hand-over that was surely not written can be sent again.
+void
+ClearSentVersions(LeaseState& aState, const WriteLeaseRows& aAction)
+{
+  for (const LeaseRowWrite& write : aAction.mWrites) {
+    if (!std::holds_alternative<ShardRecord>(write.mValue)) {
+      continue;
+    }
+    const auto stopping = aState.mStopping.find(
+      write.mKey.substr(std::string_view(kShardPrefix).size()));
+    if (stopping != aState.mStopping.end()) {
+      stopping->second.mSentVersion.reset();
+    }
+  }
+}
+
+/// @return the session, watched from now on unless its row is unchanged
+SeenSession
+WatchSession(const SeenSession* aBefore,
+             const LeaseRow<SessionRecord>& aRow,
+             bool aGap,
+             MonotonicTime aNow)
+{
+  SeenSession seen{ aRow.mRecord, aRow.mVersion, aNow, aNow, aNow };
+  if (!aBefore) {
+    return seen;
+  }
+  if (aBefore->mRecord.mMember.mIncarnation ==
+      aRow.mRecord.mMember.mIncarnation) {
+    seen.mFirstSeen = aBefore->mFirstSeen;
+  }
+  if (aBefore->mVersion == aRow.mVersion) {
+    seen.mUnchangedSince = aBefore->mUnchangedSince;
+    seen.mWatchedSince = aGap ? aNow : aBefore->mWatchedSince;
+  }
+  return seen;
+}
+
+void
+ApplySessions(LeaseState& aState,
+              const std::vector<LeaseRow<SessionRecord>>& aRows,
+              MonotonicTime aNow)
+{
+  const bool gap =
+    aState.mLastRead == kNever || aNow - aState.mLastRead > aState.mTimes.mTerm;
+  std::map<std::string, SeenSession> sessions;
+  const LeaseRow<SessionRecord>* own = nullptr;
+  for (const LeaseRow<SessionRecord>& row : aRows) {
+    const auto before = aState.mSessions.find(row.mName);
+    sessions.emplace(
+      row.mName,
+      WatchSession(before == aState.mSessions.end() ? nullptr : &before->second,
+                   row,
+                   gap,
+                   aNow));
+    if (row.mName == aState.mSelf.mName) {
+      own = &row;
+    }
+  }
+  aState.mSessions = std::move(sessions);
+  AdoptOwnSession(aState, own, aNow);
+}
+
+/// Resumes hand-overs that can't take effect any more.
+void
+SettleHandOver(LeaseState& aState, const std::string& aShard)
+{
+  const auto stopping = aState.mStopping.find(aShard);
+  if (stopping != aState.mStopping.end() && stopping->second.mSentVersion &&
+      *stopping->second.mSentVersion != aState.mSessionVersion) {
+    stopping->second.mSentVersion.reset();
+  }
+}
+
+void
+ApplyShards(LeaseState& aState,
+            const std::vector<LeaseRow<ShardRecord>>& aRows,
+            MonotonicTime aNow)
+{
+  aState.mShards.clear();
+  for (const LeaseRow<ShardRecord>& row : aRows) {
+    aState.mShards[row.mName] = { row.mRecord, row.mVersion };
+    if (IsSelf(aState, row.mRecord.mOwner)) {
+      HoldShard(aState, row.mName, row.mRecord, aNow);
+      SettleHandOver(aState, row.mName);
+    } else {
+      DropShard(aState, row.mName);
+    }
+  }
+}
+
+} // namespace
+
+LeaseState
+MakeLeaseState(const LeaseTimes& aTimes, LeaseMember aSelf, MonotonicTime aNow)
+{
+  LeaseState state;
+  state.mTimes = aTimes;
+  state.mSelf = std::move(aSelf);
+  state.mBaseIncarnation = state.mSelf.mIncarnation;
+  state.mStarted = aNow;
+  SetIncarnation(state);
+  return state;
+}
+
+void
+ReportWrite(LeaseState& aState,
+            const WriteLeaseRows& aAction,
+            const LeaseWriteResult& aResult,
+            MonotonicTime aSent,
+            MonotonicTime aNow)
+{
+  if (aAction.mPurpose == LeaseWritePurpose::Renew) {
+    ReportRenewal(aState, aResult, aSent, aNow);
+    return;
+  }
+  if (aResult.mStatus == LeaseWriteStatus::Committed) {
+    if (aAction.mPurpose == LeaseWritePurpose::Leave) {
+      LoseSession(aState);
+      aState.mLeft = true;
+      return;
+    }
+    if (aAction.mPurpose == LeaseWritePurpose::End) {
+      aState.mSessions.erase(aAction.mMember);
+      aState.mReleases.erase(aAction.mMember);
+    }
+    ApplyCommitted(aState, aAction, aResult.mVersion, aNow);
+    return;
+  }
+  if (aResult.mStatus != LeaseWriteStatus::Unknown) {
+    ClearSentVersions(aState, aAction);
+  }
+  RequireRead(aState, aNow);
+}
+
+void
+ReportRead(LeaseState& aState, const LeaseRows& aRows, MonotonicTime aNow)
+{
+  // Sessions first: they decide which incarnation is the own one.
+  ApplySessions(aState, aRows.mSessions, aNow);
+  aState.mReleases.clear();
+  for (const LeaseRow<ReleaseRecord>& row : aRows.mReleases) {
+    aState.mReleases[row.mName] = { row.mRecord, row.mVersion };
+  }
+  if (aRows.mShards) {
+    ApplyShards(aState, *aRows.mShards, aNow);
+    aState.mShardRevision = aRows.mRevision;
+  }
+  aState.mLastRead = aNow;
+  aState.mFresh = true;
+}
+
+void
+ReportReadFailure(LeaseState& aState, MonotonicTime aNow)
+{
+  aState.mFresh = false;
+  aState.mNextRead = aNow + RenewInterval(aState);
+}
+
+void
+ReportPromise(LeaseState& aState,
+              const AskPromise& aAction,
+              bool aGranted,
+              MonotonicTime aSent,
+              MonotonicTime aNow)
+{
+  // Once the session has lapsed the successor may have ended it, and a
+  // successor that has restarted since would not know.
+  if (!aGranted || !SessionHolds(aState, aNow)) {
+    return;
+  }
+  MonotonicTime& until = aState.mPromisedUntil[aAction.mPeer.mName];
+  until = std::max(until, aSent + HolderTerm(aAction.mTerm));
+}
+
+void
+GrantPromise(LeaseState& aState,
+             const std::string& aMember,
+             Millis aTerm,
+             MonotonicTime aNow)
+{
+  MonotonicTime& until = aState.mGrantedUntil[aMember];
+  until = std::max(until, aNow + aTerm);
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibLeaseCore/LeaseWrites.cpp
@@ -0,0 +1,321 @@
+#include <LibLeaseCore/LeaseWrites.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <LibLeaseCore/LeaseCore.h>
+#include <LibLeaseCore/LeaseInternals.h>
+#include <LibLeaseCore/LeaseMargins.h>
+#include <LibLeaseCore/Rendezvous.h>
+
+namespace paddle {
+
+namespace {
+
+/// Renewals of all processes together stay below this share of the several
+/// hundred writes/s that the table service sustains.
+constexpr std::int64_t kRenewalsPerSecond = 100;
+
+/// Bounds the size of one transaction.
+constexpr std::size_t kShardsPerTransaction = 32;
+
+std::string
+SessionKey(const LeaseMember& aMember)
+{
+  return kSessionPrefix + aMember.mName;
+}
+
+/// Adds the own session's condition: a process that has lost its session
+/// can't change a shard.
+void
+RequireOwnSession(const LeaseState& aState, WriteLeaseRows& aAction)
+{
+  aAction.mConditions.push_back(
+    { SessionKey(aState.mSelf), aState.mSessionVersion });
+}
+
+/// Adds the change of one shard row.
+void
+AddShard(WriteLeaseRows& aAction,
+         const std::string& aShard,
+         std::uint64_t aVersion,
+         ShardRecord aRecord)
+{
+  const std::string key = kShardPrefix + aShard;
+  aAction.mConditions.push_back({ key, aVersion });
+  aAction.mWrites.push_back({ key, std::move(aRecord) });
+}
+
+void
+TouchShardRevision(WriteLeaseRows& aAction)
+{
+  aAction.mWrites.push_back({ kShardRevisionKey, RowTouch{} });
+}
+
+std::size_t
+ShardCount(const WriteLeaseRows& aAction)
+{
+  return aAction.mWrites.size();
+}
+
+const LeaseMember*
+WantedSuccessor(const LeaseState& aState)
+{
+  if (aState.mLeaving) {
+    return nullptr;
+  }
+  std::vector<const LeaseMember*> candidates =
+    LiveMembers(aState, aState.mSelf.mRole);
+  std::erase_if(candidates, [&](const LeaseMember* aMember) {
+    return aMember->mName == aState.mSelf.mName;
+  });
+  return ChooseSuccessor(aState.mSelf, candidates);
+}
+
+/// @return whether the session belongs to an earlier life of this process,
+///         which surely uses it no more
+bool
+IsOwnFormerSession(const LeaseState& aState, const LeaseMember& aMember)
+{
+  return aMember.mName == aState.mSelf.mName &&
+         aMember.mIncarnation != aState.mSelf.mIncarnation &&
+         aMember.mIncarnation.starts_with(aState.mBaseIncarnation + "/");
+}
+
+bool
+IsReleased(const LeaseState& aState, const LeaseMember& aMember)
+{
+  const auto release = aState.mReleases.find(aMember.mName);
+  return release != aState.mReleases.end() &&
+         release->second.mRecord.mIncarnation == aMember.mIncarnation;
+}
+
+bool
+HasGranted(const LeaseState& aState,
+           const std::string& aMember,
+           MonotonicTime aNow)
+{
+  const auto granted = aState.mGrantedUntil.find(aMember);
+  return granted != aState.mGrantedUntil.end() && aNow < granted->second;
+}
+
+bool
+MayEnd(const LeaseState& aState,
+       const SeenSession& aSession,
+       MonotonicTime aNow)
+{
+  const SessionRecord& record = aSession.mRecord;
+  if (record.mMember.mRole != aState.mSelf.mRole ||
+      IsSelf(aState, record.mMember)) {
+    return false;
+  }
+  if (IsOwnFormerSession(aState, record.mMember)) {
+    return true;
+  }
+  const Millis wait = TakerTerm(record.mTerm);
+  if (aNow < aSession.mWatchedSince + wait ||
+      HasGranted(aState, record.mMember.mName, aNow)) {
+    return false;
+  }
+  if (record.mSuccessor == aState.mSelf.mName) {
+    // An earlier life of this process may have promised something.
+    return aNow >= aState.mStarted + wait;
+  }
+  return record.mSuccessor.empty() || IsReleased(aState, record.mMember) ||
+         aNow >= aSession.mUnchangedSince + record.mForeignTakeoverWait;
+}
+
+/// Adds the shards of the ended session, if this process is its successor and
+/// holds copies of what belongs to them.
+void
+AddSuccession(const LeaseState& aState,
+              const SessionRecord& aEnded,
+              WriteLeaseRows& aAction)
+{
+  if (aState.mSessionVersion == 0 || aState.mLeaving ||
+      aEnded.mSuccessor != aState.mSelf.mName ||
+      aEnded.mSuccessorIncarnation != aState.mSelf.mIncarnation) {
+    return;
+  }
+  RequireOwnSession(aState, aAction);
+  for (const auto& [shard, seen] : aState.mShards) {
+    if (seen.mRecord.mOwner.mName == aEnded.mMember.mName &&
+        seen.mRecord.mOwner.mIncarnation == aEnded.mMember.mIncarnation) {
+      AddShard(
+        aAction,
+        shard,
+        seen.mVersion,
+        { aState.mSelf, seen.mRecord.mEpoch + 1, ShardAcquisition::Successor });
+    }
+  }
+  TouchShardRevision(aAction);
+}
+
+bool
+HasSession(const LeaseState& aState, const LeaseMember& aMember)
+{
+  if (IsSelf(aState, aMember)) {
+    return true;
+  }
+  const auto session = aState.mSessions.find(aMember.mName);
+  return session != aState.mSessions.end() &&
+         session->second.mRecord.mMember.mIncarnation == aMember.mIncarnation;
+}
+
+} // namespace
+
+Millis
+RenewInterval(const LeaseState& aState)
+{
+  const auto writers = static_cast<std::int64_t>(aState.mSessions.size());
+  return std::max(aState.mTimes.mRenewInterval,
+                  Millis(writers * 1000 / kRenewalsPerSecond));
+}
+
+WriteLeaseRows
+MakeRenewal(LeaseState& aState, MonotonicTime aNow)
+{
+  SessionRecord record;
+  record.mMember = aState.mSelf;
+  record.mRenewals = ++aState.mRenewals;
+  record.mTerm = aState.mTimes.mTerm * RenewInterval(aState).count() /
+                 aState.mTimes.mRenewInterval.count();
+  record.mForeignTakeoverWait = aState.mTimes.mForeignTakeoverWait;
+  record.mLeaving = aState.mLeaving;
+  LeaseMember successor;
+  if (const LeaseMember* wanted = WantedSuccessor(aState)) {
+    successor = *wanted;
+  }
+  record.mSuccessor = successor.mName;
+  record.mSuccessorIncarnation = successor.mIncarnation;
+
+  aState.mSuccessorsBeforeSend = aState.mPossibleSuccessors;
+  aState.mPossibleSuccessors[successor.mName] = successor;
+  // A shorter term counts from the moment at which the row may hold it.
+  aState.mValidUntil =
+    std::min(aState.mValidUntil, aNow + HolderTerm(record.mTerm));
+  aState.mSent = record;
+
+  WriteLeaseRows action;
+  action.mPurpose = LeaseWritePurpose::Renew;
+  RequireOwnSession(aState, action);
+  action.mWrites.push_back({ SessionKey(aState.mSelf), std::move(record) });
+  if (aState.mSessionVersion == 0) {
+    // A release concerned an earlier process of this name.
+    action.mWrites.push_back(
+      { kReleasePrefix + aState.mSelf.mName, RowDeletion{} });
+  }
+  return action;
+}
+
+std::optional<WriteLeaseRows>
+MakeSessionEnd(const LeaseState& aState, MonotonicTime aNow)
+{
+  for (const auto& [name, session] : aState.mSessions) {
+    if (!MayEnd(aState, session, aNow)) {
+      continue;
+    }
+    WriteLeaseRows action;
+    action.mPurpose = LeaseWritePurpose::End;
+    action.mMember = name;
+    action.mConditions.push_back({ kSessionPrefix + name, session.mVersion });
+    action.mWrites.push_back({ kSessionPrefix + name, RowDeletion{} });
+    const auto release = aState.mReleases.find(name);
+    if (release != aState.mReleases.end()) {
+      action.mConditions.push_back(
+        { kReleasePrefix + name, release->second.mVersion });
+      action.mWrites.push_back({ kReleasePrefix + name, RowDeletion{} });
+    }
+    AddSuccession(aState, session.mRecord, action);
+    return action;
+  }
+  return std::nullopt;
+}
+
+std::optional<WriteLeaseRows>
+MakeTake(const LeaseState& aState, MonotonicTime aNow)
+{
+  const std::vector<const LeaseMember*> candidates = OwnerCandidates(aState);
+  // Processes that start together see each other before the first owners are
+  // chosen, which saves hand-overs.
+  const bool settled =
+    aNow >= aState.mSessionSince + aState.mTimes.mRenewInterval;
+  WriteLeaseRows action;
+  action.mPurpose = LeaseWritePurpose::Take;
+  RequireOwnSession(aState, action);
+  for (const ShardPlace& place : aState.mPlaces) {
+    const auto seen = aState.mShards.find(place.mId);
+    const bool isNew = seen == aState.mShards.end();
+    if (isNew ? !settled : HasSession(aState, seen->second.mRecord.mOwner)) {
+      continue;
+    }
+    if (ChooseOwner(place, candidates) != &aState.mSelf) {
+      continue;
+    }
+    AddShard(
+      action,
+      place.mId,
+      isNew ? 0 : seen->second.mVersion,
+      { aState.mSelf,
+        isNew ? 1 : seen->second.mRecord.mEpoch + 1,
+        isNew ? ShardAcquisition::FirstOwner : ShardAcquisition::Takeover });
+    if (ShardCount(action) == kShardsPerTransaction) {
+      break;
+    }
+  }
+  if (action.mWrites.empty()) {
+    return std::nullopt;
+  }
+  TouchShardRevision(action);
+  return action;
+}
+
+std::optional<WriteLeaseRows>
+MakeHandOver(const LeaseState& aState)
+{
+  std::vector<const LeaseMember*> candidates = OwnerCandidates(aState);
+  std::erase(candidates, &aState.mSelf);
+  WriteLeaseRows action;
+  action.mPurpose = LeaseWritePurpose::HandOver;
+  RequireOwnSession(aState, action);
+  for (const auto& [shard, stopping] : aState.mStopping) {
+    const auto seen = aState.mShards.find(shard);
+    if (!stopping.mQuiescent || stopping.mSentVersion ||
+        seen == aState.mShards.end()) {
+      continue;
+    }
+    const auto place =
+      std::ranges::find(aState.mPlaces, shard, &ShardPlace::mId);
+    const LeaseMember* target = ChooseOwner(
+      place == aState.mPlaces.end() ? ShardPlace{ shard, "", "" } : *place,
+      candidates);
+    if (!target) {
+      continue;
+    }
+    AddShard(
+      action,
+      shard,
+      seen->second.mVersion,
+      { *target, seen->second.mRecord.mEpoch + 1, ShardAcquisition::HandOver });
+    if (ShardCount(action) == kShardsPerTransaction) {
+      break;
+    }
+  }
+  if (action.mWrites.empty()) {
+    return std::nullopt;
+  }
+  TouchShardRevision(action);
+  return action;
+}
+
+WriteLeaseRows
+MakeLeave(const LeaseState& aState)
+{
+  WriteLeaseRows action;
+  action.mPurpose = LeaseWritePurpose::Leave;
+  RequireOwnSession(aState, action);
+  action.mWrites.push_back({ SessionKey(aState.mSelf), RowDeletion{} });
+  return action;
+}
+
+} // namespace paddle
