LibBase: Read lists of texts and place syntax errors in one line

The parsers of documents need lists of names, and an error of jsoncpp put its position on another line than the file, which no editor or script follows.

--- a/Libraries/LibBase/JsonReader.cpp
+++ b/Libraries/LibBase/JsonReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <fstream>
 #include <json/reader.h>
 #include <json/writer.h>
@@ -50,6 +51,29 @@
   return sNull;
 }
 
+/// Rewrites the messages of jsoncpp, "* Line 2, Column 3\n  Text\n" each, to
+/// one line per problem with the file, like all other errors.
+std::string
+SyntaxErrors(const std::string& aFile, const std::string& aMessages)
+{
+  std::istringstream lines(aMessages);
+  std::string line;
+  std::string errors;
+  while (std::getline(lines, line)) {
+    unsigned row = 0;
+    unsigned column = 0;
+    if (std::sscanf(line.c_str(), "* Line %u, Column %u", &row, &column) == 2) {
+      errors += errors.empty() ? "" : "\n";
+      errors +=
+        aFile + ":" + std::to_string(row) + ":" + std::to_string(column) + ":";
+    } else if (const auto start = line.find_first_not_of(' ');
+               start != std::string::npos) {
+      errors += " " + line.substr(start);
+    }
+  }
+  return errors;
+}
+
 } // namespace
 
 Outcome<JsonText>
@@ -68,7 +92,8 @@
   try {
     if (!reader->parse(
           begin, begin + parsed.mText.size(), &parsed.mRoot, &errors)) {
-      return Error{ ErrorKind::InvalidInput, parsed.mFile + ": " + errors };
+      return Error{ ErrorKind::InvalidInput,
+                    SyntaxErrors(parsed.mFile, errors) };
     }
   } catch (const std::exception& e) {
     // jsoncpp throws on nesting beyond its stack limit.
@@ -197,6 +222,7 @@
   if (!value->isNumeric() || value->asDouble() < aLowest ||
       value->asDouble() > aHighest) {
     std::ostringstream range;
+    range.precision(15);
     range << "must be a number from " << aLowest << " to " << aHighest
           << ", is " << Shown(*value);
     FailAt(*value, PathOf(aField), range.str());
@@ -245,6 +271,23 @@
   return aDefault;
 }
 
+std::vector<std::string>
+ObjectReader::TextList(const char* aField, Presence aPresence)
+{
+  std::vector<std::string> list;
+  const Json::Value& values = Array(aField, aPresence);
+  for (Json::ArrayIndex i = 0; i < values.size(); ++i) {
+    if (values[i].isString() && !values[i].asString().empty()) {
+      list.push_back(values[i].asString());
+      continue;
+    }
+    FailAt(values[i],
+           PathOf(aField) + "[" + std::to_string(i) + "]",
+           "must be a non-empty string, is " + Shown(values[i]));
+  }
+  return list;
+}
+
 const Json::Value&
 ObjectReader::Object(const char* aField, Presence aPresence)
 {
--- a/Libraries/LibBase/JsonReader.h
+++ b/Libraries/LibBase/JsonReader.h
@@ -68,6 +68,8 @@
                      const std::vector<std::string>& aAllowed,
                      Presence aPresence,
                      std::string aDefault = {});
+  /// @return the member as a list of non-empty strings, empty if absent
+  std::vector<std::string> TextList(const char* aField, Presence aPresence);
   /// @return the member as an object or array, or null if absent or wrong
   const Json::Value& Object(const char* aField, Presence aPresence);
   const Json::Value& Array(const char* aField, Presence aPresence);
--- a/Tests/LibBase/TestJsonReader.cpp
+++ b/Tests/LibBase/TestJsonReader.cpp
@@ -35,3 +35,24 @@
   STRCMP_EQUAL("s.jsonc:3:12: field slotz: is unknown; allowed here: slots",
                errors[1].c_str());
 }
+
+// Guards against a syntax error whose position is on another line than its
+// file, which editors and scripts can't follow.
+TEST(JsonReader, NamesPositionOfSyntaxErrors)
+{
+  const auto parsed = ParseJsonText("s.jsonc", "{\n  \"a\": 1,\n  \"a\": 2\n}");
+  STRCMP_EQUAL("s.jsonc:3:3: Duplicate key: 'a'",
+               ErrorOf(parsed).mMessage.c_str());
+}
+
+// Guards against a list element of the wrong type that is dropped silently.
+TEST(JsonReader, NamesPositionInLists)
+{
+  const auto parsed = ParseJsonText("s.jsonc", R"({"a": ["x", 7]})");
+  std::vector<std::string> errors;
+  ObjectReader reader(ValueOf(parsed), ValueOf(parsed).mRoot, "", errors);
+  LONGS_EQUAL(1, reader.TextList("a", Presence::Required).size());
+  LONGS_EQUAL(1, errors.size());
+  STRCMP_EQUAL("s.jsonc:1:13: field a[1]: must be a non-empty string, is 7",
+               errors[0].c_str());
+}
