LibRouting: Add slots, admission, retries, health and key memory

Cause: the gateway needs request decisions that a test, a bench and the daemon can drive alike, so they are pure functions over plain structs.

A shard is quiescent only after the inherited watches must have ended.

Two policies register by name: least-outstanding and round-robin (baseline).

--- /dev/null
+++ b/Libraries/LibRouting/RoutingSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include <LibTime/Time.h>
+
+namespace paddle {
+
+/// Constants of the routing decisions, in one place for tests and benches.
+struct RoutingSettings
+{
+  std::uint32_t mFailuresUntilSuspect = 3;
+  Millis mProbeInterval{ 500 };
+  std::uint32_t mMostTries = 3; ///< The first and at most two more.
+  /// Bound on waiting requests of a service; each holds an HTTP thread.
+  std::size_t mMostWaiting = 100;
+  /// A summary is sent every 100 ms; one older than this is not trusted.
+  Millis mSummaryLifetime{ 500 };
+  /// Share of a new answer in the decayed means.
+  double mNewLatencyShare = 0.1;
+};
+
+/// Limits of a service that come from its document.
+struct ServiceLimits
+{
+  std::uint32_t mSlotsPerRunner = 8;
+  std::uint32_t mConnectionsPerRunner = 64;
+  std::uint32_t mWatchSlotsPerRunner = 2;
+  Millis mLongestShort{ 2000 }; ///< The largest deadline of a short route.
+  Millis mLongestWatch{ 120000 };
+};
+
+} // namespace paddle
--- /dev/null
+++ b/Tests/LibRouting/RoutingFixture.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <LibKernel/Registry.h>
+#include <LibRouting/Routing.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace paddle {
+
+/// A routing state with one service, driven by hand.
+struct RoutingFixture
+{
+  RoutingState mState;
+  RoutingActions mActions;
+  MonotonicTime mNow{ Seconds(1000) };
+  RequestNumber mLast = 0;
+
+  explicit RoutingFixture(std::size_t aRunners = 1,
+                          std::string_view aPolicy = "least-outstanding")
+  {
+    mState.mPolicy = ValueOf(Registry<RoutingPolicy>::Instance().Find(aPolicy));
+    Event(Listed(aRunners));
+    Event(ShardAcquired{ "s", { 1, Acquisition::FirstOwner, mNow } });
+  }
+
+  static ServiceListed Listed(std::size_t aRunners)
+  {
+    ServiceListed listed{ "desk", {}, {} };
+    for (std::size_t i = 0; i < aRunners; ++i) {
+      listed.mRunners.push_back(
+        { "r" + std::to_string(i), "127.0.0.1", 1, "s", false });
+    }
+    return listed;
+  }
+
+  /// Applies an event; mActions then holds what follows from it alone.
+  template<typename E>
+  void Event(const E& aEvent)
+  {
+    mActions.clear();
+    Apply(mState, aEvent, mNow, mActions);
+  }
+
+  RequestNumber Arrive(Idempotent aIdempotent = Idempotent::No,
+                       RouteKind aKind = RouteKind::Short,
+                       Millis aDeadline = Millis(2000))
+  {
+    RequestArrived request;
+    request.mNumber = ++mLast;
+    request.mKind = aKind;
+    request.mIdempotent = aIdempotent;
+    request.mDeadline = mNow + aDeadline;
+    Event(request);
+    return mLast;
+  }
+
+  /// @return the last action of a type, or null
+  template<typename A>
+  const A* Find() const
+  {
+    const A* found = nullptr;
+    for (const RoutingAction& action : mActions) {
+      if (const A* match = std::get_if<A>(&action)) {
+        found = match;
+      }
+    }
+    return found;
+  }
+
+  [[nodiscard]] bool Refused(Rule aRule) const
+  {
+    const auto* end = Find<GiveUp>();
+    return end && end->mExplanation.mKind == DecisionKind::Refuse &&
+           end->mExplanation.mRule == aRule;
+  }
+
+  const RunnerLoad& Load(std::size_t aRunner = 0) const
+  {
+    return mState.mServices[0].mLoads[aRunner];
+  }
+};
+
+} // namespace paddle
--- /dev/null
+++ b/Tests/LibRouting/TestRouting.cpp
@@ -0,0 +1,265 @@
+#include "RoutingFixture.h"
+
+using namespace paddle;
+
+TEST_GROUP(Routing){};
+
+// Guards against a runner that gets more requests than it has slots.
+TEST(Routing, QueuesTheNinthRequestUntilASlotIsFree)
+{
+  RoutingFixture routing;
+  for (int i = 0; i < 8; ++i) {
+    routing.Arrive();
+    CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+  }
+  const RequestNumber ninth = routing.Arrive();
+  CHECK_TRUE(routing.Find<SendToRunner>() == nullptr);
+  routing.Event(TryEnded{ 1, TryResult::Answered });
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+  CHECK_EQUAL(ninth, routing.Find<SendToRunner>()->mNumber);
+}
+
+// Guards against watches that take the slots short requests need.
+TEST(Routing, LimitsWatchesToTheirShare)
+{
+  RoutingFixture routing;
+  routing.Arrive(Idempotent::Yes, RouteKind::Watch);
+  routing.Arrive(Idempotent::Yes, RouteKind::Watch);
+  routing.Arrive(Idempotent::Yes, RouteKind::Watch);
+  CHECK_TRUE(routing.Refused(Rule::WatchShare));
+  routing.Arrive();
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+}
+
+// Guards against requests that wait although they can't be answered in time.
+TEST(Routing, RefusesAtOnceWhatCannotMeetItsDeadline)
+{
+  RoutingFixture routing;
+  routing.Arrive();
+  routing.mNow += Millis(100);
+  routing.Event(TryEnded{ 1, TryResult::Answered });
+  for (int i = 0; i < 8; ++i) {
+    routing.Arrive();
+  }
+  routing.Arrive(Idempotent::No, RouteKind::Short, Millis(110));
+  CHECK_TRUE(routing.Refused(Rule::DeadlineTooShort));
+  routing.Arrive(Idempotent::No, RouteKind::Short, Millis(200));
+  CHECK_TRUE(routing.Find<GiveUp>() == nullptr);
+}
+
+// Guards against an estimate that refuses everything and so never changes.
+TEST(Routing, RecoversFromAnEstimateThatRefusesEverything)
+{
+  RoutingFixture routing;
+  routing.mState.mServices[0].mMeanServiceUs = 2.5e6;
+  routing.Arrive();
+  CHECK_TRUE(routing.Refused(Rule::DeadlineTooShort));
+  // 0.98^12 of 2.5 s is less than the deadline of 2 s.
+  for (int i = 0; i < 12; ++i) {
+    routing.Arrive();
+  }
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+}
+
+// Guards against a waiting request that is neither sent nor refused.
+TEST(Routing, RefusesAWaitingRequestWhenItsDeadlinePasses)
+{
+  RoutingFixture routing;
+  for (int i = 0; i < 9; ++i) {
+    routing.Arrive();
+  }
+  routing.mNow += Millis(2001);
+  routing.Event(Tick{});
+  CHECK_TRUE(routing.Refused(Rule::DeadlinePassed));
+}
+
+// Guards against a second run of a request that must not run twice.
+TEST(Routing, NeverRepeatsANonIdempotentRequestThatMayHaveRun)
+{
+  RoutingFixture routing(2);
+  const RequestNumber number = routing.Arrive();
+  routing.Event(TryEnded{ number, TryResult::Broken });
+  CHECK_TRUE(routing.Find<SendToRunner>() == nullptr);
+  CHECK_TRUE(routing.Find<GiveUp>()->mExplanation.mKind ==
+             DecisionKind::Unknown);
+}
+
+// Guards against a refusal "not run" after an earlier try that may have run.
+TEST(Routing, StaysUnknownWhenALaterTryWasNotSent)
+{
+  RoutingFixture routing(3);
+  const RequestNumber number = routing.Arrive(Idempotent::Yes);
+  routing.Event(TryEnded{ number, TryResult::Broken });
+  routing.Event(TryEnded{ number, TryResult::NotSent });
+  routing.Event(TryEnded{ number, TryResult::NotSent });
+  CHECK_TRUE(routing.Find<GiveUp>()->mExplanation.mKind ==
+             DecisionKind::Unknown);
+}
+
+// Guards against giving up although the request surely was not run.
+TEST(Routing, RetriesAnUnsentRequestAtAnotherRunner)
+{
+  RoutingFixture routing(2);
+  const RequestNumber number = routing.Arrive();
+  const RunnerRef first = routing.Find<SendToRunner>()->mRunner;
+  routing.Event(TryEnded{ number, TryResult::NotSent });
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+  CHECK_FALSE(routing.Find<SendToRunner>()->mRunner == first);
+}
+
+// Guards against retries that multiply the load of a failing back end.
+TEST(Routing, BoundsRetriesByTheBudget)
+{
+  RoutingFixture routing(50);
+  int sends = 0;
+  constexpr int kRequests = 1000;
+  for (int i = 0; i < kRequests; ++i) {
+    const RequestNumber number = routing.Arrive(Idempotent::Yes);
+    while (routing.Find<SendToRunner>() != nullptr) {
+      ++sends;
+      routing.Event(TryEnded{ number, TryResult::Withheld });
+      routing.Event(TryEnded{ number, TryResult::NotSent });
+      for (Runner& runner : routing.mState.mServices[0].mRunners) {
+        runner.mFailures = 0; // Only the budget shall limit here.
+      }
+    }
+  }
+  const int retries = static_cast<int>(kRequests * 0.1) + 20;
+  CHECK_TRUE(routing.mState.mRetryBudget.mRetries < 1);
+  CHECK_TRUE(sends <= kRequests * 2 + retries);
+}
+
+// Guards against requests that go on to a runner that is known to fail, and
+// against one that never gets requests again.
+TEST(Routing, SuspectsAfterThreeFailuresAndReturnsAfterOneSuccess)
+{
+  RoutingFixture routing;
+  routing.Event(ProbeEnded{ { 0, 0 }, false });
+  routing.Event(ProbeEnded{ { 0, 0 }, false });
+  routing.Arrive();
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+  routing.Event(ProbeEnded{ { 0, 0 }, false });
+  routing.Arrive();
+  CHECK_TRUE(routing.Refused(Rule::NoRunner));
+  routing.mNow += Millis(500);
+  routing.Event(Tick{});
+  CHECK_TRUE(routing.Find<ProbeRunner>() != nullptr);
+  routing.Event(ProbeEnded{ { 0, 0 }, true });
+  routing.Arrive();
+  CHECK_TRUE(routing.Find<SendToRunner>() != nullptr);
+}
+
+// Guards against judging a runner by one silent connection.
+TEST(Routing, ProbesInsteadOfJudgingAfterATimeOut)
+{
+  RoutingFixture routing;
+  const RequestNumber number = routing.Arrive();
+  routing.Event(TryEnded{ number, TryResult::TimedOut });
+  CHECK_TRUE(routing.Find<ProbeRunner>() != nullptr);
+  CHECK_EQUAL(0U, routing.mState.mServices[0].mRunners[0].mFailures);
+}
+
+// Guards against a slot that is given away while the runner may still work on
+// a request whose connection broke.
+TEST(Routing, HoldsTheSlotOfABrokenRequestUntilItsDeadline)
+{
+  RoutingFixture routing;
+  const RequestNumber number = routing.Arrive();
+  routing.Event(TryEnded{ number, TryResult::Broken });
+  CHECK_EQUAL(1, routing.Load().mInUse);
+  CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
+  routing.mNow += Millis(2000);
+  routing.Event(Tick{});
+  CHECK_EQUAL(0, routing.Load().mInUse);
+  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow));
+}
+
+// Guards against new requests to a runner that is leaving.
+TEST(Routing, SendsNothingToALeavingRunner)
+{
+  RoutingFixture routing;
+  ServiceListed listed = RoutingFixture::Listed(1);
+  listed.mRunners[0].mLeaving = true;
+  routing.Event(listed);
+  routing.Arrive();
+  CHECK_TRUE(routing.Refused(Rule::NoRunner));
+}
+
+// Guards against using slots that the predecessor's requests still hold.
+TEST(Routing, CountsSlotsAsTakenAfterATakeover)
+{
+  RoutingFixture routing;
+  routing.Event(ShardLost{ "s" });
+  routing.Arrive();
+  CHECK_TRUE(routing.Refused(Rule::NoRunner));
+  routing.Event(
+    ShardAcquired{ "s", { 2, Acquisition::Successor, routing.mNow } });
+  CHECK_EQUAL(0, routing.Load().mUsableSlots);
+  routing.mNow += Millis(2000);
+  routing.Event(Tick{});
+  CHECK_EQUAL(6, routing.Load().mUsableSlots);
+  CHECK_EQUAL(0, routing.Load().mUsableWatchSlots);
+  routing.mNow += Millis(118000);
+  routing.Event(Tick{});
+  CHECK_EQUAL(8, routing.Load().mUsableSlots);
+  CHECK_EQUAL(2, routing.Load().mUsableWatchSlots);
+}
+
+// Guards against a hand-over that hides the watches of the owner before.
+TEST(Routing, IsNotQuiescentWhileAPredecessorsWatchesMayRun)
+{
+  RoutingFixture routing;
+  routing.Event(ShardLost{ "s" });
+  routing.Event(
+    ShardAcquired{ "s", { 2, Acquisition::Successor, routing.mNow } });
+  CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
+  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(120000)));
+}
+
+// Guards against idle slots after a hand-over, which leaves nothing behind.
+TEST(Routing, UsesAllSlotsAtOnceAfterAHandOver)
+{
+  RoutingFixture routing;
+  routing.Event(ShardLost{ "s" });
+  routing.Event(
+    ShardAcquired{ "s", { 2, Acquisition::HandOver, routing.mNow } });
+  CHECK_EQUAL(8, routing.Load().mUsableSlots);
+}
+
+// Guards against requests that are refused while a peer has free slots, are
+// sent to a far peer first, or travel in circles.
+TEST(Routing, ForwardsOnceToTheNearestPeerWithFreeSlots)
+{
+  RoutingFixture routing(0);
+  routing.Event(PeerReported{ "far", 2, { { "desk", { 9, 0 } } } });
+  routing.Event(PeerReported{ "near", 0, { { "desk", { 1, 0 } } } });
+  const RequestNumber number = routing.Arrive();
+  STRCMP_EQUAL("near", routing.Find<ForwardToPeer>()->mPeer.c_str());
+  routing.Event(TryEnded{ number, TryResult::PeerNotRun });
+  CHECK_TRUE(routing.Refused(Rule::NoRunner));
+  routing.Arrive();
+  STRCMP_EQUAL("far", routing.Find<ForwardToPeer>()->mPeer.c_str());
+  routing.mNow += Millis(501);
+  routing.Arrive();
+  CHECK_TRUE(routing.Refused(Rule::NoRunner));
+}
+
+// Guards against a policy that ignores load, and against a baseline that
+// settings can't select.
+TEST(Routing, PoliciesChooseAsNamed)
+{
+  RoutingFixture least(2);
+  least.mState.mServices[0].mLoads[0].mInUse = 3;
+  RoutingFixture turns(2, "round-robin");
+  turns.mState.mServices[0].mLoads[0].mInUse = 3;
+  int leastBusy = 0;
+  int turnsBusy = 0;
+  for (int i = 0; i < 2; ++i) {
+    least.Arrive();
+    leastBusy += least.Find<SendToRunner>()->mRunner.mRunner == 0 ? 1 : 0;
+    turns.Arrive();
+    turnsBusy += turns.Find<SendToRunner>()->mRunner.mRunner == 0 ? 1 : 0;
+  }
+  CHECK_EQUAL(0, leastBusy);
+  CHECK_EQUAL(1, turnsBusy);
+}
