LibPlacement: Decide placements, endings and takeovers as a pure core

State of one worker shard behind free functions over (state, event, now): acceptance, start, confirmation, eviction, cancellation, silent workers, takeover, quarantine, data-centre gates and the ramp after a return.

--- /dev/null
+++ b/Libraries/LibPlacement/Jobs.cpp
@@ -0,0 +1,262 @@
+#include <LibPlacement/Internal.h>
+#include <LibPlacement/PlacementPolicy.h>
+#include <LibPlacement/Shard.h>
+
+namespace paddle {
+
+namespace placement {
+
+Team&
+TeamOf(Shard& aShard, std::string_view aName)
+{
+  const auto found = aShard.mTeams.find(aName);
+  if (found != aShard.mTeams.end()) {
+    return *found->second;
+  }
+  auto team = std::make_unique<Team>();
+  team->mName = aName;
+  return *aShard.mTeams.emplace(team->mName, std::move(team)).first->second;
+}
+
+void
+Enqueue(Shard& aShard, Job& aJob)
+{
+  aJob.mPhase = JobPhase::Queued;
+  aJob.mWorker.reset();
+  const auto taskClass = static_cast<std::size_t>(aJob.mRow.mSpec.mClass);
+  aJob.mTeam->mQueues[taskClass].emplace(aJob.mOrder, &aJob);
+  ++aShard.mQueued;
+}
+
+void
+Dequeue(Shard& aShard, Job& aJob)
+{
+  const auto taskClass = static_cast<std::size_t>(aJob.mRow.mSpec.mClass);
+  aShard.mQueued -= aJob.mTeam->mQueues[taskClass].erase(aJob.mOrder);
+}
+
+namespace {
+
+std::uint64_t
+CommitJob(Shard& aShard, Job& aJob, bool aFirst, Actions& aActions)
+{
+  aJob.mCommit = aShard.mNextCommit++;
+  aActions.emplace_back(CommitRow{ aJob.mCommit, aFirst, aJob.mRow });
+  return aJob.mCommit;
+}
+
+} // namespace
+
+void
+Record(Shard& aShard, Job& aJob, JobPhase aNext, Actions& aActions)
+{
+  if (aJob.mPhase == JobPhase::Queued) {
+    Dequeue(aShard, aJob);
+  }
+  aJob.mPhase = JobPhase::Recording;
+  aJob.mWorker.reset();
+  aJob.mAfterCommit = aNext;
+  aJob.mRow.mPhase = aNext;
+  CommitJob(aShard, aJob, false, aActions);
+}
+
+void
+RecordNextAttempt(Shard& aShard, Job& aJob, Actions& aActions)
+{
+  if (aJob.mRow.mCancelRequested) {
+    Record(aShard, aJob, JobPhase::Cancelled, aActions);
+    return;
+  }
+  ++aJob.mRow.mAttempt;
+  Record(aShard, aJob, JobPhase::Queued, aActions);
+}
+
+} // namespace placement
+
+using namespace placement;
+
+Shard
+MakeShard(const PlacementSettings& aSettings,
+          const PlacementPolicy& aPolicy,
+          History aHistory,
+          MonotonicTime aNow)
+{
+  Shard shard;
+  shard.mSettings = aSettings;
+  shard.mPolicy = &aPolicy;
+  shard.mTakenAt = aNow;
+  shard.mResolved = aHistory == History::None;
+  return shard;
+}
+
+void
+SetTeam(Shard& aShard,
+        std::string_view aTeam,
+        const Amount& aQuota,
+        double aEvictionsPerHour,
+        MonotonicTime aNow)
+{
+  Team& team = TeamOf(aShard, aTeam);
+  team.mQuota = aQuota;
+  if (team.mEvictionsPerHour != aEvictionsPerHour) {
+    team.mEvictionsPerHour = aEvictionsPerHour;
+    team.mEvictionsLeft = aEvictionsPerHour;
+    team.mEvictionsAt = aNow;
+  }
+}
+
+Job*
+FindJob(const Shard& aShard, std::string_view aJob)
+{
+  const auto found = aShard.mJobs.find(aJob);
+  return found == aShard.mJobs.end() ? nullptr : found->second.get();
+}
+
+namespace {
+
+Job&
+AddJob(Shard& aShard, JobRow aRow, MonotonicTime aNow)
+{
+  auto job = std::make_unique<Job>();
+  job->mTeam = &TeamOf(aShard, aRow.mSpec.mTeam);
+  job->mOrder = aShard.mNextOrder++;
+  job->mAcceptedAt = aNow;
+  job->mRow = std::move(aRow);
+  Job& added = *job;
+  aShard.mJobs.emplace(added.mRow.mSpec.mJob, std::move(job));
+  return added;
+}
+
+} // namespace
+
+void
+LoadJob(Shard& aShard, JobRow aRow, MonotonicTime aNow)
+{
+  if (IsTerminal(aRow.mPhase) || FindJob(aShard, aRow.mSpec.mJob)) {
+    return;
+  }
+  Job& job = AddJob(aShard, std::move(aRow), aNow);
+  job.mAccepted = true;
+  job.mPhase = JobPhase::Doubtful;
+  if (aShard.mResolved) {
+    Enqueue(aShard, job);
+  }
+}
+
+void
+AdoptJob(Shard& aShard, JobRow aRow, MonotonicTime aNow)
+{
+  if (IsTerminal(aRow.mPhase) || FindJob(aShard, aRow.mSpec.mJob)) {
+    return;
+  }
+  Job& job = AddJob(aShard, std::move(aRow), aNow);
+  job.mAccepted = true;
+  Enqueue(aShard, job);
+}
+
+AcceptResult
+AcceptJob(Shard& aShard, JobSpec aSpec, MonotonicTime aNow, Actions& aActions)
+{
+  if (FindJob(aShard, aSpec.mJob)) {
+    return AcceptResult::Present;
+  }
+  JobRow row;
+  row.mSpec = std::move(aSpec);
+  Job& job = AddJob(aShard, std::move(row), aNow);
+  job.mPhase = JobPhase::Recording;
+  job.mAfterCommit = JobPhase::Queued;
+  CommitJob(aShard, job, true, aActions);
+  return AcceptResult::Committing;
+}
+
+CancelResult
+CancelJob(Shard& aShard,
+          std::string_view aJob,
+          MonotonicTime aNow,
+          Actions& aActions)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (!job || !job->mAccepted || IsTerminal(job->mPhase)) {
+    return CancelResult::Unknown;
+  }
+  job->mRow.mCancelRequested = true;
+  switch (job->mPhase) {
+    case JobPhase::Queued:
+      Record(aShard, *job, JobPhase::Cancelled, aActions);
+      break;
+    case JobPhase::Recording: {
+      const JobPhase next =
+        IsTerminal(job->mAfterCommit) ? job->mAfterCommit : JobPhase::Cancelled;
+      Record(aShard, *job, next, aActions);
+      break;
+    }
+    default:
+      if (job->mWorker) {
+        Worker& worker = aShard.mWorkers[*job->mWorker];
+        if (TaskSlot* slot = FindSlot(worker, aJob, job->mRow.mAttempt)) {
+          StopSlot(*job->mWorker, *slot, aNow, aActions);
+        }
+      }
+      CommitJob(aShard, *job, false, aActions);
+  }
+  return CancelResult::Committing;
+}
+
+std::optional<JobRow>
+BeginMove(Shard& aShard, std::string_view aJob)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (!job || job->mPhase != JobPhase::Queued) {
+    return std::nullopt;
+  }
+  Dequeue(aShard, *job);
+  job->mPhase = JobPhase::Moved;
+  return job->mRow;
+}
+
+void
+EndMove(Shard& aShard, std::string_view aJob, MoveResult aResult)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (!job || job->mPhase != JobPhase::Moved) {
+    return;
+  }
+  if (aResult == MoveResult::Done) {
+    aShard.mJobs.erase(std::string(aJob));
+    return;
+  }
+  Enqueue(aShard, *job);
+}
+
+void
+HandleCommitted(Shard& aShard,
+                std::string_view aJob,
+                std::uint64_t aSequence,
+                MonotonicTime /*aNow*/,
+                Actions& /*aActions*/)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (!job) {
+    return;
+  }
+  job->mAccepted = true;
+  if (job->mCommit != aSequence || job->mPhase != JobPhase::Recording) {
+    return;
+  }
+  if (IsTerminal(job->mAfterCommit)) {
+    aShard.mJobs.erase(std::string(aJob));
+    return;
+  }
+  Enqueue(aShard, *job);
+}
+
+void
+HandleNotAccepted(Shard& aShard, std::string_view aJob)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (job && !job->mAccepted) {
+    aShard.mJobs.erase(std::string(aJob));
+  }
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibPlacement/PlacementPolicy.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include <LibPlacement/Report.h>
+#include <LibPlacement/Shard.h>
+#include <LibTime/Time.h>
+
+namespace paddle {
+
+/// A plug-in that decides how much to reserve and which worker to use. The
+/// core checks every choice against capacity, health and data centre state.
+struct PlacementPolicy
+{
+  /// @return what to reserve for the job's task; at least what it declares
+  std::function<Amount(const Shard&, const Job&)> mReserve;
+  /// @return a worker for which MayPlace() holds, or nothing
+  std::function<std::optional<WorkerIndex>(const Shard&,
+                                           const Job&,
+                                           const Amount& aReserve,
+                                           MonotonicTime aNow)>
+    mChoose;
+  /// Takes note of one task's reported usage.
+  std::function<
+    void(Team&, TaskClass, const Amount& aDeclared, const Amount& aUsed)>
+    mLearn;
+  /// Whether reservations follow usage and interference is answered.
+  bool mAdaptive = false;
+};
+
+} // namespace paddle
