--- a/Libraries/LibLease/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -28,12 +28,11 @@
 }
 
 LeaseMember
-ToLeaseMember(const Member& aMember)
+ToLeaseMember(Member aMember)
 {
-  return {
-    aMember.mName,       aMember.mIncarnation, aMember.mRole,
-    aMember.mDataCentre, aMember.mRegion,      ToText(aMember.mAddress)
-  };
+  return { std::move(aMember.mName),   std::move(aMember.mIncarnation),
+           std::move(aMember.mRole),   std::move(aMember.mDataCentre),
+           std::move(aMember.mRegion), ToText(aMember.mAddress) };
 }
 
 Member
@@ -84,7 +83,7 @@
   std::thread mThread;
 
   State(LeaseSettings aSettings,
-        const Member& aSelf,
+        Member aSelf,
         TablePort aTable,
         PromiseCaller aPromise)
     : mTable(std::move(aTable))
@@ -92,7 +91,7 @@
     , mLease(MakeLeaseState({ aSettings.mTerm,
                               aSettings.mRenewInterval,
                               aSettings.mForeignTakeoverWait },
-                            ToLeaseMember(aSelf),
+                            ToLeaseMember(std::move(aSelf)),
                             Now()))
   {
   }
@@ -252,7 +251,7 @@
                          TablePort aTable,
                          PromiseCaller aPromise)
   : mState(std::make_unique<State>(aSettings,
-                                   aSelf,
+                                   std::move(aSelf),
                                    std::move(aTable),
                                    std::move(aPromise)))
 {
--- a/Tests/LibLease/TestLeaseKeeper.cpp
+++ b/Tests/LibLease/TestLeaseKeeper.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <functional>
 #include <json/json.h>
 #include <map>
@@ -40,6 +41,7 @@
 Shards()
 {
   std::vector<ShardSpec> shards;
+  shards.reserve(16);
   for (int i = 0; i < 16; ++i) {
     shards.push_back({ "key/" + std::to_string(i), "dc-1", "r" });
   }
