--- a/Libraries/LibLease/LeaseRowText.cpp
+++ b/Libraries/LibLease/LeaseRowText.cpp
@@ -78,8 +78,9 @@
 {
   Json::Value root;
   std::string errors;
-  const std::unique_ptr<Json::CharReader> reader(
-    Json::CharReaderBuilder().newCharReader());
+  // Costs more to build than a row costs to parse.
+  static const Json::CharReaderBuilder sBuilder;
+  const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
   if (!reader->parse(
         aText.data(), aText.data() + aText.size(), &root, &errors) ||
       !root.isObject()) {
--- /dev/null
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -0,0 +1,422 @@
+#include "LeaseWorld.h"
+
+#include <memory>
+
+#include <LibLease/LeaseTable.h>
+#include <StandIns/Platform/MemoryPorts.h>
+
+namespace paddle {
+
+namespace {
+
+constexpr VirtualTime kTick = Millis(100);
+constexpr VirtualTime kStoreTimeout = Millis(1000);
+constexpr VirtualTime kPromiseTimeout = Millis(500);
+
+/// A late write arrives at most this long after it was sent.
+constexpr std::uint64_t kLatestArrivalMs = 20000;
+
+} // namespace
+
+LeaseWorld::LeaseWorld(LeaseWorldSettings aSettings)
+  : mSettings(aSettings)
+  , mRandom(aSettings.mSeed)
+{
+  for (unsigned i = 0; i < mSettings.mShards; ++i) {
+    mPlaces.push_back(
+      { "s" + std::to_string(i), i % 2 == 0 ? "dc-1" : "dc-2", "r1" });
+  }
+}
+
+void
+LeaseWorld::Start(const std::string& aName,
+                  const std::string& aDataCentre,
+                  const std::string& aRegion)
+{
+  Process& process = mProcesses[aName];
+  process.mDataCentre = aDataCentre;
+  process.mRegion = aRegion;
+  Restart(aName);
+}
+
+void
+LeaseWorld::Restart(const std::string& aName)
+{
+  Process& process = mProcesses.at(aName);
+  process.mAlive = true;
+  ++process.mLife;
+  // Rates differ by up to 2% each way; quartz clocks differ by far less.
+  process.mRate = 0.98 + 0.0001 * static_cast<double>(Random(401));
+  process.mOffset = Seconds(Random(100000));
+  process.mPausedUntil = mNow;
+  const LeaseMember self{
+    aName,           aName + "." + std::to_string(process.mLife),
+    "gateway",       process.mDataCentre,
+    process.mRegion, aName
+  };
+  process.mState = MakeLeaseState(mSettings.mTimes, self, LocalTime(process));
+  process.mState.mPlaces = mPlaces;
+  In(aName, mNow + Millis(Random(300)), [this, aName] { Work(aName); });
+}
+
+void
+LeaseWorld::Kill(const std::string& aName)
+{
+  mProcesses.at(aName).mAlive = false;
+}
+
+void
+LeaseWorld::Pause(const std::string& aName, VirtualTime aDuration)
+{
+  mProcesses.at(aName).mPausedUntil = mNow + aDuration;
+}
+
+void
+LeaseWorld::Leave(const std::string& aName)
+{
+  Process& process = mProcesses.at(aName);
+  BeginLeave(process.mState, LocalTime(process));
+}
+
+void
+LeaseWorld::CutFromStore(const std::string& aName, bool aCut)
+{
+  mProcesses.at(aName).mCut = aCut;
+}
+
+void
+LeaseWorld::CutPeers(const std::string& aOne,
+                     const std::string& aOther,
+                     bool aCut)
+{
+  for (const auto& pair :
+       { std::pair(aOne, aOther), std::pair(aOther, aOne) }) {
+    if (aCut) {
+      mCutPeers.insert(pair);
+    } else {
+      mCutPeers.erase(pair);
+    }
+  }
+}
+
+void
+LeaseWorld::SetWriteFaults(unsigned aLostAnswers, unsigned aLateWrites)
+{
+  mSettings.mLostAnswers = aLostAnswers;
+  mSettings.mLateWrites = aLateWrites;
+}
+
+void
+LeaseWorld::WriteRelease(const std::string& aName)
+{
+  const std::string incarnation =
+    mProcesses.at(aName).mState.mSelf.mIncarnation;
+  mTable.Transact({ {},
+                    { { kReleasePrefix + aName,
+                        R"({"incarnation":")" + incarnation + R"("})" } } });
+}
+
+void
+LeaseWorld::RunFor(VirtualTime aDuration)
+{
+  const VirtualTime end = mNow + aDuration;
+  while (!mEvents.empty() && mEvents.top().mTime <= end) {
+    const Event event = mEvents.top();
+    mEvents.pop();
+    mNow = event.mTime;
+    event.mRun();
+    if (std::exchange(mChanged, false)) {
+      Check();
+    }
+  }
+  mNow = end;
+  Check();
+}
+
+bool
+LeaseWorld::Alive(const std::string& aName) const
+{
+  return mProcesses.at(aName).mAlive;
+}
+
+std::vector<std::string>
+LeaseWorld::OwnersOf(const std::string& aShard) const
+{
+  std::vector<std::string> owners;
+  for (const auto& [name, process] : mProcesses) {
+    if (process.mAlive &&
+        FindOwned(process.mState, aShard, LocalTime(process))) {
+      owners.push_back(name);
+    }
+  }
+  return owners;
+}
+
+int
+LeaseWorld::OwnedBy(const std::string& aName) const
+{
+  const Process& process = mProcesses.at(aName);
+  int owned = 0;
+  for (const ShardPlace& place : mPlaces) {
+    owned +=
+      process.mAlive && FindOwned(process.mState, place.mId, LocalTime(process))
+        ? 1
+        : 0;
+  }
+  return owned;
+}
+
+int
+LeaseWorld::Owned() const
+{
+  int owned = 0;
+  for (const auto& [name, process] : mProcesses) {
+    owned += OwnedBy(name);
+  }
+  return owned;
+}
+
+std::optional<HeldShard>
+LeaseWorld::Held(const std::string& aShard) const
+{
+  const std::vector<std::string> owners = OwnersOf(aShard);
+  if (owners.empty()) {
+    return std::nullopt;
+  }
+  const Process& process = mProcesses.at(owners.front());
+  return *FindOwned(process.mState, aShard, LocalTime(process));
+}
+
+const LeaseState&
+LeaseWorld::StateOf(const std::string& aName) const
+{
+  return mProcesses.at(aName).mState;
+}
+
+MonotonicTime
+LeaseWorld::LocalTime(const Process& aProcess) const
+{
+  const VirtualTime local(static_cast<std::int64_t>(
+    static_cast<double>(mNow.count()) * aProcess.mRate));
+  return MonotonicTime(local + aProcess.mOffset);
+}
+
+VirtualTime
+LeaseWorld::NetworkDelay()
+{
+  return VirtualTime(500 + Random(30000));
+}
+
+void
+LeaseWorld::At(VirtualTime aTime, std::function<void()> aRun)
+{
+  mEvents.push({ aTime, mNextOrder++, std::move(aRun) });
+}
+
+void
+LeaseWorld::In(const std::string& aName,
+               VirtualTime aTime,
+               std::function<void()> aRun)
+{
+  const unsigned life = mProcesses.at(aName).mLife;
+  At(aTime, [this, aName, life, run = std::move(aRun)] {
+    const Process& process = mProcesses.at(aName);
+    if (!process.mAlive || process.mLife != life) {
+      return;
+    }
+    if (process.mPausedUntil > mNow) {
+      In(aName, process.mPausedUntil, run);
+      return;
+    }
+    run();
+    mChanged = true;
+  });
+}
+
+void
+LeaseWorld::Work(const std::string& aName)
+{
+  Process& process = mProcesses.at(aName);
+  for (auto& [shard, stopping] : process.mState.mStopping) {
+    stopping.mQuiescent = stopping.mQuiescent || Random(10) < 7;
+  }
+  const auto action = NextAction(process.mState, LocalTime(process));
+  if (!action) {
+    WorkAfterTick(aName);
+    return;
+  }
+  // A pause may fall between the decision and the moment of sending.
+  In(aName, mNow + VirtualTime(50), [this, aName, action = *action] {
+    Send(aName, action);
+  });
+}
+
+void
+LeaseWorld::WorkAfterTick(const std::string& aName)
+{
+  In(aName, mNow + kTick, [this, aName] { Work(aName); });
+}
+
+void
+LeaseWorld::Send(const std::string& aName, const LeaseAction& aAction)
+{
+  if (const auto* write = std::get_if<WriteLeaseRows>(&aAction)) {
+    SendWrite(aName, *write);
+  } else if (const auto* read = std::get_if<ReadLeaseRows>(&aAction)) {
+    SendRead(aName, *read);
+  } else {
+    SendPromise(aName, std::get<AskPromise>(aAction));
+  }
+}
+
+bool
+LeaseWorld::StoreReachable(const std::string& aName) const
+{
+  return !mOutage && !mProcesses.at(aName).mCut;
+}
+
+void
+LeaseWorld::SendWrite(const std::string& aName, const WriteLeaseRows& aAction)
+{
+  const MonotonicTime sent = LocalTime(mProcesses.at(aName));
+  const auto report =
+    [this, aName, aAction, sent](const LeaseWriteResult& aResult) {
+      Process& process = mProcesses.at(aName);
+      ReportWrite(process.mState, aAction, aResult, sent, LocalTime(process));
+      if (aResult.mStatus == LeaseWriteStatus::Committed ||
+          aResult.mStatus == LeaseWriteStatus::Conflict) {
+        Work(aName);
+      } else {
+        WorkAfterTick(aName);
+      }
+    };
+  const LeaseWriteResult unknown{ LeaseWriteStatus::Unknown, 0, std::nullopt };
+  const std::uint64_t fate = Random(1000);
+  if (fate < mSettings.mLateWrites) {
+    At(mNow + Millis(Random(kLatestArrivalMs)), [this, aName, aAction] {
+      if (StoreReachable(aName)) {
+        ExecuteWrite(MakeMemoryTablePort(mTable), aAction);
+      }
+    });
+    In(aName, mNow + kStoreTimeout, [report, unknown] { report(unknown); });
+    return;
+  }
+  const bool loseAnswer = fate < mSettings.mLateWrites + mSettings.mLostAnswers;
+  At(mNow + NetworkDelay(), [=, this] {
+    if (!StoreReachable(aName)) {
+      LeaseWriteResult failed = unknown;
+      if (Random(2) == 0) {
+        failed.mStatus = LeaseWriteStatus::Unavailable;
+      }
+      In(aName, mNow + Millis(Random(1000)), [report, failed] {
+        report(failed);
+      });
+      return;
+    }
+    const LeaseWriteResult result =
+      ExecuteWrite(MakeMemoryTablePort(mTable), aAction);
+    In(aName,
+       mNow + (loseAnswer ? kStoreTimeout : NetworkDelay()),
+       [report, answer = loseAnswer ? unknown : result] { report(answer); });
+  });
+}
+
+void
+LeaseWorld::SendRead(const std::string& aName, const ReadLeaseRows& aAction)
+{
+  const auto fail = [this, aName] {
+    In(aName, mNow + Millis(Random(1000)), [this, aName] {
+      Process& process = mProcesses.at(aName);
+      ReportReadFailure(process.mState, LocalTime(process));
+      WorkAfterTick(aName);
+    });
+  };
+  // The shards and the sessions are read at two moments, between which other
+  // processes go on.
+  At(mNow + NetworkDelay(), [=, this] {
+    if (!StoreReachable(aName)) {
+      fail();
+      return;
+    }
+    TablePort withoutSessions = MakeMemoryTablePort(mTable);
+    withoutSessions.mScan = [this](std::string_view aPrefix) {
+      return aPrefix == kSessionPrefix ? std::vector<TableRow>()
+                                       : mTable.Scan(aPrefix);
+    };
+    const LeaseRows first = ValueOf(ExecuteRead(withoutSessions, aAction));
+    At(mNow + NetworkDelay(), [=, this] {
+      if (!StoreReachable(aName)) {
+        fail();
+        return;
+      }
+      LeaseRows rows = first;
+      rows.mSessions =
+        ValueOf(ExecuteRead(MakeMemoryTablePort(mTable),
+                            ReadLeaseRows{ first.mRevision, {} }))
+          .mSessions;
+      In(aName, mNow + NetworkDelay(), [this, aName, rows] {
+        Process& process = mProcesses.at(aName);
+        ReportRead(process.mState, rows, LocalTime(process));
+        Work(aName);
+      });
+    });
+  });
+}
+
+void
+LeaseWorld::SendPromise(const std::string& aName, const AskPromise& aAction)
+{
+  const MonotonicTime sent = LocalTime(mProcesses.at(aName));
+  // Whichever comes first, the answer or the time-out, ends the call.
+  const auto ended = std::make_shared<bool>(false);
+  const auto end = [this, aName, aAction, sent, ended](bool aGranted) {
+    if (std::exchange(*ended, true)) {
+      return;
+    }
+    Process& process = mProcesses.at(aName);
+    ReportPromise(process.mState, aAction, aGranted, sent, LocalTime(process));
+    Work(aName);
+  };
+  In(aName, mNow + kPromiseTimeout, [end] { end(false); });
+  const std::string peer = aAction.mPeer.mName;
+  if (mCutPeers.contains({ aName, peer }) || !mProcesses.contains(peer)) {
+    return;
+  }
+  In(peer, mNow + NetworkDelay(), [=, this] {
+    Process& process = mProcesses.at(peer);
+    GrantPromise(process.mState, aName, aAction.mTerm, LocalTime(process));
+    In(aName, mNow + NetworkDelay(), [end] { end(true); });
+  });
+}
+
+void
+LeaseWorld::Check()
+{
+  for (const ShardPlace& place : mPlaces) {
+    CheckShard(place.mId);
+  }
+}
+
+void
+LeaseWorld::CheckShard(const std::string& aShard)
+{
+  const std::vector<std::string> owners = OwnersOf(aShard);
+  if (owners.empty() || !mViolation.empty()) {
+    return;
+  }
+  const std::string where =
+    " at " + std::to_string(mNow.count()) + " us, shard " + aShard;
+  if (owners.size() > 1) {
+    mViolation = "two owners " + owners[0] + " and " + owners[1] + where;
+    return;
+  }
+  std::uint64_t& last = mEpochs[aShard];
+  const std::uint64_t epoch = Held(aShard)->mEpoch;
+  if (epoch < last) {
+    mViolation = "epoch " + std::to_string(epoch) + " after " +
+                 std::to_string(last) + where;
+  }
+  last = epoch;
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Tests/LibLease/LeaseWorld.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <LibLeaseCore/LeaseCore.h>
+#include <StandIns/Platform/MemoryTable.h>
+
+namespace paddle {
+
+/// Virtual time since the start of a simulation.
+using VirtualTime = std::chrono::microseconds;
+
+struct LeaseWorldSettings
+{
+  std::uint64_t mSeed = 1;
+  LeaseTimes mTimes;
+  unsigned mShards = 6;
+  /// Per mille of writes whose answer is lost, and of writes that arrive only
+  /// after the sender has given up.
+  unsigned mLostAnswers = 0;
+  unsigned mLateWrites = 0;
+};
+
+/// Several processes that drive the lease decisions against one table, in
+/// virtual time. Each has a clock of its own rate and offset. After each
+/// event the world checks that no shard has two valid owners and that no
+/// epoch goes back.
+class LeaseWorld
+{
+public:
+  explicit LeaseWorld(LeaseWorldSettings aSettings);
+
+  /// Starts a process, also one that was killed before.
+  void Start(const std::string& aName,
+             const std::string& aDataCentre = "dc-1",
+             const std::string& aRegion = "r1");
+  void Kill(const std::string& aName);
+  /// Starts a killed process again where it was.
+  void Restart(const std::string& aName);
+  void Pause(const std::string& aName, VirtualTime aDuration);
+  void Leave(const std::string& aName);
+
+  void SetOutage(bool aOn) { mOutage = aOn; }
+  /// Cuts a process off from the store or connects it again.
+  void CutFromStore(const std::string& aName, bool aCut);
+  void CutPeers(const std::string& aOne, const std::string& aOther, bool aCut);
+  void SetWriteFaults(unsigned aLostAnswers, unsigned aLateWrites);
+  void WriteRelease(const std::string& aName);
+
+  void RunFor(VirtualTime aDuration);
+
+  [[nodiscard]] bool Alive(const std::string& aName) const;
+  /// @return names of the processes that own the shard at this moment
+  std::vector<std::string> OwnersOf(const std::string& aShard) const;
+  /// @return number of shards that the process owns at this moment
+  int OwnedBy(const std::string& aName) const;
+  int Owned() const;
+  /// @return the shard as its owner holds it
+  std::optional<HeldShard> Held(const std::string& aShard) const;
+  [[nodiscard]] const LeaseState& StateOf(const std::string& aName) const;
+  TableCounters Counters() const { return mTable.Counters(); }
+  std::uint64_t Random(std::uint64_t aBelow) { return mRandom() % aBelow; }
+
+  /// @return what went wrong first, or an empty text
+  [[nodiscard]] const std::string& Violation() const { return mViolation; }
+
+private:
+  struct Process
+  {
+    std::string mDataCentre;
+    std::string mRegion;
+    LeaseState mState;
+    bool mAlive = false;
+    unsigned mLife = 0; ///< Events of earlier lives are dropped.
+    double mRate = 1;
+    VirtualTime mOffset{ 0 };
+    VirtualTime mPausedUntil{ 0 };
+    bool mCut = false;
+  };
+
+  struct Event
+  {
+    VirtualTime mTime;
+    std::uint64_t mOrder;
+    std::function<void()> mRun;
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(mTime, mOrder) > std::pair(aOther.mTime, aOther.mOrder);
+    }
+  };
+
+  MonotonicTime LocalTime(const Process& aProcess) const;
+  VirtualTime NetworkDelay();
+  void At(VirtualTime aTime, std::function<void()> aRun);
+  /// Runs something in a process; later if it is paused, never if it has died.
+  void In(const std::string& aName,
+          VirtualTime aTime,
+          std::function<void()> aRun);
+  void Work(const std::string& aName);
+  void WorkAfterTick(const std::string& aName);
+  void Send(const std::string& aName, const LeaseAction& aAction);
+  void SendWrite(const std::string& aName, const WriteLeaseRows& aAction);
+  void SendRead(const std::string& aName, const ReadLeaseRows& aAction);
+  void SendPromise(const std::string& aName, const AskPromise& aAction);
+  bool StoreReachable(const std::string& aName) const;
+  void Check();
+  void CheckShard(const std::string& aShard);
+
+  LeaseWorldSettings mSettings;
+  std::mt19937_64 mRandom;
+  MemoryTable mTable;
+  VirtualTime mNow{ 0 };
+  std::uint64_t mNextOrder = 0;
+  std::priority_queue<Event> mEvents;
+  std::map<std::string, Process> mProcesses;
+  std::set<std::pair<std::string, std::string>> mCutPeers;
+  std::vector<ShardPlace> mPlaces;
+  std::map<std::string, std::uint64_t> mEpochs;
+  bool mOutage = false;
+  /// A process has changed its state. Without that, ownership can only end.
+  bool mChanged = false;
+  std::string mViolation;
+};
+
+} // namespace paddle
