--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include <LibLease/LeaseTable.h>
+#include <LibLease/Release.h>
 #include <StandIns/Platform/MemoryPorts.h>
 
 namespace paddle {
@@ -107,13 +108,13 @@
 }
 
 void
-LeaseWorld::WriteRelease(const std::string& aName)
+LeaseWorld::Release(const std::string& aName)
 {
-  const std::string incarnation =
-    mProcesses.at(aName).mState.mSelf.mIncarnation;
-  mTable.Transact({ {},
-                    { { kReleasePrefix + aName,
-                        R"({"incarnation":")" + incarnation + R"("})" } } });
+  const Outcome<Done> released =
+    ReleaseMember(MakeMemoryTablePort(mTable), aName, "operator", "test");
+  if (!Succeeded(released)) {
+    mViolation = ErrorOf(released).mMessage;
+  }
 }
 
 void
@@ -349,10 +350,13 @@
         fail();
         return;
       }
+      TablePort onlySessions = MakeMemoryTablePort(mTable);
+      onlySessions.mRead = [&first](std::span<const std::string>) {
+        return std::vector<TableRow>{ { "", "", first.mRevision } };
+      };
       LeaseRows rows = first;
       rows.mSessions =
-        ValueOf(ExecuteRead(MakeMemoryTablePort(mTable),
-                            ReadLeaseRows{ first.mRevision, {} }))
+        ValueOf(ExecuteRead(onlySessions, ReadLeaseRows{ first.mRevision, {} }))
           .mSessions;
       In(aName, mNow + NetworkDelay(), [this, aName, rows] {
         Process& process = mProcesses.at(aName);
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseWorld.h
@@ -54,7 +54,7 @@
   void CutFromStore(const std::string& aName, bool aCut);
   void CutPeers(const std::string& aOne, const std::string& aOther, bool aCut);
   void SetWriteFaults(unsigned aLostAnswers, unsigned aLateWrites);
-  void WriteRelease(const std::string& aName);
+  void Release(const std::string& aName);
 
   void RunFor(VirtualTime aDuration);
 
