--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -208,6 +208,21 @@
   return VirtualTime(500 + Random(30000));
 }
 
+/// @return the time from a process to the store, or back
+VirtualTime
+LeaseWorld::StoreDelay()
+{
+  return mCallTime ? *mCallTime / 2 : NetworkDelay();
+}
+
+/// @return the time until a failed call returns, after it has reached the
+///         store
+VirtualTime
+LeaseWorld::FailureDelay()
+{
+  return mCallTime ? *mCallTime / 2 : VirtualTime(Millis(Random(1000)));
+}
+
 void
 LeaseWorld::At(VirtualTime aTime, std::function<void()> aRun)
 {
@@ -303,21 +318,19 @@
     return;
   }
   const bool loseAnswer = fate < mSettings.mLateWrites + mSettings.mLostAnswers;
-  At(mNow + NetworkDelay(), [=, this] {
+  At(mNow + StoreDelay(), [=, this] {
     if (!StoreReachable(aName)) {
       LeaseWriteResult failed = unknown;
       if (Random(2) == 0) {
         failed.mStatus = LeaseWriteStatus::Unavailable;
       }
-      In(aName, mNow + Millis(Random(1000)), [report, failed] {
-        report(failed);
-      });
+      In(aName, mNow + FailureDelay(), [report, failed] { report(failed); });
       return;
     }
     const LeaseWriteResult result =
       ExecuteWrite(MakeMemoryTablePort(mTable), aAction);
     In(aName,
-       mNow + (loseAnswer ? kStoreTimeout : NetworkDelay()),
+       mNow + (loseAnswer ? kStoreTimeout : StoreDelay()),
        [report, answer = loseAnswer ? unknown : result] { report(answer); });
   });
 }
@@ -325,9 +338,9 @@
 void
 LeaseWorld::SendRead(const std::string& aName, const ReadLeaseRows& aAction)
 {
-  At(mNow + NetworkDelay(), [=, this] {
+  At(mNow + StoreDelay(), [=, this] {
     if (!StoreReachable(aName)) {
-      In(aName, mNow + Millis(Random(1000)), [this, aName] {
+      In(aName, mNow + FailureDelay(), [this, aName] {
         Process& process = mProcesses.at(aName);
         ReportReadFailure(process.mState, LocalTime(process));
         WorkAfterTick(aName);
@@ -336,7 +349,7 @@
     }
     const LeaseRows rows =
       ValueOf(ExecuteRead(MakeMemoryTablePort(mTable), aAction));
-    In(aName, mNow + NetworkDelay(), [this, aName, aAction, rows] {
+    In(aName, mNow + StoreDelay(), [this, aName, aAction, rows] {
       Process& process = mProcesses.at(aName);
       ReportRead(process.mState, aAction, rows, LocalTime(process));
       Work(aName);
--- a/Tests/LibLease/LeaseWorld.h
+++ b/Tests/LibLease/LeaseWorld.h
@@ -50,6 +50,9 @@
   void Leave(const std::string& aName);
 
   void SetOutage(bool aOn) { mOutage = aOn; }
+  /// Sets the time that a call of the store takes, or that passes until a call
+  /// fails in an outage; random by default.
+  void SetCallTime(VirtualTime aTime) { mCallTime = aTime; }
   /// Cuts a process off from the store or connects it again.
   void CutFromStore(const std::string& aName, bool aCut);
   void CutPeers(const std::string& aOne, const std::string& aOther, bool aCut);
@@ -100,6 +103,8 @@
 
   MonotonicTime LocalTime(const Process& aProcess) const;
   VirtualTime NetworkDelay();
+  VirtualTime StoreDelay();
+  VirtualTime FailureDelay();
   void At(VirtualTime aTime, std::function<void()> aRun);
   /// Runs something in a process; later if it is paused, never if it has died.
   void In(const std::string& aName,
@@ -126,6 +131,7 @@
   std::vector<ShardPlace> mPlaces;
   std::map<std::string, std::uint64_t> mEpochs;
   bool mOutage = false;
+  std::optional<VirtualTime> mCallTime;
   /// A process has changed its state. Without that, ownership can only end.
   bool mChanged = false;
   std::string mViolation;
--- a/Tests/LibLease/TestLeaseScenarios.cpp
+++ b/Tests/LibLease/TestLeaseScenarios.cpp
@@ -19,6 +19,23 @@
   STRCMP_EQUAL("", aWorld.Violation().c_str());
 }
 
+/// Checks that two processes keep their shards for a minute in which each call
+/// of the store takes a given time.
+void
+CheckUninterrupted(LeaseWorld& aWorld, VirtualTime aCallTime, bool aOutage)
+{
+  aWorld.Start("a", "dc-1");
+  aWorld.Start("c", "dc-2");
+  aWorld.RunFor(Seconds(20));
+  aWorld.SetCallTime(aCallTime);
+  aWorld.SetOutage(aOutage);
+  for (int i = 0; i < 600; ++i) {
+    aWorld.RunFor(Millis(100));
+    LONGS_EQUAL(6, aWorld.Owned());
+  }
+  CheckSound(aWorld);
+}
+
 } // namespace
 
 TEST_GROUP(LeaseScenarios)
@@ -84,6 +101,26 @@
   CheckSound(mWorld);
 }
 
+// Guards against a table service that is slow, but works, and makes sessions
+// lapse because calls wait for each other.
+TEST(LeaseScenarios, SlowStoreInterruptsNoOwner)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LeaseWorld world{ { .mSeed = seed, .mTimes = kTimes } };
+    CheckUninterrupted(world, Millis(900), false);
+  }
+}
+
+// Guards against an outage in which each call takes its whole time-out, so
+// that the promise is asked for too late.
+TEST(LeaseScenarios, SilentStoreInterruptsNoOwner)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LeaseWorld world{ { .mSeed = seed, .mTimes = kTimes } };
+    CheckUninterrupted(world, Millis(1000), true);
+  }
+}
+
 // Guards against an owner that outlives the wait of all other processes.
 TEST(LeaseScenarios, OwnerStopsBeforeOthersMayTakeOver)
 {
