--- a/Libraries/LibPlacement/Job.h
+++ b/Libraries/LibPlacement/Job.h
@@ -59,6 +59,7 @@
   JobPhase mPhase = JobPhase::Queued;
   std::uint32_t mAttempt = 0;
   std::string mCheckpoint;
+  std::uint32_t mCheckpointAttempt = 0; ///< The attempt that made it.
   bool mCancelRequested = false;
   std::string mReason;
 };
--- a/Libraries/LibPlacement/Reports.cpp
+++ b/Libraries/LibPlacement/Reports.cpp
@@ -179,13 +179,24 @@
   }
 }
 
-/// Whether a late outcome of the previous attempt has a checkpoint that the
+void
+KeepCheckpoint(Job& aJob,
+               const std::string& aCheckpoint,
+               std::uint32_t aAttempt)
+{
+  if (!aCheckpoint.empty()) {
+    aJob.mRow.mCheckpoint = aCheckpoint;
+    aJob.mRow.mCheckpointAttempt = aAttempt;
+  }
+}
+
+/// Whether a late outcome of an earlier attempt has a checkpoint that the
 /// waiting job should resume from.
 bool
 HasNewerCheckpoint(const Job& aJob, const TaskOutcome& aOutcome)
 {
   return aJob.mPhase == JobPhase::Queued &&
-         aOutcome.mAttempt + 1 == aJob.mRow.mAttempt &&
+         aOutcome.mAttempt >= aJob.mRow.mCheckpointAttempt &&
          !aOutcome.mCheckpoint.empty() &&
          aOutcome.mCheckpoint != aJob.mRow.mCheckpoint;
 }
@@ -221,7 +232,7 @@
                        (job->mPhase == JobPhase::Doubtful &&
                         aOutcome.mAttempt >= job->mRow.mAttempt);
   if (!current && HasNewerCheckpoint(*job, aOutcome)) {
-    job->mRow.mCheckpoint = aOutcome.mCheckpoint;
+    KeepCheckpoint(*job, aOutcome.mCheckpoint, aOutcome.mAttempt);
     Record(aShard, *job, JobPhase::Queued, aActions);
     return;
   }
@@ -237,9 +248,7 @@
     return;
   }
   job->mRow.mAttempt = aOutcome.mAttempt;
-  if (!aOutcome.mCheckpoint.empty()) {
-    job->mRow.mCheckpoint = aOutcome.mCheckpoint;
-  }
+  KeepCheckpoint(*job, aOutcome.mCheckpoint, aOutcome.mAttempt);
   if (aOutcome.mResult == TaskResult::Failed) {
     HoldOrRetry(aShard, aWorker, *job, aOutcome, aNow, aActions);
     return;
@@ -278,9 +287,7 @@
   const TaskSlot& slot = aShard.mWorkers[aWorker].mSlots[aSlot];
   Job* job = FindJob(aShard, slot.mJob);
   if (job && IsCurrent(*job, aWorker, slot.mAttempt)) {
-    if (!slot.mCheckpoint.empty()) {
-      job->mRow.mCheckpoint = slot.mCheckpoint;
-    }
+    KeepCheckpoint(*job, slot.mCheckpoint, slot.mAttempt);
     ++aShard.mCounters.mLost;
     RecordNextAttempt(aShard, *job, aActions);
   }
--- a/Tests/LibPlacement/Measure/MeasurePlacement.cpp
+++ b/Tests/LibPlacement/Measure/MeasurePlacement.cpp
@@ -63,7 +63,9 @@
     spec.mDeclared = { static_cast<std::int64_t>(500 + mRandom() % 1000),
                        static_cast<std::int64_t>(1000 + mRandom() % 4000),
                        0 };
-    AdoptJob(mShard, { spec, JobPhase::Queued, 0, "", false, "" }, mNow);
+    JobRow row;
+    row.mSpec = spec;
+    AdoptJob(mShard, row, mNow);
   }
 
   /// Ends a random task by a report of its worker, which lists the others.
