LibPlacement: Let the policy say how pressure is answered

Cause: the baseline is to evict on any pressure, but a policy could only turn the answer to interference off. The flag becomes two: whether reservations follow the use, and which answer pressure gets.

--- a/Libraries/LibPlacement/Health.cpp
+++ b/Libraries/LibPlacement/Health.cpp
@@ -139,6 +139,12 @@
   constexpr std::uint32_t kReportsDown = 5;
   Worker& worker = aShard.mWorkers[aWorker];
   const double pressure = Pressure(worker, aLatencyRatio);
+  if (aShard.mPolicy->mPressure == PressureAnswer::EvictAtOnce) {
+    if (pressure > kPressed) {
+      EvictOne(aShard, aWorker, aNow, aActions);
+    }
+    return;
+  }
   worker.mPressedReports = pressure > kPressed ? worker.mPressedReports + 1 : 0;
   worker.mCalmReports = pressure < kCalm ? worker.mCalmReports + 1 : 0;
   if (worker.mPressedReports >= kReportsUp) {
--- a/Libraries/LibPlacement/PlacementPolicy.h
+++ b/Libraries/LibPlacement/PlacementPolicy.h
@@ -9,6 +9,13 @@
 
 namespace paddle {
 
+/// What the core does about interference on a worker.
+enum class PressureAnswer
+{
+  EvictAtOnce, ///< Evicts a batch task at each report that shows pressure.
+  Stepwise     ///< Stops adding, throttles, then evicts, with hysteresis.
+};
+
 /// A plug-in that decides how much to reserve and which worker to use. The
 /// core checks every choice against capacity, health and data centre state.
 struct PlacementPolicy
@@ -25,8 +32,9 @@
   std::function<
     void(Team&, TaskClass, const Amount& aDeclared, const Amount& aUsed)>
     mLearn;
-  /// Whether reservations follow usage and interference is answered.
-  bool mAdaptive = false;
+  /// Whether reservations follow the reported usage.
+  bool mFollowsUse = false;
+  PressureAnswer mPressure = PressureAnswer::EvictAtOnce;
 };
 
 } // namespace paddle
--- a/Libraries/LibPlacement/Policies/FirstFit.cpp
+++ b/Libraries/LibPlacement/Policies/FirstFit.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 /// The baseline: the first worker with room, reserving what was declared.
+/// Evicts on any pressure.
 std::optional<WorkerIndex>
 ChooseFirst(const Shard& aShard,
             const Job& aJob,
@@ -25,7 +26,8 @@
   { [](const Shard&, const Job& aJob) { return aJob.mRow.mSpec.mDeclared; },
     ChooseFirst,
     [](Team&, TaskClass, const Amount&, const Amount&) {},
-    false });
+    false,
+    PressureAnswer::EvictAtOnce });
 
 } // namespace
 
--- a/Libraries/LibPlacement/Policies/Learned.cpp
+++ b/Libraries/LibPlacement/Policies/Learned.cpp
@@ -90,7 +90,8 @@
        const Amount& aUsed) {
       Learn(aTeam.mUsage[static_cast<std::size_t>(aClass)], aDeclared, aUsed);
     },
-    true });
+    true,
+    PressureAnswer::Stepwise });
 
 } // namespace
 
--- a/Libraries/LibPlacement/Reports.cpp
+++ b/Libraries/LibPlacement/Reports.cpp
@@ -53,7 +53,7 @@
 FollowUse(Shard& aShard, Worker& aWorker, TaskSlot& aSlot)
 {
   const PlacementPolicy& policy = *aShard.mPolicy;
-  if (!policy.mAdaptive || !aSlot.mTeam) {
+  if (!policy.mFollowsUse || !aSlot.mTeam) {
     return;
   }
   policy.mLearn(*aSlot.mTeam, aSlot.mClass, aSlot.mDeclared, aSlot.mUsed);
@@ -325,9 +325,7 @@
       LoseSlot(aShard, aWorker, i, aNow, aActions);
     }
   }
-  if (aShard.mPolicy->mAdaptive) {
-    AnswerInterference(aShard, aWorker, latencyRatio, aNow, aActions);
-  }
+  AnswerInterference(aShard, aWorker, latencyRatio, aNow, aActions);
   UpdatePool(aShard, aWorker, aNow);
 }
 
