--- a/Libraries/LibDocument/DecisionRecord.cpp
+++ b/Libraries/LibDocument/DecisionRecord.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-constexpr std::array<const char*, 4> kDecisions{ "served",
+constexpr std::array<const char*, 5> kDecisions{ "served",
                                                  "delayed",
                                                  "evicted",
-                                                 "refused" };
+                                                 "refused",
+                                                 "unknown" };
 constexpr std::array<const char*, 2> kSubjectKinds{ "request", "job" };
 
 template<std::size_t N>
--- a/Libraries/LibDocument/DecisionRecord.h
+++ b/Libraries/LibDocument/DecisionRecord.h
@@ -18,7 +18,8 @@
   Served,  ///< Sent to a runner, or started on a worker.
   Delayed, ///< Still waiting when the record was made.
   Evicted, ///< Stopped to make room; goes on from its checkpoint.
-  Refused  ///< Not run.
+  Refused, ///< Not run.
+  Unknown  ///< Sent, but no answer arrived: it may have run.
 };
 
 enum class SubjectKind
@@ -30,15 +31,26 @@
 /// Names of rules and figures. Records use these where they fit, because the
 /// sentences for customers are written for them; others are shown as they are.
 namespace rule {
+// Requests.
 inline constexpr const char* kFreeSlot = "free-slot";
-inline constexpr const char* kQueued = "queued-for-slot";
-inline constexpr const char* kDeadline = "deadline-too-short";
+inline constexpr const char* kForwardedToPeer = "forwarded-to-peer";
+inline constexpr const char* kWaitsForSlot = "waits-for-slot";
+inline constexpr const char* kRetried = "retried";
+inline constexpr const char* kNoRunner = "no-runner";
+inline constexpr const char* kWatchShare = "watch-share";
 inline constexpr const char* kQueueFull = "queue-full";
-inline constexpr const char* kWatchShare = "watch-share-full";
-inline constexpr const char* kKeyMemory = "key-memory-full";
+inline constexpr const char* kDeadlineTooShort = "deadline-too-short";
+inline constexpr const char* kDeadlinePassed = "deadline-passed";
+inline constexpr const char* kRetryBudgetSpent = "retry-budget-spent";
+inline constexpr const char* kTriesSpent = "tries-spent";
+inline constexpr const char* kNotRepeatable = "not-repeatable";
+inline constexpr const char* kShardMoved = "shard-moved";
+inline constexpr const char* kKeyMemoryFull = "key-memory-full";
+inline constexpr const char* kRepeatedKey = "repeated-key";
 inline constexpr const char* kLeaving = "process-leaving";
 inline constexpr const char* kNoOwner = "no-owner";
-inline constexpr const char* kNoRunner = "no-healthy-runner";
+// Jobs.
+inline constexpr const char* kFits = "fits";
 inline constexpr const char* kCapacity = "worker-capacity";
 inline constexpr const char* kQuota = "team-quota";
 inline constexpr const char* kPriority = "higher-priority-first";
@@ -55,7 +67,6 @@
 inline constexpr const char* kWaitedMs = "waitedMs";
 inline constexpr const char* kDeadlineMs = "deadlineMs";
 inline constexpr const char* kExpectedMs = "expectedMs";
-inline constexpr const char* kQueueLength = "queueLength";
 inline constexpr const char* kFreeSlots = "freeSlots";
 inline constexpr const char* kSlots = "slots";
 inline constexpr const char* kQuotaUse = "quotaUse"; ///< 1 is the whole quota.
@@ -65,6 +76,8 @@
 inline constexpr const char* kLargestMemoryMb = "largestMemoryMb";
 inline constexpr const char* kLostSeconds = "lostSeconds";
 inline constexpr const char* kFailures = "failures";
+inline constexpr const char* kTries = "tries";
+inline constexpr const char* kAhead = "ahead"; ///< Waiting before it.
 } // namespace figure
 
 /// Why one request or job was served, delayed, evicted or refused, as known by
--- a/Tests/LibDocument/TestDecisionRecord.cpp
+++ b/Tests/LibDocument/TestDecisionRecord.cpp
@@ -19,7 +19,7 @@
   record.mSubject = "r-1";
   record.mService = "press-desk";
   record.mCustomer = "Ana's orchard";
-  record.mRule = rule::kDeadline;
+  record.mRule = rule::kDeadlineTooShort;
   record.mFigures = { { figure::kDeadlineMs, 500 },
                       { figure::kExpectedMs, 900.5 } };
   record.mWhatWouldHaveChangedIt = "a deadline of at least 901 ms";
