--- a/Tests/LibConfig/TestConfigFollower.cpp
+++ b/Tests/LibConfig/TestConfigFollower.cpp
@@ -105,13 +105,13 @@
   const ConfigFollower follower(mTable.Port(), kPoll);
   CHECK_TRUE(ReachesRevision(follower, 1));
   CHECK_TRUE(follower.ProvenInService("dc-1", kLong));
-  mTable.SetAnswer(FakeTable::Answer::Down);
+  mTable.mFaults.SetOutage(true);
   CHECK_TRUE(Eventually([&] { return follower.Age() > Millis(50); }));
   CHECK_FALSE(follower.ProvenInService("dc-1", Millis(50)));
   LONGS_EQUAL(1, follower.Current()->mRevision);
   mTable.Put("dc/dc-1", DataCentreRow("out"));
   mTable.Put("config/revision", "2");
-  mTable.SetAnswer(FakeTable::Answer::Normal);
+  mTable.mFaults.SetOutage(false);
   CHECK_TRUE(ReachesRevision(follower, 2));
   CHECK_FALSE(follower.ProvenInService("dc-1", kLong));
 }
@@ -119,7 +119,7 @@
 // Guards against a process that has read nothing and counts as up to date.
 TEST(ConfigFollower, ProvesNothingBeforeTheFirstRead)
 {
-  mTable.SetAnswer(FakeTable::Answer::Down);
+  mTable.mFaults.SetOutage(true);
   const ConfigFollower follower(mTable.Port(), kPoll);
   CHECK_FALSE(follower.ProvenInService("dc-1", kLong));
   CHECK_FALSE(follower.Age().has_value());
--- a/Tests/Support/FakeTable.h
+++ b/Tests/Support/FakeTable.h
@@ -1,167 +1,74 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
-#include <mutex>
 #include <string>
 
-#include <LibTable/TablePort.h>
+#include <StandIns/Platform/MemoryPorts.h>
 
 namespace paddle {
 
-/// A table service in memory for tests, with the faults they need.
+/// The stand-in's table in this process, with what tests of changes need.
 class FakeTable
 {
 public:
-  enum class Answer
-  {
-    Normal,
-    Down,       ///< Nothing takes effect: Unavailable.
-    LostAnswer, ///< A transaction takes effect, but ends as Unknown.
-    LostRequest ///< A transaction takes no effect and ends as Unknown.
-  };
+  PlatformFaults mFaults;
 
   /// @return a port to this table, which must outlive it
   TablePort Port()
   {
-    return TablePort{
-      [this](std::span<const std::string> aKeys) { return Read(aKeys); },
-      [this](std::string_view aPrefix) { return Scan(aPrefix); },
-      [this](const TableTransaction& aChange) { return Transact(aChange); }
+    TablePort port = MakeMemoryTablePort(mTable, mFaults, "");
+    port.mTransact = [this, commit = port.mTransact](
+                       const TableTransaction& aChange) -> TransactResult {
+      std::function<void()> hook;
+      std::swap(hook, mBeforeTransact);
+      if (hook) {
+        hook();
+      }
+      if (mLoseRequests) {
+        return Error{ ErrorKind::Unknown, "no answer" };
+      }
+      return commit(aChange);
     };
+    return port;
   }
 
-  void SetAnswer(Answer aAnswer)
-  {
-    std::lock_guard lock(mMutex);
-    mAnswer = aAnswer;
-  }
-
-  /// Runs before each transaction, without the lock; for races.
+  /// Runs once before the next transaction, for races in one thread.
   void BeforeTransact(std::function<void()> aHook)
   {
-    std::lock_guard lock(mMutex);
     mBeforeTransact = std::move(aHook);
   }
 
+  /// From now on transactions have no effect and no known outcome.
+  void LoseRequests() { mLoseRequests = true; }
+
   void Put(const std::string& aKey, const std::string& aValue)
   {
-    std::lock_guard lock(mMutex);
-    mRows[aKey] = TableRow{ aKey, aValue, ++mVersion };
+    mTable.Transact({ {}, { { aKey, aValue } } });
   }
 
+  /// @return the row's value, empty if there is none
   std::string Value(const std::string& aKey)
   {
-    std::lock_guard lock(mMutex);
-    return mRows.contains(aKey) ? mRows[aKey].mValue : "";
-  }
-
-  std::map<std::string, TableRow> Rows()
-  {
-    std::lock_guard lock(mMutex);
-    return mRows;
-  }
-
-  std::size_t CountPrefix(const std::string& aPrefix)
-  {
-    std::lock_guard lock(mMutex);
-    std::size_t count = 0;
-    for (const auto& [key, row] : mRows) {
-      count += key.starts_with(aPrefix) ? 1 : 0;
-    }
-    return count;
-  }
-
-private:
-  static Error Unavailable()
-  {
-    return Error{ ErrorKind::Unavailable, "the table service is down" };
-  }
-
-  TableRow Row(const std::string& aKey) const
-  {
-    const auto found = mRows.find(aKey);
-    return found == mRows.end() ? TableRow{ aKey, "", 0 } : found->second;
-  }
-
-  Outcome<std::vector<TableRow>> Read(std::span<const std::string> aKeys)
-  {
-    std::lock_guard lock(mMutex);
-    if (mAnswer == Answer::Down) {
-      return Unavailable();
-    }
-    std::vector<TableRow> rows;
-    for (const std::string& key : aKeys) {
-      rows.push_back(Row(key));
-    }
-    return rows;
+    const std::array<std::string, 1> keys{ aKey };
+    return mTable.Read(keys).front().mValue;
   }
 
-  Outcome<std::vector<TableRow>> Scan(std::string_view aPrefix)
+  /// @return values by key of all rows that begin with the prefix
+  std::map<std::string, std::string> Rows(const std::string& aPrefix = "")
   {
-    std::lock_guard lock(mMutex);
-    if (mAnswer == Answer::Down) {
-      return Unavailable();
-    }
-    std::vector<TableRow> rows;
-    for (const auto& [key, row] : mRows) {
-      if (key.starts_with(aPrefix)) {
-        rows.push_back(row);
-      }
+    std::map<std::string, std::string> rows;
+    for (const TableRow& row : mTable.Scan(aPrefix)) {
+      rows[row.mKey] = row.mValue;
     }
     return rows;
   }
 
-  TransactResult Transact(const TableTransaction& aChange)
-  {
-    std::function<void()> hook;
-    {
-      std::lock_guard lock(mMutex);
-      std::swap(hook, mBeforeTransact);
-    }
-    if (hook) {
-      hook();
-    }
-    std::lock_guard lock(mMutex);
-    if (mAnswer == Answer::Down) {
-      return Unavailable();
-    }
-    if (mAnswer == Answer::LostRequest) {
-      return Error{ ErrorKind::Unknown, "no answer" };
-    }
-    return Commit(aChange);
-  }
-
-  TransactResult Commit(const TableTransaction& aChange)
-  {
-    Conflict conflict;
-    for (const RowCondition& condition : aChange.mConditions) {
-      if (Row(condition.mKey).mVersion != condition.mVersion) {
-        conflict.mRows.push_back(Row(condition.mKey));
-      }
-    }
-    if (!conflict.mRows.empty()) {
-      return conflict;
-    }
-    ++mVersion;
-    for (const RowWrite& write : aChange.mWrites) {
-      if (write.mValue) {
-        mRows[write.mKey] = TableRow{ write.mKey, *write.mValue, mVersion };
-      } else {
-        mRows.erase(write.mKey);
-      }
-    }
-    if (mAnswer == Answer::LostAnswer) {
-      return Error{ ErrorKind::Unknown, "no answer" };
-    }
-    return Committed{ mVersion };
-  }
-
-  std::mutex mMutex;
-  std::map<std::string, TableRow> mRows;
-  std::uint64_t mVersion = 0;
-  Answer mAnswer = Answer::Normal;
+private:
+  MemoryTable mTable;
   std::function<void()> mBeforeTransact;
+  bool mLoseRequests = false;
 };
 
 } // namespace paddle
