--- /dev/null
+++ b/Libraries/LibControl/JobCommands.cpp
@@ -0,0 +1,82 @@
+#include <LibControl/JobCommands.h>
+
+#include <LibBase/JsonReader.h>
+#include <LibControl/Sessions.h>
+#include <LibDocument/JobDocument.h>
+
+namespace paddle {
+
+namespace {
+
+std::string
+WithJob(const std::string& aText, const std::string& aJob)
+{
+  const Outcome<JsonText> parsed = ParseJsonText("", aText);
+  if (aJob.empty() || !Succeeded(parsed) || !ValueOf(parsed).mRoot.isObject()) {
+    return aText;
+  }
+  Json::Value root = ValueOf(parsed).mRoot;
+  root["job"] = aJob;
+  return WriteJson(root);
+}
+
+ControlResult
+Answered(const std::string& aText, const Json::Value& aAnswer)
+{
+  ControlResult result;
+  result.mText = aText + "\n";
+  result.mJson = aAnswer;
+  if (aAnswer.isObject() && aAnswer["state"].isString()) {
+    result.mText = aText + " (" + aAnswer["state"].asString() + ")\n";
+  }
+  return result;
+}
+
+/// A refusal by a scheduler is no fault of the arguments.
+ControlResult
+Failed(Error aError)
+{
+  if (aError.mKind == ErrorKind::InvalidInput) {
+    aError.mKind = ErrorKind::Conflict;
+  }
+  return ChangeFailure(aError);
+}
+
+} // namespace
+
+ControlResult
+SubmitJob(const ControlPorts& aPorts,
+          const std::string& aFile,
+          const std::string& aText,
+          const std::string& aJob)
+{
+  const std::string text = WithJob(aText, aJob);
+  const Outcome<JobDocument> job = ParseJobDocument(aFile, text);
+  if (!Succeeded(job)) {
+    return ChangeFailure(ErrorOf(job));
+  }
+  Json::Value parameters;
+  parameters["text"] = text;
+  const auto answer = CallAnyScheduler(aPorts, "scheduler.submit", parameters);
+  if (!Succeeded(answer)) {
+    return Failed(ErrorOf(answer));
+  }
+  return Answered("accepted: job " + ValueOf(job).mJob, ValueOf(answer));
+}
+
+ControlResult
+CancelJob(const ControlPorts& aPorts,
+          const Author& aAuthor,
+          const std::string& aJob)
+{
+  Json::Value parameters;
+  parameters["job"] = aJob;
+  parameters["why"] = aAuthor.mWho + ": " + aAuthor.mWhy;
+  const auto answer = CallAnyScheduler(aPorts, "scheduler.cancel", parameters);
+  if (!Succeeded(answer)) {
+    return Failed(ErrorOf(answer));
+  }
+  return Answered("cancelled: job " + aJob, ValueOf(answer));
+}
+
+} // namespace paddle
