--- a/Libraries/LibControl/DataCentreCommands.cpp
+++ b/Libraries/LibControl/DataCentreCommands.cpp
@@ -103,14 +103,14 @@
   }
   aState.mMissing.clear();
   for (const SessionView& session : ValueOf(sessions)) {
-    if (session.mRole != "scheduler" ||
-        aState.mConfirmed.contains(session.mIncarnation)) {
+    if (session.Self().mRole != "scheduler" ||
+        aState.mConfirmed.contains(session.Self().mIncarnation)) {
       continue;
     }
     if (Confirms(aPorts, session, aRevision)) {
-      aState.mConfirmed.insert(session.mIncarnation);
+      aState.mConfirmed.insert(session.Self().mIncarnation);
     } else {
-      aState.mMissing.insert(session.mName);
+      aState.mMissing.insert(session.Self().mName);
     }
   }
 }
--- a/Libraries/LibControl/ReleaseCommand.cpp
+++ b/Libraries/LibControl/ReleaseCommand.cpp
@@ -18,10 +18,10 @@
   }
   std::string message = aMember + " has no session; members with one:";
   for (const SessionView& session : ValueOf(sessions)) {
-    if (session.mName == aMember) {
+    if (session.Self().mName == aMember) {
       return session;
     }
-    message += " " + session.mName;
+    message += " " + session.Self().mName;
   }
   return Error{ ErrorKind::NotFound, message };
 }
@@ -29,15 +29,17 @@
 Outcome<Done>
 CheckNotRenewed(const ControlPorts& aPorts, const SessionView& aBefore)
 {
-  aPorts.mSleep(kReleaseWatch);
-  const Outcome<SessionView> after = SessionOf(aPorts.mTable, aBefore.mName);
+  // A lease term, and a third more for clocks that run at different rates.
+  aPorts.mSleep(aBefore.mRecord.mTerm * 4 / 3);
+  const Outcome<SessionView> after =
+    SessionOf(aPorts.mTable, aBefore.Self().mName);
   if (!Succeeded(after)) {
     return ErrorOf(after);
   }
-  if (ValueOf(after).mRenewal != aBefore.mRenewal ||
-      ValueOf(after).mIncarnation != aBefore.mIncarnation) {
+  if (ValueOf(after).mRecord.mRenewals != aBefore.mRecord.mRenewals ||
+      ValueOf(after).Self().mIncarnation != aBefore.Self().mIncarnation) {
     return Error{ ErrorKind::Conflict,
-                  aBefore.mName +
+                  aBefore.Self().mName +
                     " is alive: its session was renewed while this command "
                     "watched it. Stop the process first." };
   }
@@ -49,22 +51,22 @@
             const Author& aAuthor,
             const SessionView& aSession)
 {
-  const std::string key = "release/" + aSession.mName;
+  const std::string key = "release/" + aSession.Self().mName;
   const Outcome<TableRow> row = ReadRow(aPorts.mTable, key);
   if (!Succeeded(row)) {
     return ErrorOf(row);
   }
   Json::Value value;
-  value["incarnation"] = aSession.mIncarnation;
+  value["incarnation"] = aSession.Self().mIncarnation;
   value["who"] = aAuthor.mWho;
   value["why"] = aAuthor.mWhy;
   value["time"] = TimeText(aPorts.mNow());
   ChangePlan plan;
-  plan.mWhat = "release of " + aSession.mName;
+  plan.mWhat = "release of " + aSession.Self().mName;
   plan.mConditions = { { key, ValueOf(row).mVersion } };
   plan.mWrites = { { key, WriteJson(value) } };
-  plan.mChanges = { aSession.mName + ": incarnation " + aSession.mIncarnation +
-                    " released" };
+  plan.mChanges = { aSession.Self().mName + ": incarnation " +
+                    aSession.Self().mIncarnation + " released" };
   return plan;
 }
 
--- a/Libraries/LibControl/Sessions.cpp
+++ b/Libraries/LibControl/Sessions.cpp
@@ -1,41 +1,26 @@
 #include <LibControl/Sessions.h>
 
-#include <LibBase/JsonReader.h>
+#include <optional>
+
+#include <LibLease/LeaseRowText.h>
 
 namespace paddle {
 
 namespace {
 
-std::string
-TextOf(const Json::Value& aObject, const char* aMember)
-{
-  const Json::Value& value = aObject[aMember];
-  return value.isString() ? value.asString() : std::string();
-}
-
 std::optional<SessionView>
 ParseSession(const TableRow& aRow)
 {
-  const Outcome<JsonText> parsed = ParseJsonText(aRow.mKey, aRow.mValue);
-  if (!Succeeded(parsed) || !ValueOf(parsed).mRoot.isObject()) {
+  const Outcome<SessionRecord> record = ParseSessionRecord(aRow.mValue);
+  if (!Succeeded(record)) {
     return std::nullopt;
   }
-  const Json::Value& root = ValueOf(parsed).mRoot;
-  const Outcome<Endpoint> address = ParseEndpoint(TextOf(root, "address"));
+  const LeaseMember& member = ValueOf(record).mMember;
+  const Outcome<Endpoint> address = ParseEndpoint(member.mAddress);
   if (!Succeeded(address)) {
     return std::nullopt;
   }
-  SessionView session;
-  session.mName = TextOf(root, "name");
-  session.mIncarnation = TextOf(root, "incarnation");
-  session.mRole = TextOf(root, "role");
-  session.mDataCentre = TextOf(root, "dataCentre");
-  session.mRegion = TextOf(root, "region");
-  session.mAddress = ValueOf(address);
-  session.mRenewal =
-    root["renewal"].isUInt64() ? root["renewal"].asUInt64() : 0;
-  session.mSuccessor = TextOf(root, "successor");
-  return session;
+  return SessionView{ ValueOf(record), ValueOf(address) };
 }
 
 } // namespace
@@ -64,7 +49,7 @@
     return sessions;
   }
   std::erase_if(ValueOf(sessions), [&](const SessionView& aSession) {
-    return aSession.mRole != aRole;
+    return aSession.Self().mRole != aRole;
   });
   if (ValueOf(sessions).empty()) {
     return Error{ ErrorKind::Unavailable,
--- a/Libraries/LibControl/Sessions.h
+++ b/Libraries/LibControl/Sessions.h
@@ -4,20 +4,17 @@
 #include <vector>
 
 #include <LibControl/ControlPorts.h>
+#include <LibLeaseCore/LeaseActions.h>
 
 namespace paddle {
 
 /// A row "session/<member>".
 struct SessionView
 {
-  std::string mName;
-  std::string mIncarnation;
-  std::string mRole;
-  std::string mDataCentre;
-  std::string mRegion;
+  SessionRecord mRecord;
   Endpoint mAddress;
-  std::uint64_t mRenewal = 0; ///< Rises with each renewal.
-  std::string mSuccessor;
+
+  [[nodiscard]] const LeaseMember& Self() const { return mRecord.mMember; }
 };
 
 /// Reads all sessions; rows that can't be parsed are left out.
@@ -28,9 +25,8 @@
 Outcome<std::vector<SessionView>>
 SessionsOfRole(const TablePort& aTable, const std::string& aRole);
 
-/// Calls a method at one scheduler after the other until one answers.
-/// @param aIsAnswer whether an outcome ends the search; by default everything
-///        but an unreachable scheduler does
+/// Calls a method at one scheduler after the other until one answers or
+/// refuses.
 Outcome<Json::Value>
 CallAnyScheduler(const ControlPorts& aPorts,
                  const std::string& aMethod,
