--- a/Meta/make-base.py
+++ b/Meta/make-base.py
@@ -68,7 +68,7 @@
 
 def write_hosts(directory, deployment):
     lines = ",\n  ".join(json.dumps(e) for e in host_entries(deployment))
-    text = '{ "hosts": [\n  ' + lines + "\n] }\n"
+    text = "[\n  " + lines + "\n]\n"
     (directory / "hosts.json").write_text(text)
 
 
