LibGateway: Carry requests from callers to runners and peers

Cause: requests need one way from the caller to a runner and back that tells truly whether a request ran.

--- /dev/null
+++ b/Libraries/LibGateway/GatewayMessage.cpp
@@ -0,0 +1,181 @@
+#include <LibGateway/GatewayMessage.h>
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <strings.h>
+
+namespace paddle {
+
+namespace {
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+bool
+IsPassed(std::string_view aName)
+{
+  constexpr std::string_view kOwn[] = { "Connection",
+                                        "Keep-Alive",
+                                        "Transfer-Encoding",
+                                        "Content-Length",
+                                        "Host",
+                                        "User-Agent",
+                                        "Proxy-Connection",
+                                        "TE",
+                                        "Trailer",
+                                        "Upgrade",
+                                        "Expect",
+                                        kRequestIdHeader,
+                                        kOutcomeHeader,
+                                        kDeadlineHeader,
+                                        kCustomerHeader,
+                                        kKeyHeader,
+                                        kForwardedHeader,
+                                        "Server",
+                                        "Date" };
+  return std::none_of(
+    std::begin(kOwn), std::end(kOwn), [&](std::string_view aOwn) {
+      return SameName(aOwn, aName);
+    });
+}
+
+/// A refusal that a repeat in a moment may avoid is 429, others are 503.
+unsigned
+StatusOf(Rule aRule)
+{
+  switch (aRule) {
+    case Rule::WatchShare:
+    case Rule::QueueFull:
+    case Rule::DeadlineTooShort:
+    case Rule::DeadlinePassed:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+} // namespace
+
+HttpHeaders
+PassedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders passed;
+  std::copy_if(aHeaders.begin(),
+               aHeaders.end(),
+               std::back_inserter(passed),
+               [](const auto& aHeader) { return IsPassed(aHeader.first); });
+  return passed;
+}
+
+bool
+IsOwnAnswer(const HttpReply& aReply,
+            std::string_view aMethod,
+            std::string_view aRequestId,
+            std::string& aWhy)
+{
+  const std::string_view id = FindHeader(aReply.mHeaders, kRequestIdHeader);
+  if (!id.empty() && id != aRequestId) {
+    aWhy = "the answer carries another request's id";
+    return false;
+  }
+  const bool bodiless =
+    aMethod == "HEAD" || aReply.mStatus == 204 || aReply.mStatus == 304;
+  if (bodiless) {
+    return true;
+  }
+  const std::string_view encoding =
+    FindHeader(aReply.mHeaders, "Transfer-Encoding");
+  if (SameName(encoding, "chunked")) {
+    return true; // The client reads up to the last chunk or fails.
+  }
+  const std::string_view text = FindHeader(aReply.mHeaders, "Content-Length");
+  std::size_t length = 0;
+  const auto [end, code] =
+    std::from_chars(text.data(), text.data() + text.size(), length);
+  if (text.empty() || code != std::errc() || length != aReply.mBody.size()) {
+    aWhy = "the answer is incomplete";
+    return false;
+  }
+  return true;
+}
+
+RequestEnd
+MakeEnd(const Explanation& aExplanation)
+{
+  const Rule rule = aExplanation.mRule;
+  if (aExplanation.mKind == DecisionKind::Unknown) {
+    return MakeUnknown(TextOf(rule));
+  }
+  return MakeRefusal(StatusOf(rule),
+                     std::string(TextOf(rule)) +
+                       "; this would change it: " + WhatWouldChange(rule));
+}
+
+RequestEnd
+MakeRefusal(unsigned aStatus, const std::string& aReason)
+{
+  return { RequestOutcome::Refused,
+           { aStatus,
+             { { "Content-Type", "text/plain" } },
+             "refused, not run: " + aReason + "\n" } };
+}
+
+RequestEnd
+MakeUnknown(const std::string& aReason)
+{
+  return { RequestOutcome::Unknown,
+           { 504,
+             { { "Content-Type", "text/plain" } },
+             "unknown whether it ran: " + aReason + "\n" } };
+}
+
+RequestOutcome
+OutcomeOf(const HttpReply& aReply)
+{
+  const std::string_view outcome = FindHeader(aReply.mHeaders, kOutcomeHeader);
+  if (outcome == "answered") {
+    return RequestOutcome::Answered;
+  }
+  return outcome == "refused" ? RequestOutcome::Refused
+                              : RequestOutcome::Unknown;
+}
+
+std::string
+EncodeReply(const HttpReply& aReply)
+{
+  std::string bytes = std::to_string(aReply.mStatus) + "\n";
+  for (const auto& [name, value] : aReply.mHeaders) {
+    bytes += name;
+    bytes += ':';
+    bytes += value;
+    bytes += '\n';
+  }
+  return bytes + "\n" + aReply.mBody;
+}
+
+HttpReply
+DecodeReply(std::string_view aBytes)
+{
+  const auto takeLine = [&aBytes] {
+    const std::size_t end = std::min(aBytes.find('\n'), aBytes.size());
+    const std::string_view line = aBytes.substr(0, end);
+    aBytes.remove_prefix(std::min(end + 1, aBytes.size()));
+    return line;
+  };
+  HttpReply reply;
+  const std::string_view status = takeLine();
+  std::from_chars(status.data(), status.data() + status.size(), reply.mStatus);
+  for (std::string_view line = takeLine(); !line.empty(); line = takeLine()) {
+    const std::size_t colon = std::min(line.find(':'), line.size() - 1);
+    reply.mHeaders.emplace_back(line.substr(0, colon), line.substr(colon + 1));
+  }
+  reply.mBody = aBytes;
+  return reply;
+}
+
+} // namespace paddle
--- a/Libraries/LibRouting/KeyMemory.cpp
+++ b/Libraries/LibRouting/KeyMemory.cpp
@@ -37,14 +37,6 @@
   return KeyDecision::Unknown;
 }
 
-void
-SetEntry(KeyMemory& aMemory, std::string_view aKey, KeyEntry aEntry)
-{
-  ForgetKey(aMemory, aKey);
-  aMemory.mBytes += BytesOf(aKey, aEntry);
-  aMemory.mEntries.emplace(std::string(aKey), std::move(aEntry));
-}
-
 } // namespace
 
 std::uint32_t
@@ -84,7 +76,7 @@
   if (aMemory.mBytes + BytesOf(aKey, entry) > aMemory.mSettings.mMostBytes) {
     return KeyDecision::Full;
   }
-  SetEntry(aMemory, aKey, std::move(entry));
+  PutKey(aMemory, aKey, std::move(entry));
   return KeyDecision::Run;
 }
 
@@ -97,19 +89,19 @@
   if (aAnswer && aAnswer->size() > kLargestStoredAnswer) {
     aAnswer = nullptr;
   }
-  SetEntry(aMemory,
-           aKey,
-           { KeyState::Finished,
-             std::move(aAnswer),
-             aNow + aMemory.mSettings.mRetention });
+  PutKey(aMemory,
+         aKey,
+         { KeyState::Finished,
+           std::move(aAnswer),
+           aNow + aMemory.mSettings.mRetention });
 }
 
 void
 MarkKeyUnknown(KeyMemory& aMemory, std::string_view aKey, MonotonicTime aNow)
 {
-  SetEntry(aMemory,
-           aKey,
-           { KeyState::Unknown, nullptr, aNow + aMemory.mSettings.mRetention });
+  PutKey(aMemory,
+         aKey,
+         { KeyState::Unknown, nullptr, aNow + aMemory.mSettings.mRetention });
 }
 
 void
@@ -123,6 +115,14 @@
   aMemory.mEntries.erase(found);
 }
 
+void
+PutKey(KeyMemory& aMemory, std::string_view aKey, KeyEntry aEntry)
+{
+  ForgetKey(aMemory, aKey);
+  aMemory.mBytes += BytesOf(aKey, aEntry);
+  aMemory.mEntries.emplace(std::string(aKey), std::move(aEntry));
+}
+
 void
 ExpireKeys(KeyMemory& aMemory, MonotonicTime aNow)
 {
@@ -146,13 +146,13 @@
       entry.mState = KeyState::Unknown;
     }
   }
-  const bool complete =
-    aAcquisition == Acquisition::FirstOwner ||
-    (aAcquisition != Acquisition::Takeover && aCopies == KeyCopies::Synced);
-  if (complete) {
+  if (aAcquisition == Acquisition::FirstOwner) {
     aMemory.mCompleteness = KeyCompleteness::Complete;
     return;
   }
+  if (aAcquisition != Acquisition::Takeover && aCopies == KeyCopies::Synced) {
+    return; // As complete as the predecessor's memory was.
+  }
   aMemory.mCompleteness = KeyCompleteness::Incomplete;
   aMemory.mCompleteFrom = aNow + aMemory.mSettings.mRetention;
 }
--- a/Libraries/LibRouting/KeyMemory.h
+++ b/Libraries/LibRouting/KeyMemory.h
@@ -96,15 +96,20 @@
 void
 ForgetKey(KeyMemory& aMemory, std::string_view aKey);
 
+/// Sets the entry of a key, for copies; the bound is the owner's.
+void
+PutKey(KeyMemory& aMemory, std::string_view aKey, KeyEntry aEntry);
+
 /// Drops the entries whose retention has passed.
 void
 ExpireKeys(KeyMemory& aMemory, MonotonicTime aNow);
 
-/// Whether the new owner of a key shard holds copies of all entries.
+/// Whether the new owner of a key shard holds copies of all entries that the
+/// predecessor had.
 enum class KeyCopies
 {
   Missing,
-  Synced ///< The predecessor confirmed that the copies here are complete.
+  Synced
 };
 
 /// Applies what a new owner may assume. Requests that the predecessor had
--- a/Libraries/LibRouting/RoutingState.cpp
+++ b/Libraries/LibRouting/RoutingState.cpp
@@ -40,9 +40,10 @@
             MonotonicTime aNow)
 {
   // The next owner by hand-over assumes that nothing is left over, so the
-  // watches of the owner before this one count too.
+  // watches of the owner before this one count too. They count while the
+  // keeper withholds the shard for a hand-over, so mOwned doesn't matter.
   const auto shard = aState.mShards.find(aShard);
-  if (shard != aState.mShards.end() && shard->second.mOwned &&
+  if (shard != aState.mShards.end() &&
       (aNow < shard->second.mShortsFreeFrom ||
        aNow < shard->second.mWatchesFreeFrom)) {
     return false;
--- a/Tests/LibRouting/TestRouting.cpp
+++ b/Tests/LibRouting/TestRouting.cpp
@@ -213,6 +213,9 @@
   routing.Event(
     ShardAcquired{ "s", { 2, Acquisition::Successor, routing.mNow } });
   CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
+  // The keeper withholds a shard before it asks.
+  routing.Event(ShardLost{ "s" });
+  CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
   CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(120000)));
 }
 
