LibRouting: Hand runner shards over while watches go on

Cause: a shard is withheld from new work until it is quiescent, and a watch can last two minutes. Each hand-over, so each restart of a gateway, would have stopped the shard's runners for that long.

Only short requests hinder a hand-over now. The new owner counts the slots for watches as taken until the longest watch must have ended, whatever way it got the shard.

--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -380,7 +380,7 @@
     return Rule::DeadlinePassed;
   }
   if (aRequest.mTries >= state.mSettings.mMostTries) {
-    return Rule::TriesSpent;
+    return aResult == TryResult::Withheld ? Rule::ShardMoved : Rule::TriesSpent;
   }
   const bool noFault =
     aResult == TryResult::PeerNotRun || aResult == TryResult::Withheld;
@@ -509,25 +509,25 @@
   ShardState& shard = aState.mShards[aEvent.mShard];
   shard.mOwned = true;
   shard.mEpoch = aEvent.mOwnership.mEpoch;
+  shard.mShortsFreeFrom = aEvent.mOwnership.mSince;
+  shard.mWatchesFreeFrom = aEvent.mOwnership.mSince;
   const Acquisition acquisition = aEvent.mOwnership.mAcquisition;
+  Millis longestShort{ 0 };
+  Millis longestWatch{ 0 };
+  for (const ServiceState& service : aState.mServices) {
+    longestShort = std::max(longestShort, service.mLimits.mLongestShort);
+    longestWatch = std::max(longestWatch, service.mLimits.mLongestWatch);
+  }
+  if (acquisition != Acquisition::FirstOwner) {
+    // A hand-over doesn't wait for watches: the runners would serve nobody for
+    // minutes. Their slots count as taken here instead.
+    shard.mWatchesFreeFrom += longestWatch;
+  }
   if (acquisition == Acquisition::Successor ||
       acquisition == Acquisition::Takeover) {
     // The predecessor's lease had ended when this process became the owner,
     // so its last request started before that.
-    ServiceLimits longest;
-    longest.mLongestShort = Millis(0);
-    longest.mLongestWatch = Millis(0);
-    for (const ServiceState& service : aState.mServices) {
-      longest.mLongestShort =
-        std::max(longest.mLongestShort, service.mLimits.mLongestShort);
-      longest.mLongestWatch =
-        std::max(longest.mLongestWatch, service.mLimits.mLongestWatch);
-    }
-    shard.mShortsFreeFrom = aEvent.mOwnership.mSince + longest.mLongestShort;
-    shard.mWatchesFreeFrom = aEvent.mOwnership.mSince + longest.mLongestWatch;
-  } else {
-    shard.mShortsFreeFrom = aEvent.mOwnership.mSince;
-    shard.mWatchesFreeFrom = aEvent.mOwnership.mSince;
+    shard.mShortsFreeFrom += longestShort;
   }
   RefreshAllUsableSlots(aState, aNow);
   for (ServiceState& service : aState.mServices) {
--- a/Libraries/LibRouting/RoutingState.cpp
+++ b/Libraries/LibRouting/RoutingState.cpp
@@ -39,19 +39,16 @@
             std::string_view aShard,
             MonotonicTime aNow)
 {
-  // The next owner by hand-over assumes that nothing is left over, so the
-  // watches of the owner before this one count too. They count while the
-  // keeper withholds the shard for a hand-over, so mOwned doesn't matter.
+  // This counts while the keeper withholds the shard for a hand-over too, so
+  // mOwned doesn't matter.
   const auto shard = aState.mShards.find(aShard);
-  if (shard != aState.mShards.end() &&
-      (aNow < shard->second.mShortsFreeFrom ||
-       aNow < shard->second.mWatchesFreeFrom)) {
+  if (shard != aState.mShards.end() && aNow < shard->second.mShortsFreeFrom) {
     return false;
   }
   for (const ServiceState& service : aState.mServices) {
     for (std::size_t i = 0; i < service.mRunners.size(); ++i) {
       if (service.mRunners[i].mShard == aShard &&
-          service.mLoads[i].mInUse > 0) {
+          service.mLoads[i].mInUse > service.mLoads[i].mWatches) {
         return false;
       }
     }
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -107,8 +107,9 @@
 PeerFree
 FreeSlots(const ServiceState& aService);
 
-/// @return whether no slot of the shard's runners is in use or held, by this
-///         process or by a predecessor, so that the shard can be handed over
+/// @return whether no short request of this process or of a predecessor can
+///         be in flight at the shard's runners, so that the shard can be
+///         handed over; watches may go on, see ShardAcquired
 bool
 IsQuiescent(const RoutingState& aState,
             std::string_view aShard,
--- a/Tests/LibRouting/TestRouting.cpp
+++ b/Tests/LibRouting/TestRouting.cpp
@@ -205,27 +205,35 @@
   CHECK_EQUAL(2, routing.Load().mUsableWatchSlots);
 }
 
-// Guards against a hand-over that hides the watches of the owner before.
-TEST(Routing, IsNotQuiescentWhileAPredecessorsWatchesMayRun)
+// Guards against a hand-over while a predecessor's requests may still run, and
+// against one that stops the runners until the last watch has ended.
+TEST(Routing, IsQuiescentWhenNoShortRequestCanRun)
 {
   RoutingFixture routing;
   routing.Event(ShardLost{ "s" });
   routing.Event(
     ShardAcquired{ "s", { 2, Acquisition::Successor, routing.mNow } });
-  CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
   // The keeper withholds a shard before it asks.
   routing.Event(ShardLost{ "s" });
   CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
-  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(120000)));
+  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(2000)));
+  RoutingFixture watched;
+  watched.Arrive(Idempotent::Yes, RouteKind::Watch, Millis(120000));
+  CHECK_TRUE(IsQuiescent(watched.mState, "s", watched.mNow));
 }
 
-// Guards against idle slots after a hand-over, which leaves nothing behind.
-TEST(Routing, UsesAllSlotsAtOnceAfterAHandOver)
+// Guards against idle slots after a hand-over, and against slots that the
+// predecessor's watches still hold.
+TEST(Routing, KeepsOnlyWatchSlotsBackAfterAHandOver)
 {
   RoutingFixture routing;
   routing.Event(ShardLost{ "s" });
   routing.Event(
     ShardAcquired{ "s", { 2, Acquisition::HandOver, routing.mNow } });
+  CHECK_EQUAL(6, routing.Load().mUsableSlots);
+  CHECK_EQUAL(0, routing.Load().mUsableWatchSlots);
+  routing.mNow += Millis(120000);
+  routing.Event(Tick{});
   CHECK_EQUAL(8, routing.Load().mUsableSlots);
 }
 
