--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -48,7 +48,14 @@
         [this](std::string_view aService) { return HealthPathOf(aService); },
         [this](const ProbeEnded& aEnd) { mRouting.Post(aEnd); })
     , mRouting(mSettings, aPolicy, Outputs())
-    , mPath(mSettings, mPorts, mClient, mRouting, mKeys, mWatches, mMetrics)
+    , mPath(mSettings,
+            mPorts,
+            mClient,
+            mRouting,
+            mKeys,
+            mWatches,
+            mRecords,
+            mMetrics)
     , mFollower(mSettings, mPorts, mRouting)
     , mPeers(mSettings, mPorts, mClient, mRouting, mKeys)
   {
@@ -65,7 +72,7 @@
   RoutingOutputs Outputs()
   {
     return {
-      [this](DecisionRecord aRecord) { mRecords.Add(std::move(aRecord)); },
+      [this](RequestRecord aRecord) { mRecords.Add(std::move(aRecord)); },
       [this](ProbeOrder aOrder) { return mProber.TryOrder(std::move(aOrder)); }
     };
   }
--- a/Libraries/LibGateway/GatewayMessage.cpp
+++ b/Libraries/LibGateway/GatewayMessage.cpp
@@ -108,30 +108,34 @@
 MakeEnd(const Explanation& aExplanation)
 {
   const Rule rule = aExplanation.mRule;
-  if (aExplanation.mKind == DecisionKind::Unknown) {
-    return MakeUnknown(TextOf(rule));
-  }
-  return MakeRefusal(StatusOf(rule),
-                     std::string(TextOf(rule)) +
-                       "; this would change it: " + WhatWouldChange(rule));
+  RequestEnd end =
+    aExplanation.mKind == DecisionKind::Unknown
+      ? MakeUnknown("", TextOf(rule))
+      : MakeRefusal(StatusOf(rule),
+                    "",
+                    std::string(TextOf(rule)) + "; this would change it: " +
+                      WhatWouldChange(aExplanation));
+  return end;
 }
 
 RequestEnd
-MakeRefusal(unsigned aStatus, const std::string& aReason)
+MakeRefusal(unsigned aStatus, const char* aRule, const std::string& aReason)
 {
   return { RequestOutcome::Refused,
            { aStatus,
              { { "Content-Type", "text/plain" } },
-             "refused, not run: " + aReason + "\n" } };
+             "refused, not run: " + aReason + "\n" },
+           aRule };
 }
 
 RequestEnd
-MakeUnknown(const std::string& aReason)
+MakeUnknown(const char* aRule, const std::string& aReason)
 {
   return { RequestOutcome::Unknown,
            { 504,
              { { "Content-Type", "text/plain" } },
-             "unknown whether it ran: " + aReason + "\n" } };
+             "unknown whether it ran: " + aReason + "\n" },
+           aRule };
 }
 
 RequestOutcome
--- a/Libraries/LibGateway/GatewayMessage.h
+++ b/Libraries/LibGateway/GatewayMessage.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-#include <LibGateway/DecisionRecord.h>
+#include <LibGateway/RequestRecord.h>
 #include <LibHttp/HttpMessage.h>
 
 namespace paddle {
@@ -21,6 +21,9 @@
 {
   RequestOutcome mOutcome = RequestOutcome::Refused;
   HttpReply mReply;
+  /// Rule of a decision that was made outside the routing core and has no
+  /// record yet; empty otherwise.
+  std::string mRule;
 };
 
 /// Headers that this program gives a meaning to.
@@ -51,13 +54,14 @@
 RequestEnd
 MakeEnd(const Explanation& aExplanation);
 
-/// @return a refusal with a status and a reason in plain words
+/// @param aRule   name for the decision record
+/// @param aReason the rule in plain words
 RequestEnd
-MakeRefusal(unsigned aStatus, const std::string& aReason);
+MakeRefusal(unsigned aStatus, const char* aRule, const std::string& aReason);
 
-/// @return an end with unknown effect, for a reason in plain words
+/// An end with unknown effect, see MakeRefusal().
 RequestEnd
-MakeUnknown(const std::string& aReason);
+MakeUnknown(const char* aRule, const std::string& aReason);
 
 /// @return the outcome named in a peer's reply; Unknown if there is none
 RequestOutcome
--- a/Libraries/LibGateway/KeyBook.cpp
+++ b/Libraries/LibGateway/KeyBook.cpp
@@ -165,6 +165,12 @@
   if (aShard.mEpoch == aOwnership.mEpoch) {
     return;
   }
+  if (aShard.mEpoch != 0 && aShard.mEpoch + 1 == aOwnership.mEpoch) {
+    // A session of this process ended and its next one took the shard: nobody
+    // else has owned it since, so the memory is as complete as it was.
+    aShard.mEpoch = aOwnership.mEpoch;
+    return;
+  }
   KeyCopies copies = KeyCopies::Missing;
   if (aOwnership.mAcquisition == Acquisition::HandOver) {
     if (FetchFromPredecessor(aNumber, aShard, aOwnership.mEpoch)) {
@@ -195,7 +201,7 @@
   parameters["shard"] = aNumber;
   parameters["epoch"] = Json::UInt64(aEpoch - 1);
   for (const Member& peer : mPorts.mMembers()) {
-    if (peer.mIncarnation == mSettings.mSelf.mIncarnation) {
+    if (peer.mName == mSettings.mSelf.mName) {
       continue;
     }
     const auto answer = CallRpc(mClient,
--- a/Libraries/LibGateway/Mailbox.h
+++ b/Libraries/LibGateway/Mailbox.h
@@ -40,7 +40,6 @@
   std::string mRequestId;
   std::string mService;
   std::string mCustomer;
-  std::string mPath;
 };
 
 /// Carries commands from the routing thread to the HTTP thread of a request.
--- a/Libraries/LibGateway/RecordWriter.cpp
+++ b/Libraries/LibGateway/RecordWriter.cpp
@@ -9,8 +9,9 @@
 /// Two minutes of batches; about 30 MB at 1,000 requests a second.
 constexpr std::size_t kMostBatches = 120;
 
-/// A batch is stored early at this size, to bound one store request.
-constexpr std::size_t kLargestBatch = 1 << 20;
+/// A batch is stored early at this number of records, about 1 MB, to bound one
+/// store request.
+constexpr std::size_t kLargestBatch = 4000;
 
 /// Object names sort by sequence, and a restarted process must not reuse one,
 /// so the sequence starts with the wall clock.
@@ -28,7 +29,7 @@
 RecordWriter::RecordWriter(const GatewaySettings& aSettings,
                            ObjectPort aObjects,
                            Metrics& aMetrics)
-  : mPrefix("record/" + aSettings.mSelf.mName + "/")
+  : mMember(aSettings.mSelf.mName)
   , mInterval(aSettings.mRecordInterval)
   , mObjects(std::move(aObjects))
   , mMetrics(aMetrics)
@@ -45,7 +46,7 @@
 }
 
 void
-RecordWriter::Add(DecisionRecord aRecord)
+RecordWriter::Add(RequestRecord aRecord)
 {
   if (mRing.TryPush(std::move(aRecord)) != PushResult::Accepted) {
     mMetrics.Count("records_dropped");
@@ -55,23 +56,22 @@
 void
 RecordWriter::Run()
 {
-  std::string body;
+  std::vector<DecisionRecord> records;
   MonotonicTime next = std::chrono::steady_clock::now() + mInterval;
   for (;;) {
     const MonotonicTime now = std::chrono::steady_clock::now();
     const auto left = std::chrono::duration_cast<Micros>(next - now);
     const auto record = mRing.Pop(std::max(left, Micros(0)));
     if (record) {
-      body += FormatRecord(*record);
-      body += '\n';
+      records.push_back(ToDecisionRecord(*record, mMember));
     }
     const bool last = !record && mRing.Closed();
-    if (!last && body.size() < kLargestBatch &&
+    if (!last && records.size() < kLargestBatch &&
         std::chrono::steady_clock::now() < next) {
       continue;
     }
-    AppendBatch(std::move(body));
-    body.clear();
+    AppendBatch(records);
+    records.clear();
     StoreBatches();
     if (last) {
       return;
@@ -81,9 +81,9 @@
 }
 
 void
-RecordWriter::AppendBatch(std::string aBody)
+RecordWriter::AppendBatch(const std::vector<DecisionRecord>& aRecords)
 {
-  if (aBody.empty()) {
+  if (aRecords.empty()) {
     return;
   }
   if (mBatches.size() == kMostBatches) {
@@ -91,7 +91,7 @@
     mMetrics.Count("record_batches_dropped");
   }
   mBatches.push_back(
-    { mPrefix + std::to_string(mSequence++), std::move(aBody) });
+    { RecordObjectName(mMember, mSequence++), EncodeRecords(aRecords) });
 }
 
 bool
--- a/Libraries/LibGateway/RecordWriter.h
+++ b/Libraries/LibGateway/RecordWriter.h
@@ -5,11 +5,12 @@
 #include <deque>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <LibBase/Metrics.h>
 #include <LibBase/Ring.h>
-#include <LibGateway/DecisionRecord.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/RequestRecord.h>
 #include <LibTable/ObjectPort.h>
 
 namespace paddle {
@@ -28,11 +29,11 @@
   RecordWriter& operator=(const RecordWriter&) = delete;
 
   /// Keeps a record; drops and counts it when the ring is full.
-  void Add(DecisionRecord aRecord);
+  void Add(RequestRecord aRecord);
 
 private:
   void Run();
-  void AppendBatch(std::string aBody);
+  void AppendBatch(const std::vector<DecisionRecord>& aRecords);
   /// @return whether nothing is left to store
   bool StoreBatches();
 
@@ -42,11 +43,11 @@
     std::string mBody;
   };
 
-  const std::string mPrefix;
+  const std::string mMember;
   const Millis mInterval;
   ObjectPort mObjects;
   Metrics& mMetrics;
-  Ring<DecisionRecord> mRing;
+  Ring<RequestRecord> mRing;
   std::deque<Batch> mBatches;
   std::uint64_t mSequence;
   std::thread mThread;
--- a/Libraries/LibGateway/RequestPath.cpp
+++ b/Libraries/LibGateway/RequestPath.cpp
@@ -92,6 +92,7 @@
                          RoutingThread& aRouting,
                          KeyBook& aKeys,
                          WatchPool& aWatches,
+                         RecordWriter& aRecords,
                          Metrics& aMetrics)
   : mSettings(aSettings)
   , mPorts(aPorts)
@@ -99,6 +100,7 @@
   , mRouting(aRouting)
   , mKeys(aKeys)
   , mWatches(aWatches)
+  , mRecords(aRecords)
   , mMetrics(aMetrics)
 {
 }
@@ -126,6 +128,7 @@
 RequestPath::Complete(const CallerRequest& aRequest, RequestEnd aEnd)
 {
   mMetrics.Count(std::string("outcome_") + NameOf(aEnd.mOutcome));
+  Record(aRequest, aEnd);
   HttpReply& reply = aEnd.mReply;
   reply.mHeaders = PassedHeaders(reply.mHeaders);
   reply.mHeaders.emplace_back(kRequestIdHeader, aRequest.mId);
@@ -133,6 +136,24 @@
   return std::move(reply);
 }
 
+/// Records a decision that the routing core did not make.
+void
+RequestPath::Record(const CallerRequest& aRequest, const RequestEnd& aEnd)
+{
+  if (aEnd.mRule.empty()) {
+    return;
+  }
+  RequestRecord record;
+  record.mTime = std::chrono::system_clock::now();
+  record.mRequest = std::make_shared<const Mailbox>(
+    RequestLabel{ aRequest.mId, aRequest.mService, aRequest.mCustomer });
+  record.mExplanation.mKind = aEnd.mOutcome == RequestOutcome::Refused
+                                ? DecisionKind::Refuse
+                                : DecisionKind::Serve;
+  record.mOtherRule = aEnd.mRule;
+  mRecords.Add(std::move(record));
+}
+
 std::optional<RequestEnd>
 RequestPath::Parse(const HttpRequest& aRequest, CallerRequest& aOut)
 {
@@ -143,11 +164,12 @@
                "-" + std::to_string(++mNumber);
   }
   if (mClosed) {
-    return MakeRefusal(503, "this gateway is leaving");
+    return MakeRefusal(503, rule::kLeaving, "this gateway is leaving");
   }
   const auto configuration = mPorts.mConfiguration();
   if (!configuration) {
-    return MakeRefusal(503, "no configuration has been read yet");
+    return MakeRefusal(
+      503, "no-configuration", "no configuration has been read yet");
   }
   const std::string& path = aRequest.mPath;
   const std::size_t slash = std::min(path.find('/', 1), path.size());
@@ -156,13 +178,15 @@
                               slash - std::min<std::size_t>(1, slash));
   const auto service = configuration->mServices.find(aOut.mService);
   if (service == configuration->mServices.end()) {
-    return MakeRefusal(404, "no service is named \"" + aOut.mService + "\"");
+    return MakeRefusal(
+      404, "no-such-service", "no service is named \"" + aOut.mService + "\"");
   }
   HttpRequest& out = aOut.mToRunner;
   out.mPath = slash < path.size() ? path.substr(slash) : "/";
   const Route* route = FindRoute(service->second, out.mPath);
   if (!route) {
-    return MakeRefusal(404, "the service has no route for " + out.mPath);
+    return MakeRefusal(
+      404, "no-such-route", "the service has no route for " + out.mPath);
   }
   aOut.mRoute = *route;
   Millis most = route->mKind == RouteKind::Watch ? service->second.mLongestWatch
@@ -173,6 +197,7 @@
     const auto wanted = ParseNumber(deadline);
     if (!wanted || *wanted < 1) {
       return MakeRefusal(400,
+                         "bad-deadline",
                          std::string(kDeadlineHeader) +
                            " must be a positive number of milliseconds");
     }
@@ -224,9 +249,9 @@
     return HandleOwnKey(aRequest);
   }
   const auto owner = mPorts.mOwnerOf(shard);
-  if (!owner || owner->mIncarnation == mSettings.mSelf.mIncarnation ||
+  if (!owner || owner->mName == mSettings.mSelf.mName ||
       aRequest.mForwarded != Forwarded::No) {
-    return MakeRefusal(503, "the owner of the key is changing");
+    return MakeRefusal(503, rule::kNoOwner, "the owner of the key is changing");
   }
   return HandOverToKeyOwner(aRequest, *owner);
 }
@@ -238,17 +263,19 @@
   Try end = SendToPeer(aRequest, aOwner.mAddress, "key");
   switch (end.mResult) {
     case TryResult::Answered:
-      return { RequestOutcome::Answered, std::move(end.mReply) };
+      return { RequestOutcome::Answered, std::move(end.mReply), {} };
     case TryResult::PeerNotRun:
-      return { RequestOutcome::Refused, std::move(end.mReply) };
+      return { RequestOutcome::Refused, std::move(end.mReply), {} };
     case TryResult::NotSent:
     case TryResult::Withheld:
-      return MakeRefusal(503, "the owner of the key can't be reached");
+      return MakeRefusal(
+        503, rule::kNoOwner, "the owner of the key can't be reached");
     case TryResult::Broken:
     case TryResult::TimedOut:
-      return MakeUnknown("the owner of the key gave no answer: " + end.mWhy);
+      return MakeUnknown("key-owner-silent",
+                         "the owner of the key gave no answer: " + end.mWhy);
   }
-  return MakeUnknown("the owner of the key gave no answer");
+  return MakeUnknown("key-owner-silent", "the owner of the key gave no answer");
 }
 
 RequestEnd
@@ -256,29 +283,36 @@
 {
   const KeyAnswer answer = mKeys.Begin(aRequest.mKey, aRequest.mDeadline);
   if (answer.mOwnerMoved) {
-    return MakeRefusal(503, "the owner of the key is changing");
+    return MakeRefusal(503, rule::kNoOwner, "the owner of the key is changing");
   }
   if (answer.mCopyFailed) {
-    return MakeRefusal(503, "the successor did not confirm the key");
+    return MakeRefusal(
+      503, "key-not-copied", "the successor did not confirm the key");
   }
   switch (answer.mDecision) {
     case KeyDecision::Run:
       return RunKeyed(aRequest);
     case KeyDecision::Replay:
       mMetrics.Count("key_replays");
-      return { RequestOutcome::Answered, DecodeReply(*answer.mStored) };
+      return { RequestOutcome::Answered,
+               DecodeReply(*answer.mStored),
+               "stored-answer" };
     case KeyDecision::Wait:
-      return MakeUnknown("a request with this key is still running");
+      return MakeUnknown("key-running",
+                         "a request with this key is still running");
     case KeyDecision::AnswerTooOld:
-      return MakeUnknown("a request with this key has run; its answer was too "
+      return MakeUnknown("answer-too-large",
+                         "a request with this key has run; its answer was too "
                          "large to store");
     case KeyDecision::Unknown:
-      return MakeUnknown("a request with this key may have run before the "
+      return MakeUnknown("key-memory-lost",
+                         "a request with this key may have run before the "
                          "owner of the key changed");
     case KeyDecision::Full:
-      return MakeRefusal(503, "the memory for idempotency keys is full");
+      return MakeRefusal(
+        503, rule::kKeyMemory, "the memory for idempotency keys is full");
   }
-  return MakeUnknown("internal error");
+  return MakeUnknown("internal", "internal error");
 }
 
 RequestEnd
@@ -302,11 +336,8 @@
 RequestEnd
 RequestPath::RouteRequest(const CallerRequest& aRequest)
 {
-  auto mailbox =
-    std::make_shared<Mailbox>(RequestLabel{ aRequest.mId,
-                                            aRequest.mService,
-                                            aRequest.mCustomer,
-                                            aRequest.mToRunner.mPath });
+  auto mailbox = std::make_shared<Mailbox>(
+    RequestLabel{ aRequest.mId, aRequest.mService, aRequest.mCustomer });
   RequestArrived arrived;
   arrived.mNumber = ++mNumber;
   arrived.mKind = aRequest.mRoute.mKind;
@@ -317,7 +348,7 @@
   arrived.mDeadline = aRequest.mDeadline;
   if (!mRouting.TryArrive({ arrived, mailbox })) {
     mMetrics.Count("ring_full");
-    return MakeRefusal(503, "this gateway is overloaded");
+    return MakeRefusal(503, "gateway-overloaded", "this gateway is overloaded");
   }
   return FollowCommands(aRequest, arrived.mNumber, *mailbox);
 }
@@ -344,7 +375,7 @@
     }
     mRouting.Post(TryEnded{ aNumber, result.mResult });
     if (result.mResult == TryResult::Answered) {
-      return { RequestOutcome::Answered, std::move(result.mReply) };
+      return { RequestOutcome::Answered, std::move(result.mReply), {} };
     }
     if (!result.mWhy.empty()) {
       LogEvent(LogLevel::Warning,
--- a/Libraries/LibGateway/RequestPath.h
+++ b/Libraries/LibGateway/RequestPath.h
@@ -12,6 +12,7 @@
 #include <LibGateway/GatewayPorts.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/KeyBook.h>
+#include <LibGateway/RecordWriter.h>
 #include <LibGateway/RoutingThread.h>
 #include <LibGateway/WatchPool.h>
 #include <LibHttp/HttpClient.h>
@@ -52,6 +53,7 @@
               RoutingThread& aRouting,
               KeyBook& aKeys,
               WatchPool& aWatches,
+              RecordWriter& aRecords,
               Metrics& aMetrics);
   RequestPath(const RequestPath&) = delete;
   RequestPath& operator=(const RequestPath&) = delete;
@@ -90,6 +92,7 @@
                  const char* aForwarded);
   std::optional<Member> FindPeer(const std::string& aName) const;
   ConnectionUse UseFor(const CallerRequest& aRequest) const;
+  void Record(const CallerRequest& aRequest, const RequestEnd& aEnd);
   HttpReply Complete(const CallerRequest& aRequest, RequestEnd aEnd);
 
   const GatewaySettings& mSettings;
@@ -98,6 +101,7 @@
   RoutingThread& mRouting;
   KeyBook& mKeys;
   WatchPool& mWatches;
+  RecordWriter& mRecords;
   Metrics& mMetrics;
   std::atomic<std::uint64_t> mNumber{ 0 };
   std::atomic<bool> mClosed{ false };
--- a/Libraries/LibGateway/DecisionRecord.cpp
+++ b/Libraries/LibGateway/RequestRecord.cpp
@@ -1,6 +1,4 @@
-#include <LibGateway/DecisionRecord.h>
-
-#include <LibBase/JsonReader.h>
+#include <LibGateway/RequestRecord.h>
 
 namespace paddle {
 
@@ -18,13 +16,13 @@
 {
   switch (aRule) {
     case Rule::FreeSlot:
-      return { "free_slot", "a runner had a free slot", "nothing" };
+      return { rule::kFreeSlot, "a runner had a free slot", "nothing" };
     case Rule::ForwardedToPeer:
-      return { "forwarded_to_peer",
+      return { "forwarded-to-peer",
                "this gateway's runners were full and a peer had free slots",
                "a free slot at this gateway's runners" };
     case Rule::WaitsForSlot:
-      return { "waits_for_slot",
+      return { rule::kQueued,
                "all slots are in use; requests are served in the order of "
                "their arrival",
                "a free slot at any gateway" };
@@ -33,59 +31,66 @@
                "a try failed and the request may be tried again",
                "a runner that answers the first try" };
     case Rule::NoRunner:
-      return { "no_runner",
+      return { rule::kNoRunner,
                "no runner of the service can take requests now",
                "a live runner whose owner is known" };
     case Rule::WatchShare:
-      return { "watch_share",
+      return { rule::kWatchShare,
                "the slots that watches may hold are in use",
                "the end of another watch" };
     case Rule::QueueFull:
-      return { "queue_full",
+      return { rule::kQueueFull,
                "too many requests wait already",
                "fewer waiting requests" };
     case Rule::DeadlineTooShort:
-      return { "deadline_too_short",
+      return { rule::kDeadline,
                "waiting and service are expected to exceed the deadline",
                "a longer deadline or fewer waiting requests" };
     case Rule::DeadlinePassed:
-      return { "deadline_passed",
+      return { "deadline-passed",
                "the deadline passed before an answer was possible",
                "a longer deadline or a free slot earlier" };
     case Rule::RetryBudgetSpent:
-      return { "retry_budget_spent",
+      return { "retry-budget-spent",
                "retries have reached their share of recent requests",
                "fewer failing requests in the last minutes" };
     case Rule::TriesSpent:
-      return { "tries_spent",
+      return { "tries-spent",
                "all allowed tries failed",
                "a runner that can be reached" };
     case Rule::NotRepeatable:
-      return { "not_repeatable",
+      return { "not-repeatable",
                "the request may have run and must not run twice",
                "an idempotent route" };
     case Rule::ShardMoved:
-      return { "shard_moved",
+      return { rule::kNoOwner,
                "the owner of the runners is changing",
                "a repeat in a moment" };
   }
   return { "unknown", "unknown", "unknown" };
 }
 
-const char*
-NameOf(DecisionKind aKind)
+/// An unknown end counts as served: the request was sent to a runner.
+Decision
+DecisionOf(DecisionKind aKind)
 {
   switch (aKind) {
-    case DecisionKind::Serve:
-      return "served";
     case DecisionKind::Delay:
-      return "delayed";
+      return Decision::Delayed;
     case DecisionKind::Refuse:
-      return "refused";
+      return Decision::Refused;
+    case DecisionKind::Serve:
     case DecisionKind::Unknown:
-      return "unknown";
+      return Decision::Served;
   }
-  return "unknown";
+  return Decision::Served;
+}
+
+double
+InMillis(Micros aTime)
+{
+  constexpr double kMicrosPerMilli = 1000;
+  return static_cast<double>(aTime.count()) / kMicrosPerMilli;
 }
 
 } // namespace
@@ -102,35 +107,44 @@
   return Describe(aRule).mText;
 }
 
-const char*
-WhatWouldChange(Rule aRule)
+std::string
+WhatWouldChange(const Explanation& aExplanation)
 {
-  return Describe(aRule).mWouldChange;
+  if (aExplanation.mRule == Rule::DeadlineTooShort) {
+    const auto needed = std::chrono::ceil<Millis>(aExplanation.mExpected);
+    return "a deadline of at least " + std::to_string(needed.count()) + " ms";
+  }
+  return Describe(aExplanation.mRule).mWouldChange;
 }
 
-std::string
-FormatRecord(const DecisionRecord& aRecord)
+DecisionRecord
+ToDecisionRecord(const RequestRecord& aRecord, const std::string& aMember)
 {
   const RequestLabel& label = aRecord.mRequest->Label();
   const Explanation& why = aRecord.mExplanation;
-  Json::Value line(Json::objectValue);
-  line["timeMs"] = Json::Int64(
-    std::chrono::duration_cast<Millis>(aRecord.mTime.time_since_epoch())
-      .count());
-  line["request"] = label.mRequestId;
-  line["service"] = label.mService;
-  line["customer"] = label.mCustomer;
-  line["path"] = label.mPath;
-  line["decision"] = NameOf(why.mKind);
-  line["rule"] = NameOf(why.mRule);
-  line["why"] = TextOf(why.mRule);
-  line["wouldChange"] = WhatWouldChange(why.mRule);
-  line["freeSlots"] = why.mFreeSlots;
-  line["waiting"] = why.mWaiting;
-  line["tries"] = why.mTries;
-  line["expectedUs"] = Json::Int64(why.mExpected.count());
-  line["deadlineLeftUs"] = Json::Int64(why.mDeadlineLeft.count());
-  return WriteJson(line);
+  DecisionRecord record;
+  record.mTime = aRecord.mTime;
+  record.mMember = aMember;
+  record.mDecision = DecisionOf(why.mKind);
+  record.mSubject = label.mRequestId;
+  record.mService = label.mService;
+  record.mCustomer = label.mCustomer;
+  if (!aRecord.mOtherRule.empty()) {
+    record.mRule = aRecord.mOtherRule;
+    return record;
+  }
+  record.mRule = NameOf(why.mRule);
+  record.mFigures = {
+    { figure::kDeadlineMs, InMillis(why.mDeadlineLeft) },
+    { figure::kExpectedMs, InMillis(why.mExpected) },
+    { figure::kQueueLength, why.mWaiting },
+    { "tries", why.mTries },
+  };
+  if (why.mKind != DecisionKind::Serve) {
+    record.mFigures[figure::kFreeSlots] = why.mFreeSlots;
+    record.mWhatWouldHaveChangedIt = WhatWouldChange(why);
+  }
+  return record;
 }
 
 } // namespace paddle
--- a/Libraries/LibGateway/RoutingThread.cpp
+++ b/Libraries/LibGateway/RoutingThread.cpp
@@ -190,7 +190,7 @@
   const auto found = mMailboxes.find(aNumber);
   if (found != mMailboxes.end()) {
     mOutputs.mRecord(
-      { std::chrono::system_clock::now(), found->second, aExplanation });
+      { std::chrono::system_clock::now(), found->second, aExplanation, {} });
   }
 }
 
--- a/Libraries/LibGateway/RoutingThread.h
+++ b/Libraries/LibGateway/RoutingThread.h
@@ -14,9 +14,9 @@
 
 #include <LibBase/Metrics.h>
 #include <LibBase/Ring.h>
-#include <LibGateway/DecisionRecord.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibGateway/Mailbox.h>
+#include <LibGateway/RequestRecord.h>
 #include <LibRouting/Routing.h>
 
 namespace paddle {
@@ -47,7 +47,7 @@
 /// Where the routing thread delivers what does not go to a mailbox.
 struct RoutingOutputs
 {
-  std::function<void(DecisionRecord)> mRecord;
+  std::function<void(RequestRecord)> mRecord;
   /// @return whether the order was taken; if not, the probe has failed
   std::function<bool(ProbeOrder)> mProbe;
 };
--- a/Libraries/LibGateway/WatchPool.cpp
+++ b/Libraries/LibGateway/WatchPool.cpp
@@ -57,7 +57,8 @@
 MakeWatchAgain()
 {
   return { RequestOutcome::Answered,
-           { 200, { { kWatchHeader, "again" } }, {} } };
+           { 200, { { kWatchHeader, "again" } }, {} },
+           {} };
 }
 
 } // namespace paddle
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -392,5 +392,5 @@
     [&] { return single.mPlace.Records().find(id) != std::string::npos; });
   const std::string records = single.mPlace.Records();
   CHECK_TRUE(records.find("grower 7") != std::string::npos);
-  CHECK_TRUE(records.find("\"rule\":\"free_slot\"") != std::string::npos);
+  CHECK_TRUE(records.find("\"rule\":\"free-slot\"") != std::string::npos);
 }
