--- a/Libraries/LibPlacement/Reports.cpp
+++ b/Libraries/LibPlacement/Reports.cpp
@@ -53,7 +53,7 @@
 FollowUse(Shard& aShard, Worker& aWorker, TaskSlot& aSlot)
 {
   const PlacementPolicy& policy = *aShard.mPolicy;
-  if (!policy.mAdaptive || !aSlot.mTeam) {
+  if (!policy.mFollowsUse || !aSlot.mTeam) {
     return;
   }
   policy.mLearn(*aSlot.mTeam, aSlot.mClass, aSlot.mDeclared, aSlot.mUsed);
@@ -304,8 +304,7 @@
              Actions& aActions)
 {
   Worker& worker = aShard.mWorkers[aWorker];
-  if (worker.mHeardAt && worker.mToken.mBoot == aReport.mToken.mBoot &&
-      aReport.mToken.mClockMs < worker.mToken.mClockMs) {
+  if (worker.mHeardAt && aReport.mToken < worker.mToken) {
     return; // Overtaken by a later report.
   }
   worker.mToken = aReport.mToken;
@@ -325,9 +324,7 @@
       LoseSlot(aShard, aWorker, i, aNow, aActions);
     }
   }
-  if (aShard.mPolicy->mAdaptive) {
-    AnswerInterference(aShard, aWorker, latencyRatio, aNow, aActions);
-  }
+  AnswerInterference(aShard, aWorker, latencyRatio, aNow, aActions);
   UpdatePool(aShard, aWorker, aNow);
 }
 
