LibTable: Accept a host list inside the answer of hosts.list

The hosts files of the deployments and the stand-ins that read them differed in whether the list stands alone or as the member "hosts" of an object, as in the answer of hosts.list. The parser takes both, so every stand-in reads every file.

--- a/Libraries/LibTable/HostJson.cpp
+++ b/Libraries/LibTable/HostJson.cpp
@@ -92,12 +92,13 @@
 Outcome<std::vector<HostEntry>>
 ParseHosts(const Json::Value& aHosts)
 {
-  if (!aHosts.isArray()) {
+  const Json::Value& list = aHosts.isObject() ? aHosts["hosts"] : aHosts;
+  if (!list.isArray()) {
     return Error{ ErrorKind::InvalidInput, "the host list is not an array" };
   }
   std::vector<HostEntry> hosts;
-  hosts.reserve(aHosts.size());
-  for (const Json::Value& item : aHosts) {
+  hosts.reserve(list.size());
+  for (const Json::Value& item : list) {
     Outcome<HostEntry> host = ParseHost(item);
     if (!Succeeded(host)) {
       return ErrorOf(host);
--- a/Libraries/LibTable/HostJson.h
+++ b/Libraries/LibTable/HostJson.h
@@ -14,6 +14,8 @@
 ParseHost(const Json::Value& aHost);
 
 /// Parses a list of entries in the format of hosts.list.
+/// @param aHosts the list, or an object that holds it as "hosts", as the answer
+///               of hosts.list does
 /// @return the entries, or an error that names the first malformed one
 Outcome<std::vector<HostEntry>>
 ParseHosts(const Json::Value& aHosts);
