--- a/Tests/StandIns/Worker/Program/Main.cpp
+++ b/Tests/StandIns/Worker/Program/Main.cpp
@@ -27,7 +27,7 @@
   if (!Succeeded(text)) {
     return ErrorOf(text);
   }
-  return ParseHosts(ValueOf(text).mRoot["hosts"]);
+  return ParseHosts(ValueOf(text).mRoot);
 }
 
 /// Serves until SIGTERM or SIGINT.
