Scenarios: Add the scenario harness and first scripts

Scripts in Lua start the real programs and the stand-ins, break things and check each guarantee by what the stand-ins saw. A script is a ctest entry and is left out while a program that it names is not part of the build.

--- /dev/null
+++ b/Tests/Scenarios/Processes.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+#include <LibTime/Outcome.h>
+#include <LibTime/Time.h>
+
+namespace paddle {
+
+/// The child processes of one scenario. The destructor ends all of them.
+class Processes
+{
+public:
+  /// @param aDirectory receives the output of each process as NAME.out and
+  ///                   NAME.err
+  explicit Processes(std::string aDirectory);
+  ~Processes();
+  Processes(const Processes&) = delete;
+  Processes& operator=(const Processes&) = delete;
+
+  /// Starts a program. A name is used again only after its process has ended;
+  /// its standard output starts anew then.
+  /// @return the process id
+  Outcome<pid_t> Start(const std::string& aName,
+                       const std::string& aProgram,
+                       const std::vector<std::string>& aArguments);
+
+  /// Sends a signal to a process that has not been seen to end.
+  Outcome<Done> Signal(const std::string& aName, int aSignal);
+
+  /// Waits until a process has ended.
+  /// @return its exit code, or 128 + the signal that ended it; nothing if it
+  ///         still runs after @p aLimit or was never started
+  std::optional<int> Wait(const std::string& aName, Millis aLimit);
+
+  /// @return what the process has written to its standard output
+  [[nodiscard]] std::string Output(const std::string& aName) const;
+
+private:
+  struct Child
+  {
+    pid_t mPid = 0;
+    std::optional<int> mExit;
+  };
+
+  void Reap(Child& aChild);
+
+  std::string mDirectory;
+  std::map<std::string, Child> mChildren;
+};
+
+} // namespace paddle
--- /dev/null
+++ b/Tests/Scenarios/Scripts/LostStoreAnswers.lua
@@ -0,0 +1,14 @@
+-- Guarantees 1, 7: answers of the table service that are lost after their
+-- writes took effect lead to no second owner of a shard, also while a gateway
+-- is killed.
+-- needs: savorypaddle-gateway savorypaddle standin-platform standin-runner standin-caller
+deploy { block = 6, runners = 6, gateways = 3 }
+load { rate = 200, seconds = 16, seed = 16, retries = 2 }
+for round = 1, 6 do
+  fault("platform", { loseAnswers = { count = 3 } })
+  if round == 3 then kill("gateway-1") end
+  sleep(1.5)
+end
+local counts = finish()
+expect_guarantees(counts)
+expect(counts.answered > counts.planned / 2, "most calls are answered")
--- a/Tests/StandIns/Runner/HostsFile.cpp
+++ b/Tests/StandIns/Runner/HostsFile.cpp
@@ -1,6 +1,7 @@
 #include <StandIns/Runner/HostsFile.h>
 
 #include <LibBase/JsonReader.h>
+#include <LibTable/HostJson.h>
 
 namespace paddle {
 
@@ -11,22 +12,15 @@
   if (!Succeeded(text)) {
     return ErrorOf(text);
   }
-  const Json::Value& root = ValueOf(text).mRoot;
-  const Json::Value& list = root.isObject() ? root["hosts"] : root;
+  const auto entries = ParseHosts(ValueOf(text).mRoot);
+  if (!Succeeded(entries)) {
+    return ErrorOf(entries);
+  }
   std::vector<RunnerHost> hosts;
-  for (const Json::Value& entry : list) {
-    if (entry["kind"].asString() != "runner") {
-      continue;
-    }
-    auto address = ParseEndpoint(entry["address"].asString());
-    if (!Succeeded(address)) {
-      return Error{ ErrorKind::InvalidInput,
-                    aPath + ": " + entry["name"].asString() + ": " +
-                      ErrorOf(address).mMessage };
+  for (const HostEntry& entry : ValueOf(entries)) {
+    if (entry.mKind == HostKind::Runner) {
+      hosts.push_back({ entry.mName, entry.mService, entry.mAddress });
     }
-    hosts.push_back({ entry["name"].asString(),
-                      entry["service"].asString(),
-                      ValueOf(address) });
   }
   if (hosts.empty()) {
     return Error{ ErrorKind::InvalidInput,
--- a/Tests/StandIns/Runner/HostsFile.h
+++ b/Tests/StandIns/Runner/HostsFile.h
@@ -16,8 +16,8 @@
   Endpoint mAddress;
 };
 
-/// Reads the entries of kind runner from a hosts file: a list in the format of
-/// hosts.list, or an object that holds the list as "hosts".
+/// Reads the entries of kind runner from a hosts file, which has the format of
+/// the answer of hosts.list.
 Outcome<std::vector<RunnerHost>>
 ReadRunnerHosts(const std::string& aPath);
 
--- a/Tests/StandIns/Runner/Main.cpp
+++ b/Tests/StandIns/Runner/Main.cpp
@@ -18,7 +18,7 @@
   app.add_option("--sigma", options.mTimes.mSigma, "log-normal sigma");
   app.add_option("--watch-ms", watchMs, "how long a watch is held");
   app.add_option(
-    "--watch-prefix", options.mTimes.mWatchPrefix, "path prefix of watches");
+    "--watch-part", options.mTimes.mWatchPart, "part of the path of watches");
   CLI11_PARSE(app, aCount, aArguments);
   options.mTimes.mWatch = Millis(watchMs);
 
--- a/Tests/StandIns/Runner/RunnerState.cpp
+++ b/Tests/StandIns/Runner/RunnerState.cpp
@@ -65,7 +65,7 @@
 NextServiceTime(RunnerState& aRunner, std::string_view aTarget)
 {
   const ServiceTimes& times = aRunner.mTimes;
-  if (aTarget.starts_with(times.mWatchPrefix)) {
+  if (aTarget.find(times.mWatchPart) != std::string_view::npos) {
     return times.mWatch;
   }
   // The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
--- a/Tests/StandIns/Runner/RunnerState.h
+++ b/Tests/StandIns/Runner/RunnerState.h
@@ -66,7 +66,8 @@
   /// the median.
   double mSigma = 0.5;
   Millis mWatch{ 2000 };
-  std::string mWatchPrefix = "/watch";
+  /// Part of the path of watches, as in /tanks/watch.
+  std::string mWatchPart = "/watch";
 };
 
 /// One runner: its counts, faults and service times. Used by one thread.
