--- /dev/null
+++ b/Libraries/LibGateway/RequestRecord.cpp
@@ -0,0 +1,150 @@
+#include <LibGateway/RequestRecord.h>
+
+namespace paddle {
+
+namespace {
+
+struct RuleText
+{
+  const char* mName;
+  const char* mText;
+  const char* mWouldChange;
+};
+
+RuleText
+Describe(Rule aRule)
+{
+  switch (aRule) {
+    case Rule::FreeSlot:
+      return { rule::kFreeSlot, "a runner had a free slot", "nothing" };
+    case Rule::ForwardedToPeer:
+      return { "forwarded-to-peer",
+               "this gateway's runners were full and a peer had free slots",
+               "a free slot at this gateway's runners" };
+    case Rule::WaitsForSlot:
+      return { rule::kQueued,
+               "all slots are in use; requests are served in the order of "
+               "their arrival",
+               "a free slot at any gateway" };
+    case Rule::Retried:
+      return { "retried",
+               "a try failed and the request may be tried again",
+               "a runner that answers the first try" };
+    case Rule::NoRunner:
+      return { rule::kNoRunner,
+               "no runner of the service can take requests now",
+               "a live runner whose owner is known" };
+    case Rule::WatchShare:
+      return { rule::kWatchShare,
+               "the slots that watches may hold are in use",
+               "the end of another watch" };
+    case Rule::QueueFull:
+      return { rule::kQueueFull,
+               "too many requests wait already",
+               "fewer waiting requests" };
+    case Rule::DeadlineTooShort:
+      return { rule::kDeadline,
+               "waiting and service are expected to exceed the deadline",
+               "a longer deadline or fewer waiting requests" };
+    case Rule::DeadlinePassed:
+      return { "deadline-passed",
+               "the deadline passed before an answer was possible",
+               "a longer deadline or a free slot earlier" };
+    case Rule::RetryBudgetSpent:
+      return { "retry-budget-spent",
+               "retries have reached their share of recent requests",
+               "fewer failing requests in the last minutes" };
+    case Rule::TriesSpent:
+      return { "tries-spent",
+               "all allowed tries failed",
+               "a runner that can be reached" };
+    case Rule::NotRepeatable:
+      return { "not-repeatable",
+               "the request may have run and must not run twice",
+               "an idempotent route" };
+    case Rule::ShardMoved:
+      return { rule::kNoOwner,
+               "the owner of the runners is changing",
+               "a repeat in a moment" };
+  }
+  return { "unknown", "unknown", "unknown" };
+}
+
+/// An unknown end counts as served: the request was sent to a runner.
+Decision
+DecisionOf(DecisionKind aKind)
+{
+  switch (aKind) {
+    case DecisionKind::Delay:
+      return Decision::Delayed;
+    case DecisionKind::Refuse:
+      return Decision::Refused;
+    case DecisionKind::Serve:
+    case DecisionKind::Unknown:
+      return Decision::Served;
+  }
+  return Decision::Served;
+}
+
+double
+InMillis(Micros aTime)
+{
+  constexpr double kMicrosPerMilli = 1000;
+  return static_cast<double>(aTime.count()) / kMicrosPerMilli;
+}
+
+} // namespace
+
+const char*
+NameOf(Rule aRule)
+{
+  return Describe(aRule).mName;
+}
+
+const char*
+TextOf(Rule aRule)
+{
+  return Describe(aRule).mText;
+}
+
+std::string
+WhatWouldChange(const Explanation& aExplanation)
+{
+  if (aExplanation.mRule == Rule::DeadlineTooShort) {
+    const auto needed = std::chrono::ceil<Millis>(aExplanation.mExpected);
+    return "a deadline of at least " + std::to_string(needed.count()) + " ms";
+  }
+  return Describe(aExplanation.mRule).mWouldChange;
+}
+
+DecisionRecord
+ToDecisionRecord(const RequestRecord& aRecord, const std::string& aMember)
+{
+  const RequestLabel& label = aRecord.mRequest->Label();
+  const Explanation& why = aRecord.mExplanation;
+  DecisionRecord record;
+  record.mTime = aRecord.mTime;
+  record.mMember = aMember;
+  record.mDecision = DecisionOf(why.mKind);
+  record.mSubject = label.mRequestId;
+  record.mService = label.mService;
+  record.mCustomer = label.mCustomer;
+  if (!aRecord.mOtherRule.empty()) {
+    record.mRule = aRecord.mOtherRule;
+    return record;
+  }
+  record.mRule = NameOf(why.mRule);
+  record.mFigures = {
+    { figure::kDeadlineMs, InMillis(why.mDeadlineLeft) },
+    { figure::kExpectedMs, InMillis(why.mExpected) },
+    { figure::kQueueLength, why.mWaiting },
+    { "tries", why.mTries },
+  };
+  if (why.mKind != DecisionKind::Serve) {
+    record.mFigures[figure::kFreeSlots] = why.mFreeSlots;
+    record.mWhatWouldHaveChangedIt = WhatWouldChange(why);
+  }
+  return record;
+}
+
+} // namespace paddle
