LibLease: Judge gaps between reads by the widened term

With more than 300 sessions the interval between reads exceeds the plain term, so that each read began the watch of all sessions afresh and nobody was ever taken over.

--- a/Libraries/LibLeaseCore/LeaseReports.cpp
+++ b/Libraries/LibLeaseCore/LeaseReports.cpp
@@ -188,7 +188,7 @@
               MonotonicTime aNow)
 {
   const bool gap =
-    aState.mLastRead == kNever || aNow - aState.mLastRead > aState.mTimes.mTerm;
+    aState.mLastRead == kNever || aNow - aState.mLastRead > SessionTerm(aState);
   std::map<std::string, SeenSession> sessions;
   const LeaseRow<SessionRecord>* own = nullptr;
   for (const LeaseRow<SessionRecord>& row : aRows) {
--- a/Libraries/LibLeaseCore/LeaseWrites.cpp
+++ b/Libraries/LibLeaseCore/LeaseWrites.cpp
@@ -171,14 +171,20 @@
                   Millis(writers * 1000 / kRenewalsPerSecond));
 }
 
+Millis
+SessionTerm(const LeaseState& aState)
+{
+  return aState.mTimes.mTerm * RenewInterval(aState).count() /
+         aState.mTimes.mRenewInterval.count();
+}
+
 WriteLeaseRows
 MakeRenewal(LeaseState& aState, MonotonicTime aNow)
 {
   SessionRecord record;
   record.mMember = aState.mSelf;
   record.mRenewals = ++aState.mRenewals;
-  record.mTerm = aState.mTimes.mTerm * RenewInterval(aState).count() /
-                 aState.mTimes.mRenewInterval.count();
+  record.mTerm = SessionTerm(aState);
   record.mForeignTakeoverWait = aState.mTimes.mForeignTakeoverWait;
   record.mLeaving = aState.mLeaving;
   LeaseMember successor;
--- a/Libraries/LibLeaseCore/LeaseWrites.h
+++ b/Libraries/LibLeaseCore/LeaseWrites.h
@@ -13,6 +13,10 @@
 Millis
 RenewInterval(const LeaseState& aState);
 
+/// @return term of the own session; it widens with the interval
+Millis
+SessionTerm(const LeaseState& aState);
+
 /// Creates or renews the own session. From here on the row may name the new
 /// successor and the new term.
 WriteLeaseRows
