--- a/Libraries/LibGateway/RequestRecord.cpp
+++ b/Libraries/LibGateway/RequestRecord.cpp
@@ -18,16 +18,16 @@
     case Rule::FreeSlot:
       return { rule::kFreeSlot, "a runner had a free slot", "nothing" };
     case Rule::ForwardedToPeer:
-      return { "forwarded-to-peer",
+      return { rule::kForwardedToPeer,
                "this gateway's runners were full and a peer had free slots",
                "a free slot at this gateway's runners" };
     case Rule::WaitsForSlot:
-      return { rule::kQueued,
+      return { rule::kWaitsForSlot,
                "all slots are in use; requests are served in the order of "
                "their arrival",
                "a free slot at any gateway" };
     case Rule::Retried:
-      return { "retried",
+      return { rule::kRetried,
                "a try failed and the request may be tried again",
                "a runner that answers the first try" };
     case Rule::NoRunner:
@@ -43,34 +43,33 @@
                "too many requests wait already",
                "fewer waiting requests" };
     case Rule::DeadlineTooShort:
-      return { rule::kDeadline,
+      return { rule::kDeadlineTooShort,
                "waiting and service are expected to exceed the deadline",
                "a longer deadline or fewer waiting requests" };
     case Rule::DeadlinePassed:
-      return { "deadline-passed",
+      return { rule::kDeadlinePassed,
                "the deadline passed before an answer was possible",
                "a longer deadline or a free slot earlier" };
     case Rule::RetryBudgetSpent:
-      return { "retry-budget-spent",
+      return { rule::kRetryBudgetSpent,
                "retries have reached their share of recent requests",
                "fewer failing requests in the last minutes" };
     case Rule::TriesSpent:
-      return { "tries-spent",
+      return { rule::kTriesSpent,
                "all allowed tries failed",
                "a runner that can be reached" };
     case Rule::NotRepeatable:
-      return { "not-repeatable",
+      return { rule::kNotRepeatable,
                "the request may have run and must not run twice",
                "an idempotent route" };
     case Rule::ShardMoved:
-      return { rule::kNoOwner,
+      return { rule::kShardMoved,
                "the owner of the runners is changing",
                "a repeat in a moment" };
   }
   return { "unknown", "unknown", "unknown" };
 }
 
-/// An unknown end counts as served: the request was sent to a runner.
 Decision
 DecisionOf(DecisionKind aKind)
 {
@@ -79,8 +78,9 @@
       return Decision::Delayed;
     case DecisionKind::Refuse:
       return Decision::Refused;
-    case DecisionKind::Serve:
     case DecisionKind::Unknown:
+      return Decision::Unknown;
+    case DecisionKind::Serve:
       return Decision::Served;
   }
   return Decision::Served;
@@ -137,8 +137,8 @@
   record.mFigures = {
     { figure::kDeadlineMs, InMillis(why.mDeadlineLeft) },
     { figure::kExpectedMs, InMillis(why.mExpected) },
-    { figure::kQueueLength, why.mWaiting },
-    { "tries", why.mTries },
+    { figure::kAhead, why.mWaiting },
+    { figure::kTries, why.mTries },
   };
   if (why.mKind != DecisionKind::Serve) {
     record.mFigures[figure::kFreeSlots] = why.mFreeSlots;
