--- a/Libraries/LibScheduler/PlacementThread.cpp
+++ b/Libraries/LibScheduler/PlacementThread.cpp
@@ -625,6 +625,10 @@
 {
   Json::Value summary(Json::objectValue);
   summary["member"] = mPorts.mSelf.mName;
+  if (const auto current = mPorts.mConfig.mCurrent()) {
+    // Tells a drain that this process knows the data centre is out.
+    summary["configRevision"] = Json::UInt64(current->mRevision);
+  }
   summary["shards"] = Json::Value(Json::arrayValue);
   for (const auto& [id, owned] : mOwned) {
     const Shard& core = owned->mCore;
