--- a/Libraries/LibControl/DataCentreCommands.cpp
+++ b/Libraries/LibControl/DataCentreCommands.cpp
@@ -82,12 +82,12 @@
          const SessionView& aScheduler,
          std::uint64_t aRevision)
 {
-  const Outcome<Json::Value> status = aPorts.mCall(
-    aScheduler.mAddress, "scheduler.status", Json::Value(Json::objectValue));
-  if (!Succeeded(status) || !ValueOf(status).isObject()) {
+  const Outcome<Json::Value> summary = aPorts.mCall(
+    aScheduler.mAddress, "scheduler.summary", Json::Value(Json::objectValue));
+  if (!Succeeded(summary) || !ValueOf(summary).isObject()) {
     return false;
   }
-  const Json::Value& revision = ValueOf(status)["configRevision"];
+  const Json::Value& revision = ValueOf(summary)["configRevision"];
   return revision.isUInt64() && revision.asUInt64() >= aRevision;
 }
 
--- a/Libraries/LibControl/ExplainCommand.cpp
+++ b/Libraries/LibControl/ExplainCommand.cpp
@@ -8,6 +8,21 @@
 
 namespace {
 
+/// @return the answer of scheduler.explain in a line
+std::string
+JobNow(const std::string& aJob, const Json::Value& aAnswer)
+{
+  std::string line = "Job " + aJob + " now: " +
+                     aAnswer.get("state", "in an unknown state").asString();
+  if (aAnswer["worker"].isString()) {
+    line += " on " + aAnswer["worker"].asString();
+  }
+  if (aAnswer["explanation"].isString()) {
+    line += "; " + aAnswer["explanation"].asString();
+  }
+  return line + "\n";
+}
+
 /// What the scheduler that holds the job says, if it is one.
 std::string
 AskSchedulers(const ControlPorts& aPorts,
@@ -19,7 +34,7 @@
     return "";
   }
   Json::Value parameters;
-  parameters["id"] = aSubject;
+  parameters["job"] = aSubject;
   for (const SessionView& session : ValueOf(schedulers)) {
     if (session.Self().mRole != "scheduler") {
       continue;
@@ -30,10 +45,7 @@
       continue;
     }
     aJson["scheduler"] = ValueOf(answer);
-    const Json::Value& text = ValueOf(answer)["text"];
-    if (text.isString()) {
-      return "now, by " + session.Self().mName + ": " + text.asString() + "\n";
-    }
+    return JobNow(aSubject, ValueOf(answer));
   }
   return "";
 }
--- a/Libraries/LibControl/StatusCommand.cpp
+++ b/Libraries/LibControl/StatusCommand.cpp
@@ -201,31 +201,49 @@
   }
 }
 
+using Counts = std::map<std::string, std::uint64_t>;
+
+/// Adds the counts of each shard in the answer to scheduler.summary. Ended and
+/// the counts after it are those since the shard's present owner took it.
+void
+AddCounts(const Json::Value& aSummary, Counts& aCounts)
+{
+  for (const Json::Value& shard : aSummary["shards"]) {
+    for (const char* name : { "jobs",
+                              "queued",
+                              "tasks",
+                              "ended",
+                              "failed",
+                              "held",
+                              "lost",
+                              "evictions" }) {
+      if (shard.isObject() && shard[name].isUInt64()) {
+        aCounts[name] += shard[name].asUInt64();
+      }
+    }
+  }
+}
+
 void
 AddJobs(const ControlPorts& aPorts,
         const std::vector<SessionView>& aSessions,
         ControlResult& aResult)
 {
-  std::map<std::string, std::uint64_t> jobs;
+  Counts jobs;
   aResult.mText += "jobs:\n";
   for (const SessionView& session : aSessions) {
     if (session.Self().mRole != "scheduler") {
       continue;
     }
     const auto status = aPorts.mCall(
-      session.mAddress, "scheduler.status", Json::Value(Json::objectValue));
+      session.mAddress, "scheduler.summary", Json::Value(Json::objectValue));
     if (!Succeeded(status) || !ValueOf(status).isObject()) {
       aResult.mText +=
         "  " + session.Self().mName + " does not answer" +
         (Succeeded(status) ? "" : ": " + ErrorOf(status).mMessage) + "\n";
       continue;
     }
-    const Json::Value& counts = ValueOf(status)["jobs"];
-    for (const std::string& state : counts.getMemberNames()) {
-      if (counts[state].isUInt64()) {
-        jobs[state] += counts[state].asUInt64();
-      }
-    }
+    AddCounts(ValueOf(status), jobs);
   }
   aResult.mJson["jobs"] = Json::Value(Json::objectValue);
   for (const auto& [state, count] : jobs) {
--- a/Tests/LibControl/TestReports.cpp
+++ b/Tests/LibControl/TestReports.cpp
@@ -139,7 +139,8 @@
   mWorld.AddScheduler("scheduler-1", kFirst);
   mWorld.AddScheduler("scheduler-2", kSecond);
   Json::Value answer;
-  answer["jobs"]["running"] = 3;
+  answer["shards"][0]["queued"] = 3;
+  answer["shards"][1]["queued"] = 4;
   mWorld.mAnswers.insert_or_assign(kFirst, answer);
   ControlPorts ports = mWorld.Ports();
   ports.mSleep = [this](Millis aTime) {
@@ -158,7 +159,7 @@
                "shards:\n"
                "jobs:\n"
                "  scheduler-2 does not answer: connection refused\n"
-               "  running: 3\n",
+               "  queued: 7\n",
                result.mText.c_str());
 }
 
