--- a/Libraries/LibGateway/RequestRecord.cpp
+++ b/Libraries/LibGateway/RequestRecord.cpp
@@ -63,14 +63,13 @@
                "the request may have run and must not run twice",
                "an idempotent route" };
     case Rule::ShardMoved:
-      return { rule::kNoOwner,
+      return { rule::kShardMoved,
                "the owner of the runners is changing",
                "a repeat in a moment" };
   }
   return { "unknown", "unknown", "unknown" };
 }
 
-/// An unknown end counts as served: the request was sent to a runner.
 Decision
 DecisionOf(DecisionKind aKind)
 {
@@ -79,8 +78,9 @@
       return Decision::Delayed;
     case DecisionKind::Refuse:
       return Decision::Refused;
-    case DecisionKind::Serve:
     case DecisionKind::Unknown:
+      return Decision::Unknown;
+    case DecisionKind::Serve:
       return Decision::Served;
   }
   return Decision::Served;
