LibScheduler: Assume earlier tasks when an epoch is acquired again

A lease that lapsed and was renewed let the placement thread acquire the same epoch a second time with its first acquisition, that is with no doubt about running tasks. The owner is now compared by name, because the lease keeper extends the incarnation, and a repeated epoch counts as a takeover.

--- a/Libraries/LibScheduler/PlacementThread.cpp
+++ b/Libraries/LibScheduler/PlacementThread.cpp
@@ -192,8 +192,7 @@
     // A lease that lapsed may be renewed as long as nobody else took the
     // shard; the state is still true then.
     const auto owner = owned ? mPorts.mLease.mOwnerOf(id) : std::nullopt;
-    if (owned && !ownership && owner &&
-        owner->mIncarnation != mPorts.mSelf.mIncarnation) {
+    if (owned && !ownership && owner && owner->mName != mPorts.mSelf.mName) {
       Drop(*owned);
       mOwned.erase(id);
     }
@@ -208,9 +207,13 @@
   auto owned = std::make_unique<OwnedShard>();
   owned->mId = aShard;
   owned->mEpoch = aOwnership.mEpoch;
-  const History history = aOwnership.mAcquisition == Acquisition::FirstOwner
-                            ? History::None
-                            : History::Possible;
+  // This process may itself have started tasks under this epoch before.
+  const bool again = mSeenEpochs[aShard] == aOwnership.mEpoch;
+  mSeenEpochs[aShard] = aOwnership.mEpoch;
+  const History history =
+    aOwnership.mAcquisition == Acquisition::FirstOwner && !again
+      ? History::None
+      : History::Possible;
   owned->mCore = MakeShard({}, mPolicy, history, aNow);
   owned->mNextLoad = aNow;
   FollowHosts(*owned);
--- a/Libraries/LibScheduler/PlacementThread.h
+++ b/Libraries/LibScheduler/PlacementThread.h
@@ -79,6 +79,7 @@
   WorkerLinks& mLinks;
   std::shared_ptr<const WorkerShards> mHosts;
   std::map<std::string, std::unique_ptr<OwnedShard>> mOwned;
+  std::map<std::string, std::uint64_t> mSeenEpochs; ///< By shard.
   std::vector<PeersEvent::Room> mRooms;
   MonotonicTime mNextServices;
 
--- a/Tests/StandIns/Worker/Program/Main.cpp
+++ b/Tests/StandIns/Worker/Program/Main.cpp
@@ -27,7 +27,9 @@
   if (!Succeeded(text)) {
     return ErrorOf(text);
   }
-  return ParseHosts(ValueOf(text).mRoot["hosts"]);
+  // The list itself, or the answer of hosts.list that holds it.
+  const Json::Value& root = ValueOf(text).mRoot;
+  return ParseHosts(root.isObject() ? root["hosts"] : root);
 }
 
 /// Serves until SIGTERM or SIGINT.
