LibGateway: Keep idempotency keys when a gateway leaves

Cause: in a trial with three gateways, one that left by SIGTERM took the keys of its shards with it: 135 of 1,500 requests within 3 s became unknown. The new owner asked the predecessor, whose session had already ended.

The new owner now also accepts the copy of the predecessor's epoch, its own or another gateway's, and a leaving process, which names no successor any more, goes on copying to the one before. A start that the copy holder rejects is followed by a complete copy instead of a refusal.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -41,7 +41,7 @@
     , mPorts(std::move(aPorts))
     , mClient(ClientSettings(mSettings))
     , mRecords(mSettings, mPorts.mObjects, mMetrics)
-    , mKeys(mSettings, mPorts, mClient)
+    , mKeys(mSettings, mPorts, mClient, mMetrics)
     , mProber(
         mClient,
         mSettings.mProbeTimeout,
--- a/Libraries/LibGateway/KeyBook.cpp
+++ b/Libraries/LibGateway/KeyBook.cpp
@@ -37,10 +37,12 @@
 
 KeyBook::KeyBook(const GatewaySettings& aSettings,
                  const GatewayPorts& aPorts,
-                 HttpClient& aClient)
+                 HttpClient& aClient,
+                 Metrics& aMetrics)
   : mSettings(aSettings)
   , mPorts(aPorts)
   , mClient(aClient)
+  , mMetrics(aMetrics)
 {
   for (Shard& shard : mShards) {
     shard.mMemory.mSettings = aSettings.mKeys;
@@ -169,20 +171,18 @@
     // A session of this process ended and its next one took the shard: nobody
     // else has owned it since, so the memory is as complete as it was.
     aShard.mEpoch = aOwnership.mEpoch;
+    aShard.mSyncedTo.reset();
     return;
   }
-  KeyCopies copies = KeyCopies::Missing;
-  if (aOwnership.mAcquisition == Acquisition::HandOver) {
-    if (FetchFromPredecessor(aNumber, aShard, aOwnership.mEpoch)) {
-      copies = KeyCopies::Synced;
-    }
-  } else if (aShard.mCopyEpoch != 0 &&
-             aShard.mCopyEpoch + 1 == aOwnership.mEpoch) {
-    copies = KeyCopies::Synced;
-  }
+  const bool hasCopy =
+    aShard.mCopyEpoch != 0 && aShard.mCopyEpoch + 1 == aOwnership.mEpoch;
+  const bool found = aOwnership.mAcquisition == Acquisition::HandOver
+                       ? FetchKeys(aNumber, aShard, aOwnership.mEpoch - 1)
+                       : hasCopy;
+  const KeyCopies copies = found ? KeyCopies::Synced : KeyCopies::Missing;
   AdoptKeys(aShard.mMemory, aOwnership.mAcquisition, copies, Now());
   aShard.mEpoch = aOwnership.mEpoch;
-  aShard.mSyncedTo.clear();
+  aShard.mSyncedTo.reset();
   if (aShard.mMemory.mCompleteness == KeyCompleteness::Incomplete) {
     LogEvent(LogLevel::Warning,
              "key_memory_incomplete",
@@ -190,16 +190,27 @@
   }
 }
 
-/// Asks the live gateways for the memory of the owner before this one.
-/// @return whether that owner answered
+/// Finds the memory that the owner before this one had at @p aEpoch: with
+/// that owner, or, if it has left already, in a complete copy.
+/// @return whether it was found
 bool
-KeyBook::FetchFromPredecessor(std::uint32_t aNumber,
-                              Shard& aShard,
-                              std::uint64_t aEpoch)
+KeyBook::FetchKeys(std::uint32_t aNumber, Shard& aShard, std::uint64_t aEpoch)
+{
+  return FetchFromPeers(aNumber, aShard, aEpoch, "owner") ||
+         (aEpoch != 0 && aShard.mCopyEpoch == aEpoch) ||
+         FetchFromPeers(aNumber, aShard, aEpoch, "copy");
+}
+
+bool
+KeyBook::FetchFromPeers(std::uint32_t aNumber,
+                        Shard& aShard,
+                        std::uint64_t aEpoch,
+                        const char* aHolder)
 {
   Json::Value parameters(Json::objectValue);
   parameters["shard"] = aNumber;
-  parameters["epoch"] = Json::UInt64(aEpoch - 1);
+  parameters["epoch"] = Json::UInt64(aEpoch);
+  parameters["holder"] = aHolder;
   for (const Member& peer : mPorts.mMembers()) {
     if (peer.mName == mSettings.mSelf.mName) {
       continue;
@@ -217,47 +228,65 @@
   return false;
 }
 
-/// Gives the successor a complete copy unless it has one. The shard's lock is
-/// held during the call, so that no key starts between the copy and its mark.
-/// @return whether the successor, if there is one, has a complete copy
+/// @return who must have a copy of each key: the named successor, or the one
+///         before it. A process that leaves names no successor, but the new
+///         owners of its shards rely on the copy until then.
+std::optional<Member>
+KeyBook::CopyHolder(const Shard& aShard) const
+{
+  auto successor = mPorts.mSuccessor();
+  if (successor || !aShard.mSyncedTo) {
+    return successor;
+  }
+  for (const Member& member : mPorts.mMembers()) {
+    if (member.mIncarnation == aShard.mSyncedTo->mIncarnation) {
+      return member;
+    }
+  }
+  return std::nullopt;
+}
+
+/// Gives the copy holder a complete copy unless it has one. The shard's lock
+/// is held during the call, so that no key starts between the copy and its
+/// mark.
+/// @return whether the holder, if there is one, has a complete copy
 bool
 KeyBook::EnsureSynced(std::uint32_t aNumber, Shard& aShard)
 {
-  const auto successor = mPorts.mSuccessor();
-  if (!successor) {
-    aShard.mSyncedTo.clear();
+  const auto holder = CopyHolder(aShard);
+  if (!holder) {
+    aShard.mSyncedTo.reset();
     return true;
   }
-  if (aShard.mSyncedTo == successor->mIncarnation &&
-      aShard.mSyncedEpoch == aShard.mEpoch) {
+  if (aShard.mSyncedTo &&
+      aShard.mSyncedTo->mIncarnation == holder->mIncarnation) {
     return true;
   }
   Json::Value parameters(Json::objectValue);
   parameters["shard"] = aNumber;
   parameters["epoch"] = Json::UInt64(aShard.mEpoch);
   EncodeKeyMemory(aShard.mMemory, Now(), parameters);
-  if (!Call(successor->mAddress, "gateway.key_sync", parameters)) {
+  if (!Call(holder->mAddress, "gateway.key_sync", parameters)) {
     return false;
   }
-  aShard.mSyncedTo = successor->mIncarnation;
-  aShard.mSyncedEpoch = aShard.mEpoch;
+  aShard.mSyncedTo = holder;
   return true;
 }
 
-/// Sends a started key to the successor before the request goes out.
-/// @return whether the successor, if there is one, has the key
+/// Sends a started key to the copy holder before the request goes out.
+/// @return whether the holder, if there is one, has the key
 bool
 KeyBook::CopyStarted(const std::string& aKey, Shard& aShard, Lock& aLock)
 {
   const std::uint32_t number = KeyShardOf(aKey);
-  const auto successor = mPorts.mSuccessor();
-  if (!successor) {
+  const auto holder = CopyHolder(aShard);
+  if (!holder) {
     // A takeover can then come only from a process that treats all keys
     // without an entry as unknown.
     return true;
   }
-  if (aShard.mSyncedTo != successor->mIncarnation ||
-      aShard.mSyncedEpoch != aShard.mEpoch) {
+  if (!aShard.mSyncedTo ||
+      aShard.mSyncedTo->mIncarnation != holder->mIncarnation) {
     return EnsureSynced(number, aShard); // Includes this key.
   }
   Json::Value parameters(Json::objectValue);
@@ -266,23 +295,25 @@
   parameters["entry"] =
     EncodeKeyEntry(aKey, aShard.mMemory.mEntries.find(aKey)->second, Now());
   aLock.unlock();
-  const bool copied =
-    Call(successor->mAddress, "gateway.key_started", parameters);
+  const bool copied = Call(holder->mAddress, "gateway.key_started", parameters);
   aLock.lock();
-  if (!copied) {
-    aShard.mSyncedTo.clear();
+  if (copied) {
+    return true;
   }
-  return copied;
+  // The holder may have lost its copy; a complete one includes this key.
+  aShard.mSyncedTo.reset();
+  return EnsureSynced(number, aShard);
 }
 
-/// Sends the end of a key to the successor and counts the request as ended.
+/// Sends the end of a key to the copy holder and counts the request as ended.
 void
 KeyBook::CopyEnd(const std::string& aKey, Shard& aShard)
 {
-  const auto successor = mPorts.mSuccessor();
   Json::Value parameters(Json::objectValue);
+  std::optional<Member> holder;
   {
     Lock lock(aShard.mMutex);
+    holder = CopyHolder(aShard);
     const auto entry = aShard.mMemory.mEntries.find(aKey);
     parameters["shard"] = KeyShardOf(aKey);
     parameters["epoch"] = Json::UInt64(aShard.mEpoch);
@@ -293,11 +324,11 @@
     }
   }
   const bool copied =
-    !successor || Call(successor->mAddress, "gateway.key_finished", parameters);
+    !holder || Call(holder->mAddress, "gateway.key_finished", parameters);
   Lock lock(aShard.mMutex);
   --aShard.mRunning;
   if (!copied) {
-    aShard.mSyncedTo.clear(); // Tend() sends a complete copy.
+    aShard.mSyncedTo.reset(); // Tend() sends a complete copy.
   }
 }
 
@@ -310,7 +341,8 @@
   const auto answer =
     CallRpc(mClient, aPeer, aMethod, aParameters, mSettings.mPeerTimeout);
   if (!Succeeded(answer)) {
-    LogEvent(LogLevel::Warning,
+    mMetrics.Count("key_copy_failed");
+    LogEvent(LogLevel::Debug,
              "key_copy_failed",
              { { "error", ErrorOf(answer).mMessage } });
   }
@@ -403,7 +435,9 @@
   Shard& shard = mShards[*number];
   Lock lock(shard.mMutex);
   Json::Value answer(Json::objectValue);
-  if (shard.mEpoch != 0 && shard.mEpoch == aParameters["epoch"].asUInt64()) {
+  const bool asOwner = aParameters["holder"].asString() == "owner";
+  const std::uint64_t epoch = aParameters["epoch"].asUInt64();
+  if (epoch != 0 && epoch == (asOwner ? shard.mEpoch : shard.mCopyEpoch)) {
     EncodeKeyMemory(shard.mMemory, Now(), answer);
   }
   return answer;
--- a/Libraries/LibGateway/KeyBook.h
+++ b/Libraries/LibGateway/KeyBook.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include <LibBase/Metrics.h>
 #include <LibGateway/GatewayPorts.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibHttp/HttpClient.h>
@@ -34,7 +35,8 @@
 public:
   KeyBook(const GatewaySettings& aSettings,
           const GatewayPorts& aPorts,
-          HttpClient& aClient);
+          HttpClient& aClient,
+          Metrics& aMetrics);
   KeyBook(const KeyBook&) = delete;
   KeyBook& operator=(const KeyBook&) = delete;
 
@@ -69,8 +71,8 @@
     KeyMemory mMemory;
     std::uint64_t mEpoch = 0;   ///< Last adopted; 0 before the first.
     std::uint32_t mRunning = 0; ///< Keyed requests of this process.
-    std::string mSyncedTo;      ///< Incarnation of the synced successor.
-    std::uint64_t mSyncedEpoch = 0;
+    /// Holds a complete copy of this owner's epoch; nobody after a failure.
+    std::optional<Member> mSyncedTo;
     /// Epoch of the owner whose complete copy is here; 0 for none.
     std::uint64_t mCopyEpoch = 0;
   };
@@ -79,9 +81,12 @@
 
   Shard& ShardOf(const std::string& aKey);
   void Adopt(std::uint32_t aNumber, Shard& aShard, const Ownership& aOwnership);
-  bool FetchFromPredecessor(std::uint32_t aNumber,
-                            Shard& aShard,
-                            std::uint64_t aEpoch);
+  bool FetchKeys(std::uint32_t aNumber, Shard& aShard, std::uint64_t aEpoch);
+  bool FetchFromPeers(std::uint32_t aNumber,
+                      Shard& aShard,
+                      std::uint64_t aEpoch,
+                      const char* aHolder);
+  std::optional<Member> CopyHolder(const Shard& aShard) const;
   bool EnsureSynced(std::uint32_t aNumber, Shard& aShard);
   bool CopyStarted(const std::string& aKey, Shard& aShard, Lock& aLock);
   void CopyEnd(const std::string& aKey, Shard& aShard);
@@ -97,6 +102,7 @@
   const GatewaySettings& mSettings;
   const GatewayPorts& mPorts;
   HttpClient& mClient;
+  Metrics& mMetrics;
   std::array<Shard, kKeyShards> mShards;
 };
 
--- a/Tests/LibGateway/TestPeers.cpp
+++ b/Tests/LibGateway/TestPeers.cpp
@@ -119,6 +119,23 @@
   LONGS_EQUAL(1, runner.mOrders.load());
 }
 
+// Guards against keys that are lost when the predecessor has left before the
+// new owner asks it: the copy at the predecessor's successor counts.
+TEST(Peers, AHandOverFromAProcessThatIsGoneUsesTheCopy)
+{
+  CountingRunner runner;
+  Pair pair;
+  const Member third = MakeMember("g3", 21103);
+  pair.mPlace.Join(third);
+  TestGateway three(pair.mPlace, third);
+  STRCMP_EQUAL("1",
+               (*pair.mOne)->Handle(MakeRequest("/order", "k")).mBody.c_str());
+  pair.mOne.reset();
+  pair.mPlace.Own("key/", third, 2, Acquisition::HandOver);
+  STRCMP_EQUAL("1", three->Handle(MakeRequest("/order", "k")).mBody.c_str());
+  LONGS_EQUAL(1, runner.mOrders.load());
+}
+
 // Guards against a key that runs without a copy at the named successor, which
 // would run it again after a takeover.
 TEST(Peers, RefusesNotRunWhenTheSuccessorDoesNotConfirm)
