--- a/Libraries/LibGateway/KeyBook.cpp
+++ b/Libraries/LibGateway/KeyBook.cpp
@@ -27,6 +27,22 @@
   return number;
 }
 
+const char*
+NameOf(Acquisition aAcquisition)
+{
+  switch (aAcquisition) {
+    case Acquisition::FirstOwner:
+      return "first_owner";
+    case Acquisition::HandOver:
+      return "hand_over";
+    case Acquisition::Successor:
+      return "successor";
+    case Acquisition::Takeover:
+      return "takeover";
+  }
+  return "unknown";
+}
+
 Error
 NoSuchShard()
 {
@@ -151,8 +167,11 @@
 {
   for (std::uint32_t number = 0; number < kKeyShards; ++number) {
     if (KeyShardId(number) == aShard) {
-      Lock lock(mShards[number].mMutex);
-      return mShards[number].mRunning == 0;
+      Shard& shard = mShards[number];
+      Lock lock(shard.mMutex);
+      // A successor may have to pass a shard on at once.
+      shard.mGivenUnadopted = shard.mEpoch <= shard.mCopyEpoch;
+      return shard.mRunning == 0;
     }
   }
   return true;
@@ -167,6 +186,7 @@
   if (aShard.mEpoch == aOwnership.mEpoch) {
     return;
   }
+  aShard.mGivenUnadopted = false;
   if (aShard.mEpoch != 0 && aShard.mEpoch + 1 == aOwnership.mEpoch) {
     // A session of this process ended and its next one took the shard: nobody
     // else has owned it since, so the memory is as complete as it was.
@@ -186,7 +206,10 @@
   if (aShard.mMemory.mCompleteness == KeyCompleteness::Incomplete) {
     LogEvent(LogLevel::Warning,
              "key_memory_incomplete",
-             { { "shard", aNumber }, { "epoch", aOwnership.mEpoch } });
+             { { "shard", aNumber },
+               { "epoch", aOwnership.mEpoch },
+               { "copy_epoch", aShard.mCopyEpoch },
+               { "acquisition", NameOf(aOwnership.mAcquisition) } });
   }
 }
 
@@ -422,6 +445,7 @@
   ApplyKeyMemory(memory, aParameters, Now());
   shard.mMemory = std::move(memory);
   shard.mCopyEpoch = epoch;
+  shard.mGivenUnadopted = false;
   return Json::Value(Json::objectValue);
 }
 
@@ -437,7 +461,10 @@
   Json::Value answer(Json::objectValue);
   const bool asOwner = aParameters["holder"].asString() == "owner";
   const std::uint64_t epoch = aParameters["epoch"].asUInt64();
-  if (epoch != 0 && epoch == (asOwner ? shard.mEpoch : shard.mCopyEpoch)) {
+  const bool unadopted = asOwner && shard.mGivenUnadopted &&
+                         epoch == shard.mCopyEpoch + 1 && shard.mEpoch < epoch;
+  if (epoch != 0 &&
+      (unadopted || epoch == (asOwner ? shard.mEpoch : shard.mCopyEpoch))) {
     EncodeKeyMemory(shard.mMemory, Now(), answer);
   }
   return answer;
--- a/Libraries/LibGateway/KeyBook.h
+++ b/Libraries/LibGateway/KeyBook.h
@@ -73,6 +73,9 @@
     std::uint32_t mRunning = 0; ///< Keyed requests of this process.
     /// Holds a complete copy of this owner's epoch; nobody after a failure.
     std::optional<Member> mSyncedTo;
+    /// This process gave the shard away before it had adopted it, so no key
+    /// was started in its epoch.
+    bool mGivenUnadopted = false;
     /// Epoch of the owner whose complete copy is here; 0 for none.
     std::uint64_t mCopyEpoch = 0;
   };
--- a/Tests/LibGateway/TestPeers.cpp
+++ b/Tests/LibGateway/TestPeers.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <LibGateway/GatewayMessage.h>
+#include <LibGateway/RunnerFollower.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -136,6 +137,26 @@
   LONGS_EQUAL(1, runner.mOrders.load());
 }
 
+// Guards against keys that are lost when a successor passes a shard on at once,
+// before it has used it.
+TEST(Peers, ASuccessorThatPassesAShardOnAtOncePassesTheCopyOn)
+{
+  CountingRunner runner;
+  Pair pair;
+  const Member third = MakeMember("g3", 21103);
+  pair.mPlace.Join(third);
+  TestGateway three(pair.mPlace, third);
+  STRCMP_EQUAL("1",
+               (*pair.mOne)->Handle(MakeRequest("/order", "k")).mBody.c_str());
+  pair.mOne.reset();
+  for (std::uint32_t i = 0; i < kKeyShards; ++i) {
+    CHECK_TRUE((*pair.mTwo)->Quiescent(KeyShardId(i)));
+  }
+  pair.mPlace.Own("key/", third, 3, Acquisition::HandOver);
+  STRCMP_EQUAL("1", three->Handle(MakeRequest("/order", "k")).mBody.c_str());
+  LONGS_EQUAL(1, runner.mOrders.load());
+}
+
 // Guards against a key that runs without a copy at the named successor, which
 // would run it again after a takeover.
 TEST(Peers, RefusesNotRunWhenTheSuccessorDoesNotConfirm)
