--- a/Libraries/LibLease/LeaseKeeper.cpp
+++ b/Libraries/LibLease/LeaseKeeper.cpp
@@ -28,12 +28,15 @@
 }
 
 LeaseMember
-ToLeaseMember(const Member& aMember)
+ToLeaseMember(Member aMember)
 {
-  return {
-    aMember.mName,       aMember.mIncarnation, aMember.mRole,
-    aMember.mDataCentre, aMember.mRegion,      ToText(aMember.mAddress)
-  };
+  return { std::move(aMember.mName),
+           std::move(aMember.mIncarnation),
+           std::move(aMember.mRole),
+           std::move(aMember.mDataCentre),
+           std::move(aMember.mRegion),
+           ToText(aMember.mAddress),
+           1 };
 }
 
 Member
@@ -84,7 +87,7 @@
   std::thread mThread;
 
   State(LeaseSettings aSettings,
-        const Member& aSelf,
+        Member aSelf,
         TablePort aTable,
         PromiseCaller aPromise)
     : mTable(std::move(aTable))
@@ -92,7 +95,7 @@
     , mLease(MakeLeaseState({ aSettings.mTerm,
                               aSettings.mRenewInterval,
                               aSettings.mForeignTakeoverWait },
-                            ToLeaseMember(aSelf),
+                            ToLeaseMember(std::move(aSelf)),
                             Now()))
   {
   }
@@ -190,7 +193,7 @@
 ActionOutcome
 LeaseKeeper::State::Execute(const ReadLeaseRows& aAction)
 {
-  const Outcome<LeaseRows> rows = ExecuteRead(mTable, aAction);
+  Outcome<LeaseRows> rows = ExecuteRead(mTable, aAction);
   std::lock_guard lock(mMutex);
   if (!Succeeded(rows)) {
     LogEvent(LogLevel::Warning,
@@ -200,7 +203,7 @@
     ReportReadFailure(mLease, Now());
     return ActionOutcome::Failed;
   }
-  ReportRead(mLease, ValueOf(rows), Now());
+  ReportRead(mLease, aAction, std::move(ValueOf(rows)), Now());
   return ActionOutcome::Done;
 }
 
@@ -243,7 +246,8 @@
     LogEvent(LogLevel::Info,
              has ? "session_started" : "session_ended",
              { { "member", mLease.mSelf.mName },
-               { "incarnation", mLease.mSelf.mIncarnation } });
+               { "incarnation", mLease.mSelf.mIncarnation },
+               { "generation", mLease.mSelf.mGeneration } });
   }
 }
 
@@ -252,7 +256,7 @@
                          TablePort aTable,
                          PromiseCaller aPromise)
   : mState(std::make_unique<State>(aSettings,
-                                   aSelf,
+                                   std::move(aSelf),
                                    std::move(aTable),
                                    std::move(aPromise)))
 {
--- a/Libraries/LibLease/LeaseRowText.cpp
+++ b/Libraries/LibLease/LeaseRowText.cpp
@@ -24,15 +24,17 @@
   out["dataCentre"] = aMember.mDataCentre;
   out["region"] = aMember.mRegion;
   out["address"] = aMember.mAddress;
+  out["generation"] = Json::UInt64(aMember.mGeneration);
   return out;
 }
 
 LeaseMember
 MemberFromJson(const Json::Value& aMember)
 {
-  return { aMember["name"].asString(),   aMember["incarnation"].asString(),
-           aMember["role"].asString(),   aMember["dataCentre"].asString(),
-           aMember["region"].asString(), aMember["address"].asString() };
+  return { aMember["name"].asString(),      aMember["incarnation"].asString(),
+           aMember["role"].asString(),      aMember["dataCentre"].asString(),
+           aMember["region"].asString(),    aMember["address"].asString(),
+           aMember["generation"].asUInt64() };
 }
 
 std::string
@@ -78,8 +80,9 @@
 {
   Json::Value root;
   std::string errors;
-  const std::unique_ptr<Json::CharReader> reader(
-    Json::CharReaderBuilder().newCharReader());
+  // Costs more to build than a row costs to parse.
+  static const Json::CharReaderBuilder sBuilder;
+  const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
   if (!reader->parse(
         aText.data(), aText.data() + aText.size(), &root, &errors) ||
       !root.isObject()) {
--- a/Libraries/LibLeaseCore/LeaseReports.cpp
+++ b/Libraries/LibLeaseCore/LeaseReports.cpp
@@ -11,14 +11,7 @@
 
 namespace {
 
-void
-SetIncarnation(LeaseState& aState)
-{
-  aState.mSelf.mIncarnation =
-    aState.mBaseIncarnation + "/" + std::to_string(aState.mGeneration);
-}
-
-/// The own session was ended. The next one gets another incarnation, so that
+/// The own session was ended. The next one gets another generation, so that
 /// shard rows which still name this one stay without a live owner.
 void
 LoseSession(LeaseState& aState)
@@ -31,8 +24,7 @@
   aState.mPromisedUntil.clear();
   aState.mHeld.clear();
   aState.mStopping.clear();
-  ++aState.mGeneration;
-  SetIncarnation(aState);
+  ++aState.mSelf.mGeneration;
 }
 
 /// Reads again soon and decides nothing until then.
@@ -180,8 +172,7 @@
   if (!aBefore) {
     return seen;
   }
-  if (aBefore->mRecord.mMember.mIncarnation ==
-      aRow.mRecord.mMember.mIncarnation) {
+  if (IsSameSession(aBefore->mRecord.mMember, aRow.mRecord.mMember)) {
     seen.mFirstSeen = aBefore->mFirstSeen;
   }
   if (aBefore->mVersion == aRow.mVersion) {
@@ -197,7 +188,7 @@
               MonotonicTime aNow)
 {
   const bool gap =
-    aState.mLastRead == kNever || aNow - aState.mLastRead > aState.mTimes.mTerm;
+    aState.mLastRead == kNever || aNow - aState.mLastRead > SessionTerm(aState);
   std::map<std::string, SeenSession> sessions;
   const LeaseRow<SessionRecord>* own = nullptr;
   for (const LeaseRow<SessionRecord>& row : aRows) {
@@ -244,6 +235,36 @@
   }
 }
 
+/// @return whether a hand-over may still take effect, about which the revision
+///         of the shards says nothing yet
+bool
+HasUnsettledHandOver(const LeaseState& aState)
+{
+  return std::ranges::any_of(aState.mStopping, [](const auto& aStopping) {
+    return aStopping.second.mSentVersion.has_value();
+  });
+}
+
+/// Takes a complete read into the state.
+void
+ApplyRead(LeaseState& aState, MonotonicTime aNow)
+{
+  const LeaseRows rows = std::exchange(aState.mPartialRead, {});
+  // Sessions first: they decide which session is the own one.
+  ApplySessions(aState, rows.mSessions, aNow);
+  aState.mReleases.clear();
+  for (const LeaseRow<ReleaseRecord>& row : rows.mReleases) {
+    aState.mReleases[row.mName] = { row.mRecord, row.mVersion };
+  }
+  if (aState.mShardsScanned) {
+    ApplyShards(aState, rows.mShards, aNow);
+    aState.mShardRevision = rows.mRevision;
+  }
+  aState.mNextPart.reset();
+  aState.mLastRead = aNow;
+  aState.mFresh = true;
+}
+
 } // namespace
 
 LeaseState
@@ -252,9 +273,7 @@
   LeaseState state;
   state.mTimes = aTimes;
   state.mSelf = std::move(aSelf);
-  state.mBaseIncarnation = state.mSelf.mIncarnation;
   state.mStarted = aNow;
-  SetIncarnation(state);
   return state;
 }
 
@@ -289,26 +308,37 @@
 }
 
 void
-ReportRead(LeaseState& aState, const LeaseRows& aRows, MonotonicTime aNow)
+ReportRead(LeaseState& aState,
+           const ReadLeaseRows& aAction,
+           LeaseRows aRows,
+           MonotonicTime aNow)
 {
-  // Sessions first: they decide which incarnation is the own one.
-  ApplySessions(aState, aRows.mSessions, aNow);
-  aState.mReleases.clear();
-  for (const LeaseRow<ReleaseRecord>& row : aRows.mReleases) {
-    aState.mReleases[row.mName] = { row.mRecord, row.mVersion };
-  }
-  if (aRows.mShards) {
-    ApplyShards(aState, *aRows.mShards, aNow);
-    aState.mShardRevision = aRows.mRevision;
+  switch (aAction.mPart) {
+    case LeaseReadPart::Revision: {
+      const bool scan = aState.mShardRevision != aRows.mRevision ||
+                        HasUnsettledHandOver(aState);
+      aState.mPartialRead = std::move(aRows);
+      aState.mShardsScanned = false;
+      aState.mNextPart = scan ? LeaseReadPart::Shards : LeaseReadPart::Sessions;
+      return;
+    }
+    case LeaseReadPart::Shards:
+      aState.mPartialRead.mShards = std::move(aRows.mShards);
+      aState.mShardsScanned = true;
+      aState.mNextPart = LeaseReadPart::Sessions;
+      return;
+    case LeaseReadPart::Sessions:
+      aState.mPartialRead.mSessions = std::move(aRows.mSessions);
+      ApplyRead(aState, aNow);
+      return;
   }
-  aState.mLastRead = aNow;
-  aState.mFresh = true;
 }
 
 void
 ReportReadFailure(LeaseState& aState, MonotonicTime aNow)
 {
   aState.mFresh = false;
+  aState.mNextPart.reset();
   aState.mNextRead = aNow + RenewInterval(aState);
 }
 
--- a/Libraries/LibLeaseCore/LeaseState.h
+++ b/Libraries/LibLeaseCore/LeaseState.h
@@ -28,7 +28,7 @@
 {
   SessionRecord mRecord;
   std::uint64_t mVersion = 0;
-  MonotonicTime mFirstSeen; ///< When this incarnation was first seen.
+  MonotonicTime mFirstSeen; ///< When this session was first seen.
   MonotonicTime mUnchangedSince;
   /// Like mUnchangedSince, but started afresh after a time in which this
   /// process could not read: the holder may not have been able to renew.
@@ -69,9 +69,7 @@
 struct LeaseState
 {
   LeaseTimes mTimes;
-  LeaseMember mSelf; ///< The incarnation is that of the present session.
-  std::string mBaseIncarnation;
-  std::uint64_t mGeneration = 1; ///< Number of sessions; part of mIncarnation.
+  LeaseMember mSelf;
   MonotonicTime mStarted;
 
   /// @name The own session
@@ -98,7 +96,10 @@
   /// @{
   MonotonicTime mNextRead = kNever;
   MonotonicTime mLastRead = kNever;
-  bool mFresh = false; ///< Nothing has failed since the last read.
+  std::optional<LeaseReadPart> mNextPart; ///< Nothing between two reads.
+  LeaseRows mPartialRead;
+  bool mShardsScanned = false; ///< By the read under way.
+  bool mFresh = false;         ///< Nothing has failed since the last read.
   std::optional<std::uint64_t> mShardRevision;
   std::map<std::string, SeenSession> mSessions; ///< Includes the own one.
   std::map<std::string, SeenShard> mShards;
