--- a/Libraries/LibGateway/RequestPath.cpp
+++ b/Libraries/LibGateway/RequestPath.cpp
@@ -310,7 +310,7 @@
                          "owner of the key changed");
     case KeyDecision::Full:
       return MakeRefusal(
-        503, rule::kKeyMemory, "the memory for idempotency keys is full");
+        503, rule::kKeyMemoryFull, "the memory for idempotency keys is full");
   }
   return MakeUnknown("internal", "internal error");
 }
--- a/Libraries/LibGateway/RequestRecord.cpp
+++ b/Libraries/LibGateway/RequestRecord.cpp
@@ -22,7 +22,7 @@
                "this gateway's runners were full and a peer had free slots",
                "a free slot at this gateway's runners" };
     case Rule::WaitsForSlot:
-      return { rule::kQueued,
+      return { rule::kWaitsForSlot,
                "all slots are in use; requests are served in the order of "
                "their arrival",
                "a free slot at any gateway" };
@@ -43,7 +43,7 @@
                "too many requests wait already",
                "fewer waiting requests" };
     case Rule::DeadlineTooShort:
-      return { rule::kDeadline,
+      return { rule::kDeadlineTooShort,
                "waiting and service are expected to exceed the deadline",
                "a longer deadline or fewer waiting requests" };
     case Rule::DeadlinePassed:
@@ -137,7 +137,7 @@
   record.mFigures = {
     { figure::kDeadlineMs, InMillis(why.mDeadlineLeft) },
     { figure::kExpectedMs, InMillis(why.mExpected) },
-    { figure::kQueueLength, why.mWaiting },
+    { figure::kAhead, why.mWaiting },
     { "tries", why.mTries },
   };
   if (why.mKind != DecisionKind::Serve) {
