LibHttp: Keep 64 idle server threads

Cause: the HTTP library ends threads above its minimum, set to 5, as soon as they are idle. A gateway at 2,000 requests/s started a thread for most requests (wake_up_new_task in the profile). Ruled out: the routing thread, which takes under 2% of the samples.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -19,6 +19,10 @@
 
 using InFlightCount = std::atomic<unsigned>;
 
+/// The library ends threads beyond this number when they have no work. With 5,
+/// a gateway at 2,000 requests a second started a thread for most requests.
+constexpr unsigned kMostIdleThreads = 64;
+
 /// Time a finished reply gets to leave the socket before the server stops.
 constexpr Millis kFlushMs{ 50 };
 
@@ -140,7 +144,7 @@
 {
   auto state = std::make_unique<State>(std::move(aHandler));
   state->mServer = std::make_unique<cxxtools::http::Server>(state->mLoop);
-  state->mServer->minThreads(std::min(aSettings.mMaxThreads, 5U));
+  state->mServer->minThreads(std::min(aSettings.mMaxThreads, kMostIdleThreads));
   state->mServer->maxThreads(aSettings.mMaxThreads);
   state->mServer->addService(cxxtools::Regex(".*"), state->mService);
   for (const Endpoint& endpoint : aSettings.mListen) {
