LibControl: Count each request once in the fairness report

The final decision of each request now counts once; a wait or an eviction on the way is counted beside it.

--- a/Libraries/LibControl/FairnessCommand.cpp
+++ b/Libraries/LibControl/FairnessCommand.cpp
@@ -30,21 +30,62 @@
                                : "team " + aRecord.mTeam;
 }
 
+/// All decisions about one request or job, by time.
+using History = std::vector<const DecisionRecord*>;
+
+/// @return the decision that counts in the end: a request that was served
+///         after a refused try, or by another host, was served once
+const DecisionRecord&
+Final(const History& aHistory)
+{
+  const DecisionRecord* final = aHistory.back();
+  for (const DecisionRecord* record : aHistory) {
+    if (record->mDecision == Decision::Served &&
+        record->mRule != rule::kForwardedToPeer) {
+      final = record;
+    }
+  }
+  return *final;
+}
+
+bool
+Holds(const History& aHistory, Decision aDecision)
+{
+  return std::any_of(
+    aHistory.begin(), aHistory.end(), [&](const DecisionRecord* aRecord) {
+      return aRecord->mDecision == aDecision;
+    });
+}
+
+void
+Add(const History& aHistory, Share& aShare)
+{
+  const DecisionRecord& final = Final(aHistory);
+  ++aShare.mCounts[final.mDecision];
+  for (const Decision also : { Decision::Delayed, Decision::Evicted }) {
+    if (also != final.mDecision && Holds(aHistory, also)) {
+      ++aShare.mCounts[also];
+    }
+  }
+  if (final.mDecision == Decision::Refused) {
+    ++aShare.mRefusedBy[final.mRule];
+  }
+  const auto waited = final.mFigures.find(figure::kWaitedMs);
+  if (final.mDecision == Decision::Served && waited != final.mFigures.end()) {
+    aShare.mWaitsMs.push_back(waited->second);
+  }
+}
+
 Shares
 SharesOf(const std::vector<DecisionRecord>& aRecords)
 {
-  Shares shares;
+  std::map<std::string, History> histories;
   for (const DecisionRecord& record : aRecords) {
-    Share& share = shares[PartyOf(record)];
-    ++share.mCounts[record.mDecision];
-    if (record.mDecision == Decision::Refused) {
-      ++share.mRefusedBy[record.mRule];
-    }
-    const auto waited = record.mFigures.find(figure::kWaitedMs);
-    if (record.mDecision == Decision::Served &&
-        waited != record.mFigures.end()) {
-      share.mWaitsMs.push_back(waited->second);
-    }
+    histories[record.mSubject].push_back(&record);
+  }
+  Shares shares;
+  for (const auto& [subject, history] : histories) {
+    Add(history, shares[PartyOf(*history.back())]);
   }
   for (auto& [party, share] : shares) {
     std::sort(share.mWaitsMs.begin(), share.mWaitsMs.end());
--- a/Tests/LibControl/TestReports.cpp
+++ b/Tests/LibControl/TestReports.cpp
@@ -88,20 +88,27 @@
   STRCMP_CONTAINS("raise --batches", result.mText.c_str());
 }
 
-// Guards against shares that hide who was refused or waited longer.
+// Guards against shares that hide who was refused or waited longer, and
+// against a request that counts twice because two hosts decided on it.
 TEST(Reports, FairnessShowsEachCustomer)
 {
   DecisionRecord refused = Record(3, "r-3", "Bea");
   refused.mDecision = Decision::Refused;
   refused.mRule = rule::kQueueFull;
-  Store(1, { Record(1, "r-1", "Ana"), Record(2, "r-2", "Bea"), refused });
+  DecisionRecord forwarded = Record(1, "r-1", "Ana");
+  forwarded.mRule = rule::kForwardedToPeer;
+  DecisionRecord delayed = Record(2, "r-2", "Bea");
+  delayed.mDecision = Decision::Delayed;
+  Store(1, { forwarded, delayed, refused });
+  Store(2, { Record(3, "r-1", "Ana"), Record(3, "r-2", "Bea") });
   const ControlResult result = ShowFairness(mWorld.Ports(), {}, "desk");
-  STRCMP_EQUAL("desk since 1970-01-01T00:00:00.000Z, 3 decisions:\n"
-               "  Ana: 1 served; waited 20 ms in the median, 20 ms at the "
-               "99th percentile\n"
-               "  Bea: 1 served, 1 refused; refused by queue-full: 1; waited "
-               "20 ms in the median, 20 ms at the 99th percentile\n",
-               result.mText.c_str());
+  STRCMP_EQUAL(
+    "desk since 1970-01-01T00:00:00.000Z, 5 decisions:\n"
+    "  Ana: 1 served; waited 20 ms in the median, 20 ms at the "
+    "99th percentile\n"
+    "  Bea: 1 served, 1 delayed, 1 refused; refused by queue-full: 1; waited "
+    "20 ms in the median, 20 ms at the 99th percentile\n",
+    result.mText.c_str());
 }
 
 // Guards against a job that is lost with the first scheduler that is down.
