--- a/Libraries/LibPlacement/Shard.h
+++ b/Libraries/LibPlacement/Shard.h
@@ -204,6 +204,11 @@
                 MonotonicTime aNow,
                 Actions& aActions);
 
+/// The first commit of a job gave it a later attempt, because a former job of
+/// this name used the earlier ones. Called before HandleCommitted().
+void
+RaiseAttempt(Shard& aShard, std::string_view aJob, std::uint32_t aAttempt);
+
 /// The first commit of a job surely did not take effect.
 void
 HandleNotAccepted(Shard& aShard, std::string_view aJob);
--- a/Libraries/LibScheduler/Committer.cpp
+++ b/Libraries/LibScheduler/Committer.cpp
@@ -38,7 +38,8 @@
   if (terminal || aItem.mCommit.mFirst) {
     const char* state = terminal ? PhaseName(row.mPhase) : "accepted";
     aTransaction.mWrites.push_back(
-      { JobIdKey(job), JobIdRowText({ aItem.mShard, state, row.mReason }) });
+      { JobIdKey(job),
+        JobIdRowText({ aItem.mShard, state, row.mReason, row.mAttempt }) });
   }
 }
 
@@ -247,7 +248,10 @@
     const bool open =
       !Succeeded(holder) || ValueOf(holder).mState == "accepted";
     if (IsService(item) && !open) {
-      // A service task that was cancelled is wanted again.
+      // A service task that was cancelled is wanted again. It counts its
+      // attempts on, because outcomes of earlier ones may still be reported.
+      item.mCommit.mRow.mAttempt =
+        Succeeded(holder) ? ValueOf(holder).mAttempt + 1 : 0;
       mReplaceable[key] = row->mVersion;
       left.push_back(std::move(item));
     } else if (aRepeated && shard == item.mShard && open) {
@@ -277,7 +281,8 @@
       transaction.mWrites = {
         { JobKey(aMove.mShard, job), std::nullopt },
         { JobKey(aMove.mTarget, job), JobRowText(aMove.mRow) },
-        { JobIdKey(job), JobIdRowText({ aMove.mTarget, "accepted", "" }) }
+        { JobIdKey(job),
+          JobIdRowText({ aMove.mTarget, "accepted", "", aMove.mRow.mAttempt }) }
       };
       const TransactResult result = mPorts.mTable.mTransact(transaction);
       if (std::holds_alternative<Committed>(result)) {
@@ -311,7 +316,7 @@
                { { "key", row.mKey }, { "why", ErrorOf(parsed).mMessage } });
     }
   }
-  Answer(std::move(event));
+  Answer(event);
 }
 
 void
@@ -323,12 +328,13 @@
                          aItem.mEpoch,
                          aItem.mCommit.mRow.mSpec.mJob,
                          aItem.mCommit.mSequence,
+                         aItem.mCommit.mRow.mAttempt,
                          aState,
                          aHolder });
 }
 
 void
-Committer::Answer(SchedulerEvent aEvent)
+Committer::Answer(const SchedulerEvent& aEvent)
 {
   // A result must arrive, so a full ring is waited for. The placement thread
   // never waits for this one.
--- a/Libraries/LibScheduler/Directory.cpp
+++ b/Libraries/LibScheduler/Directory.cpp
@@ -78,6 +78,7 @@
   auto shards =
     std::make_shared<const WorkerShards>(DivideWorkers(ValueOf(hosts)));
   std::vector<ShardSpec> specs;
+  specs.reserve(shards->size());
   for (const auto& [id, shard] : *shards) {
     specs.push_back(shard.mSpec);
   }
@@ -167,6 +168,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<std::string> shards;
+  shards.reserve(ranked.size());
   for (auto& [rank, id] : ranked) {
     shards.push_back(std::move(id));
   }
--- a/Libraries/LibScheduler/JobRows.cpp
+++ b/Libraries/LibScheduler/JobRows.cpp
@@ -143,6 +143,7 @@
   row["shard"] = aRow.mShard;
   row["state"] = aRow.mState;
   row["reason"] = aRow.mReason;
+  row["attempt"] = aRow.mAttempt;
   return WriteJson(row);
 }
 
@@ -152,7 +153,8 @@
   return ParseRow<JobIdRow>("job id row", aText, [](const Json::Value& aRow) {
     return JobIdRow{ aRow["shard"].asString(),
                      aRow["state"].asString(),
-                     aRow["reason"].asString() };
+                     aRow["reason"].asString(),
+                     aRow["attempt"].asUInt() };
   });
 }
 
--- a/Libraries/LibScheduler/JobRows.h
+++ b/Libraries/LibScheduler/JobRows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
   std::string mShard;
   std::string mState; ///< "accepted", "ended", "cancelled" or "held".
   std::string mReason;
+  std::uint32_t mAttempt = 0; ///< The last one, if it ended.
 };
 
 std::string
--- a/Tests/LibPlacement/Model.h
+++ b/Tests/LibPlacement/Model.h
@@ -95,7 +95,7 @@
   void Step();
   void InjectFaults();
   void PollWorkers();
-  void Execute(Actions aActions);
+  void Execute(const Actions& aActions);
   void Perform(const StartTask& aStart);
   void Perform(const StopTask& aStop);
   void Perform(const CheckpointTask& aCheckpoint);
