--- a/Libraries/LibPlacement/Jobs.cpp
+++ b/Libraries/LibPlacement/Jobs.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <LibPlacement/Internal.h>
 #include <LibPlacement/PlacementPolicy.h>
 #include <LibPlacement/Shard.h>
@@ -250,6 +252,15 @@
   Enqueue(aShard, *job);
 }
 
+void
+RaiseAttempt(Shard& aShard, std::string_view aJob, std::uint32_t aAttempt)
+{
+  Job* job = FindJob(aShard, aJob);
+  if (job && !job->mAccepted) {
+    job->mRow.mAttempt = std::max(job->mRow.mAttempt, aAttempt);
+  }
+}
+
 void
 HandleNotAccepted(Shard& aShard, std::string_view aJob)
 {
--- a/Libraries/LibScheduler/Committer.h
+++ b/Libraries/LibScheduler/Committer.h
@@ -88,7 +88,7 @@
   ///         nothing if another process owns the shard
   Outcome<std::optional<std::uint64_t>> FenceOf(const std::string& aShard,
                                                 std::uint64_t aEpoch);
-  void Answer(SchedulerEvent aEvent);
+  void Answer(const SchedulerEvent& aEvent);
   void Answer(const CommitItem& aItem,
               CommitState aState,
               const std::string& aHolder);
--- a/Libraries/LibScheduler/PlacementThread.cpp
+++ b/Libraries/LibScheduler/PlacementThread.cpp
@@ -548,6 +548,7 @@
   constexpr Seconds kBelievedElsewhere{ 30 };
   Actions actions;
   if (aEvent.mState == CommitState::Committed) {
+    RaiseAttempt(owned->mCore, aEvent.mJob, aEvent.mAttempt);
     HandleCommitted(owned->mCore, aEvent.mJob, aEvent.mSequence, aNow, actions);
   } else {
     HandleNotAccepted(owned->mCore, aEvent.mJob);
--- a/Libraries/LibScheduler/SchedulerEvent.h
+++ b/Libraries/LibScheduler/SchedulerEvent.h
@@ -81,6 +81,7 @@
   std::uint64_t mEpoch = 0;
   std::string mJob;
   std::uint64_t mSequence = 0;
+  std::uint32_t mAttempt = 0; ///< As committed.
   CommitState mState = CommitState::Committed;
   std::string mHolder; ///< If refused: the shard that holds the job.
 };
--- a/Tests/LibPlacement/Model.cpp
+++ b/Tests/LibPlacement/Model.cpp
@@ -123,7 +123,7 @@
   mWork[spec.mJob] = 500 + Random(20000);
   Actions actions;
   AcceptJob(mShard, spec, Now(), actions);
-  Execute(std::move(actions));
+  Execute(actions);
 }
 
 void
@@ -168,7 +168,7 @@
           !row.mRow.mCancelRequested) {
         Actions actions;
         CancelJob(mShard, name, Now(), actions);
-        Execute(std::move(actions));
+        Execute(actions);
         break;
       }
     }
@@ -184,7 +184,7 @@
   Actions actions;
   HandleTick(mShard, Now(), actions);
   PlaceQueued(mShard, Now(), 100, actions);
-  Execute(std::move(actions));
+  Execute(actions);
 }
 
 void
@@ -227,7 +227,7 @@
                 "job-" + std::to_string(Random(mSettings.mJobs)),
                 Now(),
                 actions);
-      Execute(std::move(actions));
+      Execute(actions);
       break;
     }
     default:
@@ -248,7 +248,7 @@
 }
 
 void
-Model::Execute(Actions aActions)
+Model::Execute(const Actions& aActions)
 {
   for (const Action& action : aActions) {
     std::visit([this](const auto& aAction) { Perform(aAction); }, action);
@@ -280,7 +280,7 @@
                         answer,
                         Now(),
                         actions);
-      Execute(std::move(actions));
+      Execute(actions);
     });
   });
 }
@@ -351,7 +351,7 @@
     }
     Actions actions;
     HandleCommitted(mShard, name, aCommit.mSequence, Now(), actions);
-    Execute(std::move(actions));
+    Execute(actions);
   });
 }
 
@@ -481,7 +481,9 @@
       }
     }
   }
-  for (const auto& [name, attempt] : aPoll.mPlan.mAcknowledge) {
+  for (const auto& acknowledged : aPoll.mPlan.mAcknowledge) {
+    const std::string& name = acknowledged.first;
+    const std::uint32_t attempt = acknowledged.second;
     std::erase_if(worker.mOutcomes, [&](const TaskOutcome& aOutcome) {
       if (aOutcome.mJob != name || aOutcome.mAttempt != attempt) {
         return false;
@@ -508,7 +510,7 @@
     }
     Actions actions;
     HandleReport(mShard, aWorker, report, Now(), actions);
-    Execute(std::move(actions));
+    Execute(actions);
   });
 }
 
