--- a/Tests/StandIns/Worker/Program/Main.cpp
+++ b/Tests/StandIns/Worker/Program/Main.cpp
@@ -27,13 +27,7 @@
   if (!Succeeded(text)) {
     return ErrorOf(text);
   }
-<<<<<<< HEAD
-  // The list itself, or the answer of hosts.list that holds it.
-  const Json::Value& root = ValueOf(text).mRoot;
-  return ParseHosts(root.isObject() ? root["hosts"] : root);
-=======
   return ParseHosts(ValueOf(text).mRoot);
->>>>>>> main
 }
 
 /// Serves until SIGTERM or SIGINT.
