--- a/Tests/LibLease/TestLeaseScenarios.cpp
+++ b/Tests/LibLease/TestLeaseScenarios.cpp
@@ -1,9 +1,6 @@
 #include <string>
 
 #include "LeaseWorld.h"
-#include <StandIns/Platform/MemoryPorts.h>
-
-#include <LibLease/Release.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -19,6 +16,23 @@
   STRCMP_EQUAL("", aWorld.Violation().c_str());
 }
 
+/// Checks that two processes keep their shards for a minute in which each call
+/// of the store takes a given time.
+void
+CheckUninterrupted(LeaseWorld& aWorld, VirtualTime aCallTime, bool aOutage)
+{
+  aWorld.Start("a", "dc-1");
+  aWorld.Start("c", "dc-2");
+  aWorld.RunFor(Seconds(20));
+  aWorld.SetCallTime(aCallTime);
+  aWorld.SetOutage(aOutage);
+  for (int i = 0; i < 600; ++i) {
+    aWorld.RunFor(Millis(100));
+    LONGS_EQUAL(6, aWorld.Owned());
+  }
+  CheckSound(aWorld);
+}
+
 } // namespace
 
 TEST_GROUP(LeaseScenarios)
@@ -84,6 +98,26 @@
   CheckSound(mWorld);
 }
 
+// Guards against a table service that is slow, but works, and makes sessions
+// lapse because calls wait for each other.
+TEST(LeaseScenarios, SlowStoreInterruptsNoOwner)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LeaseWorld world{ { .mSeed = seed, .mTimes = kTimes } };
+    CheckUninterrupted(world, Millis(900), false);
+  }
+}
+
+// Guards against an outage in which each call takes its whole time-out, so
+// that the promise is asked for too late.
+TEST(LeaseScenarios, SilentStoreInterruptsNoOwner)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    LeaseWorld world{ { .mSeed = seed, .mTimes = kTimes } };
+    CheckUninterrupted(world, Millis(1000), true);
+  }
+}
+
 // Guards against an owner that outlives the wait of all other processes.
 TEST(LeaseScenarios, OwnerStopsBeforeOthersMayTakeOver)
 {
@@ -218,16 +252,3 @@
   CHECK_COMPARE(after.mReads - before.mReads, <=, 60U * 34U);
   LONGS_EQUAL(6, mWorld.Owned());
 }
-
-TEST_GROUP(ReleaseMember){};
-
-// Guards against a release of a member that has no session, which would
-// concern a later process of that name.
-TEST(ReleaseMember, RefusesMemberWithoutSession)
-{
-  MemoryTable table;
-  const auto released =
-    ReleaseMember(MakeMemoryTablePort(table), "a", "operator", "test");
-  CHECK_FALSE(Succeeded(released));
-  CHECK_TRUE(ErrorOf(released).mKind == ErrorKind::NotFound);
-}
