--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash disable=SC2154,SC2034
 # Starts and ends the programs of a deployment; sourced by scripts in Meta.
 # Needs $build, $base, $limit and $service.
 
@@ -72,7 +73,7 @@
 
 # field FILE NAME: a text field of a settings file.
 field() {
-  sed -n 's/.*"'"$2"'": *"\([^"]*\)".*/\1/p' "$1" | head -n 1
+  sed -n 's/.*"'"$2"'": *"\([^"]*\)".*/\1/p' "$1" | sed -n 1p
 }
 
 # rpc ADDRESS METHOD PARAMETERS: prints the answer.
@@ -83,12 +84,12 @@
 
 # number NAME: the first number of that name in the JSON on standard input.
 number() {
-  grep -o "\"$1\":[0-9]*" | head -n 1 | cut -d: -f2
+  grep -o "\"$1\":[0-9]*" | sed -n 1p | cut -d: -f2
 }
 
 # address_of KIND: address of the first host of a kind.
 address_of() {
-  grep "\"kind\": *\"$1\"" "$base/hosts.json" | head -n 1 |
+  grep "\"kind\": *\"$1\"" "$base/hosts.json" | sed -n 1p |
     sed 's/.*"address": *"\([^"]*\)".*/\1/'
 }
 
--- a/Tests/Scenarios/Scripts/GatewayKilled.lua
+++ b/Tests/Scenarios/Scripts/GatewayKilled.lua
@@ -1,10 +1,15 @@
 -- Guarantees 1, 6, 7: a gateway that is killed under load doubles no order,
--- makes no refusal untrue and overcommits no runner.
+-- makes no refusal untrue and overcommits no runner. The runners are saturated
+-- and hold watches for longer than a takeover takes, so a new owner that
+-- forgot the slots of its predecessor's watches would exceed the limit.
 -- needs: savorypaddle-gateway savorypaddle standin-platform standin-runner standin-caller
-deploy { block = 1, runners = 6, gateways = 3 }
-load { rate = 300, seconds = 12, seed = 11 }
-sleep(3)
+deploy { block = 1, runners = 4, gateways = 3,
+         runner_arguments = { "--service-ms", "50", "--watch-ms", "8000" } }
+load { rate = 600, seconds = 14, seed = 11,
+       mix = "orders=50,reads=49,watches=1" }
+sleep(4)
 kill("gateway-2")
 local counts = finish()
 expect_guarantees(counts)
-expect(counts.answered > counts.planned / 2, "most calls are answered")
+expect_equal(8, counts.highest_in_progress, "most requests at one runner")
+expect(counts.answered > counts.planned * 0.3, "calls are answered")
--- a/Tests/Scenarios/Vocabulary.lua
+++ b/Tests/Scenarios/Vocabulary.lua
@@ -72,6 +72,9 @@
 
 local deployment = {}
 
+-- Two runs on one machine at the same time need different ports.
+local kFirstPort = tonumber(os.getenv("SCENARIO_FIRST_PORT") or 22000)
+
 local function write_json(name, value)
   return must(primitive.write_file(name, primitive.json(value)))
 end
@@ -135,7 +138,7 @@
 -- options: block (0 to 99; chooses the ports), runners, workers, gateways,
 -- schedulers, runner_arguments, worker_arguments.
 function deploy(options)
-  local port = 22000 + options.block * 10
+  local port = kFirstPort + options.block * 10
   deployment = {
     platform = "127.30.0.1:" .. port,
     gateways = addresses(options.gateways, 31, port + 1),
