--- a/Tests/Scenarios/Vocabulary.lua
+++ b/Tests/Scenarios/Vocabulary.lua
@@ -223,9 +223,22 @@
   return must_paddle("return", data_centre, "--why", "scenario")
 end
 
--- Submits a job given as a table.
+-- Submits a job given as a table. A scheduler that has just started may refuse
+-- at first; a repeated submit of the same job changes nothing.
 function submit(job)
-  return must_paddle("submit", write_json(job.job .. ".jsonc", job))
+  local file = write_json(job.job .. ".jsonc", job)
+  wait_until("job " .. job.job .. " is accepted", function()
+    return paddle("submit", file) == 0
+  end)
+end
+
+-- Submits jobs PREFIX-1 to PREFIX-COUNT of one core each.
+function submit_jobs(prefix, count, seconds)
+  for i = 1, count do
+    submit { job = prefix .. "-" .. i, team = "desk",
+             size = { cores = 1, memoryMb = 1024 },
+             expectedSeconds = seconds }
+  end
 end
 
 -- Faults and what the stand-ins saw ---------------------------------------
@@ -248,6 +261,29 @@
     deployment.runners[1], "standin.stats", { keys = keys or {} }))
 end
 
+function worker_stats()
+  return must(primitive.rpc(
+    deployment.workers[1], "standin.stats", { jobs = true }))
+end
+
+-- What holds for all work on the workers.
+function expect_task_guarantees(stats)
+  expect_equal(0, stats.capacityViolations, "starts beyond a capacity")
+  expect_equal(0, stats.twoPlaces, "jobs in two places at once")
+  expect_equal(0, stats.repeatedAttempts, "attempts started twice")
+  expect_equal(0, stats.startsAfterEnd, "starts of jobs that had ended")
+  expect_equal(0, stats.oldCheckpoints, "starts from a superseded checkpoint")
+end
+
+-- Whether each job PREFIX-1 to PREFIX-COUNT has started, as the workers saw.
+function all_started(prefix, count)
+  local jobs = worker_stats().jobs or {}
+  for i = 1, count do
+    if not jobs[prefix .. "-" .. i] then return false end
+  end
+  return true
+end
+
 function platform_stats()
   return must(primitive.rpc(deployment.platform, "standin.stats", {}))
 end
@@ -291,6 +327,8 @@
     "--seed", tostring(options.seed or 1), "--name", name,
     "--mix", options.mix or "orders=50,reads=50",
     "--retries", tostring(options.retries or 0),
+    -- Longer than the longest watch.
+    "--patience-ms", "12000",
     "--account", deployment.runners[1] })
 end
 
