LibControl: Bound a drain's wait when several schedulers are silent

Schedulers are asked one after the other with a time-out of a second each, so eight silent ones made the command last up to 8 s although no process can start a task there after 2 s. No scheduler is asked after that moment any more.

--- a/Libraries/LibControl/DataCentreCommands.cpp
+++ b/Libraries/LibControl/DataCentreCommands.cpp
@@ -91,9 +91,12 @@
   return revision.isUInt64() && revision.asUInt64() >= aRevision;
 }
 
+/// Asks each scheduler that has not confirmed yet; after @p aEnd none is
+/// asked, because silent ones would take a time-out each.
 void
 AskOnce(const ControlPorts& aPorts,
         std::uint64_t aRevision,
+        MonotonicTime aEnd,
         Confirmations& aState)
 {
   const auto sessions = ReadSessions(aPorts.mTable);
@@ -107,7 +110,7 @@
         aState.mConfirmed.contains(session.Self().mIncarnation)) {
       continue;
     }
-    if (Confirms(aPorts, session, aRevision)) {
+    if (aPorts.mMonotonicNow() < aEnd && Confirms(aPorts, session, aRevision)) {
       aState.mConfirmed.insert(session.Self().mIncarnation);
     } else {
       aState.mMissing.insert(session.Self().mName);
@@ -123,7 +126,7 @@
   const MonotonicTime end = aPorts.mMonotonicNow() + kProofAge;
   Confirmations state;
   while (true) {
-    AskOnce(aPorts, aRevision, state);
+    AskOnce(aPorts, aRevision, end, state);
     const MonotonicTime now = aPorts.mMonotonicNow();
     if (state.mMissing.empty() || now >= end) {
       return state;
--- a/Tests/LibControl/TestDataCentres.cpp
+++ b/Tests/LibControl/TestDataCentres.cpp
@@ -63,6 +63,26 @@
                   result.mText.c_str());
 }
 
+// Guards against a drain that waits for one time-out per silent scheduler,
+// long after no process can start a task there.
+TEST(DataCentres, SilentSchedulersDoNotAddUp)
+{
+  for (int i = 3; i < 10; ++i) {
+    mWorld.AddScheduler("scheduler-" + std::to_string(i), kFirst);
+  }
+  ControlPorts ports = mWorld.Ports();
+  ports.mCall = [this](const Endpoint&,
+                       const std::string&,
+                       const Json::Value&) -> Outcome<Json::Value> {
+    mWorld.mSlept += Millis(1000);
+    return Error{ ErrorKind::Unknown, "time-out" };
+  };
+  const ControlResult result = DrainDataCentre(ports, mAna, "dc-1");
+  LONGS_EQUAL(0, result.mExit);
+  LONGS_EQUAL(kProofAge.count(), mWorld.mSlept.count());
+  LONGS_EQUAL(9, result.mJson["unconfirmed"].size());
+}
+
 // Guards against a drain command that is repeated after an interruption and
 // returns without waiting.
 TEST(DataCentres, RepeatedDrainWaitsAgain)
