Bench: Load services so that a rush fills the slots

Steady load is now 18%, so a rush of five times takes 90%. The capacity left while a data centre is out no longer counts the cores of service tasks, and the baseline's queue is bounded at a second of requests, which also shortens a run.

--- a/Tests/Bench/Cluster.cpp
+++ b/Tests/Bench/Cluster.cpp
@@ -152,6 +152,16 @@
   return use;
 }
 
+double
+Cluster::CoresForBatch(const Machine& aMachine) const
+{
+  auto cores = static_cast<double>(mDeployment.mCores);
+  for (const Task& task : aMachine.mTasks) {
+    cores -= task.mRunner ? CoreShare(task.mReserved) : 0;
+  }
+  return cores;
+}
+
 void
 Cluster::Measure(std::size_t aMachine)
 {
@@ -412,7 +422,7 @@
     Measure(i);
     RunTasks(i);
     if (mScenario.mDataCentreOut.Contains(mNowS) && DataCentreIn(i)) {
-      mResult.mOutCapacityS += kStepS * static_cast<double>(mDeployment.mCores);
+      mResult.mOutCapacityS += kStepS * CoresForBatch(mMachines[i]);
     }
     PollWorker(i);
   }
--- a/Tests/Bench/Cluster.h
+++ b/Tests/Bench/Cluster.h
@@ -30,7 +30,7 @@
 {
   double mBatchCoreS = 0;   ///< Useful work of finished and saved progress.
   double mOutCoreS = 0;     ///< The same while a data centre was out.
-  double mOutCapacityS = 0; ///< Core seconds that were left then.
+  double mOutCapacityS = 0; ///< Left then beside services.
   std::uint64_t mEvictions = 0;
   std::uint64_t mStarts = 0;
   std::uint64_t mFinished = 0;
@@ -91,6 +91,7 @@
   void RefreshDataCentres();
   void RunTasks(std::size_t aMachine);
   void Measure(std::size_t aMachine);
+  double CoresForBatch(const Machine& aMachine) const;
   Amount UseOf(const Task& aTask) const;
   std::vector<TaskReport> ReportOf(const Machine& aMachine) const;
   void PollWorker(std::size_t aMachine);
--- a/Tests/Bench/RequestRun.cpp
+++ b/Tests/Bench/RequestRun.cpp
@@ -13,6 +13,9 @@
 constexpr double kProbeS = 0.001;
 constexpr double kConnectFailureS = 0.001;
 constexpr double kHostListS = 1;
+/// Room for about a second of requests, as the accept queue of a simple proxy
+/// that refuses nothing early.
+constexpr std::size_t kBaselineWaiting = 4000;
 constexpr const char* kService = "desk";
 constexpr const char* kShard = "runner/desk/0";
 
@@ -48,7 +51,7 @@
   {
     mState.mPolicy = aPolicy;
     if (mAdmission == Admission::None) {
-      mState.mSettings.mMostWaiting = 1000000;
+      mState.mSettings.mMostWaiting = kBaselineWaiting;
     }
   }
 
--- a/Tests/Bench/Scenario.h
+++ b/Tests/Bench/Scenario.h
@@ -36,8 +36,8 @@
   std::string mName;
   /// Share of the runners' slots that requests would use without
   /// interference, outside and inside mRush.
-  double mLoad = 0.12;
-  double mRushLoad = 0.12;
+  double mLoad = 0.18;
+  double mRushLoad = 0.18;
   Period mRush;
   Period mNoise; ///< Noisy jobs arrive in waves of 20 s in each 60 s of it.
   double mWrongFactor = 1; ///< Declared over true sizes and times, log-uniform.
