--- a/Tests/LibScheduler/SchedulerFixture.cpp
+++ b/Tests/LibScheduler/SchedulerFixture.cpp
@@ -66,8 +66,10 @@
 LeasePort
 Ownerships::PortOf(const Member& aMember)
 {
+  std::size_t self = 0;
   {
     const std::lock_guard lock(mMutex);
+    self = mMembers.size();
     mMembers.push_back(aMember);
   }
   LeasePort port;
@@ -81,10 +83,10 @@
       }
     }
   };
-  port.mOwns = [this, name = aMember.mName](
-                 std::string_view aShard) -> std::optional<Ownership> {
+  port.mOwns = [this,
+                self](std::string_view aShard) -> std::optional<Ownership> {
     const std::lock_guard lock(mMutex);
-    if (!mHolds || mOwner.mName != name ||
+    if (!mHolds || mOwner.mName != mMembers[self].mName ||
         std::find(mShards.begin(), mShards.end(), aShard) == mShards.end()) {
       return std::nullopt;
     }
@@ -134,12 +136,13 @@
 TestProcess&
 TestDeployment::StartProcess(const std::string& aName, unsigned aPort)
 {
-  auto process = std::make_unique<TestProcess>();
-  process->mSelf.mName = aName;
-  process->mSelf.mIncarnation = aName + "-1";
-  process->mSelf.mRole = "scheduler";
-  process->mSelf.mAddress = { "127.23.1.1", static_cast<std::uint16_t>(aPort) };
-  process->mClient =
+  TestProcess& process =
+    *mProcesses.emplace_back(std::make_unique<TestProcess>());
+  process.mSelf.mName = aName;
+  process.mSelf.mIncarnation = aName + "-1";
+  process.mSelf.mRole = "scheduler";
+  process.mSelf.mAddress = { "127.23.1.1", static_cast<std::uint16_t>(aPort) };
+  process.mClient =
     std::make_unique<HttpClient>(HttpClientSettings{ "savorypaddle/" + aName });
   ConfigPort config;
   config.mCurrent = [this] {
@@ -147,28 +150,27 @@
     return mConfiguration;
   };
   config.mAge = [] { return std::optional(Millis(0)); };
-  process->mPorts = { process->mSelf,
-                      MakeMemoryTablePort(mTable, mFaults, aName),
-                      MakeMemoryHostListPort(mHosts),
-                      mOwnerships.PortOf(process->mSelf),
-                      config,
-                      process->mClient.get(),
-                      &process->mMetrics };
-  if (mProcesses.empty()) {
-    mOwnerships.Give(process->mSelf, Acquisition::FirstOwner);
+  process.mPorts = { process.mSelf,
+                     MakeMemoryTablePort(mTable, mFaults, aName),
+                     MakeMemoryHostListPort(mHosts),
+                     mOwnerships.PortOf(process.mSelf),
+                     config,
+                     process.mClient.get(),
+                     &process.mMetrics };
+  if (mProcesses.size() == 1) {
+    mOwnerships.Give(process.mSelf, Acquisition::FirstOwner);
   }
   LinkSettings links;
   links.mPollInterval = Millis(200);
   links.mGroups = 4;
-  process->mScheduler =
-    std::make_unique<Scheduler>(process->mPorts, mPolicy, links);
+  process.mScheduler =
+    std::make_unique<Scheduler>(process.mPorts, mPolicy, links);
   auto server =
-    HttpServer::Start({ { process->mSelf.mAddress }, 50 },
-                      MakeRpcHandler(process->mScheduler->Methods()));
+    HttpServer::Start({ { process.mSelf.mAddress }, 50 },
+                      MakeRpcHandler(process.mScheduler->Methods()));
   CHECK_TRUE(Succeeded(server));
-  process->mServer = std::move(ValueOf(server));
-  mProcesses.push_back(std::move(process));
-  return *mProcesses.back();
+  process.mServer = std::move(ValueOf(server));
+  return process;
 }
 
 void
--- a/Tests/LibScheduler/TestScheduler.cpp
+++ b/Tests/LibScheduler/TestScheduler.cpp
@@ -208,7 +208,7 @@
   CHECK_TRUE(stats["stopped"].asInt() > 0);
   for (const Json::Value& starts : stats["jobs"]) {
     const Json::Value& last = starts[starts.size() - 1];
-    CHECK_TRUE(starts.size() == 1 || last["checkpoint"].asString() != "");
+    CHECK_TRUE(starts.size() == 1 || !last["checkpoint"].asString().empty());
     CHECK_TRUE(starts.size() == 1 || last["worker"].asString() == "w1" ||
                last["worker"].asString() == "w3");
   }
