--- a/Libraries/LibPlacement/UsageModel.cpp
+++ b/Libraries/LibPlacement/UsageModel.cpp
@@ -1,11 +1,17 @@
 #include <LibPlacement/UsageModel.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace paddle {
 
 namespace {
 
+constexpr double kLargerSide = std::max(kUsageQuantile, 1 - kUsageQuantile);
+constexpr double kStepUp = kLargestUsageStep * kUsageQuantile / kLargerSide;
+constexpr double kStepDown =
+  kLargestUsageStep * (1 - kUsageQuantile) / kLargerSide;
+
 /// A quantile estimate is in balance when the up steps of the few reports
 /// above it equal the down steps of the many below it.
 double
@@ -17,11 +23,9 @@
   const double sample =
     static_cast<double>(aUsed) / static_cast<double>(aDeclared);
   if (sample > aEstimate) {
-    return std::min(sample,
-                    aEstimate * (1 + kLargestUsageStep * kUsageQuantile));
+    return std::min(sample, aEstimate * (1 + kStepUp));
   }
-  return std::max(sample,
-                  aEstimate * (1 - kLargestUsageStep * (1 - kUsageQuantile)));
+  return std::max(sample, aEstimate * (1 - kStepDown));
 }
 
 std::int64_t
