--- a/Tests/Bench/Cluster.cpp
+++ b/Tests/Bench/Cluster.cpp
@@ -268,9 +268,9 @@
 {
   Machine& machine = mMachines[aMachine];
   const PollPlan plan = PlanPoll(mShard, static_cast<WorkerIndex>(aMachine));
-  for (const auto& [job, attempt] : plan.mAcknowledge) {
+  for (const auto& acknowledged : plan.mAcknowledge) {
     std::erase_if(machine.mOutcomes, [&](const TaskOutcome& aOutcome) {
-      return aOutcome.mJob == job && aOutcome.mAttempt == attempt;
+      return std::pair(aOutcome.mJob, aOutcome.mAttempt) == acknowledged;
     });
   }
   machine.mPastReports.push_back(ReportOf(machine));
