LibRouting: Keep the slot of a request as long as it may run

Cause: the slot of a request without an answer was given away at its deadline, which only the caller knows; a slow runner went on with it. And the HTTP library sends a request a second time on a reused connection also when the answer does not come in time, which takes a second slot.

After a takeover, slots count as taken for the same time. The random test of owner changes now lets requests run that long, and the two directed tests carry the longer bound.

--- a/Libraries/LibDocument/ServiceDocument.cpp
+++ b/Libraries/LibDocument/ServiceDocument.cpp
@@ -109,6 +109,26 @@
   }
 }
 
+Millis
+ReadLongestRun(ObjectReader& aReader, const std::vector<Route>& aRoutes)
+{
+  Millis longest{ 0 };
+  for (const Route& route : aRoutes) {
+    if (route.mKind == RouteKind::Short) {
+      longest = std::max(longest, route.mDeadline);
+    }
+  }
+  const Millis run(aReader.Integer(
+    "longestRunMs", 1, 600000, Presence::Optional, 2 * longest.count()));
+  if (run < longest) {
+    aReader.Fail("longestRunMs",
+                 "must be at least the longest deadline of a short route (" +
+                   std::to_string(longest.count()) + " ms), is " +
+                   std::to_string(run.count()));
+  }
+  return run;
+}
+
 std::string
 ReadServiceName(ObjectReader& aReader)
 {
@@ -142,6 +162,7 @@
   document.mHealthPath =
     ReadPath(reader, "healthPath", Presence::Optional, "/health");
   document.mRoutes = ReadRoutes(text, reader, errors);
+  document.mLongestRun = ReadLongestRun(reader, document.mRoutes);
   document.mQuota = ReadResources(text, reader, "quota", kQuotaLimits, errors);
   document.mEvictionsPerHour = static_cast<std::uint32_t>(
     reader.Integer("evictionsPerHour", 0, 100000, Presence::Optional, 60));
--- a/Libraries/LibDocument/ServiceDocument.h
+++ b/Libraries/LibDocument/ServiceDocument.h
@@ -59,6 +59,9 @@
   std::uint32_t mConnectionsPerRunner = 64;
   std::uint32_t mWatchSlotsPerRunner = 2;
   Millis mLongestWatch{ 120000 };
+  /// The longest that a runner may work on a short request, counted from its
+  /// send. A request without an answer takes its slot that long.
+  Millis mLongestRun{ 4000 };
   std::string mHealthPath = "/health";
   std::vector<Route> mRoutes;
   Resources mQuota;
--- a/Libraries/LibGateway/RequestPath.cpp
+++ b/Libraries/LibGateway/RequestPath.cpp
@@ -386,7 +386,7 @@
 }
 
 ConnectionUse
-RequestPath::UseFor(const CallerRequest& aRequest) const
+RequestPath::UseToPeer(const CallerRequest& aRequest) const
 {
   return aRequest.mRoute.mIdempotent == Idempotent::Yes
            ? ConnectionUse::Reusable
@@ -404,8 +404,9 @@
   if (!owned || owned->mEpoch != aCommand.mEpoch || left == Millis(0)) {
     return result;
   }
+  // Idempotent requests too: a second delivery would take a second slot.
   auto reply = mClient.Execute(
-    aCommand.mRunner, aRequest.mToRunner, left, UseFor(aRequest));
+    aCommand.mRunner, aRequest.mToRunner, left, ConnectionUse::Fresh);
   if (!Succeeded(reply)) {
     const HttpFailure& failure = ErrorOf(reply);
     result.mWhy = ToText(aCommand.mRunner) + ": " + failure.mMessage;
@@ -436,7 +437,7 @@
   SetHeader(forwarded.mHeaders, kForwardedHeader, aForwarded);
   SetHeader(forwarded.mHeaders, kDeadlineHeader, std::to_string(left.count()));
   auto reply =
-    mClient.Execute(aPeer, forwarded, left + kPeerGraceMs, UseFor(aRequest));
+    mClient.Execute(aPeer, forwarded, left + kPeerGraceMs, UseToPeer(aRequest));
   if (!Succeeded(reply)) {
     const HttpFailure& failure = ErrorOf(reply);
     result.mWhy = ToText(aPeer) + ": " + failure.mMessage;
--- a/Libraries/LibGateway/RequestPath.h
+++ b/Libraries/LibGateway/RequestPath.h
@@ -91,7 +91,7 @@
                  const Endpoint& aPeer,
                  const char* aForwarded);
   std::optional<Member> FindPeer(const std::string& aName) const;
-  ConnectionUse UseFor(const CallerRequest& aRequest) const;
+  ConnectionUse UseToPeer(const CallerRequest& aRequest) const;
   void Record(const CallerRequest& aRequest, const RequestEnd& aEnd);
   HttpReply Complete(const CallerRequest& aRequest, RequestEnd aEnd);
 
--- a/Libraries/LibGateway/RunnerFollower.cpp
+++ b/Libraries/LibGateway/RunnerFollower.cpp
@@ -29,12 +29,7 @@
   limits.mConnectionsPerRunner = aDocument.mConnectionsPerRunner;
   limits.mWatchSlotsPerRunner = aDocument.mWatchSlotsPerRunner;
   limits.mLongestWatch = aDocument.mLongestWatch;
-  limits.mLongestShort = Millis(0);
-  for (const Route& route : aDocument.mRoutes) {
-    if (route.mKind == RouteKind::Short) {
-      limits.mLongestShort = std::max(limits.mLongestShort, route.mDeadline);
-    }
-  }
+  limits.mLongestRun = aDocument.mLongestRun;
   return limits;
 }
 
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -8,14 +8,15 @@
 
 namespace paddle {
 
-/// Which connection a request may use. The HTTP library sends a request
-/// again by itself when a connection that has carried a request before is
-/// closed by the peer, so a request that must not run twice needs Fresh.
+/// Which connection a request may use. On a connection that has carried a
+/// request before, the HTTP library sends a request again by itself when the
+/// peer closes the connection or does not answer within the time-out. A request
+/// that must not arrive twice needs Fresh.
 enum class ConnectionUse
 {
   Fresh,   ///< A new connection that has carried no request.
   Reusable ///< An idle connection if there is one. The peer may see the
-           ///< request twice.
+           ///< request twice, and a failure may take twice the time-out.
 };
 
 /// What is known about a request that got no answer.
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -318,8 +318,20 @@
   load.mLatencyUs = static_cast<float>(learn(load.mLatencyUs));
 }
 
+/// @return when a request of the present try surely runs no longer
+MonotonicTime
+LatestEnd(const RoutingState& aState, const PendingRequest& aRequest)
+{
+  const ServiceLimits& limits =
+    aState.mServices[aRequest.mRequest.mService].mLimits;
+  const Millis longest = aRequest.mRequest.mKind == RouteKind::Watch
+                           ? limits.mLongestWatch
+                           : limits.mLongestRun;
+  return aRequest.mTryStarted + aState.mSettings.mLongestSend + longest;
+}
+
 /// Takes back the slot of a try. The runner may still work on a request that
-/// ended without certainty, at most until its deadline.
+/// ended without certainty, also past the deadline that only its caller knows.
 void
 ReturnSlot(const Decision& aDecision,
            PendingRequest& aRequest,
@@ -329,12 +341,12 @@
     return;
   }
   aRequest.mHasRunner = false;
+  const MonotonicTime end = LatestEnd(aDecision.mState, aRequest);
   const bool mayRun =
     aResult == TryResult::Broken || aResult == TryResult::TimedOut;
-  if (mayRun && aDecision.mNow < aRequest.mRequest.mDeadline) {
-    aDecision.mState.mHolds.push_back({ aRequest.mRunner,
-                                        aRequest.mRequest.mKind,
-                                        aRequest.mRequest.mDeadline });
+  if (mayRun && aDecision.mNow < end) {
+    aDecision.mState.mHolds.push_back(
+      { aRequest.mRunner, aRequest.mRequest.mKind, end });
     return;
   }
   FreeSlot(aDecision.mState, aRequest.mRunner, aRequest.mRequest.mKind);
@@ -512,10 +524,10 @@
   shard.mShortsFreeFrom = aEvent.mOwnership.mSince;
   shard.mWatchesFreeFrom = aEvent.mOwnership.mSince;
   const Acquisition acquisition = aEvent.mOwnership.mAcquisition;
-  Millis longestShort{ 0 };
+  Millis longestRun{ 0 };
   Millis longestWatch{ 0 };
   for (const ServiceState& service : aState.mServices) {
-    longestShort = std::max(longestShort, service.mLimits.mLongestShort);
+    longestRun = std::max(longestRun, service.mLimits.mLongestRun);
     longestWatch = std::max(longestWatch, service.mLimits.mLongestWatch);
   }
   if (acquisition != Acquisition::FirstOwner) {
@@ -526,8 +538,8 @@
   if (acquisition == Acquisition::Successor ||
       acquisition == Acquisition::Takeover) {
     // The predecessor's lease had ended when this process became the owner,
-    // so its last request started before that.
-    shard.mShortsFreeFrom += longestShort;
+    // so its last request was assigned before that.
+    shard.mShortsFreeFrom += aState.mSettings.mLongestSend + longestRun;
   }
   RefreshAllUsableSlots(aState, aNow);
   for (ServiceState& service : aState.mServices) {
--- a/Libraries/LibRouting/RoutingSettings.h
+++ b/Libraries/LibRouting/RoutingSettings.h
@@ -13,6 +13,9 @@
   std::uint32_t mFailuresUntilSuspect = 3;
   Millis mProbeInterval{ 500 };
   std::uint32_t mMostTries = 3; ///< The first and at most two more.
+  /// From the assignment of a slot until the request is sent: the time-out of
+  /// a connect.
+  Millis mLongestSend{ 500 };
   /// Bound on waiting requests of a service; each holds an HTTP thread.
   std::size_t mMostWaiting = 100;
   /// A summary is sent every 100 ms; one older than this is not trusted.
@@ -27,7 +30,7 @@
   std::uint32_t mSlotsPerRunner = 8;
   std::uint32_t mConnectionsPerRunner = 64;
   std::uint32_t mWatchSlotsPerRunner = 2;
-  Millis mLongestShort{ 2000 }; ///< The largest deadline of a short route.
+  Millis mLongestRun{ 4000 }; ///< Of a short request at a runner.
   Millis mLongestWatch{ 120000 };
 };
 
--- a/Tests/LibDocument/TestOperationsPage.cpp
+++ b/Tests/LibDocument/TestOperationsPage.cpp
@@ -58,5 +58,5 @@
       ++checked;
     }
   }
-  LONGS_EQUAL(11 + 4 + 3 + 3 + 3 + 6 + 3 + 9 + 4 + 3 + 1 + 2, checked);
+  LONGS_EQUAL(12 + 4 + 3 + 3 + 3 + 6 + 3 + 9 + 4 + 3 + 1 + 2, checked);
 }
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -29,13 +29,20 @@
   return std::move(ValueOf(server));
 }
 
-/// A peer that answers the first request it reads and closes the connection
-/// of each later one without an answer.
+/// A peer that answers the first request it reads and no later one.
 class ClosingPeer
 {
 public:
-  ClosingPeer()
-    : mListener(socket(AF_INET, SOCK_STREAM, 0))
+  /// What the peer does after it has read a later request.
+  enum class Then
+  {
+    Close,
+    StaySilent
+  };
+
+  explicit ClosingPeer(Then aThen = Then::Close)
+    : mThen(aThen)
+    , mListener(socket(AF_INET, SOCK_STREAM, 0))
   {
     const int on = 1;
     setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -79,7 +86,10 @@
     while (read(aConnection, buffer, sizeof buffer) > 0) {
       if (mAnswered) {
         ++mArrivals;
-        return;
+        if (mThen == Then::Close) {
+          return;
+        }
+        continue;
       }
       mAnswered = true;
       const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
@@ -89,6 +99,7 @@
     }
   }
 
+  Then mThen;
   int mListener;
   bool mAnswered = false;
   int mArrivals = 0;
@@ -175,6 +186,27 @@
   LONGS_EQUAL(2, peer.Arrivals());
 }
 
+// Guards against a slot that is taken twice: a request without an answer in
+// time arrives once on a new connection, and twice on a reused one.
+TEST(HttpClient, SendsOnceOnFreshConnectionThatStaysSilent)
+{
+  for (const ConnectionUse use :
+       { ConnectionUse::Fresh, ConnectionUse::Reusable }) {
+    ClosingPeer peer(ClosingPeer::Then::StaySilent);
+    const Endpoint endpoint{ "127.0.0.1", kPort };
+    {
+      HttpClient client({});
+      CHECK_TRUE(
+        Succeeded(client.Execute(endpoint, HttpRequest{}, kTimeout, use)));
+      const auto reply =
+        client.Execute(endpoint, HttpRequest{}, Millis(200), use);
+      CHECK_FALSE(Succeeded(reply));
+      CHECK_TRUE(ErrorOf(reply).mState == SendState::Unknown);
+    }
+    LONGS_EQUAL(use == ConnectionUse::Fresh ? 1 : 2, peer.Arrivals());
+  }
+}
+
 // Guards against an orderly stop that cuts a request in progress.
 TEST(HttpClient, DrainCompletesRequestInFlight)
 {
--- a/Tests/LibRouting/TestRouting.cpp
+++ b/Tests/LibRouting/TestRouting.cpp
@@ -161,19 +161,40 @@
 
 // Guards against a slot that is given away while the runner may still work on
 // a request whose connection broke.
-TEST(Routing, HoldsTheSlotOfABrokenRequestUntilItsDeadline)
+TEST(Routing, HoldsTheSlotOfABrokenRequestAsLongAsItMayRun)
 {
   RoutingFixture routing;
   const RequestNumber number = routing.Arrive();
   routing.Event(TryEnded{ number, TryResult::Broken });
   CHECK_EQUAL(1, routing.Load().mInUse);
   CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
-  routing.mNow += Millis(2000);
+  // The deadline of 2 s has passed; the longest run of 4 s has not.
+  routing.mNow += Millis(4499);
+  routing.Event(Tick{});
+  CHECK_EQUAL(1, routing.Load().mInUse);
+  routing.mNow += Millis(1);
   routing.Event(Tick{});
   CHECK_EQUAL(0, routing.Load().mInUse);
   CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow));
 }
 
+// Guards against a ninth request at a slow runner that still works on requests
+// whose callers were told "unknown".
+TEST(Routing, HoldsTheSlotOfATimedOutRequestPastItsDeadline)
+{
+  RoutingFixture routing;
+  for (RequestNumber i = 1; i <= 8; ++i) {
+    routing.Arrive();
+  }
+  routing.mNow += Millis(2000);
+  for (RequestNumber i = 1; i <= 8; ++i) {
+    routing.Event(TryEnded{ i, TryResult::TimedOut });
+  }
+  routing.Arrive();
+  CHECK_TRUE(routing.Find<SendToRunner>() == nullptr);
+  CHECK_EQUAL(8, routing.Load().mInUse);
+}
+
 // Guards against new requests to a runner that is leaving.
 TEST(Routing, SendsNothingToALeavingRunner)
 {
@@ -195,11 +216,14 @@
   routing.Event(
     ShardAcquired{ "s", { 2, Acquisition::Successor, routing.mNow } });
   CHECK_EQUAL(0, routing.Load().mUsableSlots);
-  routing.mNow += Millis(2000);
+  routing.mNow += Millis(4499);
+  routing.Event(Tick{});
+  CHECK_EQUAL(0, routing.Load().mUsableSlots);
+  routing.mNow += Millis(1);
   routing.Event(Tick{});
   CHECK_EQUAL(6, routing.Load().mUsableSlots);
   CHECK_EQUAL(0, routing.Load().mUsableWatchSlots);
-  routing.mNow += Millis(118000);
+  routing.mNow += Millis(115500);
   routing.Event(Tick{});
   CHECK_EQUAL(8, routing.Load().mUsableSlots);
   CHECK_EQUAL(2, routing.Load().mUsableWatchSlots);
@@ -216,7 +240,8 @@
   // The keeper withholds a shard before it asks.
   routing.Event(ShardLost{ "s" });
   CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow));
-  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(2000)));
+  CHECK_FALSE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(4499)));
+  CHECK_TRUE(IsQuiescent(routing.mState, "s", routing.mNow + Millis(4500)));
   RoutingFixture watched;
   watched.Arrive(Idempotent::Yes, RouteKind::Watch, Millis(120000));
   CHECK_TRUE(IsQuiescent(watched.mState, "s", watched.mNow));
--- a/Tests/LibRouting/TestSlotInvariant.cpp
+++ b/Tests/LibRouting/TestSlotInvariant.cpp
@@ -11,15 +11,15 @@
 constexpr std::size_t kOwners = 3;
 constexpr std::size_t kRunners = 4;
 
-/// What really runs at a runner; a request runs at most until its deadline,
-/// whatever its gateway believes.
+/// What really runs at a runner. An abandoned request goes on past its
+/// deadline, as long as the service's document allows.
 struct Running
 {
   std::size_t mOwner = 0;
   RequestNumber mNumber = 0;
   std::size_t mRunner = 0;
   RouteKind mKind = RouteKind::Short;
-  MonotonicTime mDeadline{};
+  MonotonicTime mRunsUntil{};
   bool mAbandoned = false; ///< Its gateway gave up or lost the shard.
 };
 
@@ -43,7 +43,7 @@
       gateway.mNow = mNow;
     }
     std::erase_if(mRunning, [&](const Running& aRunning) {
-      return aRunning.mDeadline <= mNow;
+      return aRunning.mRunsUntil <= mNow;
     });
     TickOwner();
     switch (Pick(40)) {
@@ -89,14 +89,17 @@
     RoutingFixture& gateway = mGateways[mOwner];
     for (const RoutingAction& action : gateway.mActions) {
       if (const auto* send = std::get_if<SendToRunner>(&action)) {
+        const ServiceLimits& limits = gateway.mState.mServices[0].mLimits;
         const RequestArrived& request =
           gateway.mState.mPending.at(send->mNumber).mRequest;
-        mRunning.push_back({ mOwner,
-                             send->mNumber,
-                             send->mRunner.mRunner,
-                             request.mKind,
-                             request.mDeadline,
-                             false });
+        mRunning.push_back(
+          { mOwner,
+            send->mNumber,
+            send->mRunner.mRunner,
+            request.mKind,
+            mNow + (request.mKind == RouteKind::Watch ? limits.mLongestWatch
+                                                      : limits.mLongestRun),
+            false });
       }
     }
     gateway.mActions.clear();
