--- a/Tests/StandIns/Worker/Fleet.cpp
+++ b/Tests/StandIns/Worker/Fleet.cpp
@@ -93,8 +93,9 @@
 
 } // namespace
 
-Fleet::Fleet(std::vector<HostEntry> aHosts, std::uint64_t aSeed)
+Fleet::Fleet(std::vector<HostEntry> aHosts, std::uint64_t aSeed, double aSpeed)
   : mSeed(aSeed)
+  , mSpeed(aSpeed)
 {
   for (HostEntry& host : aHosts) {
     if (host.mKind == HostKind::Worker) {
@@ -273,7 +274,7 @@
   task.mSaved = task.mDoneBefore;
   task.mFails = aWorker.mFaults.mFailsAll;
   const Millis work(static_cast<std::int64_t>(
-    timeFactor * 1000 * aStart["expectedSeconds"].asDouble()));
+    timeFactor * 1000 * aStart["expectedSeconds"].asDouble() / mSpeed));
   task.mWorkEnd = task.mFails ? aNow + Millis(50)
                   : task.mClass == "service"
                     ? MonotonicTime::max()
--- a/Tests/StandIns/Worker/Fleet.h
+++ b/Tests/StandIns/Worker/Fleet.h
@@ -67,7 +67,8 @@
 {
 public:
   /// @param aSeed decides true run times and use by job
-  Fleet(std::vector<HostEntry> aHosts, std::uint64_t aSeed);
+  /// @param aSpeed how many seconds of work a task does in a second
+  Fleet(std::vector<HostEntry> aHosts, std::uint64_t aSeed, double aSpeed = 1);
 
   /// Answers worker.report, worker.start, worker.stop, worker.checkpoint and
   /// worker.throttle for the worker at an address.
@@ -134,6 +135,7 @@
 
   std::mutex mMutex;
   std::uint64_t mSeed;
+  double mSpeed;
   std::vector<FleetWorker> mWorkers;
   std::map<std::string, FleetWorker*> mByAddress;
   /// Workers that had a task of the job, which may still run there.
--- a/Tests/StandIns/Worker/Program/Main.cpp
+++ b/Tests/StandIns/Worker/Program/Main.cpp
@@ -32,7 +32,7 @@
 
 /// Serves until SIGTERM or SIGINT.
 int
-Serve(const std::vector<HostEntry>& aHosts, std::uint64_t aSeed)
+Serve(const std::vector<HostEntry>& aHosts, std::uint64_t aSeed, double aSpeed)
 {
   // Blocked before any thread starts, so that only sigwait() sees them.
   sigset_t signals;
@@ -41,7 +41,7 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-  Fleet fleet(aHosts, aSeed);
+  Fleet fleet(aHosts, aSeed, aSpeed);
   auto server = ServeFleet(fleet, aHosts);
   if (!Succeeded(server)) {
     return Fail(ErrorOf(server));
@@ -62,6 +62,9 @@
   std::uint64_t seed = 1;
   app.add_option("--hosts", hostsPath, "file with the host list")->required();
   app.add_option("--seed", seed, "decides true run times and use");
+  double speed = 1;
+  app.add_option("--speed", speed, "seconds of work done in a second")
+    ->check(CLI::Range(0.001, 1e6));
   CLI11_PARSE(app, aCount, aArguments);
 
   StartLogging("standin-worker", LogLevel::Info);
@@ -69,5 +72,5 @@
   if (!Succeeded(hosts)) {
     return Fail(ErrorOf(hosts));
   }
-  return Serve(ValueOf(hosts), seed);
+  return Serve(ValueOf(hosts), seed, speed);
 }
