--- /dev/null
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -0,0 +1,88 @@
+#include <LibDispatch/Internal.h>
+
+namespace paddle::dispatch {
+
+std::optional<Commit>
+TakeCommit(Dispatcher& aDispatcher)
+{
+  if (aDispatcher.mDirty.empty()) {
+    return {};
+  }
+  Commit commit;
+  commit.mSequence = aDispatcher.mCommitSequence++;
+  commit.mJobs = std::move(aDispatcher.mDirty);
+  aDispatcher.mDirty.clear();
+  aDispatcher.mCommitUrgent = false;
+  for (Job* job : commit.mJobs) {
+    job->mDirty = false;
+  }
+  return commit;
+}
+
+void
+HandleCommitted(Dispatcher& aDispatcher,
+                const Commit& aCommit,
+                std::span<const JobPhase> aPhases)
+{
+  aDispatcher.mStoredThrough = aCommit.mSequence;
+  for (Runner& runner : aDispatcher.mRunners) {
+    while (!runner.mUnstoredEnds.empty() &&
+           runner.mUnstoredEnds.front().second <= aCommit.mSequence) {
+      runner.mAcknowledgedEnds = runner.mUnstoredEnds.front().first;
+      runner.mUnstoredEnds.pop_front();
+    }
+  }
+  for (std::size_t i = 0; i < aCommit.mJobs.size(); ++i) {
+    if (aPhases[i] != JobPhase::Active) {
+      Job& job = *aCommit.mJobs[i];
+      job.mTerminalCommitted = true;
+      if (job.mDirty) {
+        job.mDirty = false;
+        std::erase(aDispatcher.mDirty, &job);
+      }
+      EraseIfOver(aDispatcher, job);
+    }
+  }
+}
+
+void
+HandleNotCommitted(Dispatcher& aDispatcher, const Commit& aCommit)
+{
+  for (Job* job : aCommit.mJobs) {
+    MarkDirty(aDispatcher, *job);
+  }
+  aDispatcher.mCommitUrgent = true;
+}
+
+JobProgress
+ProgressOf(const Job& aJob)
+{
+  JobProgress progress;
+  progress.mPhase = aJob.mPhase;
+  progress.mBegan = aJob.mBegan;
+  progress.mOccurrencesBegun = aJob.mOccurrencesBegun;
+  progress.mOccurrencesDone = aJob.mOccurrencesDone;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    std::vector<StepProgress>& steps = progress.mOccurrences[number];
+    for (const Step& step : occurrence.mSteps) {
+      StepProgress stored;
+      for (std::uint32_t t = 0; t < step.mTasks.size(); ++t) {
+        const Task& task = step.mTasks[t];
+        stored.mDone.push_back(task.mPhase == TaskPhase::Done);
+        if (task.mPhase == TaskPhase::Done) {
+          continue;
+        }
+        if (task.mFailures > 0) {
+          stored.mFailures.emplace(t, task.mFailures);
+        }
+        if (!task.mSaved.empty()) {
+          stored.mSaved.emplace(t, task.mSaved);
+        }
+      }
+      steps.push_back(std::move(stored));
+    }
+  }
+  return progress;
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+
+#include <LibTime/Time.h>
+
+namespace paddle::dispatch {
+
+/// Limits of the dispatcher. Defaults hold where the deployment states none.
+struct DispatchSettings
+{
+  /// Longest lease that runners grant; the deployment's bound.
+  Millis mLongestLease{ 6000 };
+  /// Longest time that a stop takes; the deployment's bound.
+  Millis mStopLimit{ 200 };
+  /// Time a lasting task may suffer from its neighbours; the deployment's
+  /// bound.
+  Millis mHarmLimit{ 4000 };
+  /// A runner that assembles a gang waits this long; the deployment's bound.
+  Millis mGangLimit{ 3000 };
+  /// Time during which interruptions of a step count together; the
+  /// deployment's bound.
+  Millis mAwayWindow{ 5500 };
+  /// Slowdown of a task that is far from its data; the deployment's bound.
+  double mRemoteFactor = 3;
+  /// Runner clocks may run 2% slow by contract; 1% more for rounding.
+  double mClockDrift = 1.03;
+  /// Added to a silent runner's lease for scheduling delays of this process.
+  Millis mLapseMargin{ 150 };
+  /// A stop without an effect is sent again after this. One regional round trip
+  /// is 24 ms and a stop takes up to mStopLimit.
+  Millis mStopRepeat{ 700 };
+  /// Wait of a watched renewal. A quarter of a second beside lasting tasks
+  /// follows their half-second tail figure; elsewhere ends wake it up.
+  Millis mWatchWithTails{ 250 };
+  Millis mWatch{ 900 };
+  /// Idle runners are looked at this often to keep their clock known.
+  Millis mIdleLook{ 3000 };
+  /// An idle runner is avoided when its clock reading is older than this.
+  Millis mOldestClock{ 8000 };
+  /// Failures of different jobs in a row after which a runner is set apart.
+  std::uint32_t mFailuresToQuarantine = 3;
+  Millis mQuarantine{ 3000 }; ///< Doubles with each failed probation.
+  Millis mLongestQuarantine{ 24000 };
+  /// A runner that refused a start for health is avoided this long.
+  Millis mUnhealthyPause{ 700 };
+  /// A start that was refused for room is not repeated there for this long.
+  Millis mRefusedPause{ 300 };
+  /// Starts in one pass, so that one pass stays under a few milliseconds.
+  std::uint32_t mStartsPerPass = 64;
+};
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Internal.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <string>
+
+#include <LibDispatch/Dispatcher.h>
+
+namespace paddle::dispatch {
+
+/// How a run ended as far as its task is concerned.
+enum class RunOutcome
+{
+  Done,
+  Failed,
+  Interrupted ///< It runs again, from its checkpoint if there is one.
+};
+
+/// Takes a task's run off its runner and decides what becomes of the task.
+/// @return whether the end changed what must be stored
+bool
+EndRun(Dispatcher& aDispatcher,
+       const TaskRef& aTask,
+       RunOutcome aOutcome,
+       std::string_view aSaved,
+       MonotonicTime aNow,
+       Actions& aActions);
+
+/// Puts a task's run on a runner's account.
+void
+Occupy(Dispatcher& aDispatcher, RunnerIndex aRunner, const TaskRef& aTask);
+
+/// Orders a stop and keeps the run on its runner's account until its end is
+/// known.
+void
+BeginStop(Dispatcher& aDispatcher,
+          const TaskRef& aTask,
+          StopCause aCause,
+          MonotonicTime aNow,
+          Actions& aActions);
+
+/// Gives up all runs of a runner whose process or lease has ended.
+void
+EndAllRuns(Dispatcher& aDispatcher,
+           Runner& aRunner,
+           MonotonicTime aNow,
+           Actions& aActions);
+
+/// Opens the steps of an occurrence whose turn has come.
+void
+OpenSteps(Dispatcher& aDispatcher,
+          Job& aJob,
+          std::uint32_t aOccurrence,
+          MonotonicTime aNow);
+
+/// Enters a step into the order of service or takes it out.
+void
+UpdateWaiting(Dispatcher& aDispatcher,
+              Job& aJob,
+              std::uint32_t aOccurrence,
+              std::uint32_t aStep);
+
+/// Begins the occurrences that are due.
+void
+BeginOccurrences(Dispatcher& aDispatcher,
+                 Job& aJob,
+                 std::int64_t aUnixMs,
+                 MonotonicTime aNow);
+
+void
+MarkDirty(Dispatcher& aDispatcher, Job& aJob);
+
+/// Removes a job of which nothing is left to do.
+void
+EraseIfOver(Dispatcher& aDispatcher, Job& aJob);
+
+TaskRef
+FindTask(Dispatcher& aDispatcher, const TaskName& aName);
+
+const QueueSpec*
+FindQueue(const Dispatcher& aDispatcher, std::string_view aQueue);
+
+/// Takes note of a finished or failed run in the runner's health.
+void
+NoteRunnerOutcome(Dispatcher& aDispatcher,
+                  Runner& aRunner,
+                  std::string_view aJob,
+                  RunOutcome aOutcome,
+                  MonotonicTime aNow);
+
+/// @return whether a task without reservation may start beside the runner's
+///         lasting tasks
+bool
+MayDisturb(const Dispatcher& aDispatcher,
+           const Runner& aRunner,
+           const StepSpec& aSpec);
+
+/// Adjusts the pace of tasks without reservation to the lasting tasks beside
+/// them.
+void
+AdjustPace(Dispatcher& aDispatcher,
+           RunnerIndex aRunner,
+           MonotonicTime aNow,
+           Actions& aActions);
+
+/// Forgets everything about a runner's former process.
+void
+ResetRunner(Dispatcher& aDispatcher,
+            RunnerIndex aRunner,
+            std::int64_t aIncarnation,
+            MonotonicTime aNow,
+            Actions& aActions);
+
+/// Recomputes when the runner's leases have surely ended.
+void
+NoteLease(Dispatcher& aDispatcher, Runner& aRunner);
+
+/// @return the lease end, on the runner's clock, that an order sent now grants
+std::int64_t
+LeaseEnd(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow);
+
+/// @return whether service discovery lists the runner, or did until just now
+bool
+IsKnownToService(const Runner& aRunner, MonotonicTime aNow);
+
+void
+Emit(const Dispatcher& aDispatcher,
+     std::string_view aEvent,
+     const Job* aJob,
+     std::string aDetails);
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Job.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <LibDispatch/JobSpec.h>
+
+namespace paddle::dispatch {
+
+using RunnerIndex = std::uint32_t;
+inline constexpr RunnerIndex kNoRunner = UINT32_MAX;
+
+enum class TaskPhase : std::uint8_t
+{
+  Waiting,  ///< Runs nowhere, or its step's turn has not come.
+  Starting, ///< A start was sent and is unanswered.
+  Running,
+  Stopping, ///< May run; a stop is being sent until its end is known.
+  Done
+};
+
+/// Why a task is being stopped.
+enum class StopCause : std::uint8_t
+{
+  None,
+  UnknownStart, ///< Its start got no answer.
+  Cancelled,
+  Moved ///< Runs again elsewhere.
+};
+
+struct Task
+{
+  TaskPhase mPhase = TaskPhase::Waiting;
+  StopCause mStopCause = StopCause::None;
+  std::uint8_t mPace = 100; ///< Percent, as last ordered.
+  std::uint32_t mFailures = 0;
+  std::int64_t mRun = 0; ///< Number of the latest start.
+  RunnerIndex mRunner = kNoRunner;
+  std::int32_t mProgress = -1;  ///< Percent, as last reported.
+  std::int32_t mLoadFigure = 0; ///< Tail in ms, or thousandths of a core.
+  MonotonicTime mStartedAt;     ///< When the latest start was sent.
+  MonotonicTime mAnsweredAt;    ///< When that start was acknowledged.
+  MonotonicTime mProgressAt;    ///< When the progress last changed.
+  MonotonicTime mStopSentAt;
+  /// When the runner answered a stop of this run; set while Stopping.
+  std::optional<MonotonicTime> mStopAnsweredAt;
+  std::optional<MonotonicTime> mOverTargetSince;
+  RunnerIndex mFailedOn = kNoRunner;
+  std::string mSaved; ///< Latest checkpoint, empty if none.
+};
+
+/// One step of one occurrence.
+struct Step
+{
+  std::vector<Task> mTasks;
+  std::uint32_t mDone = 0;
+  std::uint32_t mWaiting = 0; ///< Tasks in phase Waiting.
+  bool mOpen = false;         ///< All earlier steps have ended.
+  MonotonicTime mOpenedAt;
+};
+
+struct Occurrence
+{
+  std::vector<Step> mSteps;
+  std::uint32_t mStepsDone = 0;
+  MonotonicTime mDueAt; ///< When its objective ends.
+};
+
+enum class JobPhase : std::uint8_t
+{
+  Active,
+  Cancelled, ///< Cancelled by its client; its tasks are being stopped.
+  Failed,
+  Completed
+};
+
+struct Job
+{
+  JobSpec mSpec;
+  JobPhase mPhase = JobPhase::Active;
+  MonotonicTime mAcceptedAt;
+  std::map<std::uint32_t, Occurrence> mOccurrences; ///< Begun, not all done.
+  std::uint32_t mOccurrencesBegun = 0;
+  std::uint32_t mOccurrencesDone = 0;
+  std::uint32_t mLive = 0; ///< Tasks Starting, Running or Stopping.
+  std::uint64_t mOrder = 0;
+  bool mFormer = false; ///< Known to an earlier owner, which may have begun it.
+  bool mBegan = false;  ///< A task has been started at some time.
+  bool mDirty = false;  ///< Has changes that no commit carries yet.
+  bool mTerminalCommitted = false;
+};
+
+/// Names one task of a job.
+struct TaskRef
+{
+  Job* mJob = nullptr;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  bool operator==(const TaskRef&) const = default;
+};
+
+/// A task by name, before it is looked up.
+struct TaskName
+{
+  std::string mJob;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+};
+
+/// The durable part of a job's progress.
+struct StepProgress
+{
+  std::vector<bool> mDone;
+  std::map<std::uint32_t, std::uint32_t> mFailures;
+  std::map<std::uint32_t, std::string> mSaved;
+};
+
+struct JobProgress
+{
+  JobPhase mPhase = JobPhase::Active;
+  bool mBegan = false;
+  std::uint32_t mOccurrencesBegun = 0;
+  std::uint32_t mOccurrencesDone = 0;
+  std::map<std::uint32_t, std::vector<StepProgress>> mOccurrences;
+};
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -0,0 +1,315 @@
+#include <LibDispatch/Internal.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace paddle::dispatch {
+
+namespace {
+
+/// @return the longest chain of estimates through the steps
+Millis
+LongestChain(const JobSpec& aSpec)
+{
+  std::vector<Millis> ends(aSpec.mSteps.size(), Millis(0));
+  Millis longest(0);
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    Millis begin(0);
+    for (const std::uint32_t before : aSpec.mSteps[i].mAfter) {
+      begin = std::max(begin, ends[before]);
+    }
+    ends[i] = begin + aSpec.mSteps[i].mEstimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+MonotonicTime
+DueAt(const Dispatcher& aDispatcher, const Job& aJob, MonotonicTime aBegin)
+{
+  const QueueSpec* queue = FindQueue(aDispatcher, aJob.mSpec.mQueue);
+  const double stretch = queue != nullptr ? queue->mStretch : 1;
+  const Millis target = queue != nullptr ? queue->mTargetDuration : Millis(0);
+  const double chain = static_cast<double>(LongestChain(aJob.mSpec).count());
+  return aBegin + Millis(static_cast<Millis::rep>(chain * stretch)) + target;
+}
+
+Occurrence
+MakeOccurrence(const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const StepSpec& spec : aSpec.mSteps) {
+    Step step;
+    step.mTasks.resize(spec.mTasks);
+    step.mWaiting = spec.mTasks;
+    occurrence.mSteps.push_back(std::move(step));
+  }
+  return occurrence;
+}
+
+void
+ApplyProgress(Occurrence& aOccurrence,
+              const std::vector<StepProgress>& aProgress)
+{
+  for (std::size_t i = 0;
+       i < std::min(aProgress.size(), aOccurrence.mSteps.size());
+       ++i) {
+    Step& step = aOccurrence.mSteps[i];
+    const StepProgress& stored = aProgress[i];
+    for (std::size_t t = 0;
+         t < std::min(stored.mDone.size(), step.mTasks.size());
+         ++t) {
+      if (stored.mDone[t]) {
+        step.mTasks[t].mPhase = TaskPhase::Done;
+        ++step.mDone;
+        --step.mWaiting;
+      }
+    }
+    for (const auto& [index, failures] : stored.mFailures) {
+      if (index < step.mTasks.size()) {
+        step.mTasks[index].mFailures = failures;
+      }
+    }
+    for (const auto& [index, saved] : stored.mSaved) {
+      if (index < step.mTasks.size()) {
+        step.mTasks[index].mSaved = saved;
+      }
+    }
+    if (step.mDone == step.mTasks.size()) {
+      ++aOccurrence.mStepsDone;
+    }
+  }
+}
+
+/// Adopts runs that were reported before their job was read.
+void
+AdoptOrphans(Dispatcher& aDispatcher, Job& aJob, MonotonicTime aNow)
+{
+  for (RunnerIndex index = 0; index < aDispatcher.mRunners.size(); ++index) {
+    Runner& runner = aDispatcher.mRunners[index];
+    std::erase_if(runner.mOrphans, [&](const OrphanRun& aOrphan) {
+      if (aOrphan.mTask.mJob != aJob.mSpec.mId) {
+        return false;
+      }
+      const TaskRef ref = FindTask(aDispatcher, aOrphan.mTask);
+      if (ref.mJob == nullptr) {
+        return false;
+      }
+      Task& task = TaskOf(ref);
+      if (task.mPhase != TaskPhase::Waiting) {
+        return false;
+      }
+      // A stop may be on its way, so the run counts as being stopped.
+      task.mRun = aOrphan.mRun;
+      task.mPhase = TaskPhase::Stopping;
+      task.mStopCause = StopCause::Moved;
+      task.mStopSentAt = aOrphan.mStopSentAt;
+      task.mStartedAt = aNow;
+      Occupy(aDispatcher, index, ref);
+      return true;
+    });
+  }
+}
+
+} // namespace
+
+bool
+WaitingStep::operator<(const WaitingStep& aOther) const
+{
+  return std::tie(mPriority, mKind, mDueAt, mOrder, mOccurrence, mStep) <
+         std::tie(aOther.mPriority,
+                  aOther.mKind,
+                  aOther.mDueAt,
+                  aOther.mOrder,
+                  aOther.mOccurrence,
+                  aOther.mStep);
+}
+
+void
+UpdateWaiting(Dispatcher& aDispatcher,
+              Job& aJob,
+              std::uint32_t aOccurrence,
+              std::uint32_t aStep)
+{
+  const QueueSpec* queue = FindQueue(aDispatcher, aJob.mSpec.mQueue);
+  const auto occurrence = aJob.mOccurrences.find(aOccurrence);
+  const WaitingStep entry{ queue != nullptr ? queue->mPriority : 0,
+                           aJob.mSpec.mSteps[aStep].mKind,
+                           occurrence != aJob.mOccurrences.end()
+                             ? occurrence->second.mDueAt
+                             : MonotonicTime{},
+                           aJob.mOrder,
+                           &aJob,
+                           aOccurrence,
+                           aStep };
+  const bool waits = aJob.mPhase == JobPhase::Active &&
+                     occurrence != aJob.mOccurrences.end() &&
+                     occurrence->second.mSteps[aStep].mOpen &&
+                     occurrence->second.mSteps[aStep].mWaiting > 0;
+  if (waits) {
+    aDispatcher.mWaiting.insert(entry);
+    aDispatcher.mPlacementDue = true;
+  } else {
+    aDispatcher.mWaiting.erase(entry);
+  }
+}
+
+void
+OpenSteps(Dispatcher& aDispatcher,
+          Job& aJob,
+          std::uint32_t aOccurrence,
+          MonotonicTime aNow)
+{
+  Occurrence& occurrence = aJob.mOccurrences.at(aOccurrence);
+  for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
+    Step& step = occurrence.mSteps[i];
+    if (step.mOpen) {
+      continue;
+    }
+    const std::vector<std::uint32_t>& after = aJob.mSpec.mSteps[i].mAfter;
+    const bool open =
+      std::all_of(after.begin(), after.end(), [&](std::uint32_t aBefore) {
+        const Step& before = occurrence.mSteps[aBefore];
+        return before.mDone == before.mTasks.size();
+      });
+    if (!open) {
+      continue;
+    }
+    step.mOpen = true;
+    step.mOpenedAt = aNow;
+    UpdateWaiting(aDispatcher, aJob, aOccurrence, i);
+  }
+}
+
+void
+BeginOccurrences(Dispatcher& aDispatcher,
+                 Job& aJob,
+                 std::int64_t aUnixMs,
+                 MonotonicTime aNow)
+{
+  if (aJob.mPhase != JobPhase::Active) {
+    return;
+  }
+  const std::uint32_t total = std::max(1U, aJob.mSpec.mOccurrences);
+  while (aJob.mOccurrencesBegun < total) {
+    const std::int64_t due =
+      aJob.mSpec.mFirstDueMs + aJob.mOccurrencesBegun * aJob.mSpec.mIntervalMs;
+    if (aJob.mSpec.mOccurrences > 0 && due > aUnixMs) {
+      return;
+    }
+    const std::uint32_t number = aJob.mOccurrencesBegun++;
+    Occurrence occurrence = MakeOccurrence(aJob.mSpec);
+    const bool timed = aJob.mSpec.mOccurrences > 0;
+    occurrence.mDueAt =
+      DueAt(aDispatcher, aJob, timed ? aNow : aJob.mAcceptedAt);
+    aJob.mOccurrences.emplace(number, std::move(occurrence));
+    if (timed) {
+      MarkDirty(aDispatcher, aJob);
+    }
+    OpenSteps(aDispatcher, aJob, number, aNow);
+  }
+}
+
+void
+AddJob(Dispatcher& aDispatcher,
+       JobSpec aSpec,
+       const JobProgress* aProgress,
+       History aHistory,
+       MonotonicTime aAcceptedAt,
+       MonotonicTime aNow)
+{
+  if (aDispatcher.mJobs.contains(aSpec.mId)) {
+    return;
+  }
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.mSpec = std::move(aSpec);
+  job.mAcceptedAt = aAcceptedAt;
+  job.mOrder = aDispatcher.mNextOrder++;
+  job.mFormer = aHistory == History::Possible && !aDispatcher.mRecovered;
+  aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
+  if (aProgress != nullptr) {
+    job.mPhase = aProgress->mPhase;
+    job.mBegan = aProgress->mBegan;
+    job.mOccurrencesBegun = aProgress->mOccurrencesBegun;
+    job.mOccurrencesDone = aProgress->mOccurrencesDone;
+    for (const auto& [number, steps] : aProgress->mOccurrences) {
+      Occurrence occurrence = MakeOccurrence(job.mSpec);
+      occurrence.mDueAt = DueAt(aDispatcher, job, aAcceptedAt);
+      ApplyProgress(occurrence, steps);
+      job.mOccurrences.emplace(number, std::move(occurrence));
+      OpenSteps(aDispatcher, job, number, aNow);
+    }
+  }
+  if (job.mSpec.mOccurrences == 0) {
+    BeginOccurrences(aDispatcher, job, 0, aNow);
+  }
+  AdoptOrphans(aDispatcher, job, aNow);
+  if (job.mPhase != JobPhase::Active) {
+    MarkDirty(aDispatcher, job);
+  }
+}
+
+void
+CancelJob(Dispatcher& aDispatcher,
+          std::string_view aJob,
+          MonotonicTime aNow,
+          Actions& aActions)
+{
+  const auto found = aDispatcher.mJobs.find(aJob);
+  if (found == aDispatcher.mJobs.end() ||
+      found->second->mPhase != JobPhase::Active) {
+    return;
+  }
+  Job& job = *found->second;
+  job.mPhase = JobPhase::Cancelled;
+  ++aDispatcher.mCounters.mJobsCancelled;
+  for (auto& [number, occurrence] : job.mOccurrences) {
+    for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      UpdateWaiting(aDispatcher, job, number, i);
+      for (std::uint32_t t = 0; t < occurrence.mSteps[i].mTasks.size(); ++t) {
+        const TaskRef ref{ &job, number, i, t };
+        const TaskPhase phase = TaskOf(ref).mPhase;
+        if (phase == TaskPhase::Starting || phase == TaskPhase::Running) {
+          BeginStop(aDispatcher, ref, StopCause::Cancelled, aNow, aActions);
+        }
+      }
+    }
+  }
+  MarkDirty(aDispatcher, job);
+}
+
+void
+EraseIfOver(Dispatcher& aDispatcher, Job& aJob)
+{
+  if (!aJob.mTerminalCommitted || aJob.mLive > 0) {
+    return;
+  }
+  const std::string id = aJob.mSpec.mId;
+  aDispatcher.mJobs.erase(id);
+}
+
+void
+MarkDirty(Dispatcher& aDispatcher, Job& aJob)
+{
+  if (aJob.mDirty || aJob.mTerminalCommitted) {
+    return;
+  }
+  aJob.mDirty = true;
+  aDispatcher.mDirty.push_back(&aJob);
+}
+
+std::uint64_t
+PendingJobs(const Dispatcher& aDispatcher, std::string_view aQueue)
+{
+  std::uint64_t pending = 0;
+  for (const auto& [id, job] : aDispatcher.mJobs) {
+    if (job->mSpec.mQueue == aQueue && !job->mBegan &&
+        job->mPhase == JobPhase::Active) {
+      ++pending;
+    }
+  }
+  return pending;
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -0,0 +1,274 @@
+#include <LibDispatch/Internal.h>
+
+#include <algorithm>
+
+namespace paddle::dispatch {
+
+namespace {
+
+/// Share of its processors that a task without reservation should find unused.
+/// Below it the task would take so long that waiting for a better place is
+/// shorter.
+constexpr double kLeastLeftoverShare = 0.7;
+
+/// Added to the cost of a runner that restarted cold a moment ago.
+constexpr double kColdCost = 1000;
+
+bool
+HasLabel(const Runner& aRunner, std::string_view aLabel)
+{
+  const auto& labels = aRunner.mSpec.mLabels;
+  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+std::uint32_t
+CountOfStep(const Runner& aRunner, const TaskRef& aTask)
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    aRunner.mTasks.begin(), aRunner.mTasks.end(), [&](const TaskRef& aOther) {
+      return aOther.mJob == aTask.mJob && aOther.mStep == aTask.mStep &&
+             aOther.mOccurrence == aTask.mOccurrence;
+    }));
+}
+
+bool
+TakesStarts(const Dispatcher& aDispatcher,
+            const Runner& aRunner,
+            MonotonicTime aNow)
+{
+  return aRunner.mPhase == RunnerPhase::Live && aRunner.mListed &&
+         !aRunner.mSpec.mDraining && aRunner.mOrphans.empty() &&
+         aRunner.mAvoidUntil <= aNow &&
+         aNow - aRunner.mClockReadAt < aDispatcher.mSettings.mOldestClock &&
+         !aDispatcher.mEvacuatedZones.contains(aRunner.mSpec.mZone) &&
+         !(aRunner.mOnProbation && !aRunner.mTasks.empty());
+}
+
+bool
+Fits(const Runner& aRunner, const StepSpec& aSpec)
+{
+  const Amount& capacity = aRunner.mSpec.mCapacity;
+  const Amount& used = aRunner.mUsed;
+  const std::int64_t cores =
+    aSpec.mReservation == Reservation::Reserved ? aSpec.mAmount.mCores : 0;
+  return used.mCores + cores <= capacity.mCores &&
+         used.mMemory + aSpec.mAmount.mMemory <= capacity.mMemory &&
+         used.mAccelerators + aSpec.mAmount.mAccelerators <=
+           capacity.mAccelerators;
+}
+
+std::int64_t
+UnusedCores(const Runner& aRunner)
+{
+  return aRunner.mSpec.mCapacity.mCores - aRunner.mUsed.mCores -
+         aRunner.mLeftoverCores;
+}
+
+/// Cost of a place for a task that reserves processors: the room that would be
+/// left, so that full runners fill up first and whole runners stay free.
+double
+ReservedCost(const Runner& aRunner, const StepSpec& aSpec)
+{
+  const std::int64_t left = aRunner.mSpec.mCapacity.mCores -
+                            aRunner.mUsed.mCores - aSpec.mAmount.mCores;
+  return static_cast<double>(left) / 1000;
+}
+
+/// Cost of a place for a task without reservation, or nothing if it must not
+/// run there.
+std::optional<double>
+LeftoverCost(const Dispatcher& aDispatcher,
+             const Runner& aRunner,
+             const StepSpec& aSpec)
+{
+  const auto wanted = static_cast<double>(aSpec.mAmount.mCores);
+  const auto unused = static_cast<double>(UnusedCores(aRunner));
+  if (unused < wanted * kLeastLeftoverShare) {
+    return {};
+  }
+  if (aRunner.mLasting == 0) {
+    return -unused / 1000;
+  }
+  if (!MayDisturb(aDispatcher, aRunner, aSpec)) {
+    return {};
+  }
+  return -unused / 1000 + 100;
+}
+
+/// @return the best runner for a task, or kNoRunner
+RunnerIndex
+ChooseRunner(const Dispatcher& aDispatcher,
+             const TaskRef& aTask,
+             const std::string& aService,
+             MonotonicTime aNow)
+{
+  const StepSpec& spec = SpecOf(aTask);
+  const Task& task = TaskOf(aTask);
+  RunnerIndex best = kNoRunner;
+  double bestCost = 0;
+  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+    const Runner& runner = aDispatcher.mRunners[i];
+    if (!Fits(runner, spec) || runner.mSpec.mService != aService ||
+        !TakesStarts(aDispatcher, runner, aNow)) {
+      continue;
+    }
+    if (!spec.mRequiredLabel.empty() &&
+        !HasLabel(runner, spec.mRequiredLabel)) {
+      continue;
+    }
+    if (spec.mMostPerRunner > 0 &&
+        CountOfStep(runner, aTask) >= spec.mMostPerRunner) {
+      continue;
+    }
+    double cost = 0;
+    if (spec.mReservation == Reservation::Reserved) {
+      cost = ReservedCost(runner, spec);
+    } else {
+      const std::optional<double> leftover =
+        LeftoverCost(aDispatcher, runner, spec);
+      if (!leftover) {
+        continue;
+      }
+      cost = *leftover;
+    }
+    if (!spec.mDataRack.empty() && runner.mSpec.mRack != spec.mDataRack) {
+      cost += kColdCost;
+    }
+    if (runner.mSpec.mColdRemaining.count() > 0) {
+      cost += kColdCost;
+    }
+    if (task.mFailedOn == i) {
+      cost += kColdCost;
+    }
+    // A runner with recent failures is a last choice until it has done well.
+    cost += 200.0 * runner.mConsecutiveFailures;
+    if (best == kNoRunner || cost < bestCost) {
+      best = i;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+Start(Dispatcher& aDispatcher,
+      const TaskRef& aTask,
+      RunnerIndex aRunner,
+      std::int64_t aRun,
+      MonotonicTime aNow,
+      Actions& aActions)
+{
+  Task& task = TaskOf(aTask);
+  Job& job = *aTask.mJob;
+  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  task.mPhase = TaskPhase::Starting;
+  task.mStopCause = StopCause::None;
+  task.mRun = aRun;
+  task.mStartedAt = aNow;
+  task.mPace = 100;
+  task.mLoadFigure = 0;
+  --step.mWaiting;
+  if (!job.mBegan) {
+    job.mBegan = true;
+  }
+  Occupy(aDispatcher, aRunner, aTask);
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  ++aDispatcher.mCounters.mStarts;
+  aActions.push_back(
+    StartTask{ aRunner, aTask, aRun, LeaseEnd(aDispatcher, runner, aNow) });
+}
+
+/// Starts all members of a gang, or none.
+/// @return whether it was started
+bool
+StartGang(Dispatcher& aDispatcher,
+          const WaitingStep& aWaiting,
+          const std::string& aService,
+          MonotonicTime aNow,
+          Actions& aActions)
+{
+  Job& job = *aWaiting.mJob;
+  Step& step = job.mOccurrences.at(aWaiting.mOccurrence).mSteps[aWaiting.mStep];
+  if (step.mWaiting < step.mTasks.size()) {
+    // Members of the former run have not all ended yet.
+    return false;
+  }
+  std::string saved;
+  for (const Task& task : step.mTasks) {
+    if (!task.mSaved.empty()) {
+      saved = task.mSaved;
+    }
+  }
+  Actions starts;
+  const std::int64_t run = aDispatcher.mNextRun++;
+  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+    const TaskRef ref{ &job, aWaiting.mOccurrence, aWaiting.mStep, i };
+    const RunnerIndex runner = ChooseRunner(aDispatcher, ref, aService, aNow);
+    if (runner == kNoRunner) {
+      for (std::uint32_t back = 0; back < i; ++back) {
+        EndRun(aDispatcher,
+               { &job, aWaiting.mOccurrence, aWaiting.mStep, back },
+               RunOutcome::Interrupted,
+               {},
+               aNow,
+               starts);
+      }
+      return false;
+    }
+    step.mTasks[i].mSaved = saved;
+    Start(aDispatcher, ref, runner, run, aNow, starts);
+  }
+  aActions.insert(aActions.end(), starts.begin(), starts.end());
+  return true;
+}
+
+} // namespace
+
+void
+PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
+{
+  if (!aDispatcher.mPlacementDue) {
+    return;
+  }
+  aDispatcher.mPlacementDue = false;
+  std::uint32_t started = 0;
+  // A copy, because starting tasks changes the order of service.
+  const std::vector<WaitingStep> waiting(aDispatcher.mWaiting.begin(),
+                                         aDispatcher.mWaiting.end());
+  for (const WaitingStep& entry : waiting) {
+    Job& job = *entry.mJob;
+    const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
+    if (queue == nullptr || (job.mFormer && !aDispatcher.mRecovered)) {
+      continue;
+    }
+    Step& step = job.mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
+    if (job.mSpec.mSteps[entry.mStep].mGang) {
+      if (StartGang(aDispatcher, entry, queue->mService, aNow, aActions)) {
+        started += static_cast<std::uint32_t>(step.mTasks.size());
+      }
+    } else {
+      for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaiting > 0;
+           ++i) {
+        if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
+          continue;
+        }
+        const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
+        const RunnerIndex runner =
+          ChooseRunner(aDispatcher, ref, queue->mService, aNow);
+        if (runner == kNoRunner) {
+          break;
+        }
+        Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
+        ++started;
+      }
+    }
+    UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
+    if (started >= aDispatcher.mSettings.mStartsPerPass) {
+      aDispatcher.mPlacementDue = true;
+      return;
+    }
+  }
+  aDispatcher.mPlacementDue = false;
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -0,0 +1,549 @@
+#include <LibDispatch/Internal.h>
+
+#include <algorithm>
+#include <string>
+
+namespace paddle::dispatch {
+
+namespace {
+
+/// The runner lists at most this many ends at a time; a full list may be
+/// followed by more.
+constexpr std::size_t kEndsPerReport = 500;
+
+Amount
+Reserved(const StepSpec& aSpec)
+{
+  Amount amount = aSpec.mAmount;
+  if (aSpec.mReservation == Reservation::Leftover) {
+    amount.mCores = 0;
+  }
+  return amount;
+}
+
+void
+Vacate(Dispatcher& aDispatcher, const TaskRef& aTask)
+{
+  Task& task = TaskOf(aTask);
+  Runner& runner = aDispatcher.mRunners[task.mRunner];
+  const StepSpec& spec = SpecOf(aTask);
+  const Amount amount = Reserved(spec);
+  runner.mUsed.mCores -= amount.mCores;
+  runner.mUsed.mMemory -= amount.mMemory;
+  runner.mUsed.mAccelerators -= amount.mAccelerators;
+  if (spec.mReservation == Reservation::Leftover) {
+    runner.mLeftoverCores -= spec.mAmount.mCores;
+  }
+  if (spec.mKind == StepKind::Lasting) {
+    --runner.mLasting;
+  }
+  std::erase(runner.mTasks, aTask);
+  task.mRunner = kNoRunner;
+  --aTask.mJob->mLive;
+  aDispatcher.mPlacementDue = true;
+}
+
+/// Ends a job that can't be done, and stops what still runs of it.
+void
+FailJob(Dispatcher& aDispatcher,
+        Job& aJob,
+        MonotonicTime aNow,
+        Actions& aActions)
+{
+  aJob.mPhase = JobPhase::Failed;
+  ++aDispatcher.mCounters.mJobsFailed;
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      UpdateWaiting(aDispatcher, aJob, number, i);
+      for (std::uint32_t t = 0; t < occurrence.mSteps[i].mTasks.size(); ++t) {
+        const TaskRef ref{ &aJob, number, i, t };
+        const TaskPhase phase = TaskOf(ref).mPhase;
+        if (phase == TaskPhase::Starting || phase == TaskPhase::Running) {
+          BeginStop(aDispatcher, ref, StopCause::Cancelled, aNow, aActions);
+        }
+      }
+    }
+  }
+  MarkDirty(aDispatcher, aJob);
+  aDispatcher.mCommitUrgent = true;
+}
+
+/// Moves on after a task of a finite step is done.
+void
+AdvanceJob(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
+{
+  Job& job = *aTask.mJob;
+  Occurrence& occurrence = job.mOccurrences.at(aTask.mOccurrence);
+  Step& step = occurrence.mSteps[aTask.mStep];
+  if (step.mDone < step.mTasks.size()) {
+    return;
+  }
+  ++occurrence.mStepsDone;
+  if (occurrence.mStepsDone < occurrence.mSteps.size()) {
+    OpenSteps(aDispatcher, job, aTask.mOccurrence, aNow);
+    return;
+  }
+  ++job.mOccurrencesDone;
+  if (job.mOccurrencesDone == std::max(1U, job.mSpec.mOccurrences)) {
+    job.mPhase = JobPhase::Completed;
+    ++aDispatcher.mCounters.mJobsCompleted;
+  }
+  if (job.mSpec.mOccurrences > 0) {
+    // NOTE: The tasks of other occurrences keep their own entries, so an ended
+    // occurrence can go as soon as nothing of it runs.
+    const bool idle = std::all_of(
+      occurrence.mSteps.begin(), occurrence.mSteps.end(), [](const Step& s) {
+        return std::all_of(s.mTasks.begin(), s.mTasks.end(), [](const Task& t) {
+          return t.mRunner == kNoRunner;
+        });
+      });
+    if (idle) {
+      job.mOccurrences.erase(aTask.mOccurrence);
+    }
+  }
+  aDispatcher.mCommitUrgent = true;
+}
+
+/// One member's end stands for all members of a gang.
+void
+FinishGang(Dispatcher& aDispatcher, const TaskRef& aTask)
+{
+  Step& step =
+    aTask.mJob->mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+    const TaskRef member{ aTask.mJob, aTask.mOccurrence, aTask.mStep, i };
+    Task& task = TaskOf(member);
+    if (task.mPhase == TaskPhase::Done) {
+      continue;
+    }
+    if (task.mRunner != kNoRunner) {
+      Vacate(aDispatcher, member);
+    }
+    if (task.mPhase == TaskPhase::Waiting) {
+      --step.mWaiting;
+    }
+    task.mPhase = TaskPhase::Done;
+    ++step.mDone;
+  }
+}
+
+/// Applies one listed end.
+/// @return whether it changed what must be stored
+bool
+ApplyEnd(Dispatcher& aDispatcher,
+         RunnerIndex aRunner,
+         const EndEntry& aEnd,
+         MonotonicTime aNow,
+         Actions& aActions)
+{
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  std::erase_if(runner.mOrphans, [&](const OrphanRun& aOrphan) {
+    return aOrphan.mRun == aEnd.mRun &&
+           FormatTaskName(aOrphan.mTask) == FormatTaskName(aEnd.mTask);
+  });
+  const TaskRef ref = FindTask(aDispatcher, aEnd.mTask);
+  if (ref.mJob == nullptr) {
+    return false;
+  }
+  Task& task = TaskOf(ref);
+  if (task.mPhase == TaskPhase::Done) {
+    return false;
+  }
+  const bool current = task.mRunner == aRunner && task.mRun == aEnd.mRun;
+  // After a takeover, or when a runner that was given up is heard from again,
+  // the end of a run that nothing has followed still counts.
+  const bool last = task.mPhase == TaskPhase::Waiting && aEnd.mRun >= task.mRun;
+  if (!current && !last) {
+    return false;
+  }
+  task.mRun = aEnd.mRun;
+  const RunOutcome outcome = aEnd.mKind == EndKind::Done ? RunOutcome::Done
+                             : aEnd.mKind == EndKind::Failed
+                               ? RunOutcome::Failed
+                               : RunOutcome::Interrupted;
+  if (outcome != RunOutcome::Interrupted) {
+    NoteRunnerOutcome(aDispatcher, runner, ref.mJob->mSpec.mId, outcome, aNow);
+  }
+  return EndRun(aDispatcher, ref, outcome, aEnd.mSaved, aNow, aActions);
+}
+
+/// Takes up a listed run of a task that this owner believes to run nowhere.
+bool
+Adopt(Dispatcher& aDispatcher,
+      RunnerIndex aRunner,
+      const RunningEntry& aEntry,
+      const TaskRef& aRef,
+      MonotonicTime aNow)
+{
+  Task& task = TaskOf(aRef);
+  Job& job = *aRef.mJob;
+  if (job.mPhase != JobPhase::Active || task.mPhase != TaskPhase::Waiting ||
+      aEntry.mRun < task.mRun) {
+    return false;
+  }
+  Step& step = job.mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
+  task.mPhase = TaskPhase::Running;
+  task.mRun = aEntry.mRun;
+  task.mStartedAt = aNow;
+  task.mAnsweredAt = aNow;
+  task.mProgressAt = aNow;
+  task.mPace = 100;
+  --step.mWaiting;
+  step.mOpen = true;
+  job.mBegan = true;
+  Occupy(aDispatcher, aRunner, aRef);
+  UpdateWaiting(aDispatcher, job, aRef.mOccurrence, aRef.mStep);
+  return true;
+}
+
+void
+ApplyRunning(Dispatcher& aDispatcher,
+             RunnerIndex aRunner,
+             const RunningEntry& aEntry,
+             std::vector<OrphanRun>& aOrphans,
+             MonotonicTime aNow)
+{
+  const TaskRef ref = FindTask(aDispatcher, aEntry.mTask);
+  if (ref.mJob != nullptr) {
+    Task& task = TaskOf(ref);
+    if (task.mRunner != aRunner || task.mRun != aEntry.mRun) {
+      if (Adopt(aDispatcher, aRunner, aEntry, ref, aNow)) {
+        return;
+      }
+    } else {
+      if (task.mPhase == TaskPhase::Starting) {
+        task.mPhase = TaskPhase::Running;
+        task.mAnsweredAt = aNow;
+        task.mProgressAt = aNow;
+      }
+      if (task.mProgress != aEntry.mProgress) {
+        task.mProgress = aEntry.mProgress;
+        task.mProgressAt = aNow;
+      }
+      task.mLoadFigure = aEntry.mLoadFigure;
+      if (!aEntry.mSaved.empty()) {
+        task.mSaved = aEntry.mSaved;
+      }
+      return;
+    }
+  }
+  const std::vector<OrphanRun>& known = aDispatcher.mRunners[aRunner].mOrphans;
+  const std::string name = FormatTaskName(aEntry.mTask);
+  for (const OrphanRun& orphan : known) {
+    if (orphan.mRun == aEntry.mRun && FormatTaskName(orphan.mTask) == name) {
+      aOrphans.push_back(orphan);
+      return;
+    }
+  }
+  aOrphans.push_back({ aEntry.mTask, aEntry.mRun, aEntry.mSaved, {} });
+}
+
+/// Releases tasks that the runner neither runs nor lists as ended.
+void
+ReleaseUnlisted(Dispatcher& aDispatcher,
+                RunnerIndex aRunner,
+                const RunnerReport& aReport,
+                MonotonicTime aSentAt,
+                MonotonicTime aNow,
+                Actions& aActions)
+{
+  if (aReport.mEnds.size() >= kEndsPerReport) {
+    return;
+  }
+  std::vector<TaskRef> gone;
+  for (const TaskRef& ref : aDispatcher.mRunners[aRunner].mTasks) {
+    const Task& task = TaskOf(ref);
+    const bool settled =
+      (task.mPhase == TaskPhase::Running && task.mAnsweredAt < aSentAt) ||
+      (task.mPhase == TaskPhase::Stopping && task.mStopAnsweredAt &&
+       *task.mStopAnsweredAt < aSentAt);
+    if (!settled) {
+      continue;
+    }
+    const bool listed =
+      std::any_of(aReport.mRunning.begin(),
+                  aReport.mRunning.end(),
+                  [&](const RunningEntry& aEntry) {
+                    return aEntry.mRun == task.mRun &&
+                           aEntry.mTask.mIndex == ref.mIndex &&
+                           aEntry.mTask.mStep == ref.mStep &&
+                           aEntry.mTask.mOccurrence == ref.mOccurrence &&
+                           aEntry.mTask.mJob == ref.mJob->mSpec.mId;
+                  });
+    if (!listed) {
+      gone.push_back(ref);
+    }
+  }
+  for (const TaskRef& ref : gone) {
+    Emit(aDispatcher,
+         "run_not_listed",
+         ref.mJob,
+         "task=" + FormatTaskName(NameOf(ref)) +
+           " runner=" + aDispatcher.mRunners[aRunner].mSpec.mId);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+  }
+}
+
+} // namespace
+
+void
+Occupy(Dispatcher& aDispatcher, RunnerIndex aRunner, const TaskRef& aTask)
+{
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  const StepSpec& spec = SpecOf(aTask);
+  const Amount amount = Reserved(spec);
+  runner.mUsed.mCores += amount.mCores;
+  runner.mUsed.mMemory += amount.mMemory;
+  runner.mUsed.mAccelerators += amount.mAccelerators;
+  if (spec.mReservation == Reservation::Leftover) {
+    runner.mLeftoverCores += spec.mAmount.mCores;
+  }
+  if (spec.mKind == StepKind::Lasting) {
+    ++runner.mLasting;
+  }
+  runner.mTasks.push_back(aTask);
+  TaskOf(aTask).mRunner = aRunner;
+  ++aTask.mJob->mLive;
+}
+
+bool
+EndRun(Dispatcher& aDispatcher,
+       const TaskRef& aTask,
+       RunOutcome aOutcome,
+       std::string_view aSaved,
+       MonotonicTime aNow,
+       Actions& aActions)
+{
+  Task& task = TaskOf(aTask);
+  Job& job = *aTask.mJob;
+  const StepSpec& spec = SpecOf(aTask);
+  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  const RunnerIndex runner = task.mRunner;
+  if (runner != kNoRunner) {
+    Vacate(aDispatcher, aTask);
+    if (task.mPhase != TaskPhase::Waiting) {
+      ++step.mWaiting;
+    }
+  }
+  task.mPhase = TaskPhase::Waiting;
+  task.mStopCause = StopCause::None;
+  task.mStopAnsweredAt.reset();
+  task.mOverTargetSince.reset();
+  task.mProgress = -1;
+  bool durable = false;
+  if (!aSaved.empty() && task.mSaved != aSaved) {
+    task.mSaved = aSaved;
+    durable = true;
+  }
+  if (job.mPhase != JobPhase::Active) {
+    EraseIfOver(aDispatcher, job);
+    return false;
+  }
+  const bool finite = spec.mKind == StepKind::Finite;
+  if (aOutcome == RunOutcome::Done && finite) {
+    ++aDispatcher.mCounters.mDone;
+    durable = true;
+    if (spec.mGang) {
+      FinishGang(aDispatcher, aTask);
+    } else {
+      task.mPhase = TaskPhase::Done;
+      --step.mWaiting;
+      ++step.mDone;
+    }
+  } else if (aOutcome == RunOutcome::Failed && finite) {
+    ++aDispatcher.mCounters.mFailed;
+    durable = true;
+    task.mFailedOn = runner;
+    // The failures of a gang count on its first member.
+    Task& counted = spec.mGang ? step.mTasks[0] : task;
+    ++counted.mFailures;
+    const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
+    if (queue != nullptr && counted.mFailures >= queue->mMaxAttempts) {
+      FailJob(aDispatcher, job, aNow, aActions);
+      return true;
+    }
+  } else {
+    ++aDispatcher.mCounters.mStopped;
+    task.mFailedOn = aOutcome == RunOutcome::Failed ? runner : kNoRunner;
+  }
+  if (durable) {
+    MarkDirty(aDispatcher, job);
+  }
+  UpdateWaiting(aDispatcher, job, aTask.mOccurrence, aTask.mStep);
+  if (task.mPhase == TaskPhase::Done) {
+    AdvanceJob(aDispatcher, aTask, aNow);
+  }
+  return durable;
+}
+
+void
+BeginStop(Dispatcher& aDispatcher,
+          const TaskRef& aTask,
+          StopCause aCause,
+          MonotonicTime aNow,
+          Actions& aActions)
+{
+  Task& task = TaskOf(aTask);
+  task.mPhase = TaskPhase::Stopping;
+  task.mStopCause = aCause;
+  task.mStopSentAt = aNow;
+  task.mStopAnsweredAt.reset();
+  aActions.push_back(StopTask{ task.mRunner, NameOf(aTask), task.mRun });
+  Emit(aDispatcher,
+       "task_stop",
+       aTask.mJob,
+       "task=" + FormatTaskName(NameOf(aTask)) +
+         " run=" + std::to_string(task.mRun) +
+         " runner=" + aDispatcher.mRunners[task.mRunner].mSpec.mId + " cause=" +
+         (aCause == StopCause::UnknownStart ? "no_answer"
+          : aCause == StopCause::Cancelled  ? "cancelled"
+                                            : "moved"));
+}
+
+void
+EndAllRuns(Dispatcher& aDispatcher,
+           Runner& aRunner,
+           MonotonicTime aNow,
+           Actions& aActions)
+{
+  const std::vector<TaskRef> tasks = aRunner.mTasks;
+  for (const TaskRef& ref : tasks) {
+    ++aDispatcher.mCounters.mLapsed;
+    Emit(aDispatcher,
+         "run_lost",
+         ref.mJob,
+         "task=" + FormatTaskName(NameOf(ref)) +
+           " runner=" + aRunner.mSpec.mId);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+  }
+  aRunner.mOrphans.clear();
+}
+
+void
+HandleReport(Dispatcher& aDispatcher,
+             RunnerIndex aRunner,
+             const RunnerReport& aReport,
+             MonotonicTime aSentAt,
+             MonotonicTime aNow,
+             Actions& aActions)
+{
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  if (aReport.mIncarnation < runner.mSpec.mIncarnation) {
+    return;
+  }
+  if (aReport.mIncarnation > runner.mSpec.mIncarnation) {
+    ResetRunner(aDispatcher, aRunner, aReport.mIncarnation, aNow, aActions);
+  }
+  if (runner.mPhase != RunnerPhase::Live) {
+    runner.mPhase = RunnerPhase::Live;
+    aDispatcher.mPlacementDue = true;
+  }
+  if (aReport.mClockMs < runner.mClockMs) {
+    // An older answer that was overtaken on another connection.
+    return;
+  }
+  runner.mClockMs = aReport.mClockMs;
+  runner.mClockReadAt = aNow;
+  runner.mClockSentAt = aSentAt;
+  NoteLease(aDispatcher, runner);
+
+  for (const EndEntry& end : aReport.mEnds) {
+    if (end.mNumber <= runner.mProcessedEnds) {
+      continue;
+    }
+    const bool durable = ApplyEnd(aDispatcher, aRunner, end, aNow, aActions);
+    runner.mProcessedEnds = end.mNumber;
+    runner.mUnstoredEnds.emplace_back(
+      end.mNumber, durable ? aDispatcher.mCommitSequence : 0);
+  }
+  while (!runner.mUnstoredEnds.empty() &&
+         runner.mUnstoredEnds.front().second <= aDispatcher.mStoredThrough) {
+    runner.mAcknowledgedEnds = runner.mUnstoredEnds.front().first;
+    runner.mUnstoredEnds.pop_front();
+  }
+
+  std::vector<OrphanRun> orphans;
+  for (const RunningEntry& entry : aReport.mRunning) {
+    ApplyRunning(aDispatcher, aRunner, entry, orphans, aNow);
+  }
+  runner.mOrphans = std::move(orphans);
+  for (OrphanRun& orphan : runner.mOrphans) {
+    if (aNow - orphan.mStopSentAt >= aDispatcher.mSettings.mStopRepeat) {
+      orphan.mStopSentAt = aNow;
+      aActions.push_back(StopTask{ aRunner, orphan.mTask, orphan.mRun });
+    }
+  }
+  ReleaseUnlisted(aDispatcher, aRunner, aReport, aSentAt, aNow, aActions);
+  AdjustPace(aDispatcher, aRunner, aNow, aActions);
+}
+
+void
+HandleStartResult(Dispatcher& aDispatcher,
+                  RunnerIndex aRunner,
+                  const TaskName& aTask,
+                  std::int64_t aRun,
+                  StartResult aResult,
+                  MonotonicTime aNow,
+                  Actions& aActions)
+{
+  const TaskRef ref = FindTask(aDispatcher, aTask);
+  if (ref.mJob == nullptr) {
+    return;
+  }
+  Task& task = TaskOf(ref);
+  if (task.mRunner != aRunner || task.mRun != aRun) {
+    return;
+  }
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  const bool stopping = task.mPhase == TaskPhase::Stopping;
+  switch (aResult) {
+    case StartResult::Started:
+      if (task.mPhase == TaskPhase::Starting) {
+        task.mPhase = TaskPhase::Running;
+        task.mAnsweredAt = aNow;
+        task.mProgressAt = aNow;
+      }
+      return;
+    case StartResult::Unknown:
+      ++aDispatcher.mCounters.mUnanswered;
+      if (task.mPhase == TaskPhase::Starting) {
+        BeginStop(aDispatcher, ref, StopCause::UnknownStart, aNow, aActions);
+      }
+      return;
+    case StartResult::Unhealthy:
+      NoteRunnerOutcome(
+        aDispatcher, runner, ref.mJob->mSpec.mId, RunOutcome::Failed, aNow);
+      runner.mAvoidUntil = std::max(
+        runner.mAvoidUntil, aNow + aDispatcher.mSettings.mUnhealthyPause);
+      break;
+    case StartResult::Refused:
+      runner.mAvoidUntil = std::max(runner.mAvoidUntil,
+                                    aNow + aDispatcher.mSettings.mRefusedPause);
+      break;
+  }
+  ++aDispatcher.mCounters.mRejected;
+  if (!stopping || ref.mJob->mPhase != JobPhase::Active ||
+      task.mPhase == TaskPhase::Stopping) {
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+  }
+}
+
+void
+HandleStopAnswered(Dispatcher& aDispatcher,
+                   RunnerIndex aRunner,
+                   const TaskName& aTask,
+                   std::int64_t aRun,
+                   MonotonicTime aNow)
+{
+  const TaskRef ref = FindTask(aDispatcher, aTask);
+  if (ref.mJob == nullptr) {
+    return;
+  }
+  Task& task = TaskOf(ref);
+  if (task.mRunner == aRunner && task.mRun == aRun &&
+      task.mPhase == TaskPhase::Stopping && !task.mStopAnsweredAt) {
+    task.mStopAnsweredAt = aNow;
+  }
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Runner.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <LibDispatch/Job.h>
+
+namespace paddle::dispatch {
+
+/// A runner as service discovery describes it.
+struct RunnerSpec
+{
+  std::string mId;
+  std::string mAddress;
+  std::string mService;
+  std::string mZone;
+  std::string mRack;
+  std::vector<std::string> mLabels;
+  Amount mCapacity;
+  bool mDraining = false;
+  Millis mColdRemaining{ 0 };
+  std::int64_t mIncarnation = 0; ///< Unix milliseconds of its start.
+};
+
+/// How a run ended, as the runner lists it.
+enum class EndKind : std::uint8_t
+{
+  Done,
+  Failed,
+  Stopped,
+  Lapsed, ///< Its lease ended.
+  Broken, ///< Another member of its gang ended.
+  Alone   ///< Its gang did not assemble.
+};
+
+struct RunningEntry
+{
+  TaskName mTask;
+  std::int64_t mRun = 0;
+  std::string mSaved;
+  std::int32_t mProgress = 0;
+  std::int32_t mLoadFigure = 0;
+};
+
+struct EndEntry
+{
+  std::int64_t mNumber = 0;
+  TaskName mTask;
+  std::int64_t mRun = 0;
+  EndKind mKind = EndKind::Stopped;
+  std::string mSaved;
+};
+
+/// A runner's answer to a lease renewal.
+struct RunnerReport
+{
+  std::int64_t mClockMs = 0; ///< The runner's steady clock.
+  std::int64_t mIncarnation = 0;
+  std::vector<RunningEntry> mRunning;
+  std::vector<EndEntry> mEnds;
+};
+
+/// A run that no known task accounts for. Its size is unknown, so nothing is
+/// started beside it until it has ended.
+struct OrphanRun
+{
+  TaskName mTask;
+  std::int64_t mRun = 0;
+  std::string mSaved;
+  MonotonicTime mStopSentAt;
+};
+
+enum class RunnerPhase : std::uint8_t
+{
+  Unheard, ///< Not heard from under this owner's epoch.
+  Live,
+  Lapsed, ///< Silent for longer than any lease; what it ran has ended.
+};
+
+struct Runner
+{
+  RunnerSpec mSpec;
+  RunnerPhase mPhase = RunnerPhase::Unheard;
+  bool mListed = false;            ///< Service discovery lists it.
+  Amount mUsed;                    ///< By reserved tasks; memory by all.
+  std::int64_t mLeftoverCores = 0; ///< Asked by tasks without reservation.
+  std::uint32_t mLasting = 0;
+  std::vector<TaskRef> mTasks; ///< Tasks Starting, Running or Stopping here.
+
+  std::int64_t mClockMs = 0;        ///< In its latest answer.
+  MonotonicTime mClockReadAt;       ///< When that answer was received.
+  MonotonicTime mClockSentAt;       ///< When its request was sent.
+  std::int64_t mHighestLeaseMs = 0; ///< Latest lease end ever sent to it.
+  MonotonicTime mLapsesAt;          ///< When its leases have surely ended.
+
+  std::int64_t mProcessedEnds = 0;    ///< Highest end number applied.
+  std::int64_t mAcknowledgedEnds = 0; ///< Highest whose commit is stored.
+  /// Ends applied and not yet stored: number, commit that stores it.
+  std::deque<std::pair<std::int64_t, std::uint64_t>> mUnstoredEnds;
+
+  std::vector<OrphanRun> mOrphans;
+
+  MonotonicTime mPacedAt;
+
+  std::uint32_t mConsecutiveFailures = 0;
+  std::string mLastFailedJob;
+  std::uint32_t mFailedJobs = 0; ///< Different jobs among these failures.
+  std::uint32_t mQuarantines = 0;
+  MonotonicTime mAvoidUntil; ///< No start before this.
+  bool mOnProbation = false; ///< At most one start at a time.
+  MonotonicTime mMissingSince;
+};
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -0,0 +1,97 @@
+#include <LibDispatch/Internal.h>
+
+#include <algorithm>
+
+namespace paddle::dispatch {
+
+namespace {
+
+/// Gives up the runs of runners that have been silent for longer than their
+/// leases.
+void
+LapseSilentRunners(Dispatcher& aDispatcher,
+                   MonotonicTime aNow,
+                   Actions& aActions)
+{
+  for (Runner& runner : aDispatcher.mRunners) {
+    const bool silent =
+      (runner.mPhase == RunnerPhase::Live && !runner.mTasks.empty() &&
+       runner.mLapsesAt <= aNow) ||
+      (runner.mPhase == RunnerPhase::Unheard && aNow > runner.mLapsesAt &&
+       aNow > aDispatcher.mUnheardUntil);
+    if (!silent) {
+      continue;
+    }
+    runner.mPhase = RunnerPhase::Lapsed;
+    Emit(aDispatcher,
+         "runner_lapsed",
+         nullptr,
+         "runner=" + runner.mSpec.mId +
+           " tasks=" + std::to_string(runner.mTasks.size()));
+    EndAllRuns(aDispatcher, runner, aNow, aActions);
+  }
+}
+
+void
+RepeatStops(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
+{
+  for (const Runner& runner : aDispatcher.mRunners) {
+    for (const TaskRef& ref : runner.mTasks) {
+      Task& task = TaskOf(ref);
+      if (task.mPhase == TaskPhase::Stopping &&
+          aNow - task.mStopSentAt >= aDispatcher.mSettings.mStopRepeat) {
+        task.mStopSentAt = aNow;
+        aActions.push_back(StopTask{ task.mRunner, NameOf(ref), task.mRun });
+      }
+    }
+  }
+}
+
+void
+CheckRecovered(Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  if (aDispatcher.mRecovered) {
+    return;
+  }
+  const auto unheard = std::count_if(
+    aDispatcher.mRunners.begin(),
+    aDispatcher.mRunners.end(),
+    [](const Runner& r) { return r.mPhase == RunnerPhase::Unheard; });
+  if (unheard > 0 && aNow < aDispatcher.mUnheardUntil) {
+    return;
+  }
+  aDispatcher.mRecovered = true;
+  aDispatcher.mPlacementDue = true;
+  for (const auto& [id, job] : aDispatcher.mJobs) {
+    job->mFormer = false;
+  }
+  Emit(aDispatcher,
+       "shard_recovered",
+       nullptr,
+       "epoch=" + std::to_string(aDispatcher.mEpoch) +
+         " jobs=" + std::to_string(aDispatcher.mJobs.size()) +
+         " unheard=" + std::to_string(unheard));
+}
+
+} // namespace
+
+void
+HandleTick(Dispatcher& aDispatcher,
+           MonotonicTime aNow,
+           std::int64_t aUnixMs,
+           Actions& aActions)
+{
+  LapseSilentRunners(aDispatcher, aNow, aActions);
+  RepeatStops(aDispatcher, aNow, aActions);
+  CheckRecovered(aDispatcher, aNow);
+  for (const auto& [id, job] : aDispatcher.mJobs) {
+    if (job->mSpec.mOccurrences > job->mOccurrencesBegun) {
+      BeginOccurrences(aDispatcher, *job, aUnixMs, aNow);
+    }
+  }
+  // Pauses of runners end with time, which frees room.
+  aDispatcher.mPlacementDue = true;
+  PlaceWaiting(aDispatcher, aNow, aActions);
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Libraries/LibNode/Cluster.cpp
@@ -0,0 +1,275 @@
+#include <LibNode/Cluster.h>
+
+#include <algorithm>
+#include <json/reader.h>
+#include <json/value.h>
+#include <memory>
+#include <tuple>
+#include <xxhash.h>
+
+#include <LibBase/JsonReader.h>
+
+namespace paddle {
+
+namespace {
+
+constexpr std::string_view kNodePrefix = "node/";
+constexpr std::string_view kShardPrefix = "shard/";
+
+std::optional<Json::Value>
+ParseObject(std::string_view aText)
+{
+  static const Json::CharReaderBuilder sBuilder;
+  const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  if (!reader->parse(
+        aText.data(), aText.data() + aText.size(), &value, &errors) ||
+      !value.isObject()) {
+    return {};
+  }
+  return value;
+}
+
+std::optional<NodeRow>
+ParseNodeRow(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return {};
+  }
+  NodeRow row;
+  row.mName = (*value)["name"].asString();
+  row.mZone = (*value)["data_centre"].asString();
+  row.mRegion = (*value)["region"].asString();
+  row.mIncarnation = (*value)["incarnation"].asInt64();
+  row.mMilliCores = (*value)["milli_cores"].asInt64();
+  row.mBeat = (*value)["beat"].asUInt64();
+  return row;
+}
+
+template<typename Key, typename T>
+void
+Observe(std::map<Key, Observed<T>>& aMap,
+        const Key& aKey,
+        T aRow,
+        std::int64_t aVersion,
+        MonotonicTime aNow)
+{
+  const auto found = aMap.find(aKey);
+  if (found != aMap.end() && found->second.mVersion == aVersion) {
+    return;
+  }
+  aMap.insert_or_assign(aKey, Observed<T>{ std::move(aRow), aVersion, aNow });
+}
+
+std::uint64_t
+Score(std::uint32_t aShard, std::string_view aNode)
+{
+  return XXH64(aNode.data(), aNode.size(), aShard);
+}
+
+/// Candidates in order of preference: the most processor time first, then the
+/// fewest shards already owned, then a hash that differs by shard.
+std::vector<std::string>
+RankCandidates(const ClusterView& aView,
+               std::uint32_t aShard,
+               const NodeRow& aSelf,
+               const ClaimSettings& aSettings,
+               MonotonicTime aNow)
+{
+  struct Candidate
+  {
+    std::int64_t mCost = 0;
+    std::uint64_t mScore = 0;
+    std::string mName;
+  };
+  std::vector<Candidate> candidates;
+  const auto add = [&](const NodeRow& aNode) {
+    const auto owned =
+      std::count_if(aView.mShardRows.begin(),
+                    aView.mShardRows.end(),
+                    [&](const auto& aEntry) {
+                      return aEntry.second.mRow.mOwner == aNode.mName &&
+                             aEntry.first != aShard;
+                    });
+    // Processor time for each shard that the node would own.
+    candidates.push_back({ -aNode.mMilliCores / (owned + 1),
+                           Score(aShard, aNode.mName),
+                           aNode.mName });
+  };
+  for (const auto& [name, node] : aView.mNodes) {
+    if (name != aSelf.mName && aNow - node.mSeenAt <= aSettings.mNodeSilence) {
+      add(node.mRow);
+    }
+  }
+  add(aSelf);
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(a.mCost, a.mScore) < std::tie(b.mCost, b.mScore);
+            });
+  std::vector<std::string> names;
+  for (Candidate& candidate : candidates) {
+    names.push_back(std::move(candidate.mName));
+  }
+  return names;
+}
+
+} // namespace
+
+std::string
+NodeKey(std::string_view aName)
+{
+  return std::string(kNodePrefix) + std::string(aName);
+}
+
+std::string
+ShardKey(std::uint32_t aShard)
+{
+  return std::string(kShardPrefix) + std::to_string(aShard);
+}
+
+std::string
+FormatNodeRow(const NodeRow& aRow)
+{
+  Json::Value value(Json::objectValue);
+  value["name"] = aRow.mName;
+  value["data_centre"] = aRow.mZone;
+  value["region"] = aRow.mRegion;
+  value["incarnation"] = Json::Int64(aRow.mIncarnation);
+  value["milli_cores"] = Json::Int64(aRow.mMilliCores);
+  value["beat"] = Json::UInt64(aRow.mBeat);
+  return WriteJson(value);
+}
+
+std::string
+FormatShardRow(const ShardRow& aRow)
+{
+  Json::Value value(Json::objectValue);
+  value["shard"] = aRow.mShard;
+  value["owner"] = aRow.mOwner;
+  value["incarnation"] = Json::Int64(aRow.mOwnerIncarnation);
+  value["epoch"] = Json::Int64(aRow.mEpoch);
+  value["beat"] = Json::UInt64(aRow.mBeat);
+  value["free"] = Json::Int64(aRow.mFreeCores);
+  value["leftover"] = Json::Int64(aRow.mLeftoverCores);
+  value["total"] = Json::Int64(aRow.mTotalCores);
+  Json::Value pending(Json::objectValue);
+  for (const auto& [queue, count] : aRow.mPending) {
+    pending[queue] = Json::UInt64(count);
+  }
+  value["pending"] = pending;
+  return WriteJson(value);
+}
+
+std::optional<ShardRow>
+ParseShardRow(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return {};
+  }
+  ShardRow row;
+  row.mShard = (*value)["shard"].asUInt();
+  row.mOwner = (*value)["owner"].asString();
+  row.mOwnerIncarnation = (*value)["incarnation"].asInt64();
+  row.mEpoch = (*value)["epoch"].asInt64();
+  row.mBeat = (*value)["beat"].asUInt64();
+  row.mFreeCores = (*value)["free"].asInt64();
+  row.mLeftoverCores = (*value)["leftover"].asInt64();
+  row.mTotalCores = (*value)["total"].asInt64();
+  const Json::Value& pending = (*value)["pending"];
+  if (pending.isObject()) {
+    for (const std::string& queue : pending.getMemberNames()) {
+      row.mPending.emplace(queue, pending[queue].asUInt64());
+    }
+  }
+  return row;
+}
+
+void
+UpdateView(ClusterView& aView,
+           std::span<const StoreRow> aRows,
+           MonotonicTime aNow)
+{
+  std::vector<std::string> nodes;
+  for (const StoreRow& row : aRows) {
+    const std::string_view key = row.mKey;
+    if (key == kLayoutKey) {
+      const std::optional<Json::Value> value = ParseObject(row.mValue);
+      if (value) {
+        aView.mShards = (*value)["shards"].asUInt();
+      }
+    } else if (key.starts_with(kNodePrefix)) {
+      const std::string name(key.substr(kNodePrefix.size()));
+      if (std::optional<NodeRow> node = ParseNodeRow(row.mValue)) {
+        Observe(aView.mNodes, name, std::move(*node), row.mVersion, aNow);
+      }
+      nodes.push_back(name);
+    } else if (key.starts_with(kShardPrefix)) {
+      if (std::optional<ShardRow> shard = ParseShardRow(row.mValue)) {
+        const std::uint32_t number = shard->mShard;
+        Observe(
+          aView.mShardRows, number, std::move(*shard), row.mVersion, aNow);
+      }
+    }
+  }
+  std::erase_if(aView.mNodes, [&](const auto& aEntry) {
+    return std::find(nodes.begin(), nodes.end(), aEntry.first) == nodes.end();
+  });
+  aView.mReadAt = aNow;
+}
+
+std::vector<Claim>
+DecideClaims(const ClusterView& aView,
+             const NodeRow& aSelf,
+             const ClaimSettings& aSettings,
+             MonotonicTime aNow)
+{
+  std::vector<Claim> claims;
+  for (std::uint32_t shard = 0; shard < aView.mShards; ++shard) {
+    const auto found = aView.mShardRows.find(shard);
+    Claim claim{ shard, 0, 1, false };
+    MonotonicTime freeSince = aView.mReadAt;
+    if (found != aView.mShardRows.end()) {
+      const Observed<ShardRow>& row = found->second;
+      claim.mRowVersion = row.mVersion;
+      claim.mEpoch = row.mRow.mEpoch + 1;
+      if (row.mRow.mOwner == aSelf.mName) {
+        // Only one process of this name runs at a time, so a former one is
+        // certainly gone.
+        if (row.mRow.mOwnerIncarnation != aSelf.mIncarnation) {
+          claims.push_back(claim);
+        }
+        continue;
+      }
+      freeSince = row.mSeenAt;
+      const auto owner = aView.mNodes.find(row.mRow.mOwner);
+      const bool restarted =
+        owner != aView.mNodes.end() &&
+        owner->second.mRow.mIncarnation > row.mRow.mOwnerIncarnation;
+      if (!row.mRow.mOwner.empty() && !restarted) {
+        freeSince += aSettings.mSilence;
+        claim.mFormerOwnerMayAct = true;
+      }
+    }
+    const std::vector<std::string> ranked =
+      RankCandidates(aView, shard, aSelf, aSettings, aNow);
+    const auto rank =
+      std::find(ranked.begin(), ranked.end(), aSelf.mName) - ranked.begin();
+    if (aNow >= freeSince + aSettings.mStagger * rank) {
+      claims.push_back(claim);
+    }
+  }
+  return claims;
+}
+
+std::uint32_t
+ShardOfRack(std::string_view aRack, std::uint32_t aShards)
+{
+  return static_cast<std::uint32_t>(XXH64(aRack.data(), aRack.size(), 0) %
+                                    std::max(1U, aShards));
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/Cluster.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <LibNode/StorePort.h>
+#include <LibTime/Time.h>
+
+namespace paddle {
+
+/// Table with a row for each node, one for each shard, and the layout.
+inline constexpr const char* kClusterTable = "cluster";
+inline constexpr const char* kLayoutKey = "layout";
+
+/// What a node tells of itself.
+struct NodeRow
+{
+  std::string mName;
+  std::string mZone;
+  std::string mRegion;
+  std::int64_t mIncarnation = 0;
+  std::int64_t mMilliCores = 0; ///< Processor time that the host grants it.
+  std::uint64_t mBeat = 0;
+};
+
+/// What a shard's owner tells of it.
+struct ShardRow
+{
+  std::uint32_t mShard = 0;
+  std::string mOwner; ///< Empty: released, no orders are on their way.
+  std::int64_t mOwnerIncarnation = 0;
+  std::int64_t mEpoch = 0;
+  std::uint64_t mBeat = 0;
+  std::int64_t mFreeCores = 0;
+  std::int64_t mLeftoverCores = 0;
+  std::int64_t mTotalCores = 0;
+  std::map<std::string, std::uint64_t> mPending; ///< By queue.
+};
+
+/// A row with the moment at which this node first saw its present version.
+template<typename T>
+struct Observed
+{
+  T mRow;
+  std::int64_t mVersion = 0;
+  MonotonicTime mSeenAt;
+};
+
+/// The cluster as this node has read it.
+struct ClusterView
+{
+  std::uint32_t mShards = 0; ///< 0: not laid out yet.
+  std::map<std::string, Observed<NodeRow>> mNodes;
+  std::map<std::uint32_t, Observed<ShardRow>> mShardRows;
+  MonotonicTime mReadAt;
+};
+
+struct ClaimSettings
+{
+  /// An owner that has not renewed for this long is succeeded. Its renewals are
+  /// a second apart, so one may be lost.
+  Millis mSilence{ 2400 };
+  /// Delay for each better candidate, so that one claims first; longer than a
+  /// store transaction with its notice.
+  Millis mStagger{ 500 };
+  /// A node whose row is older is no candidate.
+  Millis mNodeSilence{ 3000 };
+};
+
+struct Claim
+{
+  std::uint32_t mShard = 0;
+  std::int64_t mRowVersion = 0; ///< 0: the shard never had an owner.
+  std::int64_t mEpoch = 0;      ///< The new owner's.
+  /// The former owner may still give orders for a while.
+  bool mFormerOwnerMayAct = false;
+};
+
+/// Updates a view by a complete reading of the cluster table.
+void
+UpdateView(ClusterView& aView,
+           std::span<const StoreRow> aRows,
+           MonotonicTime aNow);
+
+/// @return the shards that this node should claim now
+std::vector<Claim>
+DecideClaims(const ClusterView& aView,
+             const NodeRow& aSelf,
+             const ClaimSettings& aSettings,
+             MonotonicTime aNow);
+
+std::string
+NodeKey(std::string_view aName);
+std::string
+ShardKey(std::uint32_t aShard);
+std::string
+FormatNodeRow(const NodeRow& aRow);
+std::string
+FormatShardRow(const ShardRow& aRow);
+std::optional<ShardRow>
+ParseShardRow(std::string_view aText);
+
+/// @return the shard that a runner belongs to: runners of one rack share one
+std::uint32_t
+ShardOfRack(std::string_view aRack, std::uint32_t aShards);
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/JobRows.cpp
@@ -0,0 +1,327 @@
+#include <LibNode/JobRows.h>
+
+#include <json/reader.h>
+#include <json/value.h>
+#include <memory>
+
+#include <LibBase/JsonReader.h>
+
+namespace paddle {
+
+namespace {
+
+using dispatch::JobPhase;
+using dispatch::StepSpec;
+
+std::optional<Json::Value>
+ParseObject(std::string_view aText)
+{
+  static const Json::CharReaderBuilder sBuilder;
+  const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  if (!reader->parse(
+        aText.data(), aText.data() + aText.size(), &value, &errors) ||
+      !value.isObject()) {
+    return {};
+  }
+  return value;
+}
+
+/// Members with their default value are left out: rows are read and written
+/// often, and bytes to and from the store are paid for.
+void
+PutNumber(Json::Value& aObject, const char* aName, std::int64_t aValue)
+{
+  if (aValue != 0) {
+    aObject[aName] = Json::Int64(aValue);
+  }
+}
+
+void
+PutText(Json::Value& aObject, const char* aName, const std::string& aValue)
+{
+  if (!aValue.empty()) {
+    aObject[aName] = aValue;
+  }
+}
+
+void
+PutFlag(Json::Value& aObject, const char* aName, bool aValue)
+{
+  if (aValue) {
+    aObject[aName] = true;
+  }
+}
+
+Json::Value
+ToJson(const StepSpec& aStep)
+{
+  Json::Value value(Json::objectValue);
+  PutNumber(value, "tasks", aStep.mTasks);
+  PutNumber(value, "cores", aStep.mAmount.mCores);
+  PutNumber(value, "memory", aStep.mAmount.mMemory);
+  PutNumber(value, "accelerators", aStep.mAmount.mAccelerators);
+  PutNumber(value, "estimate_ms", aStep.mEstimate.count());
+  for (const std::uint32_t before : aStep.mAfter) {
+    value["after"].append(before);
+  }
+  PutFlag(value, "lasting", aStep.mKind == dispatch::StepKind::Lasting);
+  PutFlag(
+    value, "leftover", aStep.mReservation == dispatch::Reservation::Leftover);
+  PutFlag(value, "checkpoints", aStep.mCheckpoints);
+  PutFlag(value, "gang", aStep.mGang);
+  PutFlag(value, "same_rack", aStep.mSameRack);
+  PutFlag(value, "copies", aStep.mCopiesAllowed);
+  PutText(value, "label", aStep.mRequiredLabel);
+  PutText(value, "data_rack", aStep.mDataRack);
+  PutNumber(value, "most_per_runner", aStep.mMostPerRunner);
+  PutNumber(value, "may_be_away", aStep.mMayBeAway);
+  PutFlag(value, "limits_interruptions", aStep.mLimitsInterruptions);
+  PutText(value, "image", aStep.mImage);
+  PutNumber(value, "tail_target_ms", aStep.mTailTarget.count());
+  return value;
+}
+
+StepSpec
+StepFromJson(const Json::Value& aValue)
+{
+  StepSpec step;
+  step.mTasks = aValue["tasks"].asUInt();
+  step.mAmount.mCores = aValue["cores"].asInt64();
+  step.mAmount.mMemory = aValue["memory"].asInt64();
+  step.mAmount.mAccelerators = aValue["accelerators"].asInt64();
+  step.mEstimate = Millis(aValue["estimate_ms"].asInt64());
+  for (const Json::Value& before : aValue["after"]) {
+    step.mAfter.push_back(before.asUInt());
+  }
+  step.mKind = aValue["lasting"].asBool() ? dispatch::StepKind::Lasting
+                                          : dispatch::StepKind::Finite;
+  step.mReservation = aValue["leftover"].asBool()
+                        ? dispatch::Reservation::Leftover
+                        : dispatch::Reservation::Reserved;
+  step.mCheckpoints = aValue["checkpoints"].asBool();
+  step.mGang = aValue["gang"].asBool();
+  step.mSameRack = aValue["same_rack"].asBool();
+  step.mCopiesAllowed = aValue["copies"].asBool();
+  step.mRequiredLabel = aValue["label"].asString();
+  step.mDataRack = aValue["data_rack"].asString();
+  step.mMostPerRunner = aValue["most_per_runner"].asUInt();
+  step.mMayBeAway = aValue["may_be_away"].asUInt();
+  step.mLimitsInterruptions = aValue["limits_interruptions"].asBool();
+  step.mImage = aValue["image"].asString();
+  step.mTailTarget = Millis(aValue["tail_target_ms"].asInt64());
+  return step;
+}
+
+const char*
+NameOf(JobPhase aPhase)
+{
+  switch (aPhase) {
+    case JobPhase::Active:
+      return "active";
+    case JobPhase::Cancelled:
+      return "cancelled";
+    case JobPhase::Failed:
+      return "failed";
+    case JobPhase::Completed:
+      return "completed";
+  }
+  return "active";
+}
+
+JobPhase
+PhaseNamed(std::string_view aName)
+{
+  for (const JobPhase phase :
+       { JobPhase::Cancelled, JobPhase::Failed, JobPhase::Completed }) {
+    if (aName == NameOf(phase)) {
+      return phase;
+    }
+  }
+  return JobPhase::Active;
+}
+
+} // namespace
+
+std::string
+FormatAcceptedJob(const AcceptedJob& aJob)
+{
+  Json::Value value(Json::objectValue);
+  value["id"] = aJob.mSpec.mId;
+  value["queue"] = aJob.mSpec.mQueue;
+  value["payload"] = aJob.mSpec.mPayload;
+  value["accepted_unix_ms"] = Json::Int64(aJob.mAcceptedUnixMs);
+  PutNumber(value, "occurrences", aJob.mSpec.mOccurrences);
+  PutNumber(value, "first_due_unix_ms", aJob.mSpec.mFirstDueMs);
+  PutNumber(value, "interval_ms", aJob.mSpec.mIntervalMs);
+  Json::Value steps(Json::arrayValue);
+  for (const StepSpec& step : aJob.mSpec.mSteps) {
+    steps.append(ToJson(step));
+  }
+  value["steps"] = steps;
+  return WriteJson(value);
+}
+
+std::optional<AcceptedJob>
+ParseAcceptedJob(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return {};
+  }
+  AcceptedJob job;
+  job.mSpec.mId = (*value)["id"].asString();
+  job.mSpec.mQueue = (*value)["queue"].asString();
+  job.mSpec.mPayload = (*value)["payload"].asString();
+  job.mAcceptedUnixMs = (*value)["accepted_unix_ms"].asInt64();
+  job.mSpec.mOccurrences = (*value)["occurrences"].asUInt();
+  job.mSpec.mFirstDueMs = (*value)["first_due_unix_ms"].asInt64();
+  job.mSpec.mIntervalMs = (*value)["interval_ms"].asInt64();
+  for (const Json::Value& step : (*value)["steps"]) {
+    job.mSpec.mSteps.push_back(StepFromJson(step));
+  }
+  return job;
+}
+
+std::string
+FormatStatus(const JobStatus& aStatus)
+{
+  Json::Value value(Json::objectValue);
+  value["shard"] = aStatus.mShard;
+  value["queue"] = aStatus.mQueue;
+  value["phase"] = NameOf(aStatus.mPhase);
+  PutFlag(value, "began", aStatus.mBegan);
+  return WriteJson(value);
+}
+
+std::optional<JobStatus>
+ParseStatus(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return {};
+  }
+  return JobStatus{ (*value)["shard"].asUInt(),
+                    (*value)["queue"].asString(),
+                    PhaseNamed((*value)["phase"].asString()),
+                    (*value)["began"].asBool() };
+}
+
+std::string
+FormatProgress(const dispatch::JobProgress& aProgress)
+{
+  Json::Value value(Json::objectValue);
+  value["phase"] = NameOf(aProgress.mPhase);
+  PutFlag(value, "began", aProgress.mBegan);
+  PutNumber(value, "occurrences_begun", aProgress.mOccurrencesBegun);
+  PutNumber(value, "occurrences_done", aProgress.mOccurrencesDone);
+  for (const auto& [number, steps] : aProgress.mOccurrences) {
+    Json::Value list(Json::arrayValue);
+    for (const dispatch::StepProgress& step : steps) {
+      Json::Value entry(Json::objectValue);
+      std::string done;
+      for (const bool taskDone : step.mDone) {
+        done += taskDone ? '1' : '0';
+      }
+      entry["done"] = done;
+      for (const auto& [index, failures] : step.mFailures) {
+        entry["failures"][std::to_string(index)] = failures;
+      }
+      for (const auto& [index, saved] : step.mSaved) {
+        entry["saved"][std::to_string(index)] = saved;
+      }
+      list.append(entry);
+    }
+    value["occurrences"][std::to_string(number)] = list;
+  }
+  return WriteJson(value);
+}
+
+std::optional<dispatch::JobProgress>
+ParseProgress(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return {};
+  }
+  dispatch::JobProgress progress;
+  progress.mPhase = PhaseNamed((*value)["phase"].asString());
+  progress.mBegan = (*value)["began"].asBool();
+  progress.mOccurrencesBegun = (*value)["occurrences_begun"].asUInt();
+  progress.mOccurrencesDone = (*value)["occurrences_done"].asUInt();
+  const Json::Value& occurrences = (*value)["occurrences"];
+  if (!occurrences.isObject()) {
+    return progress;
+  }
+  const auto indexOf = [](const std::string& aName) {
+    return static_cast<std::uint32_t>(std::strtoul(aName.c_str(), nullptr, 10));
+  };
+  for (const std::string& name : occurrences.getMemberNames()) {
+    std::vector<dispatch::StepProgress>& steps =
+      progress.mOccurrences[indexOf(name)];
+    for (const Json::Value& entry : occurrences[name]) {
+      dispatch::StepProgress step;
+      for (const char done : entry["done"].asString()) {
+        step.mDone.push_back(done == '1');
+      }
+      const Json::Value& failures = entry["failures"];
+      if (failures.isObject()) {
+        for (const std::string& index : failures.getMemberNames()) {
+          step.mFailures.emplace(indexOf(index), failures[index].asUInt());
+        }
+      }
+      const Json::Value& saved = entry["saved"];
+      if (saved.isObject()) {
+        for (const std::string& index : saved.getMemberNames()) {
+          step.mSaved.emplace(indexOf(index), saved[index].asString());
+        }
+      }
+      steps.push_back(std::move(step));
+    }
+  }
+  return progress;
+}
+
+std::string
+FormatRunners(std::span<const dispatch::RunnerSpec> aRunners)
+{
+  Json::Value value(Json::objectValue);
+  for (const dispatch::RunnerSpec& runner : aRunners) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(runner.mAddress);
+    entry.append(runner.mService);
+    entry.append(runner.mZone);
+    entry.append(runner.mRack);
+    entry.append(Json::Int64(runner.mIncarnation));
+    value[runner.mId] = entry;
+  }
+  return WriteJson(value);
+}
+
+std::vector<dispatch::RunnerSpec>
+ParseRunners(std::string_view aText)
+{
+  std::vector<dispatch::RunnerSpec> runners;
+  const std::optional<Json::Value> value = ParseObject(aText);
+  if (!value) {
+    return runners;
+  }
+  for (const std::string& id : value->getMemberNames()) {
+    const Json::Value& entry = (*value)[id];
+    if (!entry.isArray() || entry.size() < 5) {
+      continue;
+    }
+    dispatch::RunnerSpec runner;
+    runner.mId = id;
+    runner.mAddress = entry[0].asString();
+    runner.mService = entry[1].asString();
+    runner.mZone = entry[2].asString();
+    runner.mRack = entry[3].asString();
+    runner.mIncarnation = entry[4].asInt64();
+    runners.push_back(std::move(runner));
+  }
+  return runners;
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/Node.cpp
@@ -0,0 +1,339 @@
+#include <LibNode/Node.h>
+
+#include <algorithm>
+
+#include <LibTime/BootClock.h>
+
+namespace paddle {
+
+namespace {
+
+/// Before the first shards are laid out, runners get this long to register;
+/// they do so within about three seconds of the start.
+constexpr Millis kRegistrationWait{ 3500 };
+
+} // namespace
+
+Node::Node(NodeContext& aContext)
+  : mContext(aContext)
+  , mFront(aContext, mView)
+{
+}
+
+Node::~Node()
+{
+  *mAlive = false;
+}
+
+void
+Node::Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields)
+{
+  mContext.mLog->Write(aLevel, aEvent, aFields, BootTime());
+}
+
+void
+Node::Begin()
+{
+  mBeginAt = BootTime();
+}
+
+void
+Node::Tick(MonotonicTime aNow)
+{
+  const NodeSettings& settings = mContext.mSettings;
+  const bool reachable =
+    aNow - mContext.mStoreAnsweredAt < settings.mStoreFreshness;
+  if (reachable != mStoreReachable) {
+    mStoreReachable = reachable;
+    Log(LogLevel::Info, reachable ? "store_regained" : "store_lost", {});
+  }
+  if (!mHeartbeatOut && aNow >= mHeartbeatAt) {
+    Heartbeat(aNow);
+  }
+  if (!mClusterOut && aNow >= mClusterAt) {
+    ReadCluster();
+  }
+  if (!mOperatorOut && aNow >= mOperatorAt) {
+    ReadOperator();
+  }
+  const bool ownsOrMayLayOut = !mShards.empty() || mView.mShards == 0;
+  if (!mRunnersOut && aNow >= mRunnersAt && ownsOrMayLayOut) {
+    ReadRunners();
+  }
+  for (auto& [number, shard] : mShards) {
+    shard->Tick(aNow);
+  }
+  std::erase_if(mShards,
+                [](const auto& aEntry) { return aEntry.second->Lost(); });
+}
+
+void
+Node::Heartbeat(MonotonicTime aNow)
+{
+  mHeartbeatOut = true;
+  mHeartbeatAt = aNow + mContext.mSettings.mHeartbeat;
+  ++mContext.mSelf.mBeat;
+  StoreTransaction transaction;
+  if (!mDraining) {
+    transaction.mPuts.push_back({ kClusterTable,
+                                  NodeKey(mContext.mSelf.mName),
+                                  FormatNodeRow(mContext.mSelf) });
+  } else {
+    transaction.mRemovals.push_back(
+      { kClusterTable, NodeKey(mContext.mSelf.mName) });
+  }
+  std::vector<std::uint32_t> shards;
+  for (auto& [number, shard] : mShards) {
+    if (!shard->Owned() || (mDraining && !shard->Settled())) {
+      continue;
+    }
+    shards.push_back(number);
+    transaction.mChecks.push_back(
+      { kClusterTable, ShardKey(number), shard->RowVersion() });
+    transaction.mPuts.push_back(
+      { kClusterTable, ShardKey(number), FormatShardRow(shard->Row(aNow)) });
+  }
+  std::weak_ptr<bool> alive = mAlive;
+  mContext.mStore.mTransact(std::move(transaction),
+                            mContext.mSettings.mStoreTimeout,
+                            [this, alive, shards, aNow, released = mDraining](
+                              TransactionOutcome aOutcome) {
+                              if (!alive.expired()) {
+                                HandleHeartbeat(
+                                  aOutcome, shards, released, aNow);
+                              }
+                            });
+}
+
+void
+Node::HandleHeartbeat(const TransactionOutcome& aOutcome,
+                      const std::vector<std::uint32_t>& aShards,
+                      bool aReleased,
+                      MonotonicTime aSentAt)
+{
+  mHeartbeatOut = false;
+  if (aOutcome.mResult == StoreResult::Stored) {
+    for (const std::uint32_t number : aShards) {
+      const auto shard = mShards.find(number);
+      if (shard != mShards.end()) {
+        shard->second->HandleRenewed(aOutcome.mVersion, aSentAt);
+        if (aReleased) {
+          shard->second->HandleSucceeded();
+        }
+      }
+    }
+    return;
+  }
+  mHeartbeatAt = BootTime() + mContext.mSettings.mRetryPause;
+  if (aOutcome.mResult != StoreResult::Conflict) {
+    Log(LogLevel::Info, "heartbeat_not_stored", {});
+    return;
+  }
+  for (const StoreRow& row : aOutcome.mCurrent) {
+    const std::optional<ShardRow> current = ParseShardRow(row.mValue);
+    if (!current) {
+      continue;
+    }
+    const auto shard = mShards.find(current->mShard);
+    if (shard == mShards.end() || row.mVersion == shard->second->RowVersion()) {
+      continue;
+    }
+    if (current->mOwner == mContext.mSelf.mName &&
+        current->mOwnerIncarnation == mContext.mSelf.mIncarnation) {
+      // An earlier heartbeat without an answer was stored. It counts from the
+      // right that the shard has already, because its send time is not known
+      // here.
+      shard->second->AdoptRowVersion(row.mVersion);
+    } else {
+      shard->second->HandleSucceeded();
+    }
+  }
+}
+
+void
+Node::ReadCluster()
+{
+  mClusterOut = true;
+  std::weak_ptr<bool> alive = mAlive;
+  mContext.mStore.mRead(
+    kClusterTable, {}, {}, [this, alive](ReadOutcome aRead) {
+      if (alive.expired()) {
+        return;
+      }
+      mClusterOut = false;
+      const MonotonicTime now = BootTime();
+      if (aRead.mResult != ReadResult::Read) {
+        mClusterAt = now + mContext.mSettings.mRetryPause;
+        return;
+      }
+      mClusterAt = now + mContext.mSettings.mClusterPoll;
+      UpdateView(mView, aRead.mRows, now);
+      if (mView.mShards == 0) {
+        LayOut();
+      } else {
+        ClaimShards(now);
+      }
+    });
+}
+
+void
+Node::LayOut()
+{
+  const bool waited = BootTime() - mBeginAt >= kRegistrationWait;
+  if (mLayoutOut || mDraining || !waited || mRunners.empty()) {
+    return;
+  }
+  mLayoutOut = true;
+  const std::size_t perShard = mContext.mSettings.mRunnersPerShard;
+  const std::size_t shards =
+    std::max<std::size_t>(1, (mRunners.size() + perShard / 2) / perShard);
+  StoreTransaction transaction;
+  transaction.mChecks.push_back({ kClusterTable, kLayoutKey, 0 });
+  transaction.mPuts.push_back(
+    { kClusterTable,
+      kLayoutKey,
+      "{\"shards\":" + std::to_string(shards) + "}" });
+  std::weak_ptr<bool> alive = mAlive;
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    mContext.mSettings.mStoreTimeout,
+    [this, alive, shards](TransactionOutcome aOutcome) {
+      if (alive.expired()) {
+        return;
+      }
+      // Whatever the outcome, the next reading shows what is laid out.
+      mLayoutOut = false;
+      mClusterAt = BootTime();
+      if (aOutcome.mResult == StoreResult::Stored) {
+        Log(LogLevel::Info, "laid_out", "shards=" + std::to_string(shards));
+      }
+    });
+}
+
+void
+Node::ClaimShards(MonotonicTime aNow)
+{
+  if (mDraining) {
+    return;
+  }
+  for (const Claim& claim :
+       DecideClaims(mView, mContext.mSelf, mContext.mSettings.mClaims, aNow)) {
+    if (mShards.contains(claim.mShard)) {
+      continue;
+    }
+    auto shard = std::make_unique<ShardHost>(mContext, claim);
+    if (mConfiguration) {
+      shard->SetConfiguration(*mConfiguration);
+    }
+    shard->SetEvacuatedZones(mEvacuatedZones);
+    shard->Begin();
+    mShards.emplace(claim.mShard, std::move(shard));
+    mRunnersAt = aNow;
+  }
+}
+
+void
+Node::ReadOperator()
+{
+  mOperatorOut = true;
+  std::weak_ptr<bool> alive = mAlive;
+  mContext.mDirectory.mReadOperator(
+    [this, alive](std::optional<OperatorState> aState) {
+      if (alive.expired()) {
+        return;
+      }
+      mOperatorOut = false;
+      if (!aState) {
+        mOperatorAt = BootTime() + mContext.mSettings.mRetryPause;
+        return;
+      }
+      mOperatorAt = BootTime() + mContext.mSettings.mOperatorPoll;
+      std::optional<Configuration>& read = aState->mConfiguration;
+      const bool newer =
+        read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
+      if (newer) {
+        Log(LogLevel::Info,
+            "configuration_applied",
+            "version=" + std::to_string(read->mVersion) +
+              " routes=" + std::to_string(read->mRoutes.size()));
+        mConfiguration = std::move(read);
+        for (auto& [number, shard] : mShards) {
+          shard->SetConfiguration(*mConfiguration);
+        }
+      }
+      if (aState->mEvacuatedZones != mEvacuatedZones) {
+        mEvacuatedZones = aState->mEvacuatedZones;
+        std::string zones;
+        for (const std::string& zone : mEvacuatedZones) {
+          zones += (zones.empty() ? "" : ",") + zone;
+        }
+        Log(LogLevel::Info, "evacuated_data_centres", "names=" + zones);
+        for (auto& [number, shard] : mShards) {
+          shard->SetEvacuatedZones(mEvacuatedZones);
+        }
+      }
+    });
+}
+
+void
+Node::ReadRunners()
+{
+  mRunnersOut = true;
+  std::weak_ptr<bool> alive = mAlive;
+  mContext.mDirectory.mReadRunners(
+    [this, alive](std::optional<std::vector<dispatch::RunnerSpec>> aRunners) {
+      if (alive.expired()) {
+        return;
+      }
+      mRunnersOut = false;
+      if (!aRunners) {
+        mRunnersAt = BootTime() + mContext.mSettings.mRetryPause;
+        return;
+      }
+      mRunnersAt = BootTime() + mContext.mSettings.mRunnerPoll;
+      mRunners = std::move(*aRunners);
+      mRunnersRead = true;
+      for (auto& [number, shard] : mShards) {
+        shard->SetRunners(mRunners, mView.mShards);
+      }
+    });
+}
+
+void
+Node::Drain()
+{
+  mDraining = true;
+  Log(LogLevel::Info, "draining", "shards=" + std::to_string(mShards.size()));
+  for (auto& [number, shard] : mShards) {
+    shard->Retire();
+  }
+  mHeartbeatAt = {};
+}
+
+bool
+Node::Drained() const
+{
+  return mShards.empty();
+}
+
+bool
+Node::Ready() const
+{
+  return !mDraining && mConfiguration && mView.mShards > 0 &&
+         BootTime() - mContext.mStoreAnsweredAt <
+           mContext.mSettings.mStoreFreshness;
+}
+
+const std::optional<Configuration>&
+Node::Config() const
+{
+  return mConfiguration;
+}
+
+Front&
+Node::Clients()
+{
+  return mFront;
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/NodeContext.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <string>
+
+#include <LibAsyncHttp/Deadlines.h>
+#include <LibBase/EventLog.h>
+#include <LibBase/Metrics.h>
+#include <LibDispatch/DispatchSettings.h>
+#include <LibNode/Cluster.h>
+#include <LibNode/DirectoryPort.h>
+#include <LibNode/RunnerPort.h>
+#include <LibNode/StorePort.h>
+
+namespace paddle {
+
+/// Times that this node keeps. Bounds of the deployment replace defaults.
+struct NodeSettings
+{
+  ClaimSettings mClaims;
+  dispatch::DispatchSettings mDispatch;
+  /// Interval of a node's own row and of the rows of its shards.
+  Millis mHeartbeat{ 1000 };
+  /// Interval of reading the cluster, and of what the operator asks for; the
+  /// tightest bound on it is 2.5 s from a change to its effect.
+  Millis mClusterPoll{ 700 };
+  Millis mOperatorPoll{ 800 };
+  /// Interval of reading the list of runners; a draining runner must get no
+  /// start 2.5 s after its notice.
+  Millis mRunnerPoll{ 900 };
+  /// An owner gives orders until this long after it last renewed its row. It
+  /// covers a store outage of nine seconds.
+  Millis mRightToAct{ 10000 };
+  /// Time for the runners to answer a new owner's first order, several times
+  /// the longest round trip of 24 ms.
+  Millis mFenceWait{ 300 };
+  /// Changes of progress wait this long to share a transaction.
+  Millis mCommitDelay{ 80 };
+  Millis mStoreTimeout{ 1500 };
+  Millis mRetryPause{ 150 };
+  /// This node serves clients only if the store answered it this recently.
+  Millis mStoreFreshness{ 2500 };
+  /// A shard holds about this many runners.
+  std::uint32_t mRunnersPerShard = 110;
+  /// The longest wait of a client for an answer that is still open.
+  Millis mLongestAnswer{ 2500 };
+  /// Refused clients are asked to come back after this.
+  Seconds mRetryAfter{ 1 };
+  /// Terminal states are answered for this long at least.
+  Seconds mStatusKept{ 120 };
+};
+
+/// What the parts of a node share. It outlives them.
+struct NodeContext
+{
+  NodeRow mSelf;
+  NodeSettings mSettings;
+  StorePort mStore;
+  RunnerPort mRunners;
+  DirectoryPort mDirectory;
+  Deadlines* mDeadlines = nullptr;
+  EventLog* mLog = nullptr;
+  Metrics* mMetrics = nullptr;
+  MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
+};
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -0,0 +1,190 @@
+#include <LibNode/JobRows.h>
+#include <LibNode/ShardState.h>
+#include <LibTime/BootClock.h>
+
+#include <algorithm>
+
+namespace paddle {
+
+namespace {
+
+/// A transaction holds at most 100 entries; a job takes up to four, and the
+/// chain two.
+constexpr std::size_t kJobsPerTransaction = 24;
+
+} // namespace
+
+void
+ShardHost::State::BeginCommit(MonotonicTime aNow)
+{
+  if (mLost || mTransactionOut || aNow < mRetryAt) {
+    return;
+  }
+  if (!mTransactions.empty()) {
+    SendNextTransaction();
+    return;
+  }
+  if (mCore.mDirty.empty()) {
+    mDirtySince = {};
+    return;
+  }
+  if (mDirtySince == MonotonicTime{}) {
+    mDirtySince = aNow;
+  }
+  const bool due = mCore.mCommitUrgent || mRetired ||
+                   aNow - mDirtySince >= mContext.mSettings.mCommitDelay;
+  // Jobs are not given up before it is known what an earlier owner left.
+  if (!due || mCommit) {
+    return;
+  }
+  mDirtySince = {};
+  mCommit = dispatch::TakeCommit(mCore);
+  mCommitPhases.clear();
+  const std::string progress = ProgressTable(mClaim.mShard);
+  const std::string inbox = InboxTable(mClaim.mShard);
+  StoreTransaction transaction;
+  std::size_t jobs = 0;
+  for (const dispatch::Job* job : mCommit->mJobs) {
+    const std::string& id = job->mSpec.mId;
+    mCommitPhases.push_back(job->mPhase);
+    if (job->mPhase == dispatch::JobPhase::Active) {
+      transaction.mPuts.push_back(
+        { progress,
+          kJobPrefix + id,
+          FormatProgress(dispatch::ProgressOf(*job)) });
+    } else {
+      const JobStatus status{
+        mClaim.mShard, job->mSpec.mQueue, job->mPhase, job->mBegan
+      };
+      transaction.mPuts.push_back({ kStatusTable, id, FormatStatus(status) });
+      transaction.mRemovals.push_back({ progress, kJobPrefix + id });
+      transaction.mRemovals.push_back({ inbox, kAcceptedPrefix + id });
+      transaction.mRemovals.push_back({ inbox, kCancelPrefix + id });
+      Log(LogLevel::Info,
+          "job_ended",
+          "job=" + id + " phase=" +
+            (job->mPhase == dispatch::JobPhase::Completed   ? "completed"
+             : job->mPhase == dispatch::JobPhase::Cancelled ? "cancelled"
+                                                            : "failed") +
+            " age_ms=" +
+            std::to_string(
+              std::chrono::duration_cast<Millis>(aNow - job->mAcceptedAt)
+                .count()));
+    }
+    if (++jobs == kJobsPerTransaction) {
+      mTransactions.push_back(std::move(transaction));
+      transaction = {};
+      jobs = 0;
+    }
+  }
+  if (jobs > 0) {
+    mTransactions.push_back(std::move(transaction));
+  }
+  SendNextTransaction();
+}
+
+void
+ShardHost::State::SendNextTransaction()
+{
+  StoreTransaction transaction = mTransactions.front();
+  const std::string progress = ProgressTable(mClaim.mShard);
+  transaction.mChecks.push_back({ progress, kChainKey, mChainVersion });
+  transaction.mPuts.push_back({ progress,
+                                kChainKey,
+                                mContext.mSelf.mName + "/" +
+                                  std::to_string(mClaim.mEpoch) + "/" +
+                                  std::to_string(mChainNumber + 1) });
+  mTransactionOut = true;
+  const MonotonicTime sentAt = BootTime();
+  auto self = shared_from_this();
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    mContext.mSettings.mStoreTimeout,
+    [self, sentAt](TransactionOutcome aOutcome) {
+      if (self->mLost) {
+        return;
+      }
+      self->mContext.mMetrics->Observe(
+        "commit", std::chrono::duration_cast<Micros>(BootTime() - sentAt));
+      self->HandleTransaction(aOutcome);
+    });
+}
+
+void
+ShardHost::State::HandleTransaction(const TransactionOutcome& aOutcome)
+{
+  mTransactionOut = false;
+  std::int64_t stored = 0;
+  if (aOutcome.mResult == StoreResult::Stored) {
+    stored = aOutcome.mVersion;
+  } else if (aOutcome.mResult == StoreResult::Conflict) {
+    const std::string ours = mContext.mSelf.mName + "/" +
+                             std::to_string(mClaim.mEpoch) + "/" +
+                             std::to_string(mChainNumber + 1);
+    for (const StoreRow& row : aOutcome.mCurrent) {
+      // An earlier send of this same transaction was carried out after all.
+      if (row.mKey == kChainKey && row.mValue == ours) {
+        stored = row.mVersion;
+      }
+    }
+    if (stored == 0) {
+      Lose("chain_replaced");
+      return;
+    }
+  }
+  if (stored == 0) {
+    Log(LogLevel::Warning,
+        "commit_retry",
+        aOutcome.mResult == StoreResult::Unknown ? "cause=no_answer"
+                                                 : "cause=refused");
+    mRetryAt = BootTime() + mContext.mSettings.mRetryPause;
+    return;
+  }
+  mChainVersion = stored;
+  ++mChainNumber;
+  mTransactions.pop_front();
+  if (mStoringRunners && mTransactions.empty() && !mCommit) {
+    mStoringRunners = false;
+    for (const dispatch::RunnerSpec& runner : mRunnersBeingStored) {
+      mStoredRunners.insert(runner.mId);
+    }
+    ApplyRunners();
+  } else if (mTransactions.empty() && mCommit) {
+    const dispatch::Commit commit = std::move(*mCommit);
+    mCommit.reset();
+    dispatch::HandleCommitted(mCore, commit, mCommitPhases);
+  }
+  if (!mTransactions.empty()) {
+    SendNextTransaction();
+  } else if (mCore.mCommitUrgent) {
+    BeginCommit(BootTime());
+  }
+}
+
+void
+ShardHost::State::StoreRunners()
+{
+  if (mTransactionOut || !mTransactions.empty() || mCommit || mRetired) {
+    return; // The next reading of the list tries again.
+  }
+  mRunnersBeingStored = mListed;
+  for (const dispatch::RunnerIndex index : dispatch::RunnersInUse(mCore)) {
+    const dispatch::Runner& runner = mCore.mRunners[index];
+    const bool listed =
+      std::any_of(mListed.begin(), mListed.end(), [&](const auto& aSpec) {
+        return aSpec.mId == runner.mSpec.mId;
+      });
+    if (!listed) {
+      mRunnersBeingStored.push_back(runner.mSpec);
+    }
+  }
+  mStoringRunners = true;
+  StoreTransaction transaction;
+  transaction.mPuts.push_back({ ProgressTable(mClaim.mShard),
+                                kRunnersKey,
+                                FormatRunners(mRunnersBeingStored) });
+  mTransactions.push_back(std::move(transaction));
+  SendNextTransaction();
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -0,0 +1,264 @@
+#include <LibNode/ShardState.h>
+#include <LibTime/BootClock.h>
+
+#include <algorithm>
+
+namespace paddle {
+
+namespace {
+
+/// Pause before a runner that did not answer is asked again; doubles.
+constexpr Millis kFirstBackoff{ 100 };
+constexpr Millis kLongestBackoff{ 800 };
+/// Pause after a renewal that came back early without news: ends that are not
+/// stored yet are listed again at once.
+constexpr Millis kEarlyPause{ 40 };
+
+} // namespace
+
+RunnerTarget
+ShardHost::State::TargetOf(dispatch::RunnerIndex aRunner) const
+{
+  const dispatch::RunnerSpec& spec = mCore.mRunners[aRunner].mSpec;
+  return { spec.mAddress, spec.mId };
+}
+
+RunnerLink&
+ShardHost::State::LinkOf(dispatch::RunnerIndex aRunner)
+{
+  if (mLinks.size() <= aRunner) {
+    mLinks.resize(aRunner + 1);
+  }
+  return mLinks[aRunner];
+}
+
+void
+ShardHost::State::ApplyRunners()
+{
+  if (mStage != ShardStage::Serving || !mListedRead) {
+    return;
+  }
+  std::vector<dispatch::RunnerSpec> known;
+  bool unknown = false;
+  for (const dispatch::RunnerSpec& runner : mListed) {
+    if (mStoredRunners.contains(runner.mId)) {
+      known.push_back(runner);
+    } else {
+      unknown = true;
+    }
+  }
+  dispatch::Actions actions;
+  dispatch::SetRunners(mCore, known, BootTime(), actions);
+  Perform(actions);
+  if (unknown) {
+    StoreRunners();
+  }
+}
+
+void
+ShardHost::State::Renew(dispatch::RunnerIndex aRunner, MonotonicTime aNow)
+{
+  RunnerLink& link = LinkOf(aRunner);
+  link.mInFlight = true;
+  link.mKick = false;
+  link.mSentAt = aNow;
+  const dispatch::RenewalPlan plan =
+    dispatch::PlanRenewal(mCore, aRunner, aNow);
+  const RenewOrder order{
+    mCore.mEpoch, plan.mAcknowledge, plan.mLeaseEndMs, plan.mWait
+  };
+  auto self = shared_from_this();
+  mContext.mRunners.mRenew(
+    TargetOf(aRunner),
+    order,
+    [self, aRunner, aNow, wait = plan.mWait](RenewOutcome aOutcome) {
+      if (!self->mLost) {
+        self->HandleRenewal(aRunner, aOutcome, aNow, wait);
+      }
+    });
+}
+
+void
+ShardHost::State::HandleRenewal(dispatch::RunnerIndex aRunner,
+                                const RenewOutcome& aOutcome,
+                                MonotonicTime aSentAt,
+                                Millis aWait)
+{
+  const MonotonicTime now = BootTime();
+  RunnerLink& link = LinkOf(aRunner);
+  link.mInFlight = false;
+  if (aOutcome.mResult == OrderResult::Fenced) {
+    Lose("fenced");
+    return;
+  }
+  if (aOutcome.mResult != OrderResult::Done) {
+    link.mBackoff =
+      std::clamp(link.mBackoff * 2, kFirstBackoff, kLongestBackoff);
+    link.mNextAt = now + link.mBackoff;
+    return;
+  }
+  link.mBackoff = Millis(0);
+  link.mAnswered = true;
+  if (mStage != ShardStage::Serving) {
+    // The answer fences the runner. Its lists are read again once the jobs are
+    // known.
+    link.mNextAt = now;
+    if (mStage == ShardStage::Fencing &&
+        std::all_of(mLinks.begin(), mLinks.end(), [](const RunnerLink& aLink) {
+          return aLink.mAnswered;
+        })) {
+      mFencedAt = now;
+    }
+    return;
+  }
+  dispatch::Actions actions;
+  const std::int64_t processed = mCore.mRunners[aRunner].mProcessedEnds;
+  dispatch::HandleReport(
+    mCore, aRunner, aOutcome.mReport, aSentAt, now, actions);
+  const bool news = mCore.mRunners[aRunner].mProcessedEnds != processed;
+  if (MayAct(now)) {
+    dispatch::PlaceWaiting(mCore, now, actions);
+  }
+  Perform(actions);
+  if (mCore.mCommitUrgent) {
+    BeginCommit(now);
+  }
+  const dispatch::Runner& runner = mCore.mRunners[aRunner];
+  const bool watched = !runner.mTasks.empty() || !runner.mOrphans.empty();
+  if (!watched && runner.mUnstoredEnds.empty()) {
+    link.mNextAt = now + mCore.mSettings.mIdleLook;
+    return;
+  }
+  const bool early = now - aSentAt < aWait / 2;
+  link.mNextAt = early && !news && !link.mKick ? now + kEarlyPause : now;
+  if (link.mNextAt <= now && MayAct(now)) {
+    Renew(aRunner, now);
+  }
+}
+
+void
+ShardHost::State::Perform(dispatch::Actions& aActions)
+{
+  if (aActions.empty() || !MayAct(BootTime())) {
+    return;
+  }
+  for (const dispatch::Action& action : aActions) {
+    if (const auto* start = std::get_if<dispatch::StartTask>(&action)) {
+      PerformStart(*start);
+    } else if (const auto* stop = std::get_if<dispatch::StopTask>(&action)) {
+      PerformStop(*stop);
+    } else if (const auto* pace = std::get_if<dispatch::PaceTask>(&action)) {
+      PerformPace(*pace);
+    }
+  }
+}
+
+void
+ShardHost::State::PerformStart(const dispatch::StartTask& aStart)
+{
+  const dispatch::TaskRef& ref = aStart.mTask;
+  const dispatch::TaskName name = dispatch::NameOf(ref);
+  const std::string text = dispatch::FormatTaskName(name);
+  const dispatch::Task& task = dispatch::TaskOf(ref);
+  StartOrder order{ text,
+                    aStart.mRun,
+                    ref.mJob->mSpec.mPayload,
+                    aStart.mLeaseEndMs,
+                    mCore.mEpoch,
+                    task.mSaved,
+                    {} };
+  const MonotonicTime sentAt = BootTime();
+  auto self = shared_from_this();
+  mContext.mRunners.mStart(
+    TargetOf(aStart.mRunner),
+    std::move(order),
+    [self, name, text, run = aStart.mRun, index = aStart.mRunner, sentAt](
+      OrderResult aResult) {
+      if (self->mLost) {
+        return;
+      }
+      if (aResult == OrderResult::Fenced) {
+        self->Lose("fenced");
+        return;
+      }
+      dispatch::StartResult result = dispatch::StartResult::Refused;
+      if (aResult == OrderResult::Done) {
+        result = dispatch::StartResult::Started;
+      } else if (aResult == OrderResult::Unhealthy) {
+        result = dispatch::StartResult::Unhealthy;
+      } else if (aResult == OrderResult::Unknown) {
+        result = dispatch::StartResult::Unknown;
+      }
+      const MonotonicTime now = BootTime();
+      if (result != dispatch::StartResult::Started) {
+        self->Log(LogLevel::Info,
+                  "start_not_done",
+                  "job=" + name.mJob + " task=" + text +
+                    " run=" + std::to_string(run) +
+                    " runner=" + self->mCore.mRunners[index].mSpec.mId +
+                    " result=" + std::to_string(static_cast<int>(aResult)));
+      }
+      self->mContext.mMetrics->Observe(
+        "start_answer", std::chrono::duration_cast<Micros>(now - sentAt));
+      dispatch::Actions actions;
+      dispatch::HandleStartResult(
+        self->mCore, index, name, run, result, now, actions);
+      self->Perform(actions);
+    });
+  // Its end must be seen at once. A renewal that is out already was sent
+  // without it, and returns within its wait.
+  RunnerLink& link = LinkOf(aStart.mRunner);
+  if (!link.mInFlight) {
+    link.mNextAt = sentAt;
+  }
+}
+
+void
+ShardHost::State::PerformStop(const dispatch::StopTask& aStop)
+{
+  auto self = shared_from_this();
+  mContext.mRunners.mStop(
+    TargetOf(aStop.mRunner),
+    { dispatch::FormatTaskName(aStop.mTask), aStop.mRun, mCore.mEpoch, 0 },
+    [self, aStop](OrderResult aResult) {
+      if (self->mLost) {
+        return;
+      }
+      if (aResult == OrderResult::Fenced) {
+        self->Lose("fenced");
+        return;
+      }
+      if (aResult != OrderResult::Done) {
+        return; // It is repeated until the run's end is known.
+      }
+      dispatch::HandleStopAnswered(
+        self->mCore, aStop.mRunner, aStop.mTask, aStop.mRun, BootTime());
+      RunnerLink& link = self->LinkOf(aStop.mRunner);
+      link.mKick = true;
+      if (!link.mInFlight) {
+        link.mNextAt = BootTime();
+      }
+    });
+}
+
+void
+ShardHost::State::PerformPace(const dispatch::PaceTask& aPace)
+{
+  auto self = shared_from_this();
+  mContext.mRunners.mPace(
+    TargetOf(aPace.mRunner),
+    { dispatch::FormatTaskName(aPace.mTask),
+      aPace.mRun,
+      mCore.mEpoch,
+      aPace.mPercent },
+    [self, aPace](OrderResult aResult) {
+      if (!self->mLost && aResult != OrderResult::Done) {
+        self->Log(LogLevel::Info,
+                  "pace_not_done",
+                  "task=" + dispatch::FormatTaskName(aPace.mTask) +
+                    " result=" + std::to_string(static_cast<int>(aResult)));
+      }
+    });
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/ShardState.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <LibDispatch/Dispatcher.h>
+#include <LibNode/NodeContext.h>
+#include <LibNode/ShardHost.h>
+
+namespace paddle {
+
+/// Keys of a shard's progress table beside those of its jobs.
+inline constexpr const char* kChainKey = "chain";
+inline constexpr const char* kRunnersKey = "runners";
+inline constexpr const char* kJobPrefix = "job/";
+/// Keys of a shard's inbox.
+inline constexpr const char* kAcceptedPrefix = "accepted/";
+inline constexpr const char* kCancelPrefix = "cancel/";
+/// Table of what any node answers about a job.
+inline constexpr const char* kStatusTable = "jobs";
+
+std::string
+InboxTable(std::uint32_t aShard);
+std::string
+ProgressTable(std::uint32_t aShard);
+
+/// The steps of taking a shard.
+enum class ShardStage
+{
+  Claiming,
+  ReadingRunners, ///< Which runners an earlier owner used.
+  Fencing,        ///< First renewals under the new epoch are out.
+  ReadingJobs,
+  Serving
+};
+
+struct RunnerLink
+{
+  bool mInFlight = false;
+  bool mKick = false; ///< Renew again as soon as the present one is answered.
+  bool mAnswered = false;
+  MonotonicTime mNextAt;
+  MonotonicTime mSentAt;
+  Millis mBackoff{ 0 };
+};
+
+/// State of one shard's host, shared with the handlers of its calls.
+struct ShardHost::State : std::enable_shared_from_this<State>
+{
+  State(NodeContext& aContext, const Claim& aClaim);
+
+  // Taking the shard (ShardTaking.cpp).
+  void SendClaim();
+  void ReadProgress(std::string aFrom);
+  void BeginFence(MonotonicTime aNow);
+  void ReadInbox(std::string aFrom);
+  void LoadJobs();
+  void BeginServing(MonotonicTime aNow);
+
+  // The inbox (ShardInbox.cpp).
+  void FollowInbox();
+  void RereadInbox(std::string aFrom);
+  void ApplyInboxRow(const StoreRow& aRow, dispatch::History aHistory);
+
+  // Runners (ShardRunners.cpp).
+  void ApplyRunners();
+  void Renew(dispatch::RunnerIndex aRunner, MonotonicTime aNow);
+  void HandleRenewal(dispatch::RunnerIndex aRunner,
+                     const RenewOutcome& aOutcome,
+                     MonotonicTime aSentAt,
+                     Millis aWait);
+  void Perform(dispatch::Actions& aActions);
+  void PerformStart(const dispatch::StartTask& aStart);
+  void PerformStop(const dispatch::StopTask& aStop);
+  void PerformPace(const dispatch::PaceTask& aPace);
+  RunnerTarget TargetOf(dispatch::RunnerIndex aRunner) const;
+  RunnerLink& LinkOf(dispatch::RunnerIndex aRunner);
+
+  // Progress (ShardCommits.cpp).
+  void BeginCommit(MonotonicTime aNow);
+  void SendNextTransaction();
+  void HandleTransaction(const TransactionOutcome& aOutcome);
+  void StoreRunners();
+
+  void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
+  void Lose(std::string_view aReason);
+  [[nodiscard]] bool MayAct(MonotonicTime aNow) const;
+
+  NodeContext& mContext;
+  Claim mClaim;
+  ShardStage mStage = ShardStage::Claiming;
+  bool mLost = false;
+  bool mRetired = false;
+  std::int64_t mRowVersion = 0;
+  std::uint64_t mBeat = 0;
+  MonotonicTime mRightUntil;
+  MonotonicTime mFencedAt;
+
+  dispatch::Dispatcher mCore;
+  std::vector<RunnerLink> mLinks;
+  std::vector<dispatch::RunnerSpec> mListed; ///< Latest reading of this shard.
+  bool mListedRead = false;
+  std::set<std::string> mStoredRunners;
+  std::vector<StoreRow> mProgressRows;
+  std::vector<StoreRow> mInboxRows;
+  std::int64_t mInboxVersion = 0;
+
+  /// Version of the row that every transaction of this shard replaces, so that
+  /// a late one of a former owner, or of our own, never applies.
+  std::int64_t mChainVersion = 0;
+  std::uint64_t mChainNumber = 0;
+  std::deque<StoreTransaction> mTransactions; ///< Of the commit under way.
+  std::optional<dispatch::Commit> mCommit;
+  std::vector<dispatch::JobPhase> mCommitPhases;
+  bool mTransactionOut = false;
+  bool mStoringRunners = false;
+  MonotonicTime mRetryAt;
+  MonotonicTime mDirtySince;
+  std::vector<dispatch::RunnerSpec> mRunnersBeingStored;
+};
+
+} // namespace paddle
--- /dev/null
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -0,0 +1,174 @@
+#include <LibNode/JobRows.h>
+#include <LibNode/ShardState.h>
+#include <LibTime/BootClock.h>
+
+namespace paddle {
+
+void
+ShardHost::State::SendClaim()
+{
+  ShardRow row;
+  row.mShard = mClaim.mShard;
+  row.mOwner = mContext.mSelf.mName;
+  row.mOwnerIncarnation = mContext.mSelf.mIncarnation;
+  row.mEpoch = mClaim.mEpoch;
+  StoreTransaction transaction;
+  transaction.mChecks.push_back(
+    { kClusterTable, ShardKey(mClaim.mShard), mClaim.mRowVersion });
+  transaction.mPuts.push_back(
+    { kClusterTable, ShardKey(mClaim.mShard), FormatShardRow(row) });
+  transaction.mPuts.push_back(
+    { ProgressTable(mClaim.mShard),
+      kChainKey,
+      mContext.mSelf.mName + "/" + std::to_string(mClaim.mEpoch) });
+  const MonotonicTime sentAt = BootTime();
+  auto self = shared_from_this();
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    mContext.mSettings.mStoreTimeout,
+    [self, sentAt](TransactionOutcome aOutcome) {
+      if (self->mLost) {
+        return;
+      }
+      if (aOutcome.mResult != StoreResult::Stored) {
+        // NOTE: A claim without an answer may be stored. The next reading of
+        // the cluster shows it, and this node then claims once more.
+        self->Lose("claim_not_stored");
+        return;
+      }
+      self->mRowVersion = aOutcome.mVersion;
+      self->mChainVersion = aOutcome.mVersion;
+      self->mRightUntil = sentAt + self->mContext.mSettings.mRightToAct;
+      self->mCore.mTakenAt = BootTime();
+      self->mStage = ShardStage::ReadingRunners;
+      self->Log(LogLevel::Info,
+                "shard_claimed",
+                self->mClaim.mFormerOwnerMayAct ? "former_owner=maybe_alive"
+                                                : "former_owner=gone");
+      self->ReadProgress({});
+    });
+}
+
+void
+ShardHost::State::ReadProgress(std::string aFrom)
+{
+  auto self = shared_from_this();
+  mContext.mStore.mRead(
+    ProgressTable(mClaim.mShard), aFrom, {}, [self, aFrom](ReadOutcome aRead) {
+      if (self->mLost) {
+        return;
+      }
+      if (aRead.mResult != ReadResult::Read) {
+        self->mContext.mDeadlines->Add(
+          BootTime() + self->mContext.mSettings.mRetryPause,
+          [self, aFrom] { self->ReadProgress(aFrom); });
+        return;
+      }
+      for (StoreRow& row : aRead.mRows) {
+        self->mProgressRows.push_back(std::move(row));
+      }
+      if (aRead.mMore && !self->mProgressRows.empty()) {
+        self->ReadProgress(self->mProgressRows.back().mKey + '\0');
+        return;
+      }
+      self->BeginFence(BootTime());
+    });
+}
+
+void
+ShardHost::State::BeginFence(MonotonicTime aNow)
+{
+  const NodeSettings& settings = mContext.mSettings;
+  for (const StoreRow& row : mProgressRows) {
+    if (row.mKey != kRunnersKey) {
+      continue;
+    }
+    for (const dispatch::RunnerSpec& runner : ParseRunners(row.mValue)) {
+      dispatch::AddFormerRunner(mCore, runner, aNow);
+      mStoredRunners.insert(runner.mId);
+    }
+  }
+  // What an unreachable runner was last granted has ended once the former
+  // owner's right to act and the longest lease are over.
+  Millis unheard = settings.mDispatch.mLapseMargin;
+  if (!mCore.mRunners.empty()) {
+    unheard += Millis(static_cast<Millis::rep>(
+      static_cast<double>(settings.mDispatch.mLongestLease.count()) *
+      settings.mDispatch.mClockDrift));
+    if (mClaim.mFormerOwnerMayAct) {
+      unheard += settings.mRightToAct;
+    }
+  }
+  mCore.mUnheardUntil = aNow + unheard;
+  mStage = ShardStage::Fencing;
+  mFencedAt = aNow + settings.mFenceWait;
+  for (dispatch::RunnerIndex i = 0; i < mCore.mRunners.size(); ++i) {
+    Renew(i, aNow);
+  }
+  if (mCore.mRunners.empty()) {
+    mFencedAt = aNow;
+  }
+}
+
+void
+ShardHost::State::ReadInbox(std::string aFrom)
+{
+  auto self = shared_from_this();
+  mContext.mStore.mRead(
+    InboxTable(mClaim.mShard), aFrom, {}, [self, aFrom](ReadOutcome aRead) {
+      if (self->mLost) {
+        return;
+      }
+      if (aRead.mResult != ReadResult::Read) {
+        self->mContext.mDeadlines->Add(
+          BootTime() + self->mContext.mSettings.mRetryPause,
+          [self, aFrom] { self->ReadInbox(aFrom); });
+        return;
+      }
+      if (self->mInboxVersion == 0) {
+        // Changes are followed from the first page on.
+        self->mInboxVersion = aRead.mVersion;
+      }
+      for (StoreRow& row : aRead.mRows) {
+        self->mInboxRows.push_back(std::move(row));
+      }
+      if (aRead.mMore && !self->mInboxRows.empty()) {
+        self->ReadInbox(self->mInboxRows.back().mKey + '\0');
+        return;
+      }
+      self->LoadJobs();
+    });
+}
+
+void
+ShardHost::State::LoadJobs()
+{
+  const bool neverOwned = mClaim.mRowVersion == 0;
+  const dispatch::History history =
+    neverOwned ? dispatch::History::None : dispatch::History::Possible;
+  for (const StoreRow& row : mInboxRows) {
+    ApplyInboxRow(row, history);
+  }
+  Log(LogLevel::Info,
+      "shard_read",
+      "jobs=" + std::to_string(mCore.mJobs.size()) +
+        " former_runners=" + std::to_string(mCore.mRunners.size()));
+  mInboxRows.clear();
+  mInboxRows.shrink_to_fit();
+  mProgressRows.clear();
+  mProgressRows.shrink_to_fit();
+  BeginServing(BootTime());
+}
+
+void
+ShardHost::State::BeginServing(MonotonicTime aNow)
+{
+  mStage = ShardStage::Serving;
+  for (RunnerLink& link : mLinks) {
+    link.mNextAt = aNow;
+  }
+  ApplyRunners();
+  FollowInbox();
+}
+
+} // namespace paddle
--- /dev/null
+++ b/Services/Node/NodeProcess.cpp
@@ -0,0 +1,287 @@
+// Boost 1.74's coroutine support needs <utility> before Asio.
+#include <utility>
+
+#include "NodeProcess.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <memory>
+
+#include <LibAsyncHttp/HttpServer.h>
+#include <LibNode/Node.h>
+#include <LibTime/BootClock.h>
+
+#include "../../platform/ClientCalls.h"
+#include "../../platform/Directory.h"
+#include "../../platform/Process.h"
+#include "../../platform/RunnerClient.h"
+#include "../../platform/StoreClient.h"
+
+namespace paddle {
+
+namespace {
+
+/// Deadlines and polls are checked this often; each wake-up is paid for.
+constexpr Millis kTick{ 25 };
+/// The balancer notices within two seconds that a node is not ready, and may
+/// send clients until then.
+constexpr Millis kServeWhileDraining{ 3300 };
+/// Kept between the end of a drain and the end of the grace.
+constexpr Millis kGraceMargin{ 900 };
+
+/// One process: an event loop with all parts of a node.
+class Process
+{
+public:
+  Process(const platform::Settings& aSettings, const std::string& aPath);
+  int Run();
+
+private:
+  void ServeClients(HttpIncoming aRequest, ReplyHandler aReply);
+  void ServeReadiness(const HttpIncoming& aRequest, const ReplyHandler& aReply);
+  void WaitForTick();
+  void WaitForSignal();
+  void HandleSignal(int aSignal);
+  void UpdateLimits();
+  [[nodiscard]] bool MayEnd(MonotonicTime aNow) const;
+
+  boost::asio::io_context mLoop{ 1 };
+  boost::asio::steady_timer mTimer{ mLoop };
+  boost::asio::signal_set mSignals{ mLoop, SIGTERM, SIGINT, SIGHUP };
+  Deadlines mDeadlines;
+  platform::Settings mSettings;
+  std::string mPath;
+  EventLog mLog;
+  Metrics mMetrics;
+  NodeContext mContext;
+  platform::StoreClient mStore;
+  platform::RunnerClient mRunners;
+  AsyncHttpServer mClients;
+  AsyncHttpServer mReadiness;
+  std::unique_ptr<Node> mNode;
+  std::int64_t mLimitsVersion = 0;
+  bool mDraining = false;
+  MonotonicTime mDrainedAt;
+};
+
+Process::Process(const platform::Settings& aSettings, const std::string& aPath)
+  : mSettings(aSettings)
+  , mPath(aPath)
+  , mLog("node", {})
+  , mStore(
+      mLoop,
+      mDeadlines,
+      aSettings.mStoreAddress,
+      [this] { mContext.mStoreAnsweredAt = BootTime(); },
+      [this](const std::string& aProblem) {
+        mLog.Write(
+          LogLevel::Warning, "store_answer_unusable", aProblem, BootTime());
+      })
+  , mRunners(mLoop,
+             mDeadlines,
+             [this](const std::string& aProblem) {
+               mLog.Write(LogLevel::Warning,
+                          "runner_answer_unusable",
+                          aProblem,
+                          BootTime());
+             })
+  , mClients(mLoop,
+             mDeadlines,
+             {},
+             [this](HttpIncoming aRequest, ReplyHandler aReply) {
+               ServeClients(std::move(aRequest), std::move(aReply));
+             })
+  , mReadiness(
+      mLoop,
+      mDeadlines,
+      {},
+      [this](const HttpIncoming& aRequest, const ReplyHandler& aReply) {
+        ServeReadiness(aRequest, aReply);
+      })
+{
+  mContext.mSelf.mName = mSettings.mNodeName;
+  mContext.mSelf.mZone = mSettings.mZone;
+  mContext.mSelf.mRegion = mSettings.mRegion;
+  mContext.mSelf.mIncarnation = UnixMs();
+  mContext.mSelf.mMilliCores = mSettings.mMilliCores;
+  mContext.mSettings.mDispatch = mSettings.mDispatch;
+  mContext.mStore = mStore.Port();
+  mContext.mRunners = mRunners.Port();
+  mContext.mDirectory = platform::MakeDirectoryPort(
+    mContext.mStore, [this](const std::string& aProblem) {
+      mLog.Write(
+        LogLevel::Warning, "directory_entry_unusable", aProblem, BootTime());
+    });
+  mContext.mDeadlines = &mDeadlines;
+  mContext.mLog = &mLog;
+  mContext.mMetrics = &mMetrics;
+  mNode = std::make_unique<Node>(mContext);
+}
+
+void
+Process::ServeClients(HttpIncoming aRequest, ReplyHandler aReply)
+{
+  const MonotonicTime begin = BootTime();
+  platform::HandleClientCall(
+    *mNode,
+    mContext.mSettings,
+    aRequest,
+    [this, begin, method = aRequest.mMethod, reply = std::move(aReply)](
+      HttpReply aAnswer) {
+      mMetrics.Observe("client_" + method,
+                       std::chrono::duration_cast<Micros>(BootTime() - begin));
+      mMetrics.Count("client_" + method + "_" +
+                     std::to_string(aAnswer.mStatus));
+      reply(std::move(aAnswer));
+    });
+}
+
+void
+Process::ServeReadiness(const HttpIncoming& aRequest,
+                        const ReplyHandler& aReply)
+{
+  if (aRequest.mTarget == platform::kReadinessPath) {
+    aReply({ mNode->Ready() ? 200 : 503, {}, {}, {} });
+    return;
+  }
+  if (aRequest.mTarget == "/metrics") {
+    aReply({ 200, "text/plain", mMetrics.Page(), {} });
+    return;
+  }
+  aReply({ 404, {}, {}, {} });
+}
+
+void
+Process::UpdateLimits()
+{
+  const std::optional<Configuration>& configuration = mNode->Config();
+  if (!configuration || configuration->mVersion == mLimitsVersion) {
+    return;
+  }
+  mLimitsVersion = configuration->mVersion;
+  const ClientLimits& limits = configuration->mLimits;
+  HttpLimits http;
+  http.mHeaderBytes = limits.mHeaderBytes;
+  http.mBodyBytes = limits.mBodyBytes;
+  http.mRequestTimeout = limits.mRequestTimeout;
+  http.mIdleTimeout = limits.mIdleTimeout;
+  mClients.SetLimits(http);
+}
+
+bool
+Process::MayEnd(MonotonicTime aNow) const
+{
+  const Millis latest = mSettings.mGrace - kGraceMargin;
+  const Millis since = std::chrono::duration_cast<Millis>(aNow - mDrainedAt);
+  if (since >= latest) {
+    return true;
+  }
+  return since >= kServeWhileDraining && mNode->Drained() &&
+         mClients.Active() == 0;
+}
+
+void
+Process::WaitForTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const MonotonicTime now = BootTime();
+    mDeadlines.Expire(now);
+    mNode->Tick(now);
+    UpdateLimits();
+    mLog.Flush(now);
+    if (mDraining && MayEnd(now)) {
+      mLog.Write(LogLevel::Info, "stopped", {}, now);
+      mLog.Flush(now);
+      mLoop.stop();
+      return;
+    }
+    WaitForTick();
+  });
+}
+
+void
+Process::WaitForSignal()
+{
+  mSignals.async_wait(
+    [this](const boost::system::error_code& aError, int aSignal) {
+      if (!aError) {
+        HandleSignal(aSignal);
+        WaitForSignal();
+      }
+    });
+}
+
+void
+Process::HandleSignal(int aSignal)
+{
+  const MonotonicTime now = BootTime();
+  if (aSignal == SIGHUP) {
+    const Outcome<platform::Settings> settings = platform::ReadSettings(mPath);
+    if (!Succeeded(settings)) {
+      mLog.Write(LogLevel::Error,
+                 "settings_rejected",
+                 FormatFields({ { "error", ErrorOf(settings).mMessage } }),
+                 now);
+      return;
+    }
+    // Addresses and identity are fixed for the life of a process; bounds are
+    // taken by the shards that are claimed from now on.
+    mContext.mSettings.mDispatch = ValueOf(settings).mDispatch;
+    mLog.Write(LogLevel::Info, "settings_read", {}, now);
+    return;
+  }
+  if (mDraining) {
+    return;
+  }
+  mDraining = true;
+  mDrainedAt = now;
+  mNode->Drain();
+  mClients.Drain();
+}
+
+int
+Process::Run()
+{
+  const MonotonicTime now = BootTime();
+  for (const auto& [server, address] :
+       { std::pair{ &mClients, mSettings.mClientAddress },
+         std::pair{ &mReadiness, mSettings.mReadinessAddress } }) {
+    const Outcome<Done> listening = server->Listen(address);
+    if (!Succeeded(listening)) {
+      mLog.Write(LogLevel::Error,
+                 "start_failed",
+                 FormatFields({ { "error", ErrorOf(listening).mMessage } }),
+                 now);
+      mLog.Flush(now);
+      return 1;
+    }
+  }
+  mLog.Write(LogLevel::Info,
+             "started",
+             "node=" + mSettings.mNodeName + " data_centre=" + mSettings.mZone +
+               " incarnation=" + std::to_string(mContext.mSelf.mIncarnation) +
+               " milli_cores=" + std::to_string(mSettings.mMilliCores),
+             now);
+  mNode->Begin();
+  WaitForTick();
+  WaitForSignal();
+  mLoop.run();
+  return 0;
+}
+
+} // namespace
+
+int
+RunNode(const platform::Settings& aSettings, const std::string& aPath)
+{
+  Process process(aSettings, aPath);
+  return process.Run();
+}
+
+} // namespace paddle
