LibDispatch: Give up silent runners and count each failed run once

Ruled out: room (the step was not waiting at all), recovery (it had ended). Change: no lease goes to a runner that did not answer its latest renewal, and no start; failed runs are stored by number, so that an end that is listed again counts once. Steps that wait say why in the log. Tests: Tests/LibDispatch, with runners in virtual time.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -72,8 +72,8 @@
         if (task.mPhase == TaskPhase::Done) {
           continue;
         }
-        if (task.mFailures > 0) {
-          stored.mFailures.emplace(t, task.mFailures);
+        if (!task.mFailedRuns.empty()) {
+          stored.mFailedRuns.emplace(t, task.mFailedRuns);
         }
         if (!task.mSaved.empty()) {
           stored.mSaved.emplace(t, task.mSaved);
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -86,6 +86,7 @@
   std::set<std::string, std::less<>> mEvacuatedZones;
   std::set<WaitingStep> mWaiting;
   std::uint64_t mNextOrder = 1;
+  MonotonicTime mExplainedAt;
   bool mPlacementDue = false; ///< Room or waiting tasks have changed.
 
   std::vector<Job*> mDirty;          ///< Jobs whose progress is to be stored.
@@ -156,6 +157,10 @@
              MonotonicTime aNow,
              Actions& aActions);
 
+/// A renewal got no answer.
+void
+HandleNoReport(Dispatcher& aDispatcher, RunnerIndex aRunner);
+
 enum class StartResult
 {
   Started,
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -15,11 +15,13 @@
 };
 
 /// Takes a task's run off its runner and decides what becomes of the task.
+/// @param aRun the run that failed, where it did
 /// @return whether the end changed what must be stored
 bool
 EndRun(Dispatcher& aDispatcher,
        const TaskRef& aTask,
        RunOutcome aOutcome,
+       std::int64_t aRun,
        std::string_view aSaved,
        MonotonicTime aNow,
        Actions& aActions);
@@ -86,6 +88,10 @@
                   RunOutcome aOutcome,
                   MonotonicTime aNow);
 
+/// Emits what keeps the first steps that have waited for long from starting.
+void
+ExplainWaiting(const Dispatcher& aDispatcher, MonotonicTime aNow);
+
 /// @return whether a task without reservation may start beside the runner's
 ///         lasting tasks
 bool
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -38,7 +38,9 @@
   TaskPhase mPhase = TaskPhase::Waiting;
   StopCause mStopCause = StopCause::None;
   std::uint8_t mPace = 100; ///< Percent, as last ordered.
-  std::uint32_t mFailures = 0;
+  /// Runs that failed. Their numbers are kept because an end that is stored but
+  /// not yet acknowledged is listed again to a later owner.
+  std::vector<std::int64_t> mFailedRuns;
   std::int64_t mRun = 0; ///< Number of the latest start.
   RunnerIndex mRunner = kNoRunner;
   std::int32_t mProgress = -1;  ///< Percent, as last reported.
@@ -118,7 +120,7 @@
 struct StepProgress
 {
   std::vector<bool> mDone;
-  std::map<std::uint32_t, std::uint32_t> mFailures;
+  std::map<std::uint32_t, std::vector<std::int64_t>> mFailedRuns;
   std::map<std::uint32_t, std::string> mSaved;
 };
 
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -65,9 +65,9 @@
         --step.mWaiting;
       }
     }
-    for (const auto& [index, failures] : stored.mFailures) {
+    for (const auto& [index, runs] : stored.mFailedRuns) {
       if (index < step.mTasks.size()) {
-        step.mTasks[index].mFailures = failures;
+        step.mTasks[index].mFailedRuns = runs;
       }
     }
     for (const auto& [index, saved] : stored.mSaved) {
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -1,6 +1,9 @@
 #include <LibDispatch/Internal.h>
 
 #include <algorithm>
+#include <array>
+#include <string>
+#include <variant>
 
 namespace paddle::dispatch {
 
@@ -11,8 +14,15 @@
 /// shorter.
 constexpr double kLeastLeftoverShare = 0.7;
 
-/// Added to the cost of a runner that restarted cold a moment ago.
-constexpr double kColdCost = 1000;
+/// Added to the cost of a place where the task takes longer: far from its
+/// data, cold, or where it failed before. More than all room of a runner.
+constexpr double kFarCost = 1000;
+/// Added for each failure in a row on a runner.
+constexpr double kFailureCost = 200;
+/// Longest waiting steps that one report explains.
+constexpr std::size_t kExplainedSteps = 3;
+/// A step that waits longer than this is explained in the log.
+constexpr Millis kExplainAfter{ 2500 };
 
 bool
 HasLabel(const Runner& aRunner, std::string_view aLabel)
@@ -31,30 +41,70 @@
     }));
 }
 
-bool
-TakesStarts(const Dispatcher& aDispatcher,
-            const Runner& aRunner,
-            MonotonicTime aNow)
+/// Why a runner can't take a task now.
+enum class Obstacle : std::uint8_t
+{
+  None,
+  OtherService,
+  NotLive, ///< Silent, draining, or no longer listed.
+  Paused,  ///< Avoided after refusals or failures, or on probation.
+  Orphans, ///< Runs of unknown size are being stopped there.
+  Evacuated,
+  Label,
+  Cores,
+  Memory,
+  Accelerators,
+  MostPerRunner,
+  Disturbs ///< It would slow lasting tasks down, or find too little unused.
+};
+
+constexpr std::array<std::string_view, 12> kObstacleNames = {
+  "none",    "other_service", "not_live",        "paused",
+  "orphans", "evacuated",     "label",           "cores",
+  "memory",  "accelerators",  "most_per_runner", "disturbs"
+};
+
+/// @return what keeps the runner from taking any task now
+Obstacle
+ObstacleOfRunner(const Dispatcher& aDispatcher,
+                 const Runner& aRunner,
+                 MonotonicTime aNow)
 {
-  return aRunner.mPhase == RunnerPhase::Live && aRunner.mListed &&
-         !aRunner.mSpec.mDraining && aRunner.mOrphans.empty() &&
-         aRunner.mAvoidUntil <= aNow &&
-         aNow - aRunner.mClockReadAt < aDispatcher.mSettings.mOldestClock &&
-         !aDispatcher.mEvacuatedZones.contains(aRunner.mSpec.mZone) &&
-         !(aRunner.mOnProbation && !aRunner.mTasks.empty());
+  if (aRunner.mPhase != RunnerPhase::Live || !aRunner.mListed ||
+      aRunner.mSpec.mDraining || aRunner.mSilent ||
+      aNow - aRunner.mClockReadAt >= aDispatcher.mSettings.mOldestClock) {
+    return Obstacle::NotLive;
+  }
+  if (aRunner.mAvoidUntil > aNow ||
+      (aRunner.mOnProbation && !aRunner.mTasks.empty())) {
+    return Obstacle::Paused;
+  }
+  if (!aRunner.mOrphans.empty()) {
+    return Obstacle::Orphans;
+  }
+  if (aDispatcher.mEvacuatedZones.contains(aRunner.mSpec.mZone)) {
+    return Obstacle::Evacuated;
+  }
+  return Obstacle::None;
 }
 
-bool
-Fits(const Runner& aRunner, const StepSpec& aSpec)
+Obstacle
+ObstacleOfRoom(const Runner& aRunner, const StepSpec& aSpec)
 {
   const Amount& capacity = aRunner.mSpec.mCapacity;
   const Amount& used = aRunner.mUsed;
-  const std::int64_t cores =
-    aSpec.mReservation == Reservation::Reserved ? aSpec.mAmount.mCores : 0;
-  return used.mCores + cores <= capacity.mCores &&
-         used.mMemory + aSpec.mAmount.mMemory <= capacity.mMemory &&
-         used.mAccelerators + aSpec.mAmount.mAccelerators <=
-           capacity.mAccelerators;
+  if (aSpec.mReservation == Reservation::Reserved &&
+      used.mCores + aSpec.mAmount.mCores > capacity.mCores) {
+    return Obstacle::Cores;
+  }
+  if (used.mMemory + aSpec.mAmount.mMemory > capacity.mMemory) {
+    return Obstacle::Memory;
+  }
+  if (used.mAccelerators + aSpec.mAmount.mAccelerators >
+      capacity.mAccelerators) {
+    return Obstacle::Accelerators;
+  }
+  return Obstacle::None;
 }
 
 std::int64_t
@@ -95,6 +145,60 @@
   return -unused / 1000 + 100;
 }
 
+/// Cost of a place for a task, or what keeps it from being one.
+using Place = std::variant<double, Obstacle>;
+
+Place
+RatePlace(const Dispatcher& aDispatcher,
+          RunnerIndex aRunner,
+          const TaskRef& aTask,
+          const std::string& aService,
+          MonotonicTime aNow)
+{
+  const StepSpec& spec = SpecOf(aTask);
+  const Runner& runner = aDispatcher.mRunners[aRunner];
+  if (const Obstacle room = ObstacleOfRoom(runner, spec);
+      room != Obstacle::None) {
+    return room;
+  }
+  if (runner.mSpec.mService != aService) {
+    return Obstacle::OtherService;
+  }
+  if (const Obstacle closed = ObstacleOfRunner(aDispatcher, runner, aNow);
+      closed != Obstacle::None) {
+    return closed;
+  }
+  if (!spec.mRequiredLabel.empty() && !HasLabel(runner, spec.mRequiredLabel)) {
+    return Obstacle::Label;
+  }
+  if (spec.mMostPerRunner > 0 &&
+      CountOfStep(runner, aTask) >= spec.mMostPerRunner) {
+    return Obstacle::MostPerRunner;
+  }
+  double cost = 0;
+  if (spec.mReservation == Reservation::Reserved) {
+    cost = ReservedCost(runner, spec);
+  } else {
+    const std::optional<double> leftover =
+      LeftoverCost(aDispatcher, runner, spec);
+    if (!leftover) {
+      return Obstacle::Disturbs;
+    }
+    cost = *leftover;
+  }
+  if (!spec.mDataRack.empty() && runner.mSpec.mRack != spec.mDataRack) {
+    cost += kFarCost;
+  }
+  if (runner.mSpec.mColdRemaining.count() > 0) {
+    cost += kFarCost;
+  }
+  if (TaskOf(aTask).mFailedOn == aRunner) {
+    cost += kFarCost;
+  }
+  // A runner with recent failures is a last choice until it has done well.
+  return cost + kFailureCost * runner.mConsecutiveFailures;
+}
+
 /// @return the best runner for a task, or kNoRunner
 RunnerIndex
 ChooseRunner(const Dispatcher& aDispatcher,
@@ -102,49 +206,14 @@
              const std::string& aService,
              MonotonicTime aNow)
 {
-  const StepSpec& spec = SpecOf(aTask);
-  const Task& task = TaskOf(aTask);
   RunnerIndex best = kNoRunner;
   double bestCost = 0;
   for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
-    const Runner& runner = aDispatcher.mRunners[i];
-    if (!Fits(runner, spec) || runner.mSpec.mService != aService ||
-        !TakesStarts(aDispatcher, runner, aNow)) {
-      continue;
-    }
-    if (!spec.mRequiredLabel.empty() &&
-        !HasLabel(runner, spec.mRequiredLabel)) {
-      continue;
-    }
-    if (spec.mMostPerRunner > 0 &&
-        CountOfStep(runner, aTask) >= spec.mMostPerRunner) {
-      continue;
-    }
-    double cost = 0;
-    if (spec.mReservation == Reservation::Reserved) {
-      cost = ReservedCost(runner, spec);
-    } else {
-      const std::optional<double> leftover =
-        LeftoverCost(aDispatcher, runner, spec);
-      if (!leftover) {
-        continue;
-      }
-      cost = *leftover;
-    }
-    if (!spec.mDataRack.empty() && runner.mSpec.mRack != spec.mDataRack) {
-      cost += kColdCost;
-    }
-    if (runner.mSpec.mColdRemaining.count() > 0) {
-      cost += kColdCost;
-    }
-    if (task.mFailedOn == i) {
-      cost += kColdCost;
-    }
-    // A runner with recent failures is a last choice until it has done well.
-    cost += 200.0 * runner.mConsecutiveFailures;
-    if (best == kNoRunner || cost < bestCost) {
+    const Place place = RatePlace(aDispatcher, i, aTask, aService, aNow);
+    const double* cost = std::get_if<double>(&place);
+    if (cost != nullptr && (best == kNoRunner || *cost < bestCost)) {
       best = i;
-      bestCost = cost;
+      bestCost = *cost;
     }
   }
   return best;
@@ -209,6 +278,7 @@
         EndRun(aDispatcher,
                { &job, aWaiting.mOccurrence, aWaiting.mStep, back },
                RunOutcome::Interrupted,
+               0,
                {},
                aNow,
                starts);
@@ -271,4 +341,48 @@
   aDispatcher.mPlacementDue = false;
 }
 
+void
+ExplainWaiting(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::size_t explained = 0;
+  for (const WaitingStep& entry : aDispatcher.mWaiting) {
+    const Step& step =
+      entry.mJob->mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
+    const QueueSpec* queue = FindQueue(aDispatcher, entry.mJob->mSpec.mQueue);
+    if (aNow - step.mOpenedAt < kExplainAfter) {
+      continue;
+    }
+    const auto task =
+      std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& t) {
+        return t.mPhase == TaskPhase::Waiting;
+      });
+    if (queue == nullptr || task == step.mTasks.end()) {
+      continue;
+    }
+    const TaskRef ref{ entry.mJob,
+                       entry.mOccurrence,
+                       entry.mStep,
+                       static_cast<std::uint32_t>(task - step.mTasks.begin()) };
+    std::array<std::uint32_t, kObstacleNames.size()> counts{};
+    for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+      const Place place = RatePlace(aDispatcher, i, ref, queue->mService, aNow);
+      const Obstacle* obstacle = std::get_if<Obstacle>(&place);
+      ++counts[obstacle != nullptr ? static_cast<std::size_t>(*obstacle) : 0];
+    }
+    std::string details = "task=" + FormatTaskName(NameOf(ref)) +
+                          " waiting=" + std::to_string(step.mWaiting);
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      if (counts[i] > 0) {
+        details += " ";
+        details += kObstacleNames[i];
+        details += "=" + std::to_string(counts[i]);
+      }
+    }
+    Emit(aDispatcher, "step_waits", entry.mJob, std::move(details));
+    if (++explained == kExplainedSteps) {
+      return;
+    }
+  }
+}
+
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -68,6 +68,38 @@
   aDispatcher.mCommitUrgent = true;
 }
 
+/// Counts a failed run, once, and gives the job up if it may not be tried
+/// again.
+/// @return whether the run was not counted before
+bool
+CountFailure(Dispatcher& aDispatcher,
+             const TaskRef& aTask,
+             std::int64_t aRun,
+             MonotonicTime aNow,
+             Actions& aActions)
+{
+  Job& job = *aTask.mJob;
+  const StepSpec& spec = SpecOf(aTask);
+  if (spec.mKind == StepKind::Lasting || job.mPhase != JobPhase::Active) {
+    return false;
+  }
+  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  // The failures of a gang count on its first member.
+  std::vector<std::int64_t>& failed =
+    step.mTasks[spec.mGang ? 0 : aTask.mIndex].mFailedRuns;
+  if (std::find(failed.begin(), failed.end(), aRun) != failed.end()) {
+    return false;
+  }
+  failed.push_back(aRun);
+  ++aDispatcher.mCounters.mFailed;
+  MarkDirty(aDispatcher, job);
+  const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
+  if (queue != nullptr && failed.size() >= queue->mMaxAttempts) {
+    FailJob(aDispatcher, job, aNow, aActions);
+  }
+  return true;
+}
+
 /// Moves on after a task of a finite step is done.
 void
 AdvanceJob(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
@@ -152,11 +184,14 @@
   const bool current = task.mRunner == aRunner && task.mRun == aEnd.mRun;
   // After a takeover, or when a runner that was given up is heard from again,
   // the end of a run that nothing has followed still counts.
-  const bool last = task.mPhase == TaskPhase::Waiting && aEnd.mRun >= task.mRun;
-  if (!current && !last) {
-    return false;
-  }
-  task.mRun = aEnd.mRun;
+  // The ends of several runs come in any order, one runner after the other.
+  const bool former = task.mPhase == TaskPhase::Waiting &&
+                      (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
+  if (!current && !former) {
+    return aEnd.mKind == EndKind::Failed &&
+           CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
+  }
+  task.mRun = std::max(task.mRun, aEnd.mRun);
   const RunOutcome outcome = aEnd.mKind == EndKind::Done ? RunOutcome::Done
                              : aEnd.mKind == EndKind::Failed
                                ? RunOutcome::Failed
@@ -164,7 +199,8 @@
   if (outcome != RunOutcome::Interrupted) {
     NoteRunnerOutcome(aDispatcher, runner, ref.mJob->mSpec.mId, outcome, aNow);
   }
-  return EndRun(aDispatcher, ref, outcome, aEnd.mSaved, aNow, aActions);
+  return EndRun(
+    aDispatcher, ref, outcome, aEnd.mRun, aEnd.mSaved, aNow, aActions);
 }
 
 /// Takes up a listed run of a task that this owner believes to run nowhere.
@@ -280,7 +316,7 @@
          ref.mJob,
          "task=" + FormatTaskName(NameOf(ref)) +
            " runner=" + aDispatcher.mRunners[aRunner].mSpec.mId);
-    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
   }
 }
 
@@ -310,6 +346,7 @@
 EndRun(Dispatcher& aDispatcher,
        const TaskRef& aTask,
        RunOutcome aOutcome,
+       std::int64_t aRun,
        std::string_view aSaved,
        MonotonicTime aNow,
        Actions& aActions)
@@ -351,15 +388,9 @@
       ++step.mDone;
     }
   } else if (aOutcome == RunOutcome::Failed && finite) {
-    ++aDispatcher.mCounters.mFailed;
-    durable = true;
     task.mFailedOn = runner;
-    // The failures of a gang count on its first member.
-    Task& counted = spec.mGang ? step.mTasks[0] : task;
-    ++counted.mFailures;
-    const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
-    if (queue != nullptr && counted.mFailures >= queue->mMaxAttempts) {
-      FailJob(aDispatcher, job, aNow, aActions);
+    durable = CountFailure(aDispatcher, aTask, aRun, aNow, aActions) || durable;
+    if (job.mPhase != JobPhase::Active) {
       return true;
     }
   } else {
@@ -414,7 +445,7 @@
          ref.mJob,
          "task=" + FormatTaskName(NameOf(ref)) +
            " runner=" + aRunner.mSpec.mId);
-    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
   }
   aRunner.mOrphans.clear();
 }
@@ -442,6 +473,7 @@
     // An older answer that was overtaken on another connection.
     return;
   }
+  runner.mSilent = false;
   runner.mClockMs = aReport.mClockMs;
   runner.mClockReadAt = aNow;
   runner.mClockSentAt = aSentAt;
@@ -524,7 +556,7 @@
   ++aDispatcher.mCounters.mRejected;
   if (!stopping || ref.mJob->mPhase != JobPhase::Active ||
       task.mPhase == TaskPhase::Stopping) {
-    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
   }
 }
 
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -97,6 +97,9 @@
   MonotonicTime mClockSentAt;       ///< When its request was sent.
   std::int64_t mHighestLeaseMs = 0; ///< Latest lease end ever sent to it.
   MonotonicTime mLapsesAt;          ///< When its leases have surely ended.
+  /// A renewal got no answer. Nothing that could extend a lease is sent before
+  /// the runner answers, or its tasks could never be given up.
+  bool mSilent = false;
 
   std::int64_t mProcessedEnds = 0;    ///< Highest end number applied.
   std::int64_t mAcknowledgedEnds = 0; ///< Highest whose commit is stored.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -57,7 +57,7 @@
       continue;
     }
     ++aDispatcher.mCounters.mLapsed;
-    EndRun(aDispatcher, ref, RunOutcome::Interrupted, {}, aNow, aActions);
+    EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
   }
   runner.mOrphans.clear();
   runner.mUnstoredEnds.clear();
@@ -210,6 +210,12 @@
          " pause_ms=" + std::to_string(pause.count()));
 }
 
+void
+HandleNoReport(Dispatcher& aDispatcher, RunnerIndex aRunner)
+{
+  aDispatcher.mRunners[aRunner].mSilent = true;
+}
+
 RenewalPlan
 PlanRenewal(Dispatcher& aDispatcher, RunnerIndex aRunner, MonotonicTime aNow)
 {
@@ -230,7 +236,7 @@
   }
   const bool clockKnown =
     runner.mPhase == RunnerPhase::Live && runner.mClockMs > 0;
-  if (clockKnown && watched) {
+  if (clockKnown && watched && !runner.mSilent) {
     plan.mLeaseEndMs = LeaseEnd(aDispatcher, runner, aNow);
   }
   return plan;
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Interval of the log lines that say why steps wait.
+constexpr Seconds kExplainInterval{ 2 };
+
 /// Gives up the runs of runners that have been silent for longer than their
 /// leases.
 void
@@ -92,6 +95,10 @@
   // Pauses of runners end with time, which frees room.
   aDispatcher.mPlacementDue = true;
   PlaceWaiting(aDispatcher, aNow, aActions);
+  if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
+    aDispatcher.mExplainedAt = aNow;
+    ExplainWaiting(aDispatcher, aNow);
+  }
 }
 
 } // namespace paddle::dispatch
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -225,8 +225,10 @@
         done += taskDone ? '1' : '0';
       }
       entry["done"] = done;
-      for (const auto& [index, failures] : step.mFailures) {
-        entry["failures"][std::to_string(index)] = failures;
+      for (const auto& [index, runs] : step.mFailedRuns) {
+        for (const std::int64_t run : runs) {
+          entry["failed_runs"][std::to_string(index)].append(Json::Int64(run));
+        }
       }
       for (const auto& [index, saved] : step.mSaved) {
         entry["saved"][std::to_string(index)] = saved;
@@ -265,10 +267,12 @@
       for (const char done : entry["done"].asString()) {
         step.mDone.push_back(done == '1');
       }
-      const Json::Value& failures = entry["failures"];
-      if (failures.isObject()) {
-        for (const std::string& index : failures.getMemberNames()) {
-          step.mFailures.emplace(indexOf(index), failures[index].asUInt());
+      const Json::Value& failedRuns = entry["failed_runs"];
+      if (failedRuns.isObject()) {
+        for (const std::string& index : failedRuns.getMemberNames()) {
+          for (const Json::Value& run : failedRuns[index]) {
+            step.mFailedRuns[indexOf(index)].push_back(run.asInt64());
+          }
         }
       }
       const Json::Value& saved = entry["saved"];
--- /dev/null
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -0,0 +1,296 @@
+#include "DispatchWorld.h"
+
+#include <algorithm>
+
+namespace paddle::dispatch {
+
+namespace {
+
+constexpr Millis kStep{ 50 };
+
+} // namespace
+
+StepSpec
+FiniteStep(std::uint32_t aTasks, std::int64_t aCores)
+{
+  StepSpec step;
+  step.mTasks = aTasks;
+  step.mAmount = { aCores, 1000, 0 };
+  step.mEstimate = Millis(800);
+  return step;
+}
+
+StepSpec
+LastingStep(std::uint32_t aTasks, std::int64_t aCores)
+{
+  StepSpec step = FiniteStep(aTasks, aCores);
+  step.mKind = StepKind::Lasting;
+  step.mTailTarget = Millis(18);
+  step.mImage = "serving";
+  return step;
+}
+
+StepSpec
+LeftoverStep(std::uint32_t aTasks, std::int64_t aCores, std::string aImage)
+{
+  StepSpec step = FiniteStep(aTasks, aCores);
+  step.mReservation = Reservation::Leftover;
+  step.mImage = std::move(aImage);
+  return step;
+}
+
+JobSpec
+MakeJob(std::string aId, std::vector<StepSpec> aSteps)
+{
+  JobSpec job;
+  job.mId = std::move(aId);
+  job.mQueue = "queue";
+  job.mSteps = std::move(aSteps);
+  return job;
+}
+
+DispatchWorld::DispatchWorld()
+{
+  QueueSpec queue;
+  queue.mName = "queue";
+  queue.mService = "service";
+  queue.mMaxAttempts = 4;
+  queue.mStretch = 2;
+  queue.mTargetDuration = Millis(400);
+  mCore.mEpoch = 1;
+  mCore.mRecovered = true;
+  SetQueues(mCore, { &queue, 1 });
+}
+
+void
+DispatchWorld::ListRunners(std::size_t aCount)
+{
+  mListed.clear();
+  for (std::size_t i = 0; i < aCount; ++i) {
+    RunnerSpec spec;
+    spec.mId = "r" + std::to_string(i);
+    spec.mAddress = "127.0.0.1:" + std::to_string(1 + i);
+    spec.mService = "service";
+    spec.mZone = "zone" + std::to_string(i % 3);
+    spec.mRack = "rack" + std::to_string(i / 4);
+    spec.mLabels = { "a", spec.mRack };
+    spec.mCapacity = { 16000, 64000, 0 };
+    spec.mIncarnation = mRunners[spec.mId].mIncarnation;
+    mListed.push_back(spec);
+  }
+  SetRunners(mCore, mListed, mNow, mActions);
+  Report();
+}
+
+void
+DispatchWorld::TakeOver(std::int64_t aEpoch)
+{
+  const std::vector<QueueSpec> queues{ mCore.mQueues.at("queue") };
+  mCore = Dispatcher{};
+  mActions.clear();
+  mCore.mEpoch = aEpoch;
+  mCore.mNextRun = (aEpoch << 20) + 1;
+  mCore.mTakenAt = mNow;
+  mCore.mUnheardUntil = mNow + Seconds(16);
+  SetQueues(mCore, queues);
+  for (const RunnerSpec& spec : mListed) {
+    AddFormerRunner(mCore, spec, mNow);
+  }
+  for (const auto& [id, spec] : mAccepted) {
+    const auto stored = mStored.find(id);
+    dispatch::AddJob(mCore,
+                     spec,
+                     stored == mStored.end() ? nullptr : &stored->second,
+                     History::Possible,
+                     mNow,
+                     mNow);
+  }
+  SetRunners(mCore, mListed, mNow, mActions);
+}
+
+void
+DispatchWorld::AddJob(JobSpec aSpec, History aHistory)
+{
+  mAccepted.emplace(aSpec.mId, aSpec);
+  dispatch::AddJob(mCore, std::move(aSpec), nullptr, aHistory, mNow, mNow);
+  PlaceWaiting(mCore, mNow, mActions);
+  Perform();
+}
+
+void
+DispatchWorld::Perform()
+{
+  // Answers lead to further orders.
+  while (!mActions.empty()) {
+    const Actions actions = std::move(mActions);
+    mActions.clear();
+    for (const Action& action : actions) {
+      if (const auto* start = std::get_if<StartTask>(&action)) {
+        const TaskName name = NameOf(start->mTask);
+        FakeRunner& runner = mRunners[mCore.mRunners[start->mRunner].mSpec.mId];
+        ++mStarts;
+        if (mLoseStarts || !runner.mAnswers) {
+          mLostStarts.push_back(*start);
+          HandleStartResult(mCore,
+                            start->mRunner,
+                            name,
+                            start->mRun,
+                            StartResult::Unknown,
+                            mNow,
+                            mActions);
+          continue;
+        }
+        runner.mRunning.push_back({ FormatTaskName(name), start->mRun });
+        HandleStartResult(mCore,
+                          start->mRunner,
+                          name,
+                          start->mRun,
+                          StartResult::Started,
+                          mNow,
+                          mActions);
+      } else if (const auto* stop = std::get_if<StopTask>(&action)) {
+        FakeRunner& runner = mRunners[mCore.mRunners[stop->mRunner].mSpec.mId];
+        if (!runner.mAnswers) {
+          continue;
+        }
+        const std::string task = FormatTaskName(stop->mTask);
+        const auto found = std::find_if(
+          runner.mRunning.begin(), runner.mRunning.end(), [&](const Run& aRun) {
+            return aRun.mTask == task && aRun.mRun == stop->mRun;
+          });
+        if (found != runner.mRunning.end()) {
+          runner.mRunning.erase(found);
+          runner.mEnds.push_back({ runner.mNextEnd++,
+                                   stop->mTask,
+                                   stop->mRun,
+                                   EndKind::Stopped,
+                                   {} });
+        }
+        HandleStopAnswered(mCore, stop->mRunner, stop->mTask, stop->mRun, mNow);
+      } else if (const auto* pace = std::get_if<PaceTask>(&action)) {
+        mPaceOrders.push_back(*pace);
+      }
+    }
+  }
+}
+
+void
+DispatchWorld::Report(RunnerIndex aRunner)
+{
+  FakeRunner& fake = mRunners[mCore.mRunners[aRunner].mSpec.mId];
+  const RenewalPlan plan = PlanRenewal(mCore, aRunner, mNow);
+  if (!fake.mAnswers) {
+    HandleNoReport(mCore, aRunner);
+    return;
+  }
+  std::erase_if(fake.mEnds, [&](const EndEntry& aEnd) {
+    return aEnd.mNumber <= plan.mAcknowledge;
+  });
+  RunnerReport report;
+  report.mClockMs =
+    std::chrono::duration_cast<Millis>(mNow.time_since_epoch()).count();
+  report.mIncarnation = fake.mIncarnation;
+  for (const Run& run : fake.mRunning) {
+    report.mRunning.push_back(
+      { *ParseTaskName(run.mTask), run.mRun, {}, 50, run.mLoadFigure });
+  }
+  report.mEnds = fake.mEnds;
+  HandleReport(mCore, aRunner, report, mNow, mNow, mActions);
+  Perform();
+}
+
+void
+DispatchWorld::Report()
+{
+  for (RunnerIndex i = 0; i < mCore.mRunners.size(); ++i) {
+    Report(i);
+  }
+}
+
+void
+DispatchWorld::Tick()
+{
+  HandleTick(mCore, mNow, 0, mActions);
+  Perform();
+}
+
+void
+DispatchWorld::Commit()
+{
+  const std::optional<dispatch::Commit> commit = TakeCommit(mCore);
+  if (!commit) {
+    return;
+  }
+  std::vector<JobPhase> phases;
+  for (const Job* job : commit->mJobs) {
+    phases.push_back(job->mPhase);
+    const std::string& id = job->mSpec.mId;
+    if (job->mPhase == JobPhase::Active) {
+      mStored[id] = ProgressOf(*job);
+    } else {
+      mTerminal[id] = job->mPhase;
+      mStored.erase(id);
+      mAccepted.erase(id);
+    }
+  }
+  HandleCommitted(mCore, *commit, phases);
+}
+
+void
+DispatchWorld::Pass(Millis aTime)
+{
+  for (Millis passed(0); passed < aTime; passed += kStep) {
+    mNow += kStep;
+    Report();
+    Tick();
+    Commit();
+  }
+}
+
+void
+DispatchWorld::End(const std::string& aTask, EndKind aKind)
+{
+  for (auto& [id, runner] : mRunners) {
+    const auto found =
+      std::find_if(runner.mRunning.begin(),
+                   runner.mRunning.end(),
+                   [&](const Run& aRun) { return aRun.mTask == aTask; });
+    if (found != runner.mRunning.end()) {
+      runner.mEnds.push_back(
+        { runner.mNextEnd++, *ParseTaskName(aTask), found->mRun, aKind, {} });
+      runner.mRunning.erase(found);
+      return;
+    }
+  }
+}
+
+bool
+DispatchWorld::Runs(const std::string& aTask) const
+{
+  return !RunnerOf(aTask).empty();
+}
+
+std::string
+DispatchWorld::RunnerOf(const std::string& aTask) const
+{
+  for (const auto& [id, runner] : mRunners) {
+    for (const Run& run : runner.mRunning) {
+      if (run.mTask == aTask) {
+        return id;
+      }
+    }
+  }
+  return {};
+}
+
+std::size_t
+DispatchWorld::RunningTasks() const
+{
+  std::size_t running = 0;
+  for (const auto& [id, runner] : mRunners) {
+    running += runner.mRunning.size();
+  }
+  return running;
+}
+
+} // namespace paddle::dispatch
--- /dev/null
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -0,0 +1,103 @@
+#include <string>
+
+#include "DispatchWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+using namespace paddle::dispatch;
+
+TEST_GROUP(Runners){};
+
+// Guards against renewals that are sent in vain and extend the lease that the
+// runner may hold: its lasting tasks were never restarted elsewhere.
+TEST(Runners, GivesUpTheTasksOfASilentRunnerAfterOneLease)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { LastingStep(1, 1000) }));
+  const std::string first = world.RunnerOf("job.0.0.0");
+  world.Pass(Seconds(1));
+  world.mRunners[first].mAnswers = false;
+  world.Pass(Millis(5900));
+  LONGS_EQUAL(1, world.mStarts);
+  world.Pass(Millis(800));
+  LONGS_EQUAL(2, world.mStarts);
+}
+
+// Guards against a second run of a task whose start got no answer and is
+// carried out seconds later.
+TEST(Runners, StopsAnUnansweredRunBeforeTheNext)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.mLoseStarts = true;
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.mLoseStarts = false;
+  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, world.mLostStarts.size());
+  // The stop is answered; the next report shows that the run never began.
+  world.Pass(Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  LONGS_EQUAL(1, world.RunningTasks());
+}
+
+// Guards against a start for the former process of a runner that is carried
+// out by the new one, beside a run elsewhere.
+TEST(Runners, StopsUnansweredRunsAtARestartedRunner)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.mLoseStarts = true;
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.mLoseStarts = false;
+  const StartTask lost = world.mLostStarts.at(0);
+  const std::string id = world.mCore.mRunners[lost.mRunner].mSpec.mId;
+  world.mRunners[id].mIncarnation = 2;
+  // The late start reaches the new process.
+  world.mRunners[id].mRunning.push_back({ "job.0.0.0", lost.mRun });
+  world.Pass(Millis(300));
+  LONGS_EQUAL(1, world.RunningTasks());
+}
+
+// Guards against placing over a runner's capacity while a stop is under way.
+TEST(Runners, KeepsTheRoomOfAStoppingTask)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.AddJob(MakeJob("a", { FiniteStep(1, 16000) }));
+  world.mRunners["r0"].mAnswers = false;
+  CancelJob(world.mCore, "a", world.mNow, world.mActions);
+  world.Perform();
+  world.AddJob(MakeJob("b", { FiniteStep(1, 16000) }));
+  LONGS_EQUAL(1, world.mStarts);
+  world.mRunners["r0"].mAnswers = true;
+  world.Pass(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+}
+
+// Guards against acknowledging an end before its commit: a later owner would
+// never learn of it.
+TEST(Runners, AcknowledgesEndsAfterTheirCommit)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.AddJob(MakeJob("job", { FiniteStep(2, 1000) }));
+  world.End("job.0.0.0", EndKind::Done);
+  world.Report();
+  LONGS_EQUAL(0, PlanRenewal(world.mCore, 0, world.mNow).mAcknowledge);
+  world.Commit();
+  LONGS_EQUAL(1, PlanRenewal(world.mCore, 0, world.mNow).mAcknowledge);
+}
+
+// Guards against new starts on a runner that is about to leave.
+TEST(Runners, StartsNothingOnADrainingRunner)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.mListed[0].mDraining = true;
+  SetRunners(world.mCore, world.mListed, world.mNow, world.mActions);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.Pass(Seconds(1));
+  LONGS_EQUAL(0, world.mStarts);
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -0,0 +1,88 @@
+#include <algorithm>
+#include <string>
+
+#include "DispatchWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+using namespace paddle::dispatch;
+
+TEST_GROUP(Takeover){};
+
+// Guards against failures that are counted only for the highest run when a new
+// owner reads the ends of several runners in any order: the task was then
+// started more often than its queue allows.
+TEST(Takeover, CountsFailedRunsListedInAnyOrder)
+{
+  DispatchWorld world;
+  world.ListRunners(8);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  for (int failure = 0; failure < 3; ++failure) {
+    world.End("job.0.0.0", EndKind::Failed);
+    world.Report();
+    world.Tick();
+  }
+  // The fourth run fails, and nothing was stored before the owner is lost.
+  world.End("job.0.0.0", EndKind::Failed);
+  world.TakeOver(2);
+  std::reverse(world.mCore.mRunners.begin(), world.mCore.mRunners.end());
+  for (RunnerIndex i = 0; i < world.mCore.mRunners.size(); ++i) {
+    world.mCore.mRunnerById[world.mCore.mRunners[i].mSpec.mId] = i;
+  }
+  world.Pass(Millis(500));
+  LONGS_EQUAL(4, world.mStarts);
+  CHECK_TRUE(world.mTerminal["job"] == JobPhase::Failed);
+}
+
+// Guards against counting a failure twice when its end was stored but not yet
+// acknowledged, which would show a job as failed without cause.
+TEST(Takeover, CountsAStoredFailureOnce)
+{
+  DispatchWorld world;
+  world.ListRunners(8);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  for (int failure = 0; failure < 3; ++failure) {
+    world.End("job.0.0.0", EndKind::Failed);
+    world.Report();
+    world.Tick();
+  }
+  world.Commit();
+  world.TakeOver(2);
+  world.Pass(Millis(500));
+  CHECK_TRUE(world.Runs("job.0.0.0"));
+  CHECK_TRUE(world.mTerminal.empty());
+}
+
+// Guards against running a task again after its end was listed as done to an
+// owner that was lost before it stored that.
+TEST(Takeover, KeepsADoneTaskWhoseEndIsListedAgain)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(2, 1000) }));
+  world.End("job.0.0.0", EndKind::Done);
+  world.Report();
+  world.TakeOver(2);
+  world.Pass(Millis(500));
+  LONGS_EQUAL(2, world.mStarts);
+  world.End("job.0.0.1", EndKind::Done);
+  world.Pass(Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  CHECK_TRUE(world.mTerminal["job"] == JobPhase::Completed);
+}
+
+// Guards against starting a second copy while a runner that the new owner can't
+// reach may still run the first.
+TEST(Takeover, WaitsForARunnerThatDoesNotAnswer)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.mRunners[world.RunnerOf("job.0.0.0")].mAnswers = false;
+  world.TakeOver(2);
+  world.Pass(Seconds(15));
+  LONGS_EQUAL(1, world.mStarts);
+  world.Pass(Seconds(2));
+  LONGS_EQUAL(2, world.mStarts);
+}
