LibDispatch: Learn which image disturbs which, and use what lasting tasks leave

Cause: tasks without reservation (analisis-jugo) waited for room although lasting tasks use only half of what they reserve, and were slowed down on any runner whose tail rose, whatever had raised it. Ruled out: a weight for each image. Change: a filter learns one figure for each pair from the tails; runners get lasting tasks of one image where possible; half of the lasting reservation counts as unused.

--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -1,60 +1,279 @@
+#include <LibDispatch/Interference.h>
+
 #include <LibDispatch/Internal.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace paddle::dispatch {
 
 namespace {
 
-/// Tail over target above which tasks without reservation are slowed down. The
+/// A pair that nothing is known of is expected to disturb a little, with a wide
+/// spread: about one pair in three disturbs, by some 2.5 of utilization for
+/// each share of the processors.
+constexpr double kPriorMean = 0.5;
+constexpr double kPriorVariance = 1.5 * 1.5;
+/// Disturbance changes within seconds, so knowledge fades back to the prior's
+/// spread over about 30 s.
+constexpr double kVarianceGrowthPerSecond = kPriorVariance / 30;
+/// Spread of a utilization around its mean, from the swing of the load.
+constexpr double kUtilizationVariance = 0.17 * 0.17;
+/// Tails are figures of the last half second; a runner is learned from at this
+/// interval at most, so that samples are nearly independent.
+constexpr Millis kLearnInterval{ 400 };
+/// A task's figure counts from then on after its start.
+constexpr Millis kSettleTime{ 600 };
+/// Own loads are averaged over about this many samples.
+constexpr double kOwnLoadSamples = 60;
+/// The shortest tail is a rounded figure of a busy server; without queueing it
+/// would be shorter still.
+constexpr double kUnqueuedShare = 0.85;
+/// Own load of a serving image before it is known.
+constexpr double kAssumedOwnLoad = 0.45;
+
+/// Tail over target above which the worst disturbers are slowed down. The
 /// figure is half a second old, so it is acted on before the target is reached.
 constexpr double kSlowAbove = 0.85;
 /// Tail over target below which they are sped up again.
 constexpr double kSpeedBelow = 0.6;
-/// Steps of pace in percent.
-constexpr int kSpeedStep = 20;
-/// Time between two changes on one runner: the age of the tail figure and the
-/// time that a pace takes to act.
+/// Percent by which a pace rises at a time.
+constexpr int kSpeedStep = 25;
+/// Time between two changes of pace on one runner: the age of the tail figure.
 constexpr Millis kPaceInterval{ 450 };
+/// Over the target for this share of the allowed time, everything that might
+/// disturb is halted.
+constexpr double kHaltShare = 0.35;
+/// Rise of utilization that a new task may be expected to cause.
+constexpr double kAllowedRise = 0.09;
+/// Standard deviations by which an uncertain pair is feared, or hoped for where
+/// it is tried out.
+constexpr double kFear = 0.7;
+/// Utilization up to which a serving task may get an unknown neighbour.
+constexpr double kTrialUtilization = 0.6;
 
-/// @return the highest tail over target among the runner's lasting tasks, or
-///         nothing if none has reported one
-std::optional<double>
-WorstTail(const Runner& aRunner)
+PairEffect&
+PairOf(Interference& aInterference,
+       std::uint32_t aDisturbing,
+       std::uint32_t aServing)
+{
+  if (aInterference.mPairs.size() <= aDisturbing) {
+    aInterference.mPairs.resize(aDisturbing + 1);
+  }
+  std::vector<PairEffect>& pairs = aInterference.mPairs[aDisturbing];
+  if (pairs.size() <= aServing) {
+    pairs.resize(aServing + 1, { kPriorMean, kPriorVariance, {} });
+  }
+  return pairs[aServing];
+}
+
+PairEffect
+KnownPair(const Interference& aInterference,
+          std::uint32_t aDisturbing,
+          std::uint32_t aServing,
+          MonotonicTime aNow)
+{
+  if (aInterference.mPairs.size() <= aDisturbing ||
+      aInterference.mPairs[aDisturbing].size() <= aServing) {
+    return { kPriorMean, kPriorVariance, {} };
+  }
+  PairEffect pair = aInterference.mPairs[aDisturbing][aServing];
+  const double age =
+    std::chrono::duration<double>(aNow - pair.mLearnedAt).count();
+  pair.mVariance =
+    std::min(kPriorVariance, pair.mVariance + kVarianceGrowthPerSecond * age);
+  return pair;
+}
+
+std::uint32_t
+ImageOf(const TaskRef& aTask)
+{
+  return aTask.mJob->mOccurrences.at(aTask.mOccurrence)
+    .mSteps[aTask.mStep]
+    .mImage;
+}
+
+bool
+IsServing(const TaskRef& aTask)
+{
+  const StepSpec& spec = SpecOf(aTask);
+  const Task& task = TaskOf(aTask);
+  return spec.mKind == StepKind::Lasting && spec.mTailTarget.count() > 0 &&
+         task.mPhase == TaskPhase::Running && task.mLoadFigure > 0;
+}
+
+bool
+IsLeftover(const TaskRef& aTask)
+{
+  return SpecOf(aTask).mReservation == Reservation::Leftover;
+}
+
+/// Share of the runner's processors that the task uses at its pace.
+double
+ShareOf(const Runner& aRunner, const TaskRef& aTask)
+{
+  const Task& task = TaskOf(aTask);
+  // The reported use of the last half second, or what it asked for at first.
+  const double cores =
+    task.mLoadFigure > 0
+      ? static_cast<double>(task.mLoadFigure)
+      : static_cast<double>(SpecOf(aTask).mAmount.mCores) * task.mPace / 100.0;
+  return cores / static_cast<double>(
+                   std::max<std::int64_t>(1, aRunner.mSpec.mCapacity.mCores));
+}
+
+double
+TailRatio(const TaskRef& aTask)
+{
+  return static_cast<double>(TaskOf(aTask).mLoadFigure) /
+         static_cast<double>(SpecOf(aTask).mTailTarget.count());
+}
+
+/// Corrects what is known of the pairs on a runner by one serving task's tail:
+/// a Kalman filter that keeps the pairs' variances only.
+void
+LearnFrom(Dispatcher& aDispatcher,
+          const Runner& aRunner,
+          const TaskRef& aServing,
+          std::span<const TaskRef> aDisturbing,
+          MonotonicTime aNow)
+{
+  Interference& interference = aDispatcher.mInterference;
+  const std::uint32_t image = ImageOf(aServing);
+  ServingImage& serving = interference.mServing[image];
+  const auto tail = static_cast<double>(TaskOf(aServing).mLoadFigure);
+  if (serving.mShortestTail == 0 || tail < serving.mShortestTail) {
+    serving.mShortestTail = tail;
+  }
+  const double utilization = UtilizationOf(serving, tail);
+  if (aDisturbing.empty()) {
+    serving.mSamples = std::min(kOwnLoadSamples, serving.mSamples + 1);
+    serving.mOwnLoad += (utilization - serving.mOwnLoad) / serving.mSamples;
+    return;
+  }
+  const double own = serving.mSamples > 5 ? serving.mOwnLoad : kAssumedOwnLoad;
+  double expected = own;
+  double spread = kUtilizationVariance;
+  for (const TaskRef& task : aDisturbing) {
+    PairEffect& pair = PairOf(interference, ImageOf(task), image);
+    pair = KnownPair(interference, ImageOf(task), image, aNow);
+    pair.mLearnedAt = aNow;
+    const double share = ShareOf(aRunner, task);
+    expected += pair.mMean * share;
+    spread += pair.mVariance * share * share;
+  }
+  const double surprise = utilization - expected;
+  for (const TaskRef& task : aDisturbing) {
+    PairEffect& pair = PairOf(interference, ImageOf(task), image);
+    const double share = ShareOf(aRunner, task);
+    const double gain = pair.mVariance * share / spread;
+    pair.mMean = std::max(0.0, pair.mMean + gain * surprise);
+    pair.mVariance *= 1 - gain * share;
+  }
+}
+
+void
+Learn(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
 {
-  std::optional<double> worst;
+  if (aRunner.mLasting == 0 || aNow - aRunner.mLearnedAt < kLearnInterval) {
+    return;
+  }
+  aRunner.mLearnedAt = aNow;
+  std::vector<TaskRef> disturbing;
   for (const TaskRef& ref : aRunner.mTasks) {
-    const StepSpec& spec = SpecOf(ref);
+    if (!IsLeftover(ref)) {
+      continue;
+    }
     const Task& task = TaskOf(ref);
-    if (spec.mKind != StepKind::Lasting || spec.mTailTarget.count() == 0 ||
-        task.mPhase != TaskPhase::Running || task.mLoadFigure <= 0) {
+    if (task.mPhase != TaskPhase::Running) {
       continue;
     }
-    const double ratio = static_cast<double>(task.mLoadFigure) /
-                         static_cast<double>(spec.mTailTarget.count());
-    worst = std::max(worst.value_or(0), ratio);
+    if (aNow - task.mAnsweredAt < kSettleTime) {
+      return; // The figures are of a time before it.
+    }
+    disturbing.push_back(ref);
+  }
+  for (const TaskRef& ref : aRunner.mTasks) {
+    if (IsServing(ref) && aNow - TaskOf(ref).mAnsweredAt >= kSettleTime) {
+      LearnFrom(aDispatcher, aRunner, ref, disturbing, aNow);
+    }
   }
-  return worst;
+}
+
+/// Rise of the serving image's utilization that a task is expected to cause at
+/// full pace, with some fear of the unknown.
+double
+FearedRise(const Dispatcher& aDispatcher,
+           const Runner& aRunner,
+           std::uint32_t aDisturbing,
+           std::int64_t aCores,
+           std::uint32_t aServing,
+           MonotonicTime aNow)
+{
+  const PairEffect pair =
+    KnownPair(aDispatcher.mInterference, aDisturbing, aServing, aNow);
+  const double share =
+    static_cast<double>(aCores) / static_cast<double>(std::max<std::int64_t>(
+                                    1, aRunner.mSpec.mCapacity.mCores));
+  return share * (pair.mMean + kFear * std::sqrt(pair.mVariance));
 }
 
 } // namespace
 
-bool
-MayDisturb(const Dispatcher& aDispatcher,
-           const Runner& aRunner,
-           const StepSpec& aSpec)
+std::uint32_t
+ImageIndex(Interference& aInterference, std::string_view aImage)
+{
+  const auto next = static_cast<std::uint32_t>(aInterference.mIndexes.size());
+  const auto [entry, added] =
+    aInterference.mIndexes.emplace(std::string(aImage), next);
+  if (added) {
+    aInterference.mServing.emplace_back();
+  }
+  return entry->second;
+}
+
+double
+UtilizationOf(const ServingImage& aImage, double aTail)
+{
+  return 1 - std::min(1.0, kUnqueuedShare * aImage.mShortestTail / aTail);
+}
+
+std::optional<double>
+DisturbanceCost(const Dispatcher& aDispatcher,
+                const Runner& aRunner,
+                const TaskRef& aTask,
+                MonotonicTime aNow)
 {
-  (void)aSpec;
-  (void)aDispatcher;
-  const std::optional<double> worst = WorstTail(aRunner);
-  if (!worst || *worst > kSpeedBelow) {
-    return false;
-  }
-  const auto beside = std::count_if(
-    aRunner.mTasks.begin(), aRunner.mTasks.end(), [](const TaskRef& aTask) {
-      return SpecOf(aTask).mReservation == Reservation::Leftover;
-    });
-  return beside < 3;
+  const std::uint32_t image = ImageOf(aTask);
+  const std::int64_t cores = SpecOf(aTask).mAmount.mCores;
+  double cost = 0;
+  for (const TaskRef& ref : aRunner.mTasks) {
+    if (!IsServing(ref)) {
+      if (SpecOf(ref).mKind == StepKind::Lasting &&
+          SpecOf(ref).mTailTarget.count() > 0) {
+        return {}; // Its tail is not known yet.
+      }
+      continue;
+    }
+    const std::uint32_t serving = ImageOf(ref);
+    const ServingImage& known = aDispatcher.mInterference.mServing[serving];
+    const double rise =
+      FearedRise(aDispatcher, aRunner, image, cores, serving, aNow);
+    const double utilization = UtilizationOf(known, TaskOf(ref).mLoadFigure);
+    const double limit = UtilizationOf(
+      known, static_cast<double>(SpecOf(ref).mTailTarget.count()));
+    if (TailRatio(ref) > kSlowAbove) {
+      return {};
+    }
+    const bool affordable =
+      rise <= kAllowedRise || (utilization < kTrialUtilization &&
+                               utilization + rise < limit * kSlowAbove);
+    if (!affordable) {
+      return {};
+    }
+    cost = std::max(cost, rise);
+  }
+  return cost;
 }
 
 void
@@ -64,23 +283,63 @@
            Actions& aActions)
 {
   Runner& runner = aDispatcher.mRunners[aRunner];
-  if (runner.mLasting == 0 || runner.mLeftoverCores == 0 ||
-      aNow - runner.mPacedAt < kPaceInterval) {
+  Learn(aDispatcher, runner, aNow);
+  if (runner.mLasting == 0) {
     return;
   }
-  const std::optional<double> worst = WorstTail(runner);
-  if (!worst || (*worst <= kSlowAbove && *worst >= kSpeedBelow)) {
+  double worstRatio = 0;
+  bool halt = false;
+  std::vector<std::uint32_t> suffering;
+  for (const TaskRef& ref : runner.mTasks) {
+    if (!IsServing(ref)) {
+      continue;
+    }
+    Task& task = TaskOf(ref);
+    const double ratio = TailRatio(ref);
+    worstRatio = std::max(worstRatio, ratio);
+    if (ratio > kSlowAbove) {
+      suffering.push_back(ImageOf(ref));
+    }
+    if (ratio <= 1) {
+      task.mOverTargetSince.reset();
+      continue;
+    }
+    if (!task.mOverTargetSince) {
+      task.mOverTargetSince = aNow;
+    }
+    const auto limit = std::chrono::duration_cast<Millis>(
+      aDispatcher.mSettings.mHarmLimit * kHaltShare);
+    halt = halt || aNow - *task.mOverTargetSince >= limit;
+  }
+  const bool mayChange = aNow - runner.mPacedAt >= kPaceInterval;
+  if (runner.mLeftoverCores == 0 || (!halt && !mayChange)) {
     return;
   }
-  const bool slower = *worst > kSlowAbove;
   for (const TaskRef& ref : runner.mTasks) {
     Task& task = TaskOf(ref);
-    if (SpecOf(ref).mReservation != Reservation::Leftover ||
-        task.mPhase != TaskPhase::Running) {
+    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running) {
       continue;
     }
-    const int pace = slower ? (*worst > 1 ? 0 : task.mPace / 2)
-                            : std::min(100, task.mPace + kSpeedStep);
+    int pace = task.mPace;
+    if (halt) {
+      pace = 0;
+    } else if (!suffering.empty()) {
+      double rise = 0;
+      for (const std::uint32_t serving : suffering) {
+        rise = std::max(rise,
+                        FearedRise(aDispatcher,
+                                   runner,
+                                   ImageOf(ref),
+                                   SpecOf(ref).mAmount.mCores,
+                                   serving,
+                                   aNow));
+      }
+      if (rise > kAllowedRise / 2) {
+        pace = worstRatio > 1 ? 0 : pace / 2;
+      }
+    } else if (worstRatio < kSpeedBelow) {
+      pace = std::min(100, pace + kSpeedStep);
+    }
     if (pace == task.mPace) {
       continue;
     }
--- a/Libraries/LibDispatch/Interference.h
+++ b/Libraries/LibDispatch/Interference.h
@@ -1,25 +1,51 @@
 #pragma once
 
-#include <map>
+#include <cstdint>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <vector>
 
 #include <LibTime/Time.h>
 
 namespace paddle::dispatch {
 
-/// What is known of an image's effect on lasting tasks: the rise of a
-/// neighbour's tail, as a share of its target, that a core of the image at full
-/// pace causes.
-struct ImageEffect
+/// How strongly tasks of one image without reservation load the lasting tasks
+/// of another: the rise of their utilization for each share of the runner's
+/// processors that the former use. An image disturbs only some others, so the
+/// figure belongs to the pair.
+struct PairEffect
 {
-  double mWeight = 0;
+  double mMean = 0;
+  double mVariance = 0;
+  MonotonicTime mLearnedAt;
+};
+
+/// What is known of a serving image.
+struct ServingImage
+{
+  /// Shortest tail seen, taken as the time without queueing.
+  double mShortestTail = 0;
+  /// Mean utilization without neighbours.
+  double mOwnLoad = 0;
   double mSamples = 0;
 };
 
+/// What is learned from the tails that runners report.
 struct Interference
 {
-  std::map<std::string, ImageEffect, std::less<>> mImages;
+  std::unordered_map<std::string, std::uint32_t> mIndexes;
+  std::vector<ServingImage> mServing;
+  /// By disturbing image, then by serving image.
+  std::vector<std::vector<PairEffect>> mPairs;
 };
 
+/// @return the index of an image, which is added if it is new
+std::uint32_t
+ImageIndex(Interference& aInterference, std::string_view aImage);
+
+/// @return the expected utilization of a queue with this tail
+double
+UtilizationOf(const ServingImage& aImage, double aTail);
+
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include <LibDispatch/Dispatcher.h>
@@ -92,12 +93,14 @@
 void
 ExplainWaiting(const Dispatcher& aDispatcher, MonotonicTime aNow);
 
-/// @return whether a task without reservation may start beside the runner's
-///         lasting tasks
-bool
-MayDisturb(const Dispatcher& aDispatcher,
-           const Runner& aRunner,
-           const StepSpec& aSpec);
+/// @return the rise of utilization that a task without reservation is expected
+///         to cause to the runner's lasting tasks, or nothing if it must not
+///         start there
+std::optional<double>
+DisturbanceCost(const Dispatcher& aDispatcher,
+                const Runner& aRunner,
+                const TaskRef& aTask,
+                MonotonicTime aNow);
 
 /// Adjusts the pace of tasks without reservation to the lasting tasks beside
 /// them.
@@ -127,6 +130,11 @@
 bool
 IsKnownToService(const Runner& aRunner, MonotonicTime aNow);
 
+/// @return processors that tasks without reservation may still use; negative if
+///         they have asked for more than there is
+std::int64_t
+UnusedCores(const Runner& aRunner);
+
 void
 Emit(const Dispatcher& aDispatcher,
      std::string_view aEvent,
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -62,6 +62,7 @@
   std::vector<Task> mTasks;
   std::uint32_t mDone = 0;
   std::uint32_t mWaiting = 0; ///< Tasks in phase Waiting.
+  std::uint32_t mImage = 0;   ///< Index of its image in Interference.
   bool mOpen = false;         ///< All earlier steps have ended.
   MonotonicTime mOpenedAt;
 };
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -35,13 +35,14 @@
 }
 
 Occurrence
-MakeOccurrence(const JobSpec& aSpec)
+MakeOccurrence(Dispatcher& aDispatcher, const JobSpec& aSpec)
 {
   Occurrence occurrence;
   for (const StepSpec& spec : aSpec.mSteps) {
     Step step;
     step.mTasks.resize(spec.mTasks);
     step.mWaiting = spec.mTasks;
+    step.mImage = ImageIndex(aDispatcher.mInterference, spec.mImage);
     occurrence.mSteps.push_back(std::move(step));
   }
   return occurrence;
@@ -198,7 +199,7 @@
       return;
     }
     const std::uint32_t number = aJob.mOccurrencesBegun++;
-    Occurrence occurrence = MakeOccurrence(aJob.mSpec);
+    Occurrence occurrence = MakeOccurrence(aDispatcher, aJob.mSpec);
     const bool timed = aJob.mSpec.mOccurrences > 0;
     occurrence.mDueAt =
       DueAt(aDispatcher, aJob, timed ? aNow : aJob.mAcceptedAt);
@@ -234,7 +235,7 @@
     job.mOccurrencesBegun = aProgress->mOccurrencesBegun;
     job.mOccurrencesDone = aProgress->mOccurrencesDone;
     for (const auto& [number, steps] : aProgress->mOccurrences) {
-      Occurrence occurrence = MakeOccurrence(job.mSpec);
+      Occurrence occurrence = MakeOccurrence(aDispatcher, job.mSpec);
       occurrence.mDueAt = DueAt(aDispatcher, job, aAcceptedAt);
       ApplyProgress(occurrence, steps);
       job.mOccurrences.emplace(number, std::move(occurrence));
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -17,6 +17,12 @@
 /// Added to the cost of a place where the task takes longer: far from its
 /// data, cold, or where it failed before. More than all room of a runner.
 constexpr double kFarCost = 1000;
+/// Added for a runner that serves no image yet, and for one that serves others:
+/// more than the cores of a runner, so that room decides only among equals.
+constexpr double kUnsharedCost = 100;
+constexpr double kMixedCost = 200;
+/// Cores of unused room that weigh as much as a rise of utilization of 1.
+constexpr double kDisturbanceCost = 100;
 /// Added for each failure in a row on a runner.
 constexpr double kFailureCost = 200;
 /// Longest waiting steps that one report explains.
@@ -55,13 +61,15 @@
   Memory,
   Accelerators,
   MostPerRunner,
-  Disturbs ///< It would slow lasting tasks down, or find too little unused.
+  LittleUnused, ///< Too little is left of its processors.
+  Disturbs      ///< It would slow lasting tasks down.
 };
 
-constexpr std::array<std::string_view, 12> kObstacleNames = {
+constexpr std::array<std::string_view, 13> kObstacleNames = {
   "none",    "other_service", "not_live",        "paused",
   "orphans", "evacuated",     "label",           "cores",
-  "memory",  "accelerators",  "most_per_runner", "disturbs"
+  "memory",  "accelerators",  "most_per_runner", "little_unused",
+  "disturbs"
 };
 
 /// @return what keeps the runner from taking any task now
@@ -107,47 +115,59 @@
   return Obstacle::None;
 }
 
-std::int64_t
-UnusedCores(const Runner& aRunner)
-{
-  return aRunner.mSpec.mCapacity.mCores - aRunner.mUsed.mCores -
-         aRunner.mLeftoverCores;
-}
-
 /// Cost of a place for a task that reserves processors: the room that would be
 /// left, so that full runners fill up first and whole runners stay free.
 double
-ReservedCost(const Runner& aRunner, const StepSpec& aSpec)
+ReservedCost(const Runner& aRunner, const TaskRef& aTask)
 {
-  const std::int64_t left = aRunner.mSpec.mCapacity.mCores -
-                            aRunner.mUsed.mCores - aSpec.mAmount.mCores;
-  return static_cast<double>(left) / 1000;
+  const StepSpec& spec = SpecOf(aTask);
+  const std::int64_t left =
+    aRunner.mSpec.mCapacity.mCores - aRunner.mUsed.mCores - spec.mAmount.mCores;
+  const double cost = static_cast<double>(left) / 1000;
+  if (spec.mKind != StepKind::Lasting || spec.mTailTarget.count() == 0) {
+    return cost;
+  }
+  // Runners that serve one image leave the most places for tasks without
+  // reservation, because each of these disturbs only some images.
+  const bool mixed = std::any_of(
+    aRunner.mTasks.begin(), aRunner.mTasks.end(), [&](const TaskRef& aOther) {
+      const StepSpec& other = SpecOf(aOther);
+      return other.mKind == StepKind::Lasting &&
+             other.mTailTarget.count() > 0 && other.mImage != spec.mImage;
+    });
+  if (mixed) {
+    return cost + kMixedCost;
+  }
+  return aRunner.mLasting == 0 ? cost + kUnsharedCost : cost;
 }
 
-/// Cost of a place for a task without reservation, or nothing if it must not
-/// run there.
-std::optional<double>
+/// Cost of a place for a task, or what keeps it from being one.
+using Place = std::variant<double, Obstacle>;
+
+/// Rates a place for a task without reservation.
+Place
 LeftoverCost(const Dispatcher& aDispatcher,
              const Runner& aRunner,
-             const StepSpec& aSpec)
+             const TaskRef& aTask,
+             MonotonicTime aNow)
 {
-  const auto wanted = static_cast<double>(aSpec.mAmount.mCores);
+  const auto wanted = static_cast<double>(SpecOf(aTask).mAmount.mCores);
   const auto unused = static_cast<double>(UnusedCores(aRunner));
   if (unused < wanted * kLeastLeftoverShare) {
-    return {};
+    return Obstacle::LittleUnused;
   }
+  const double cost = -unused / 1000;
   if (aRunner.mLasting == 0) {
-    return -unused / 1000;
+    return cost;
   }
-  if (!MayDisturb(aDispatcher, aRunner, aSpec)) {
-    return {};
+  const std::optional<double> disturbance =
+    DisturbanceCost(aDispatcher, aRunner, aTask, aNow);
+  if (!disturbance) {
+    return Obstacle::Disturbs;
   }
-  return -unused / 1000 + 100;
+  return cost + kDisturbanceCost * *disturbance;
 }
 
-/// Cost of a place for a task, or what keeps it from being one.
-using Place = std::variant<double, Obstacle>;
-
 Place
 RatePlace(const Dispatcher& aDispatcher,
           RunnerIndex aRunner,
@@ -177,14 +197,13 @@
   }
   double cost = 0;
   if (spec.mReservation == Reservation::Reserved) {
-    cost = ReservedCost(runner, spec);
+    cost = ReservedCost(runner, aTask);
   } else {
-    const std::optional<double> leftover =
-      LeftoverCost(aDispatcher, runner, spec);
-    if (!leftover) {
-      return Obstacle::Disturbs;
+    const Place leftover = LeftoverCost(aDispatcher, runner, aTask, aNow);
+    if (std::holds_alternative<Obstacle>(leftover)) {
+      return leftover;
     }
-    cost = *leftover;
+    cost = std::get<double>(leftover);
   }
   if (!spec.mDataRack.empty() && runner.mSpec.mRack != spec.mDataRack) {
     cost += kFarCost;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -36,6 +36,7 @@
   }
   if (spec.mKind == StepKind::Lasting) {
     --runner.mLasting;
+    runner.mLastingCores -= amount.mCores;
   }
   std::erase(runner.mTasks, aTask);
   task.mRunner = kNoRunner;
@@ -336,6 +337,7 @@
   }
   if (spec.mKind == StepKind::Lasting) {
     ++runner.mLasting;
+    runner.mLastingCores += amount.mCores;
   }
   runner.mTasks.push_back(aTask);
   TaskOf(aTask).mRunner = aRunner;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -89,6 +89,7 @@
   bool mListed = false;            ///< Service discovery lists it.
   Amount mUsed;                    ///< By reserved tasks; memory by all.
   std::int64_t mLeftoverCores = 0; ///< Asked by tasks without reservation.
+  std::int64_t mLastingCores = 0; ///< Reserved by lasting tasks.
   std::uint32_t mLasting = 0;
   std::vector<TaskRef> mTasks; ///< Tasks Starting, Running or Stopping here.
 
@@ -109,6 +110,7 @@
   std::vector<OrphanRun> mOrphans;
 
   MonotonicTime mPacedAt;
+  MonotonicTime mLearnedAt; ///< When its tails were last learned from.
 
   std::uint32_t mConsecutiveFailures = 0;
   std::string mLastFailedJob;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -21,8 +21,21 @@
   return index;
 }
 
+/// Share of their reservation that lasting tasks use on average. What they
+/// leave goes to tasks without reservation.
+constexpr double kLastingUse = 0.5;
+
 } // namespace
 
+std::int64_t
+UnusedCores(const Runner& aRunner)
+{
+  const auto idle = static_cast<std::int64_t>(
+    static_cast<double>(aRunner.mLastingCores) * (1 - kLastingUse));
+  return aRunner.mSpec.mCapacity.mCores - aRunner.mUsed.mCores + idle -
+         aRunner.mLeftoverCores;
+}
+
 void
 NoteLease(Dispatcher& aDispatcher, Runner& aRunner)
 {
@@ -273,7 +286,7 @@
     room.mTotalCores += runner.mSpec.mCapacity.mCores;
     room.mFreeCores += std::max<std::int64_t>(0, free);
     room.mLeftoverCores +=
-      std::max<std::int64_t>(0, free - runner.mLeftoverCores);
+      std::max<std::int64_t>(0, UnusedCores(runner));
   }
   return room;
 }
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -50,6 +50,33 @@
   }
 }
 
+/// Emits how full the shard is.
+void
+ReportRoom(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  const Room room = FreeRoom(aDispatcher, aNow);
+  std::int64_t leftover = 0;
+  std::size_t tasks = 0;
+  for (const Runner& runner : aDispatcher.mRunners) {
+    leftover += runner.mLeftoverCores;
+    tasks += runner.mTasks.size();
+  }
+  std::size_t waiting = 0;
+  for (const WaitingStep& entry : aDispatcher.mWaiting) {
+    waiting += entry.mJob->mOccurrences.at(entry.mOccurrence)
+                 .mSteps[entry.mStep]
+                 .mWaiting;
+  }
+  Emit(aDispatcher,
+       "room",
+       nullptr,
+       "total=" + std::to_string(room.mTotalCores) +
+         " free=" + std::to_string(room.mFreeCores) + " unreserved=" +
+         std::to_string(leftover) + " tasks=" + std::to_string(tasks) +
+         " waiting=" + std::to_string(waiting) +
+         " jobs=" + std::to_string(aDispatcher.mJobs.size()));
+}
+
 void
 CheckRecovered(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
@@ -98,6 +125,7 @@
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
     aDispatcher.mExplainedAt = aNow;
     ExplainWaiting(aDispatcher, aNow);
+    ReportRoom(aDispatcher, aNow);
   }
 }
 
