LibDispatch: Check pace orders against use, and move slowed tasks

Cause: pace orders that were lost, late, or given by an earlier owner left tasks halted for good; tasks that were slowed down beside an image that they disturb stayed there. Change: an order is repeated when what a task uses contradicts it; a task below 30 percent for 0.7 s runs on from its checkpoint on another runner.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -186,6 +186,12 @@
                    std::int64_t aRun,
                    MonotonicTime aNow);
 
+/// An order of pace was not carried out, or may be carried out late.
+void
+HandlePaceLost(Dispatcher& aDispatcher,
+               const TaskName& aTask,
+               std::int64_t aRun);
+
 /// Does what is due by time and starts waiting tasks.
 void
 HandleTick(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -41,6 +41,14 @@
 constexpr int kSpeedStep = 25;
 /// Time between two changes of pace on one runner: the age of the tail figure.
 constexpr Millis kPaceInterval{ 450 };
+/// What a task uses must agree with its pace from this long after the order:
+/// the figure's age and the time that a pace takes to act.
+constexpr Millis kPaceCheckAfter{ 1300 };
+/// A task below this pace for this long runs on from its checkpoint elsewhere.
+constexpr int kLowPace = 30;
+constexpr Millis kMoveAfter{ 700 };
+/// Use over request below which a runner's tasks without reservation starve.
+constexpr double kStarvedShare = 0.75;
 /// Over the target for this share of the allowed time, everything that might
 /// disturb is halted.
 constexpr double kHaltShare = 0.35;
@@ -276,29 +284,47 @@
   return cost;
 }
 
-void
-AdjustPace(Dispatcher& aDispatcher,
-           RunnerIndex aRunner,
-           MonotonicTime aNow,
-           Actions& aActions)
+bool
+IsStarved(const Runner& aRunner, MonotonicTime aNow)
 {
-  Runner& runner = aDispatcher.mRunners[aRunner];
-  Learn(aDispatcher, runner, aNow);
-  if (runner.mLasting == 0) {
-    return;
+  double asked = 0;
+  double used = 0;
+  for (const TaskRef& ref : aRunner.mTasks) {
+    const Task& task = TaskOf(ref);
+    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running ||
+        task.mPace < 100 || aNow - task.mAnsweredAt < kSettleTime ||
+        aNow - task.mPaceSentAt < kSettleTime) {
+      continue;
+    }
+    asked += static_cast<double>(SpecOf(ref).mAmount.mCores);
+    used += task.mLoadFigure;
   }
-  double worstRatio = 0;
-  bool halt = false;
-  std::vector<std::uint32_t> suffering;
-  for (const TaskRef& ref : runner.mTasks) {
+  return used < asked * kStarvedShare;
+}
+
+namespace {
+
+/// What the tails on a runner call for.
+struct TailState
+{
+  double mWorst = 0; ///< Highest tail over target.
+  bool mHalt = false;
+  std::vector<std::uint32_t> mSuffering; ///< Images near their target.
+};
+
+TailState
+JudgeTails(const Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
+{
+  TailState state;
+  for (const TaskRef& ref : aRunner.mTasks) {
     if (!IsServing(ref)) {
       continue;
     }
     Task& task = TaskOf(ref);
     const double ratio = TailRatio(ref);
-    worstRatio = std::max(worstRatio, ratio);
+    state.mWorst = std::max(state.mWorst, ratio);
     if (ratio > kSlowAbove) {
-      suffering.push_back(ImageOf(ref));
+      state.mSuffering.push_back(ImageOf(ref));
     }
     if (ratio <= 1) {
       task.mOverTargetSince.reset();
@@ -309,46 +335,105 @@
     }
     const auto limit = std::chrono::duration_cast<Millis>(
       aDispatcher.mSettings.mHarmLimit * kHaltShare);
-    halt = halt || aNow - *task.mOverTargetSince >= limit;
+    state.mHalt = state.mHalt || aNow - *task.mOverTargetSince >= limit;
+  }
+  return state;
+}
+
+/// @return the pace that a task without reservation should have
+int
+WantedPace(const Dispatcher& aDispatcher,
+           const Runner& aRunner,
+           const TaskRef& aTask,
+           const TailState& aTails,
+           MonotonicTime aNow)
+{
+  const int pace = TaskOf(aTask).mPace;
+  if (aTails.mHalt) {
+    return 0;
+  }
+  if (aTails.mSuffering.empty()) {
+    return aTails.mWorst < kSpeedBelow ? std::min(100, pace + kSpeedStep)
+                                       : pace;
+  }
+  double rise = 0;
+  for (const std::uint32_t serving : aTails.mSuffering) {
+    rise = std::max(rise,
+                    FearedRise(aDispatcher,
+                               aRunner,
+                               ImageOf(aTask),
+                               SpecOf(aTask).mAmount.mCores,
+                               serving,
+                               aNow));
+  }
+  if (rise <= kAllowedRise / 2) {
+    return pace;
+  }
+  return aTails.mWorst > 1 ? 0 : pace / 2;
+}
+
+/// @return whether what the task uses contradicts its pace
+bool
+ContradictsPace(const TaskRef& aTask, MonotonicTime aNow)
+{
+  const Task& task = TaskOf(aTask);
+  if (aNow - task.mPaceSentAt < kPaceCheckAfter) {
+    return false;
   }
-  const bool mayChange = aNow - runner.mPacedAt >= kPaceInterval;
-  if (runner.mLeftoverCores == 0 || (!halt && !mayChange)) {
+  const auto asked = static_cast<double>(SpecOf(aTask).mAmount.mCores);
+  const double used = task.mLoadFigure / std::max(1.0, asked);
+  return !task.mPaceSure || (task.mPace >= 25 && used < 0.02) ||
+         (task.mPace == 0 && used > 0.1);
+}
+
+} // namespace
+
+void
+AdjustPace(Dispatcher& aDispatcher,
+           RunnerIndex aRunner,
+           MonotonicTime aNow,
+           Actions& aActions)
+{
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  Learn(aDispatcher, runner, aNow);
+  if (runner.mLeftoverCores == 0) {
     return;
   }
+  const TailState tails = JudgeTails(aDispatcher, runner, aNow);
+  const bool mayChange = tails.mHalt || aNow - runner.mPacedAt >= kPaceInterval;
+  std::vector<TaskRef> toMove;
   for (const TaskRef& ref : runner.mTasks) {
     Task& task = TaskOf(ref);
     if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running) {
       continue;
     }
-    int pace = task.mPace;
-    if (halt) {
-      pace = 0;
-    } else if (!suffering.empty()) {
-      double rise = 0;
-      for (const std::uint32_t serving : suffering) {
-        rise = std::max(rise,
-                        FearedRise(aDispatcher,
-                                   runner,
-                                   ImageOf(ref),
-                                   SpecOf(ref).mAmount.mCores,
-                                   serving,
-                                   aNow));
-      }
-      if (rise > kAllowedRise / 2) {
-        pace = worstRatio > 1 ? 0 : pace / 2;
-      }
-    } else if (worstRatio < kSpeedBelow) {
-      pace = std::min(100, pace + kSpeedStep);
+    const int pace = mayChange
+                       ? WantedPace(aDispatcher, runner, ref, tails, aNow)
+                       : task.mPace;
+    if (pace >= kLowPace) {
+      task.mSlowSince.reset();
+    } else if (!task.mSlowSince) {
+      task.mSlowSince = aNow;
+    } else if (aNow - *task.mSlowSince >= kMoveAfter) {
+      toMove.push_back(ref);
+      continue;
     }
-    if (pace == task.mPace) {
+    if (pace == task.mPace && !ContradictsPace(ref, aNow)) {
       continue;
     }
-    runner.mPacedAt = aNow;
+    if (pace != task.mPace) {
+      runner.mPacedAt = aNow;
+    }
     task.mPace = static_cast<std::uint8_t>(pace);
+    task.mPaceSure = true;
+    task.mPaceSentAt = aNow;
     ++aDispatcher.mCounters.mPaceOrders;
     aActions.push_back(PaceTask{
       aRunner, NameOf(ref), task.mRun, static_cast<std::uint8_t>(pace) });
   }
+  for (const TaskRef& ref : toMove) {
+    BeginStop(aDispatcher, ref, StopCause::Moved, aNow, aActions);
+  }
 }
 
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -102,6 +102,11 @@
                 const TaskRef& aTask,
                 MonotonicTime aNow);
 
+/// @return whether the runner's tasks without reservation get much less than
+///         they ask for
+bool
+IsStarved(const Runner& aRunner, MonotonicTime aNow);
+
 /// Adjusts the pace of tasks without reservation to the lasting tasks beside
 /// them.
 void
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -38,6 +38,10 @@
   TaskPhase mPhase = TaskPhase::Waiting;
   StopCause mStopCause = StopCause::None;
   std::uint8_t mPace = 100; ///< Percent, as last ordered.
+  /// Whether the runner is known to have taken the order. An order may be lost,
+  /// carried out late, or have been given by an earlier owner.
+  bool mPaceSure = true;
+  MonotonicTime mPaceSentAt;
   /// Runs that failed. Their numbers are kept because an end that is stored but
   /// not yet acknowledged is listed again to a later owner.
   std::vector<std::int64_t> mFailedRuns;
@@ -52,6 +56,8 @@
   /// When the runner answered a stop of this run; set while Stopping.
   std::optional<MonotonicTime> mStopAnsweredAt;
   std::optional<MonotonicTime> mOverTargetSince;
+  /// Since when its pace has been low.
+  std::optional<MonotonicTime> mSlowSince;
   RunnerIndex mFailedOn = kNoRunner;
   std::string mSaved; ///< Latest checkpoint, empty if none.
 };
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -156,6 +156,9 @@
   if (unused < wanted * kLeastLeftoverShare) {
     return Obstacle::LittleUnused;
   }
+  if (IsStarved(aRunner, aNow)) {
+    return Obstacle::LittleUnused;
+  }
   const double cost = -unused / 1000;
   if (aRunner.mLasting == 0) {
     return cost;
@@ -254,6 +257,9 @@
   task.mRun = aRun;
   task.mStartedAt = aNow;
   task.mPace = 100;
+  task.mPaceSure = true;
+  task.mPaceSentAt = aNow;
+  task.mSlowSince.reset();
   task.mLoadFigure = 0;
   --step.mWaiting;
   if (!job.mBegan) {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -225,6 +225,7 @@
   task.mAnsweredAt = aNow;
   task.mProgressAt = aNow;
   task.mPace = 100;
+  task.mPaceSure = false;
   --step.mWaiting;
   step.mOpen = true;
   job.mBegan = true;
@@ -580,4 +581,15 @@
   }
 }
 
+void
+HandlePaceLost(Dispatcher& aDispatcher,
+               const TaskName& aTask,
+               std::int64_t aRun)
+{
+  const TaskRef ref = FindTask(aDispatcher, aTask);
+  if (ref.mJob != nullptr && TaskOf(ref).mRun == aRun) {
+    TaskOf(ref).mPaceSure = false;
+  }
+}
+
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -89,7 +89,7 @@
   bool mListed = false;            ///< Service discovery lists it.
   Amount mUsed;                    ///< By reserved tasks; memory by all.
   std::int64_t mLeftoverCores = 0; ///< Asked by tasks without reservation.
-  std::int64_t mLastingCores = 0; ///< Reserved by lasting tasks.
+  std::int64_t mLastingCores = 0;  ///< Reserved by lasting tasks.
   std::uint32_t mLasting = 0;
   std::vector<TaskRef> mTasks; ///< Tasks Starting, Running or Stopping here.
 
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -285,8 +285,7 @@
       runner.mSpec.mCapacity.mCores - runner.mUsed.mCores;
     room.mTotalCores += runner.mSpec.mCapacity.mCores;
     room.mFreeCores += std::max<std::int64_t>(0, free);
-    room.mLeftoverCores +=
-      std::max<std::int64_t>(0, UnusedCores(runner));
+    room.mLeftoverCores += std::max<std::int64_t>(0, UnusedCores(runner));
   }
   return room;
 }
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -254,6 +254,7 @@
       aPace.mPercent },
     [self, aPace](OrderResult aResult) {
       if (!self->mLost && aResult != OrderResult::Done) {
+        dispatch::HandlePaceLost(self->mCore, aPace.mTask, aPace.mRun);
         self->Log(LogLevel::Info,
                   "pace_not_done",
                   "task=" + dispatch::FormatTaskName(aPace.mTask) +
