LibDispatch: Count the disturbance of all neighbours together

Cause: a place was rated by the new task's own disturbance, so many tasks of one image started at once on the runner that looked best, and all of them were slowed down, moved, and met again on the next. Change: neighbours count together, those that started just now fully; of a runner's disturbers the worst are slowed down first, and only until enough is taken away.

--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -59,6 +59,14 @@
 constexpr double kFear = 0.7;
 /// Utilization up to which a serving task may get an unknown neighbour.
 constexpr double kTrialUtilization = 0.6;
+/// Share of the target's utilization that such a trial may be feared to reach.
+constexpr double kTrialShare = 0.9;
+/// Shares of the disturbers' expected rise that are taken away when a tail is
+/// over its target, and when it is near.
+constexpr double kTakenWhenOver = 0.6;
+constexpr double kTakenWhenNear = 0.25;
+/// A smaller rise of utilization is not worth a change of pace.
+constexpr double kNegligibleRise = 0.01;
 
 PairEffect&
 PairOf(Interference& aInterference,
@@ -263,20 +271,38 @@
       }
       continue;
     }
+    if (TailRatio(ref) > kSlowAbove) {
+      return {};
+    }
     const std::uint32_t serving = ImageOf(ref);
-    const ServingImage& known = aDispatcher.mInterference.mServing[serving];
     const double rise =
       FearedRise(aDispatcher, aRunner, image, cores, serving, aNow);
+    // Neighbours that started just now don't show in the tail yet.
+    double present = 0;
+    double unseen = 0;
+    for (const TaskRef& other : aRunner.mTasks) {
+      if (!IsLeftover(other)) {
+        continue;
+      }
+      const double otherRise = FearedRise(aDispatcher,
+                                          aRunner,
+                                          ImageOf(other),
+                                          SpecOf(other).mAmount.mCores,
+                                          serving,
+                                          aNow);
+      present += otherRise;
+      if (aNow - TaskOf(other).mStartedAt < kSettleTime) {
+        unseen += otherRise;
+      }
+    }
+    const ServingImage& known = aDispatcher.mInterference.mServing[serving];
     const double utilization = UtilizationOf(known, TaskOf(ref).mLoadFigure);
     const double limit = UtilizationOf(
       known, static_cast<double>(SpecOf(ref).mTailTarget.count()));
-    if (TailRatio(ref) > kSlowAbove) {
-      return {};
-    }
-    const bool affordable =
-      rise <= kAllowedRise || (utilization < kTrialUtilization &&
-                               utilization + rise < limit * kSlowAbove);
-    if (!affordable) {
+    const bool small = present + rise <= kAllowedRise;
+    const bool trial = utilization < kTrialUtilization &&
+                       utilization + unseen + rise < limit * kTrialShare;
+    if (!small && !trial) {
       return {};
     }
     cost = std::max(cost, rise);
@@ -340,36 +366,79 @@
   return state;
 }
 
-/// @return the pace that a task without reservation should have
-int
-WantedPace(const Dispatcher& aDispatcher,
-           const Runner& aRunner,
-           const TaskRef& aTask,
-           const TailState& aTails,
-           MonotonicTime aNow)
+struct PaceChange
+{
+  TaskRef mTask;
+  int mPace = 100;
+};
+
+/// @return the paces that the runner's tasks without reservation should have
+std::vector<PaceChange>
+WantedPaces(const Dispatcher& aDispatcher,
+            const Runner& aRunner,
+            const TailState& aTails,
+            MonotonicTime aNow)
 {
-  const int pace = TaskOf(aTask).mPace;
+  struct Disturber
+  {
+    std::size_t mIndex = 0;
+    double mRise = 0;
+  };
+  std::vector<PaceChange> wanted;
+  std::vector<Disturber> disturbers;
+  double total = 0;
+  for (const TaskRef& ref : aRunner.mTasks) {
+    const Task& task = TaskOf(ref);
+    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running) {
+      continue;
+    }
+    double rise = 0;
+    for (const std::uint32_t serving : aTails.mSuffering) {
+      rise = std::max(rise,
+                      FearedRise(aDispatcher,
+                                 aRunner,
+                                 ImageOf(ref),
+                                 SpecOf(ref).mAmount.mCores,
+                                 serving,
+                                 aNow));
+    }
+    rise *= task.mPace / 100.0;
+    total += rise;
+    disturbers.push_back({ wanted.size(), rise });
+    wanted.push_back({ ref, task.mPace });
+  }
   if (aTails.mHalt) {
-    return 0;
+    for (PaceChange& change : wanted) {
+      change.mPace = 0;
+    }
+    return wanted;
   }
   if (aTails.mSuffering.empty()) {
-    return aTails.mWorst < kSpeedBelow ? std::min(100, pace + kSpeedStep)
-                                       : pace;
-  }
-  double rise = 0;
-  for (const std::uint32_t serving : aTails.mSuffering) {
-    rise = std::max(rise,
-                    FearedRise(aDispatcher,
-                               aRunner,
-                               ImageOf(aTask),
-                               SpecOf(aTask).mAmount.mCores,
-                               serving,
-                               aNow));
+    for (PaceChange& change : wanted) {
+      if (aTails.mWorst < kSpeedBelow) {
+        change.mPace = std::min(100, change.mPace + kSpeedStep);
+      }
+    }
+    return wanted;
   }
-  if (rise <= kAllowedRise / 2) {
-    return pace;
+  // The worst disturbers first, until enough of the rise is taken away. The
+  // others go on, because they would disturb as much anywhere.
+  std::sort(
+    disturbers.begin(),
+    disturbers.end(),
+    [](const Disturber& a, const Disturber& b) { return a.mRise > b.mRise; });
+  const bool over = aTails.mWorst > 1;
+  const double enough = total * (over ? kTakenWhenOver : kTakenWhenNear);
+  double taken = 0;
+  for (const Disturber& disturber : disturbers) {
+    if (taken >= enough || disturber.mRise < kNegligibleRise) {
+      break;
+    }
+    int& pace = wanted[disturber.mIndex].mPace;
+    taken += over ? disturber.mRise : disturber.mRise / 2;
+    pace = over ? 0 : pace / 2;
   }
-  return aTails.mWorst > 1 ? 0 : pace / 2;
+  return wanted;
 }
 
 /// @return whether what the task uses contradicts its pace
@@ -402,14 +471,11 @@
   const TailState tails = JudgeTails(aDispatcher, runner, aNow);
   const bool mayChange = tails.mHalt || aNow - runner.mPacedAt >= kPaceInterval;
   std::vector<TaskRef> toMove;
-  for (const TaskRef& ref : runner.mTasks) {
+  for (const PaceChange& change :
+       WantedPaces(aDispatcher, runner, tails, aNow)) {
+    const TaskRef& ref = change.mTask;
     Task& task = TaskOf(ref);
-    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running) {
-      continue;
-    }
-    const int pace = mayChange
-                       ? WantedPace(aDispatcher, runner, ref, tails, aNow)
-                       : task.mPace;
+    const int pace = mayChange ? change.mPace : task.mPace;
     if (pace >= kLowPace) {
       task.mSlowSince.reset();
     } else if (!task.mSlowSince) {
