LibDispatch: Serve what can be in time first, and make placement cheaper

Cause: under a backlog the oldest steps were served first, so every job was late. Ruled out: the runners (they answered in time), the store.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -4,6 +4,7 @@
 #include <LibAsyncHttp/HttpPool.h>
 #include <LibTime/BootClock.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -62,6 +63,7 @@
     HttpCall mCall;
     AnswerHandler mDone;
     MonotonicTime mUntil;
+    std::uint64_t mNumber = 0;
   };
 
   struct Connection
@@ -109,6 +111,7 @@
   std::string mAddress;
   std::size_t mMost;
   std::size_t mOpened = 0;
+  std::uint64_t mQueued = 0;
   bool mStopped = false;
   std::vector<Shared> mConnections;
   std::vector<Shared> mIdle;
@@ -128,6 +131,23 @@
     Open(std::move(aWaiting));
     return;
   }
+  // A call that finds no connection in time was certainly not sent.
+  aWaiting.mNumber = ++mQueued;
+  auto self = shared_from_this();
+  mDeadlines.Add(aWaiting.mUntil, [self, number = mQueued] {
+    const auto found = std::find_if(
+      self->mQueue.begin(), self->mQueue.end(), [&](const Waiting& aEntry) {
+        return aEntry.mNumber == number;
+      });
+    if (found == self->mQueue.end()) {
+      return;
+    }
+    const AnswerHandler done = std::move(found->mDone);
+    self->mQueue.erase(found);
+    HttpAnswer answer;
+    answer.mFailure = CallFailure::NotSent;
+    done(std::move(answer));
+  });
   mQueue.push_back(std::move(aWaiting));
 }
 
--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -46,6 +46,9 @@
   Millis mUnhealthyPause{ 700 };
   /// A start that was refused for room is not repeated there for this long.
   Millis mRefusedPause{ 300 };
+  /// Starts that a runner has not answered yet. They share few connections, and
+  /// one that waits for them past its time counts as unanswered.
+  std::uint32_t mStartsAtOnce = 12;
   /// Starts in one pass, so that one pass stays under a few milliseconds.
   std::uint32_t mStartsPerPass = 64;
 };
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -87,6 +87,7 @@
   std::set<WaitingStep> mWaiting;
   std::uint64_t mNextOrder = 1;
   MonotonicTime mExplainedAt;
+  MonotonicTime mPlacedAt;
   bool mPlacementDue = false; ///< Room or waiting tasks have changed.
 
   std::vector<Job*> mDirty;          ///< Jobs whose progress is to be stored.
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -254,54 +254,92 @@
   return 1 - std::min(1.0, kUnqueuedShare * aImage.mShortestTail / aTail);
 }
 
+void
+NoteNeighbour(const Dispatcher& aDispatcher,
+              Runner& aRunner,
+              const TaskRef& aTask,
+              MonotonicTime aNow)
+{
+  if (!IsLeftover(aTask)) {
+    return;
+  }
+  const bool unseen = aNow - TaskOf(aTask).mStartedAt < kSettleTime;
+  for (ServingHere& serving : aRunner.mServing) {
+    const double rise = FearedRise(aDispatcher,
+                                   aRunner,
+                                   ImageOf(aTask),
+                                   SpecOf(aTask).mAmount.mCores,
+                                   serving.mImage,
+                                   aNow);
+    serving.mPresent += rise;
+    // Neighbours that started just now don't show in the tail yet.
+    serving.mUnseen += unseen ? rise : 0;
+  }
+}
+
+void
+RateLasting(Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  const Interference& interference = aDispatcher.mInterference;
+  for (Runner& runner : aDispatcher.mRunners) {
+    runner.mServing.clear();
+    runner.mTailUnknown = false;
+    if (runner.mLasting == 0) {
+      continue;
+    }
+    for (const TaskRef& ref : runner.mTasks) {
+      const StepSpec& spec = SpecOf(ref);
+      if (!IsServing(ref)) {
+        runner.mTailUnknown =
+          runner.mTailUnknown ||
+          (spec.mKind == StepKind::Lasting && spec.mTailTarget.count() > 0);
+        continue;
+      }
+      const std::uint32_t image = ImageOf(ref);
+      auto serving = std::find_if(
+        runner.mServing.begin(),
+        runner.mServing.end(),
+        [&](const ServingHere& aOther) { return aOther.mImage == image; });
+      if (serving == runner.mServing.end()) {
+        serving = runner.mServing.insert(serving, ServingHere{});
+        serving->mImage = image;
+      }
+      const ServingImage& known = interference.mServing[image];
+      serving->mWorstRatio = std::max(serving->mWorstRatio, TailRatio(ref));
+      serving->mUtilization = std::max(
+        serving->mUtilization, UtilizationOf(known, TaskOf(ref).mLoadFigure));
+      serving->mLimit = std::min(
+        serving->mLimit,
+        UtilizationOf(known, static_cast<double>(spec.mTailTarget.count())));
+    }
+    for (const TaskRef& ref : runner.mTasks) {
+      NoteNeighbour(aDispatcher, runner, ref, aNow);
+    }
+  }
+}
+
 std::optional<double>
 DisturbanceCost(const Dispatcher& aDispatcher,
                 const Runner& aRunner,
                 const TaskRef& aTask,
                 MonotonicTime aNow)
 {
+  if (aRunner.mTailUnknown) {
+    return {};
+  }
   const std::uint32_t image = ImageOf(aTask);
   const std::int64_t cores = SpecOf(aTask).mAmount.mCores;
   double cost = 0;
-  for (const TaskRef& ref : aRunner.mTasks) {
-    if (!IsServing(ref)) {
-      if (SpecOf(ref).mKind == StepKind::Lasting &&
-          SpecOf(ref).mTailTarget.count() > 0) {
-        return {}; // Its tail is not known yet.
-      }
-      continue;
-    }
-    if (TailRatio(ref) > kSlowAbove) {
+  for (const ServingHere& serving : aRunner.mServing) {
+    if (serving.mWorstRatio > kSlowAbove) {
       return {};
     }
-    const std::uint32_t serving = ImageOf(ref);
     const double rise =
-      FearedRise(aDispatcher, aRunner, image, cores, serving, aNow);
-    // Neighbours that started just now don't show in the tail yet.
-    double present = 0;
-    double unseen = 0;
-    for (const TaskRef& other : aRunner.mTasks) {
-      if (!IsLeftover(other)) {
-        continue;
-      }
-      const double otherRise = FearedRise(aDispatcher,
-                                          aRunner,
-                                          ImageOf(other),
-                                          SpecOf(other).mAmount.mCores,
-                                          serving,
-                                          aNow);
-      present += otherRise;
-      if (aNow - TaskOf(other).mStartedAt < kSettleTime) {
-        unseen += otherRise;
-      }
-    }
-    const ServingImage& known = aDispatcher.mInterference.mServing[serving];
-    const double utilization = UtilizationOf(known, TaskOf(ref).mLoadFigure);
-    const double limit = UtilizationOf(
-      known, static_cast<double>(SpecOf(ref).mTailTarget.count()));
-    const bool small = present + rise <= kAllowedRise;
-    const bool trial = utilization < kTrialUtilization &&
-                       utilization + unseen + rise < limit * kTrialShare;
+      FearedRise(aDispatcher, aRunner, image, cores, serving.mImage, aNow);
+    const bool small = serving.mPresent + rise <= kAllowedRise;
+    const bool trial = serving.mUtilization < kTrialUtilization &&
+                       serving.mUtilization + serving.mUnseen + rise <
+                         serving.mLimit * kTrialShare;
     if (!small && !trial) {
       return {};
     }
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -54,6 +54,10 @@
           std::uint32_t aOccurrence,
           MonotonicTime aNow);
 
+/// @return the longest chain of estimates from a step to the job's end
+Millis
+RemainingChain(const Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+
 /// Enters a step into the order of service or takes it out.
 void
 UpdateWaiting(Dispatcher& aDispatcher,
@@ -91,17 +95,29 @@
 
 /// Emits what keeps the first steps that have waited for long from starting.
 void
-ExplainWaiting(const Dispatcher& aDispatcher, MonotonicTime aNow);
+ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow);
 
 /// @return the rise of utilization that a task without reservation is expected
 ///         to cause to the runner's lasting tasks, or nothing if it must not
 ///         start there
+/// Only valid after RateLasting() in the same pass.
 std::optional<double>
 DisturbanceCost(const Dispatcher& aDispatcher,
                 const Runner& aRunner,
                 const TaskRef& aTask,
                 MonotonicTime aNow);
 
+/// Sums up the lasting tasks of each runner for one placement pass.
+void
+RateLasting(Dispatcher& aDispatcher, MonotonicTime aNow);
+
+/// Adds a task that was started during the pass to its runner's sums.
+void
+NoteNeighbour(const Dispatcher& aDispatcher,
+              Runner& aRunner,
+              const TaskRef& aTask,
+              MonotonicTime aNow);
+
 /// @return whether the runner's tasks without reservation get much less than
 ///         they ask for
 bool
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -71,6 +71,8 @@
   std::uint32_t mImage = 0;   ///< Index of its image in Interference.
   bool mOpen = false;         ///< All earlier steps have ended.
   MonotonicTime mOpenedAt;
+  /// Longest chain of estimates from this step to the job's end.
+  Millis mRemainingChain{ 0 };
 };
 
 struct Occurrence
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -114,6 +114,34 @@
 
 } // namespace
 
+Millis
+RemainingChain(const Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  const std::vector<StepSpec>& steps = aJob.mSpec.mSteps;
+  const Occurrence& occurrence = aJob.mOccurrences.at(aOccurrence);
+  std::vector<Millis> ends(steps.size(), Millis(0));
+  Millis longest(0);
+  for (std::size_t i = aStep; i < steps.size(); ++i) {
+    const bool follows = i == aStep || std::any_of(steps[i].mAfter.begin(),
+                                                   steps[i].mAfter.end(),
+                                                   [&](std::uint32_t b) {
+                                                     return ends[b].count() > 0;
+                                                   });
+    const bool done =
+      occurrence.mSteps[i].mDone == occurrence.mSteps[i].mTasks.size();
+    if (!follows || done) {
+      continue;
+    }
+    Millis begin(0);
+    for (const std::uint32_t before : steps[i].mAfter) {
+      begin = std::max(begin, ends[before]);
+    }
+    ends[i] = begin + std::max(Millis(1), steps[i].mEstimate);
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
 bool
 WaitingStep::operator<(const WaitingStep& aOther) const
 {
@@ -178,6 +206,7 @@
     }
     step.mOpen = true;
     step.mOpenedAt = aNow;
+    step.mRemainingChain = RemainingChain(aJob, aOccurrence, i);
     UpdateWaiting(aDispatcher, aJob, aOccurrence, i);
   }
 }
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <tuple>
 #include <variant>
 
 namespace paddle::dispatch {
@@ -25,6 +26,8 @@
 constexpr double kDisturbanceCost = 100;
 /// Added for each failure in a row on a runner.
 constexpr double kFailureCost = 200;
+/// A job that ends later than this many objectives earns nothing.
+constexpr int kLatestObjective = 3;
 /// Longest waiting steps that one report explains.
 constexpr std::size_t kExplainedSteps = 3;
 /// A step that waits longer than this is explained in the log.
@@ -87,6 +90,9 @@
       (aRunner.mOnProbation && !aRunner.mTasks.empty())) {
     return Obstacle::Paused;
   }
+  if (aRunner.mStarting >= aDispatcher.mSettings.mStartsAtOnce) {
+    return Obstacle::Paused;
+  }
   if (!aRunner.mOrphans.empty()) {
     return Obstacle::Orphans;
   }
@@ -262,16 +268,67 @@
   task.mSlowSince.reset();
   task.mLoadFigure = 0;
   --step.mWaiting;
-  if (!job.mBegan) {
-    job.mBegan = true;
-  }
   Occupy(aDispatcher, aRunner, aTask);
   Runner& runner = aDispatcher.mRunners[aRunner];
   ++aDispatcher.mCounters.mStarts;
+  ++runner.mStarting;
   aActions.push_back(
     StartTask{ aRunner, aTask, aRun, LeaseEnd(aDispatcher, runner, aNow) });
 }
 
+/// What a job can still earn decides before its age: a step that is served late
+/// anyway must not make the next one late.
+enum class Reach : std::uint8_t
+{
+  InTime,
+  Late,     ///< Can't end within its objective any more.
+  Worthless ///< Can't end within three times its objective.
+};
+
+Reach
+ReachOf(const WaitingStep& aEntry, MonotonicTime aNow)
+{
+  if (aEntry.mKind == StepKind::Lasting) {
+    return Reach::InTime;
+  }
+  const Job& job = *aEntry.mJob;
+  const auto objective =
+    std::chrono::duration_cast<Millis>(aEntry.mDueAt - job.mAcceptedAt);
+  const Millis needed = job.mOccurrences.at(aEntry.mOccurrence)
+                          .mSteps[aEntry.mStep]
+                          .mRemainingChain;
+  if (aNow + needed <= aEntry.mDueAt) {
+    return Reach::InTime;
+  }
+  const bool worthLate =
+    aNow + needed <= aEntry.mDueAt + objective * (kLatestObjective - 1);
+  return worthLate ? Reach::Late : Reach::Worthless;
+}
+
+/// @return the waiting steps in the order in which they get room
+std::vector<WaitingStep>
+OrderOfService(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::vector<WaitingStep> waiting(aDispatcher.mWaiting.begin(),
+                                   aDispatcher.mWaiting.end());
+  std::vector<std::pair<Reach, std::size_t>> order;
+  order.reserve(waiting.size());
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    order.emplace_back(ReachOf(waiting[i], aNow), i);
+  }
+  std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+    const std::int32_t first = waiting[a.second].mPriority;
+    const std::int32_t second = waiting[b.second].mPriority;
+    return std::tie(first, a) < std::tie(second, b);
+  });
+  std::vector<WaitingStep> ordered;
+  ordered.reserve(waiting.size());
+  for (const auto& [reach, index] : order) {
+    ordered.push_back(waiting[index]);
+  }
+  return ordered;
+}
+
 /// Starts all members of a gang, or none.
 /// @return whether it was started
 bool
@@ -319,6 +376,48 @@
 
 } // namespace
 
+namespace {
+
+/// Requests that found no room in this pass. Room only shrinks during a pass,
+/// so a larger request of the same kind finds none either.
+class Refusals
+{
+public:
+  [[nodiscard]] bool Covers(const StepSpec& aSpec,
+                            const std::string& aService) const
+  {
+    return std::any_of(
+      mEntries.begin(), mEntries.end(), [&](const Entry& aEntry) {
+        return aEntry.mSpec->mReservation == aSpec.mReservation &&
+               aEntry.mSpec->mImage == aSpec.mImage &&
+               *aEntry.mService == aService &&
+               aEntry.mSpec->mAmount.mCores <= aSpec.mAmount.mCores &&
+               aEntry.mSpec->mAmount.mMemory <= aSpec.mAmount.mMemory &&
+               aEntry.mSpec->mAmount.mAccelerators <=
+                 aSpec.mAmount.mAccelerators;
+      });
+  }
+
+  void Add(const StepSpec& aSpec, const std::string& aService)
+  {
+    // Other limits of a step say nothing about the next step.
+    if (aSpec.mRequiredLabel.empty() && aSpec.mMostPerRunner == 0 &&
+        !aSpec.mGang) {
+      mEntries.push_back({ &aSpec, &aService });
+    }
+  }
+
+private:
+  struct Entry
+  {
+    const StepSpec* mSpec = nullptr;
+    const std::string* mService = nullptr;
+  };
+  std::vector<Entry> mEntries;
+};
+
+} // namespace
+
 void
 PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
 {
@@ -327,17 +426,21 @@
   }
   aDispatcher.mPlacementDue = false;
   std::uint32_t started = 0;
-  // A copy, because starting tasks changes the order of service.
-  const std::vector<WaitingStep> waiting(aDispatcher.mWaiting.begin(),
-                                         aDispatcher.mWaiting.end());
+  Refusals refusals;
+  RateLasting(aDispatcher, aNow);
+  const std::vector<WaitingStep> waiting = OrderOfService(aDispatcher, aNow);
   for (const WaitingStep& entry : waiting) {
     Job& job = *entry.mJob;
     const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
     if (queue == nullptr || (job.mFormer && !aDispatcher.mRecovered)) {
       continue;
     }
+    const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
+    if (refusals.Covers(spec, queue->mService)) {
+      continue;
+    }
     Step& step = job.mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
-    if (job.mSpec.mSteps[entry.mStep].mGang) {
+    if (spec.mGang) {
       if (StartGang(aDispatcher, entry, queue->mService, aNow, aActions)) {
         started += static_cast<std::uint32_t>(step.mTasks.size());
       }
@@ -351,9 +454,11 @@
         const RunnerIndex runner =
           ChooseRunner(aDispatcher, ref, queue->mService, aNow);
         if (runner == kNoRunner) {
+          refusals.Add(spec, queue->mService);
           break;
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
+        NoteNeighbour(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
         ++started;
       }
     }
@@ -363,12 +468,12 @@
       return;
     }
   }
-  aDispatcher.mPlacementDue = false;
 }
 
 void
-ExplainWaiting(const Dispatcher& aDispatcher, MonotonicTime aNow)
+ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
+  RateLasting(aDispatcher, aNow);
   std::size_t explained = 0;
   for (const WaitingStep& entry : aDispatcher.mWaiting) {
     const Step& step =
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -38,6 +38,9 @@
     --runner.mLasting;
     runner.mLastingCores -= amount.mCores;
   }
+  if (task.mPhase == TaskPhase::Starting) {
+    --runner.mStarting;
+  }
   std::erase(runner.mTasks, aTask);
   task.mRunner = kNoRunner;
   --aTask.mJob->mLive;
@@ -193,6 +196,7 @@
            CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
   }
   task.mRun = std::max(task.mRun, aEnd.mRun);
+  ref.mJob->mBegan = true;
   const RunOutcome outcome = aEnd.mKind == EndKind::Done ? RunOutcome::Done
                              : aEnd.mKind == EndKind::Failed
                                ? RunOutcome::Failed
@@ -250,7 +254,9 @@
       }
     } else {
       if (task.mPhase == TaskPhase::Starting) {
+        --aDispatcher.mRunners[aRunner].mStarting;
         task.mPhase = TaskPhase::Running;
+        ref.mJob->mBegan = true;
         task.mAnsweredAt = aNow;
         task.mProgressAt = aNow;
       }
@@ -418,6 +424,9 @@
           Actions& aActions)
 {
   Task& task = TaskOf(aTask);
+  if (task.mPhase == TaskPhase::Starting) {
+    --aDispatcher.mRunners[task.mRunner].mStarting;
+  }
   task.mPhase = TaskPhase::Stopping;
   task.mStopCause = aCause;
   task.mStopSentAt = aNow;
@@ -534,7 +543,9 @@
   switch (aResult) {
     case StartResult::Started:
       if (task.mPhase == TaskPhase::Starting) {
+        --aDispatcher.mRunners[aRunner].mStarting;
         task.mPhase = TaskPhase::Running;
+        ref.mJob->mBegan = true;
         task.mAnsweredAt = aNow;
         task.mProgressAt = aNow;
       }
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -65,6 +65,17 @@
   std::vector<EndEntry> mEnds;
 };
 
+/// The lasting tasks of one image on a runner, summed up for placement.
+struct ServingHere
+{
+  std::uint32_t mImage = 0;
+  double mWorstRatio = 0;  ///< Tail over target.
+  double mUtilization = 0; ///< The highest.
+  double mLimit = 1;       ///< Utilization at the target.
+  double mPresent = 0;     ///< Feared rise by all neighbours.
+  double mUnseen = 0;      ///< By those that the tails don't show yet.
+};
+
 /// A run that no known task accounts for. Its size is unknown, so nothing is
 /// started beside it until it has ended.
 struct OrphanRun
@@ -91,6 +102,10 @@
   std::int64_t mLeftoverCores = 0; ///< Asked by tasks without reservation.
   std::int64_t mLastingCores = 0;  ///< Reserved by lasting tasks.
   std::uint32_t mLasting = 0;
+  std::uint32_t mStarting = 0; ///< Starts without an answer so far.
+  /// Serving images here, as of the present placement pass.
+  std::vector<ServingHere> mServing;
+  bool mTailUnknown = false;   ///< A serving task has not reported yet.
   std::vector<TaskRef> mTasks; ///< Tasks Starting, Running or Stopping here.
 
   std::int64_t mClockMs = 0;        ///< In its latest answer.
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -8,6 +8,8 @@
 
 /// Interval of the log lines that say why steps wait.
 constexpr Seconds kExplainInterval{ 2 };
+/// Interval of placement passes that no event calls for.
+constexpr Millis kPlaceInterval{ 150 };
 
 /// Gives up the runs of runners that have been silent for longer than their
 /// leases.
@@ -119,8 +121,11 @@
       BeginOccurrences(aDispatcher, *job, aUnixMs, aNow);
     }
   }
-  // Pauses of runners end with time, which frees room.
-  aDispatcher.mPlacementDue = true;
+  if (aNow - aDispatcher.mPlacedAt >= kPlaceInterval) {
+    // Pauses of runners end with time, which frees room.
+    aDispatcher.mPlacedAt = aNow;
+    aDispatcher.mPlacementDue = true;
+  }
   PlaceWaiting(aDispatcher, aNow, aActions);
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
     aDispatcher.mExplainedAt = aNow;
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -230,12 +230,13 @@
   std::vector<Claim> claims;
   for (std::uint32_t shard = 0; shard < aView.mShards; ++shard) {
     const auto found = aView.mShardRows.find(shard);
-    Claim claim{ shard, 0, 1, false };
+    Claim claim{ shard, 0, 1, false, {} };
     MonotonicTime freeSince = aView.mReadAt;
     if (found != aView.mShardRows.end()) {
       const Observed<ShardRow>& row = found->second;
       claim.mRowVersion = row.mVersion;
       claim.mEpoch = row.mRow.mEpoch + 1;
+      claim.mPending = row.mRow.mPending;
       if (row.mRow.mOwner == aSelf.mName) {
         // Only one process of this name runs at a time, so a former one is
         // certainly gone.
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -79,6 +79,9 @@
   std::int64_t mEpoch = 0;      ///< The new owner's.
   /// The former owner may still give orders for a while.
   bool mFormerOwnerMayAct = false;
+  /// The former owner's count of waiting jobs by queue, which holds until the
+  /// new owner has read the jobs.
+  std::map<std::string, std::uint64_t> mPending;
 };
 
 /// Updates a view by a complete reading of the cluster table.
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -110,6 +110,10 @@
   row.mFreeCores = room.mFreeCores;
   row.mLeftoverCores = room.mLeftoverCores;
   row.mTotalCores = room.mTotalCores;
+  if (state.mStage != ShardStage::Serving) {
+    row.mPending = state.mClaim.mPending;
+    return row;
+  }
   for (const auto& [name, queue] : state.mCore.mQueues) {
     const std::uint64_t pending = dispatch::PendingJobs(state.mCore, name);
     if (pending > 0) {
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -12,6 +12,7 @@
   row.mOwner = mContext.mSelf.mName;
   row.mOwnerIncarnation = mContext.mSelf.mIncarnation;
   row.mEpoch = mClaim.mEpoch;
+  row.mPending = mClaim.mPending;
   StoreTransaction transaction;
   transaction.mChecks.push_back(
     { kClusterTable, ShardKey(mClaim.mShard), mClaim.mRowVersion });
