LibDispatch: Look only at the runners whose room was freed

Change: an end leads to a pass over its runner only; a new step to one over the runners that are open; starvation is judged once a pass; serving runners are looked at every 0.4 s instead of 0.25.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -32,7 +32,7 @@
   Millis mStopRepeat{ 700 };
   /// Wait of a watched renewal. A quarter of a second beside lasting tasks
   /// follows their half-second tail figure; elsewhere ends wake it up.
-  Millis mWatchWithTails{ 250 };
+  Millis mWatchWithTails{ 400 };
   Millis mWatch{ 900 };
   /// Idle runners are looked at this often to keep their clock known.
   Millis mIdleLook{ 3000 };
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -88,7 +88,8 @@
   std::uint64_t mNextOrder = 1;
   MonotonicTime mExplainedAt;
   MonotonicTime mPlacedAt;
-  bool mPlacementDue = false; ///< Room or waiting tasks have changed.
+  bool mPlacementDue = false; ///< Waiting tasks or runners have changed.
+  std::vector<RunnerIndex> mFreedRunners; ///< Room was freed there.
 
   std::vector<Job*> mDirty;          ///< Jobs whose progress is to be stored.
   std::uint64_t mCommitSequence = 1; ///< Of the commit being collected.
@@ -272,10 +273,31 @@
 
 TaskName
 NameOf(const TaskRef& aTask);
-Task&
-TaskOf(const TaskRef& aTask);
-const StepSpec&
-SpecOf(const TaskRef& aTask);
+
+/// @return the step of a task; the occurrence must exist
+inline Step&
+StepOf(const TaskRef& aTask)
+{
+  // Nearly every job has one occurrence.
+  auto occurrence = aTask.mJob->mOccurrences.begin();
+  if (occurrence->first != aTask.mOccurrence) {
+    occurrence = aTask.mJob->mOccurrences.find(aTask.mOccurrence);
+  }
+  return occurrence->second.mSteps[aTask.mStep];
+}
+
+inline Task&
+TaskOf(const TaskRef& aTask)
+{
+  return StepOf(aTask).mTasks[aTask.mIndex];
+}
+
+inline const StepSpec&
+SpecOf(const TaskRef& aTask)
+{
+  return aTask.mJob->mSpec.mSteps[aTask.mStep];
+}
+
 std::string
 FormatTaskName(const TaskName& aTask);
 std::optional<TaskName>
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -104,9 +104,7 @@
 std::uint32_t
 ImageOf(const TaskRef& aTask)
 {
-  return aTask.mJob->mOccurrences.at(aTask.mOccurrence)
-    .mSteps[aTask.mStep]
-    .mImage;
+  return StepOf(aTask).mImage;
 }
 
 bool
@@ -254,6 +252,24 @@
   return 1 - std::min(1.0, kUnqueuedShare * aImage.mShortestTail / aTail);
 }
 
+bool
+IsStarved(const Runner& aRunner, MonotonicTime aNow)
+{
+  double asked = 0;
+  double used = 0;
+  for (const TaskRef& ref : aRunner.mTasks) {
+    const Task& task = TaskOf(ref);
+    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running ||
+        task.mPace < 100 || aNow - task.mAnsweredAt < kSettleTime ||
+        aNow - task.mPaceSentAt < kSettleTime) {
+      continue;
+    }
+    asked += static_cast<double>(SpecOf(ref).mAmount.mCores);
+    used += task.mLoadFigure;
+  }
+  return used < asked * kStarvedShare;
+}
+
 void
 NoteNeighbour(const Dispatcher& aDispatcher,
               Runner& aRunner,
@@ -278,43 +294,42 @@
 }
 
 void
-RateLasting(Dispatcher& aDispatcher, MonotonicTime aNow)
+RateLasting(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
 {
   const Interference& interference = aDispatcher.mInterference;
-  for (Runner& runner : aDispatcher.mRunners) {
-    runner.mServing.clear();
-    runner.mTailUnknown = false;
-    if (runner.mLasting == 0) {
+  aRunner.mServing.clear();
+  aRunner.mTailUnknown = false;
+  aRunner.mStarved = IsStarved(aRunner, aNow);
+  if (aRunner.mLasting == 0) {
+    return;
+  }
+  for (const TaskRef& ref : aRunner.mTasks) {
+    const StepSpec& spec = SpecOf(ref);
+    if (!IsServing(ref)) {
+      aRunner.mTailUnknown =
+        aRunner.mTailUnknown ||
+        (spec.mKind == StepKind::Lasting && spec.mTailTarget.count() > 0);
       continue;
     }
-    for (const TaskRef& ref : runner.mTasks) {
-      const StepSpec& spec = SpecOf(ref);
-      if (!IsServing(ref)) {
-        runner.mTailUnknown =
-          runner.mTailUnknown ||
-          (spec.mKind == StepKind::Lasting && spec.mTailTarget.count() > 0);
-        continue;
-      }
-      const std::uint32_t image = ImageOf(ref);
-      auto serving = std::find_if(
-        runner.mServing.begin(),
-        runner.mServing.end(),
-        [&](const ServingHere& aOther) { return aOther.mImage == image; });
-      if (serving == runner.mServing.end()) {
-        serving = runner.mServing.insert(serving, ServingHere{});
-        serving->mImage = image;
-      }
-      const ServingImage& known = interference.mServing[image];
-      serving->mWorstRatio = std::max(serving->mWorstRatio, TailRatio(ref));
-      serving->mUtilization = std::max(
-        serving->mUtilization, UtilizationOf(known, TaskOf(ref).mLoadFigure));
-      serving->mLimit = std::min(
-        serving->mLimit,
-        UtilizationOf(known, static_cast<double>(spec.mTailTarget.count())));
-    }
-    for (const TaskRef& ref : runner.mTasks) {
-      NoteNeighbour(aDispatcher, runner, ref, aNow);
+    const std::uint32_t image = ImageOf(ref);
+    auto serving = std::find_if(
+      aRunner.mServing.begin(),
+      aRunner.mServing.end(),
+      [&](const ServingHere& aOther) { return aOther.mImage == image; });
+    if (serving == aRunner.mServing.end()) {
+      serving = aRunner.mServing.insert(serving, ServingHere{});
+      serving->mImage = image;
     }
+    const ServingImage& known = interference.mServing[image];
+    serving->mWorstRatio = std::max(serving->mWorstRatio, TailRatio(ref));
+    serving->mUtilization = std::max(
+      serving->mUtilization, UtilizationOf(known, TaskOf(ref).mLoadFigure));
+    serving->mLimit = std::min(
+      serving->mLimit,
+      UtilizationOf(known, static_cast<double>(spec.mTailTarget.count())));
+  }
+  for (const TaskRef& ref : aRunner.mTasks) {
+    NoteNeighbour(aDispatcher, aRunner, ref, aNow);
   }
 }
 
@@ -348,24 +363,6 @@
   return cost;
 }
 
-bool
-IsStarved(const Runner& aRunner, MonotonicTime aNow)
-{
-  double asked = 0;
-  double used = 0;
-  for (const TaskRef& ref : aRunner.mTasks) {
-    const Task& task = TaskOf(ref);
-    if (!IsLeftover(ref) || task.mPhase != TaskPhase::Running ||
-        task.mPace < 100 || aNow - task.mAnsweredAt < kSettleTime ||
-        aNow - task.mPaceSentAt < kSettleTime) {
-      continue;
-    }
-    asked += static_cast<double>(SpecOf(ref).mAmount.mCores);
-    used += task.mLoadFigure;
-  }
-  return used < asked * kStarvedShare;
-}
-
 namespace {
 
 /// What the tails on a runner call for.
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -107,9 +107,10 @@
                 const TaskRef& aTask,
                 MonotonicTime aNow);
 
-/// Sums up the lasting tasks of each runner for one placement pass.
+/// Sums up a runner's lasting tasks and their neighbours for one placement
+/// pass.
 void
-RateLasting(Dispatcher& aDispatcher, MonotonicTime aNow);
+RateLasting(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow);
 
 /// Adds a task that was started during the pass to its runner's sums.
 void
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -176,8 +176,9 @@
                      occurrence->second.mSteps[aStep].mOpen &&
                      occurrence->second.mSteps[aStep].mWaiting > 0;
   if (waits) {
-    aDispatcher.mWaiting.insert(entry);
-    aDispatcher.mPlacementDue = true;
+    if (aDispatcher.mWaiting.insert(entry).second) {
+      aDispatcher.mPlacementDue = true;
+    }
   } else {
     aDispatcher.mWaiting.erase(entry);
   }
--- a/Libraries/LibDispatch/Names.cpp
+++ b/Libraries/LibDispatch/Names.cpp
@@ -65,20 +65,6 @@
   };
 }
 
-Task&
-TaskOf(const TaskRef& aTask)
-{
-  return aTask.mJob->mOccurrences.at(aTask.mOccurrence)
-    .mSteps[aTask.mStep]
-    .mTasks[aTask.mIndex];
-}
-
-const StepSpec&
-SpecOf(const TaskRef& aTask)
-{
-  return aTask.mJob->mSpec.mSteps[aTask.mStep];
-}
-
 TaskRef
 FindTask(Dispatcher& aDispatcher, const TaskName& aName)
 {
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <variant>
 
 namespace paddle::dispatch {
@@ -162,7 +163,7 @@
   if (unused < wanted * kLeastLeftoverShare) {
     return Obstacle::LittleUnused;
   }
-  if (IsStarved(aRunner, aNow)) {
+  if (aRunner.mStarved) {
     return Obstacle::LittleUnused;
   }
   const double cost = -unused / 1000;
@@ -227,20 +228,21 @@
   return cost + kFailureCost * runner.mConsecutiveFailures;
 }
 
-/// @return the best runner for a task, or kNoRunner
+/// @return the best of @p aCandidates for a task, or kNoRunner
 RunnerIndex
 ChooseRunner(const Dispatcher& aDispatcher,
+             std::span<const RunnerIndex> aCandidates,
              const TaskRef& aTask,
              const std::string& aService,
              MonotonicTime aNow)
 {
   RunnerIndex best = kNoRunner;
   double bestCost = 0;
-  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
-    const Place place = RatePlace(aDispatcher, i, aTask, aService, aNow);
+  for (const RunnerIndex index : aCandidates) {
+    const Place place = RatePlace(aDispatcher, index, aTask, aService, aNow);
     const double* cost = std::get_if<double>(&place);
     if (cost != nullptr && (best == kNoRunner || *cost < bestCost)) {
-      best = i;
+      best = index;
       bestCost = *cost;
     }
   }
@@ -333,6 +335,7 @@
 /// @return whether it was started
 bool
 StartGang(Dispatcher& aDispatcher,
+          std::span<const RunnerIndex> aCandidates,
           const WaitingStep& aWaiting,
           const std::string& aService,
           MonotonicTime aNow,
@@ -354,7 +357,8 @@
   const std::int64_t run = aDispatcher.mNextRun++;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     const TaskRef ref{ &job, aWaiting.mOccurrence, aWaiting.mStep, i };
-    const RunnerIndex runner = ChooseRunner(aDispatcher, ref, aService, aNow);
+    const RunnerIndex runner =
+      ChooseRunner(aDispatcher, aCandidates, ref, aService, aNow);
     if (runner == kNoRunner) {
       for (std::uint32_t back = 0; back < i; ++back) {
         EndRun(aDispatcher,
@@ -378,6 +382,20 @@
 
 namespace {
 
+/// @return the runners that may take a task now
+std::vector<RunnerIndex>
+OpenRunners(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::vector<RunnerIndex> open;
+  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+    if (ObstacleOfRunner(aDispatcher, aDispatcher.mRunners[i], aNow) ==
+        Obstacle::None) {
+      open.push_back(i);
+    }
+  }
+  return open;
+}
+
 /// Requests that found no room in this pass. Room only shrinks during a pass,
 /// so a larger request of the same kind finds none either.
 class Refusals
@@ -421,13 +439,22 @@
 void
 PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
 {
-  if (!aDispatcher.mPlacementDue) {
+  // Where only room was freed, only the runners that have it are looked at.
+  std::vector<RunnerIndex> candidates =
+    aDispatcher.mPlacementDue ? OpenRunners(aDispatcher, aNow)
+                              : std::exchange(aDispatcher.mFreedRunners, {});
+  if (candidates.empty() || aDispatcher.mWaiting.empty()) {
+    aDispatcher.mPlacementDue =
+      aDispatcher.mPlacementDue && !aDispatcher.mWaiting.empty();
     return;
   }
   aDispatcher.mPlacementDue = false;
+  aDispatcher.mFreedRunners.clear();
+  for (const RunnerIndex index : candidates) {
+    RateLasting(aDispatcher, aDispatcher.mRunners[index], aNow);
+  }
   std::uint32_t started = 0;
   Refusals refusals;
-  RateLasting(aDispatcher, aNow);
   const std::vector<WaitingStep> waiting = OrderOfService(aDispatcher, aNow);
   for (const WaitingStep& entry : waiting) {
     Job& job = *entry.mJob;
@@ -441,7 +468,8 @@
     }
     Step& step = job.mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
     if (spec.mGang) {
-      if (StartGang(aDispatcher, entry, queue->mService, aNow, aActions)) {
+      if (StartGang(
+            aDispatcher, candidates, entry, queue->mService, aNow, aActions)) {
         started += static_cast<std::uint32_t>(step.mTasks.size());
       }
     } else {
@@ -452,7 +480,7 @@
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
         const RunnerIndex runner =
-          ChooseRunner(aDispatcher, ref, queue->mService, aNow);
+          ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
         if (runner == kNoRunner) {
           refusals.Add(spec, queue->mService);
           break;
@@ -473,7 +501,9 @@
 void
 ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
-  RateLasting(aDispatcher, aNow);
+  for (Runner& runner : aDispatcher.mRunners) {
+    RateLasting(aDispatcher, runner, aNow);
+  }
   std::size_t explained = 0;
   for (const WaitingStep& entry : aDispatcher.mWaiting) {
     const Step& step =
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -42,9 +42,9 @@
     --runner.mStarting;
   }
   std::erase(runner.mTasks, aTask);
+  aDispatcher.mFreedRunners.push_back(task.mRunner);
   task.mRunner = kNoRunner;
   --aTask.mJob->mLive;
-  aDispatcher.mPlacementDue = true;
 }
 
 /// Ends a job that can't be done, and stops what still runs of it.
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -105,6 +105,7 @@
   std::uint32_t mStarting = 0; ///< Starts without an answer so far.
   /// Serving images here, as of the present placement pass.
   std::vector<ServingHere> mServing;
+  bool mStarved = false;
   bool mTailUnknown = false;   ///< A serving task has not reported yet.
   std::vector<TaskRef> mTasks; ///< Tasks Starting, Running or Stopping here.
 
