LibNode: Don't take an ended job from an old reading of the inbox

Ruled out: lapsed leases and takeovers (neither happened), acknowledgements before commits. Change: an owner remembers the jobs whose end it has stored.

--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -11,6 +11,9 @@
 /// A transaction holds at most 100 entries; a job takes up to four, and the
 /// chain two.
 constexpr std::size_t kJobsPerTransaction = 24;
+/// Ended jobs that are remembered; a reading of the inbox takes a second at
+/// most, in which a shard ends some hundred jobs.
+constexpr std::size_t kRememberedEnds = 5000;
 
 } // namespace
 
@@ -152,6 +155,11 @@
   } else if (mTransactions.empty() && mCommit) {
     const dispatch::Commit commit = std::move(*mCommit);
     mCommit.reset();
+    for (std::size_t i = 0; i < commit.mJobs.size(); ++i) {
+      if (mCommitPhases[i] != dispatch::JobPhase::Active) {
+        RememberEnded(commit.mJobs[i]->mSpec.mId);
+      }
+    }
     dispatch::HandleCommitted(mCore, commit, mCommitPhases);
   }
   if (!mTransactions.empty()) {
@@ -161,6 +169,17 @@
   }
 }
 
+void
+ShardHost::State::RememberEnded(const std::string& aJob)
+{
+  mEndedJobs.insert(aJob);
+  mEndedOrder.push_back(aJob);
+  if (mEndedOrder.size() > kRememberedEnds) {
+    mEndedJobs.erase(mEndedOrder.front());
+    mEndedOrder.pop_front();
+  }
+}
+
 void
 ShardHost::State::StoreRunners()
 {
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -38,7 +38,8 @@
     Log(LogLevel::Error, "unreadable_job", "key=" + aRow.mKey);
     return;
   }
-  if (mCore.mJobs.contains(job->mSpec.mId)) {
+  if (mCore.mJobs.contains(job->mSpec.mId) ||
+      mEndedJobs.contains(job->mSpec.mId)) {
     return;
   }
   const std::string id = job->mSpec.mId;
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include <LibDispatch/Dispatcher.h>
@@ -86,6 +87,7 @@
   void SendNextTransaction();
   void HandleTransaction(const TransactionOutcome& aOutcome);
   void StoreRunners();
+  void RememberEnded(const std::string& aJob);
 
   void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
   void Lose(std::string_view aReason);
@@ -119,6 +121,10 @@
   std::vector<dispatch::JobPhase> mCommitPhases;
   bool mTransactionOut = false;
   bool mStoringRunners = false;
+  /// Jobs whose end is stored. A reading of the inbox that was under way then
+  /// may still show them, and they must not run again.
+  std::unordered_set<std::string> mEndedJobs;
+  std::deque<std::string> mEndedOrder;
   MonotonicTime mRetryAt;
   MonotonicTime mDirtySince;
   std::vector<dispatch::RunnerSpec> mRunnersBeingStored;
