LibNode: Record what silent runners may run

Change: a runner that is silent for 0.3 s gets a record of all that it may run; a later owner waits for these tasks only. Nothing is started there before the record is removed.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -46,6 +46,9 @@
   Millis mUnhealthyPause{ 700 };
   /// A start that was refused for room is not repeated there for this long.
   Millis mRefusedPause{ 300 };
+  /// A runner that is silent for this long is recorded. A lost answer shows
+  /// itself by the next one within less.
+  Millis mRecordAfter{ 300 };
   /// Starts that a runner has not answered yet. They share few connections, and
   /// one that waits for them past its time counts as unanswered.
   std::uint32_t mStartsAtOnce = 12;
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -119,9 +119,25 @@
 /// Adds a runner that an earlier owner used and that may still run tasks.
 void
 AddFormerRunner(Dispatcher& aDispatcher,
-                const RunnerSpec& aRunner,
+                const FormerRunner& aRunner,
                 MonotonicTime aNow);
 
+/// Takes up what the records of silent runners say, once all jobs are added.
+void
+AdoptHeldRuns(Dispatcher& aDispatcher, MonotonicTime aNow);
+
+/// @return whether a record of what the runner may run should be stored, so
+/// that
+///         a later owner need not wait for it before it starts other tasks
+bool
+WantsRecord(const Dispatcher& aDispatcher,
+            RunnerIndex aRunner,
+            MonotonicTime aNow);
+
+/// @return what the runner may run
+std::vector<HeldRun>
+HeldRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner);
+
 // Jobs.
 
 /// Whether an earlier owner may have started tasks of a job.
@@ -161,7 +177,9 @@
 
 /// A renewal got no answer.
 void
-HandleNoReport(Dispatcher& aDispatcher, RunnerIndex aRunner);
+HandleNoReport(Dispatcher& aDispatcher,
+               RunnerIndex aRunner,
+               MonotonicTime aNow);
 
 enum class StartResult
 {
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -27,6 +27,15 @@
        MonotonicTime aNow,
        Actions& aActions);
 
+/// Takes up a run of a task that this owner believes to run nowhere.
+/// @return whether it was taken up
+bool
+AdoptRun(Dispatcher& aDispatcher,
+         RunnerIndex aRunner,
+         const TaskRef& aTask,
+         std::int64_t aRun,
+         MonotonicTime aNow);
+
 /// Puts a task's run on a runner's account.
 void
 Occupy(Dispatcher& aDispatcher, RunnerIndex aRunner, const TaskRef& aTask);
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -83,7 +83,7 @@
                  MonotonicTime aNow)
 {
   if (aRunner.mPhase != RunnerPhase::Live || !aRunner.mListed ||
-      aRunner.mSpec.mDraining || aRunner.mSilent ||
+      aRunner.mSpec.mDraining || aRunner.mSilent || aRunner.mRecorded ||
       aNow - aRunner.mClockReadAt >= aDispatcher.mSettings.mOldestClock) {
     return Obstacle::NotLive;
   }
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -185,9 +185,10 @@
   if (task.mPhase == TaskPhase::Done) {
     return false;
   }
-  const bool current = task.mRunner == aRunner && task.mRun == aEnd.mRun;
-  // After a takeover, or when a runner that was given up is heard from again,
-  // the end of a run that nothing has followed still counts.
+  // A later run was started only after the earlier one was over, so its end
+  // counts even where a stale record says that the earlier one may run.
+  const bool current = (task.mRunner == aRunner && task.mRun == aEnd.mRun) ||
+                       aEnd.mRun > task.mRun;
   // The ends of several runs come in any order, one runner after the other.
   const bool former = task.mPhase == TaskPhase::Waiting &&
                       (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
@@ -208,36 +209,6 @@
     aDispatcher, ref, outcome, aEnd.mRun, aEnd.mSaved, aNow, aActions);
 }
 
-/// Takes up a listed run of a task that this owner believes to run nowhere.
-bool
-Adopt(Dispatcher& aDispatcher,
-      RunnerIndex aRunner,
-      const RunningEntry& aEntry,
-      const TaskRef& aRef,
-      MonotonicTime aNow)
-{
-  Task& task = TaskOf(aRef);
-  Job& job = *aRef.mJob;
-  if (job.mPhase != JobPhase::Active || task.mPhase != TaskPhase::Waiting ||
-      aEntry.mRun < task.mRun) {
-    return false;
-  }
-  Step& step = job.mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
-  task.mPhase = TaskPhase::Running;
-  task.mRun = aEntry.mRun;
-  task.mStartedAt = aNow;
-  task.mAnsweredAt = aNow;
-  task.mProgressAt = aNow;
-  task.mPace = 100;
-  task.mPaceSure = false;
-  --step.mWaiting;
-  step.mOpen = true;
-  job.mBegan = true;
-  Occupy(aDispatcher, aRunner, aRef);
-  UpdateWaiting(aDispatcher, job, aRef.mOccurrence, aRef.mStep);
-  return true;
-}
-
 void
 ApplyRunning(Dispatcher& aDispatcher,
              RunnerIndex aRunner,
@@ -249,7 +220,11 @@
   if (ref.mJob != nullptr) {
     Task& task = TaskOf(ref);
     if (task.mRunner != aRunner || task.mRun != aEntry.mRun) {
-      if (Adopt(aDispatcher, aRunner, aEntry, ref, aNow)) {
+      if (aEntry.mRun > task.mRun && task.mRunner != kNoRunner) {
+        Actions none;
+        EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, none);
+      }
+      if (AdoptRun(aDispatcher, aRunner, ref, aEntry.mRun, aNow)) {
         return;
       }
     } else {
@@ -330,6 +305,35 @@
 
 } // namespace
 
+bool
+AdoptRun(Dispatcher& aDispatcher,
+         RunnerIndex aRunner,
+         const TaskRef& aTask,
+         std::int64_t aRun,
+         MonotonicTime aNow)
+{
+  Task& task = TaskOf(aTask);
+  Job& job = *aTask.mJob;
+  if (job.mPhase != JobPhase::Active || task.mPhase != TaskPhase::Waiting ||
+      aRun < task.mRun) {
+    return false;
+  }
+  Step& step = StepOf(aTask);
+  task.mPhase = TaskPhase::Running;
+  task.mRun = aRun;
+  task.mStartedAt = aNow;
+  task.mAnsweredAt = aNow;
+  task.mProgressAt = aNow;
+  task.mPace = 100;
+  task.mPaceSure = false;
+  --step.mWaiting;
+  step.mOpen = true;
+  job.mBegan = true;
+  Occupy(aDispatcher, aRunner, aTask);
+  UpdateWaiting(aDispatcher, job, aTask.mOccurrence, aTask.mStep);
+  return true;
+}
+
 void
 Occupy(Dispatcher& aDispatcher, RunnerIndex aRunner, const TaskRef& aTask)
 {
@@ -479,6 +483,7 @@
   }
   if (runner.mPhase != RunnerPhase::Live) {
     runner.mPhase = RunnerPhase::Live;
+    runner.mFormer = false;
     aDispatcher.mPlacementDue = true;
   }
   if (aReport.mClockMs < runner.mClockMs) {
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -27,6 +27,22 @@
   std::int64_t mIncarnation = 0; ///< Unix milliseconds of its start.
 };
 
+/// A run that a runner may still have.
+struct HeldRun
+{
+  TaskName mTask;
+  std::int64_t mRun = 0;
+};
+
+/// A runner that an earlier owner used.
+struct FormerRunner
+{
+  RunnerSpec mSpec;
+  /// All that it may run, if the earlier owner recorded that while the runner
+  /// was silent. Without a record it may run anything.
+  std::optional<std::vector<HeldRun>> mHeld;
+};
+
 /// How a run ended, as the runner lists it.
 enum class EndKind : std::uint8_t
 {
@@ -117,6 +133,14 @@
   /// A renewal got no answer. Nothing that could extend a lease is sent before
   /// the runner answers, or its tasks could never be given up.
   bool mSilent = false;
+  MonotonicTime mSilentSince;
+  /// A stored record says all that it may run, so nothing is started there
+  /// until the record is removed.
+  bool mRecorded = false;
+  std::size_t mRecordedRuns = 0; ///< In that record; it only shrinks.
+  /// An earlier owner used it, and this one has not heard from it.
+  bool mFormer = false;
+  std::optional<std::vector<HeldRun>> mHeld; ///< From such a record.
 
   std::int64_t mProcessedEnds = 0;    ///< Highest end number applied.
   std::int64_t mAcknowledgedEnds = 0; ///< Highest whose commit is stored.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -138,14 +138,65 @@
 
 void
 AddFormerRunner(Dispatcher& aDispatcher,
-                const RunnerSpec& aRunner,
+                const FormerRunner& aRunner,
                 MonotonicTime aNow)
 {
-  if (!aDispatcher.mRunnerById.contains(aRunner.mId)) {
-    AddRunner(aDispatcher, aRunner, aNow);
+  if (aDispatcher.mRunnerById.contains(aRunner.mSpec.mId)) {
+    return;
+  }
+  Runner& runner =
+    aDispatcher.mRunners[AddRunner(aDispatcher, aRunner.mSpec, aNow)];
+  runner.mFormer = true;
+  runner.mHeld = aRunner.mHeld;
+  runner.mRecorded = aRunner.mHeld.has_value();
+}
+
+void
+AdoptHeldRuns(Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  for (RunnerIndex index = 0; index < aDispatcher.mRunners.size(); ++index) {
+    Runner& runner = aDispatcher.mRunners[index];
+    if (!runner.mHeld || !runner.mFormer) {
+      continue;
+    }
+    const std::vector<HeldRun> held = std::move(*runner.mHeld);
+    runner.mHeld.reset();
+    runner.mFormer = false;
+    for (const HeldRun& run : held) {
+      const TaskRef ref = FindTask(aDispatcher, run.mTask);
+      if (ref.mJob != nullptr) {
+        AdoptRun(aDispatcher, index, ref, run.mRun, aNow);
+      }
+    }
+    runner.mSilent = true;
+    runner.mSilentSince = aNow;
+    runner.mPhase =
+      runner.mTasks.empty() ? RunnerPhase::Lapsed : RunnerPhase::Live;
+    runner.mLapsesAt = aDispatcher.mUnheardUntil;
   }
 }
 
+bool
+WantsRecord(const Dispatcher& aDispatcher,
+            RunnerIndex aRunner,
+            MonotonicTime aNow)
+{
+  const Runner& runner = aDispatcher.mRunners[aRunner];
+  return runner.mPhase == RunnerPhase::Lapsed ||
+         (runner.mPhase == RunnerPhase::Live && runner.mSilent &&
+          aNow - runner.mSilentSince >= aDispatcher.mSettings.mRecordAfter);
+}
+
+std::vector<HeldRun>
+HeldRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner)
+{
+  std::vector<HeldRun> held;
+  for (const TaskRef& ref : aDispatcher.mRunners[aRunner].mTasks) {
+    held.push_back({ NameOf(ref), TaskOf(ref).mRun });
+  }
+  return held;
+}
+
 bool
 IsKnownToService(const Runner& aRunner, MonotonicTime aNow)
 {
@@ -224,9 +275,13 @@
 }
 
 void
-HandleNoReport(Dispatcher& aDispatcher, RunnerIndex aRunner)
+HandleNoReport(Dispatcher& aDispatcher, RunnerIndex aRunner, MonotonicTime aNow)
 {
-  aDispatcher.mRunners[aRunner].mSilent = true;
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  if (!runner.mSilent) {
+    runner.mSilent = true;
+    runner.mSilentSince = aNow;
+  }
 }
 
 RenewalPlan
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include <LibBase/JsonReader.h>
+#include <LibDispatch/Dispatcher.h>
 
 namespace paddle {
 
@@ -288,25 +289,33 @@
 }
 
 std::string
-FormatRunners(std::span<const dispatch::RunnerSpec> aRunners)
+FormatRunners(std::span<const dispatch::FormerRunner> aRunners)
 {
   Json::Value value(Json::objectValue);
-  for (const dispatch::RunnerSpec& runner : aRunners) {
+  for (const dispatch::FormerRunner& runner : aRunners) {
     Json::Value entry(Json::arrayValue);
-    entry.append(runner.mAddress);
-    entry.append(runner.mService);
-    entry.append(runner.mZone);
-    entry.append(runner.mRack);
-    entry.append(Json::Int64(runner.mIncarnation));
-    value[runner.mId] = entry;
+    entry.append(runner.mSpec.mAddress);
+    entry.append(runner.mSpec.mService);
+    entry.append(runner.mSpec.mZone);
+    entry.append(runner.mSpec.mRack);
+    entry.append(Json::Int64(runner.mSpec.mIncarnation));
+    if (runner.mHeld) {
+      Json::Value held(Json::arrayValue);
+      for (const dispatch::HeldRun& run : *runner.mHeld) {
+        held.append(dispatch::FormatTaskName(run.mTask));
+        held.append(Json::Int64(run.mRun));
+      }
+      entry.append(held);
+    }
+    value[runner.mSpec.mId] = entry;
   }
   return WriteJson(value);
 }
 
-std::vector<dispatch::RunnerSpec>
+std::vector<dispatch::FormerRunner>
 ParseRunners(std::string_view aText)
 {
-  std::vector<dispatch::RunnerSpec> runners;
+  std::vector<dispatch::FormerRunner> runners;
   const std::optional<Json::Value> value = ParseObject(aText);
   if (!value) {
     return runners;
@@ -316,13 +325,23 @@
     if (!entry.isArray() || entry.size() < 5) {
       continue;
     }
-    dispatch::RunnerSpec runner;
-    runner.mId = id;
-    runner.mAddress = entry[0].asString();
-    runner.mService = entry[1].asString();
-    runner.mZone = entry[2].asString();
-    runner.mRack = entry[3].asString();
-    runner.mIncarnation = entry[4].asInt64();
+    dispatch::FormerRunner runner;
+    runner.mSpec.mId = id;
+    runner.mSpec.mAddress = entry[0].asString();
+    runner.mSpec.mService = entry[1].asString();
+    runner.mSpec.mZone = entry[2].asString();
+    runner.mSpec.mRack = entry[3].asString();
+    runner.mSpec.mIncarnation = entry[4].asInt64();
+    if (entry.size() > 5 && entry[5].isArray()) {
+      runner.mHeld.emplace();
+      for (Json::ArrayIndex i = 0; i + 1 < entry[5].size(); i += 2) {
+        const std::optional<dispatch::TaskName> task =
+          dispatch::ParseTaskName(entry[5][i].asString());
+        if (task) {
+          runner.mHeld->push_back({ *task, entry[5][i + 1].asInt64() });
+        }
+      }
+    }
     runners.push_back(std::move(runner));
   }
   return runners;
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -147,11 +147,7 @@
   ++mChainNumber;
   mTransactions.pop_front();
   if (mStoringRunners && mTransactions.empty() && !mCommit) {
-    mStoringRunners = false;
-    for (const dispatch::RunnerSpec& runner : mRunnersBeingStored) {
-      mStoredRunners.insert(runner.mId);
-    }
-    ApplyRunners();
+    HandleRunnersStored();
   } else if (mTransactions.empty() && mCommit) {
     const dispatch::Commit commit = std::move(*mCommit);
     mCommit.reset();
@@ -180,21 +176,51 @@
   }
 }
 
+bool
+ShardHost::State::RecordsDiffer(MonotonicTime aNow) const
+{
+  for (dispatch::RunnerIndex i = 0; i < mCore.mRunners.size(); ++i) {
+    const dispatch::Runner& runner = mCore.mRunners[i];
+    if (!mStoredRunners.contains(runner.mSpec.mId)) {
+      continue;
+    }
+    const bool wanted = dispatch::WantsRecord(mCore, i, aNow);
+    if (runner.mRecorded != wanted ||
+        (wanted && runner.mRecordedRuns != runner.mTasks.size())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 ShardHost::State::StoreRunners()
 {
   if (mTransactionOut || !mTransactions.empty() || mCommit || mRetired) {
-    return; // The next reading of the list tries again.
-  }
-  mRunnersBeingStored = mListed;
-  for (const dispatch::RunnerIndex index : dispatch::RunnersInUse(mCore)) {
-    const dispatch::Runner& runner = mCore.mRunners[index];
-    const bool listed =
-      std::any_of(mListed.begin(), mListed.end(), [&](const auto& aSpec) {
-        return aSpec.mId == runner.mSpec.mId;
-      });
-    if (!listed) {
-      mRunnersBeingStored.push_back(runner.mSpec);
+    return; // The next tick tries again.
+  }
+  const MonotonicTime now = BootTime();
+  mRunnersBeingStored.clear();
+  std::set<std::string_view> known;
+  for (dispatch::RunnerIndex i = 0; i < mCore.mRunners.size(); ++i) {
+    dispatch::Runner& runner = mCore.mRunners[i];
+    known.insert(runner.mSpec.mId);
+    if (!runner.mListed && runner.mTasks.empty() &&
+        runner.mPhase == dispatch::RunnerPhase::Lapsed) {
+      continue; // It has left, and nothing can run there.
+    }
+    dispatch::FormerRunner former{ runner.mSpec, {} };
+    if (dispatch::WantsRecord(mCore, i, now)) {
+      // From now on nothing is started there, so that the record stays whole.
+      runner.mRecorded = true;
+      runner.mRecordedRuns = runner.mTasks.size();
+      former.mHeld = dispatch::HeldRuns(mCore, i);
+    }
+    mRunnersBeingStored.push_back(std::move(former));
+  }
+  for (const dispatch::RunnerSpec& spec : mListed) {
+    if (!known.contains(spec.mId)) {
+      mRunnersBeingStored.push_back({ spec, {} });
     }
   }
   mStoringRunners = true;
@@ -206,4 +232,19 @@
   SendNextTransaction();
 }
 
+void
+ShardHost::State::HandleRunnersStored()
+{
+  mStoringRunners = false;
+  mStoredRunners.clear();
+  for (const dispatch::FormerRunner& former : mRunnersBeingStored) {
+    mStoredRunners.insert(former.mSpec.mId);
+    const auto index = mCore.mRunnerById.find(former.mSpec.mId);
+    if (!former.mHeld && index != mCore.mRunnerById.end()) {
+      mCore.mRunners[index->second].mRecorded = false;
+    }
+  }
+  ApplyRunners();
+}
+
 } // namespace paddle
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -211,6 +211,9 @@
       }
     }
   }
+  if (state.RecordsDiffer(aNow)) {
+    state.StoreRunners();
+  }
   state.BeginCommit(aNow);
 }
 
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -92,7 +92,7 @@
     return;
   }
   if (aOutcome.mResult != OrderResult::Done) {
-    dispatch::HandleNoReport(mCore, aRunner);
+    dispatch::HandleNoReport(mCore, aRunner, now);
     link.mBackoff =
       std::clamp(link.mBackoff * 2, kFirstBackoff, kLongestBackoff);
     link.mNextAt = now + link.mBackoff;
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -87,6 +87,8 @@
   void SendNextTransaction();
   void HandleTransaction(const TransactionOutcome& aOutcome);
   void StoreRunners();
+  void HandleRunnersStored();
+  [[nodiscard]] bool RecordsDiffer(MonotonicTime aNow) const;
   void RememberEnded(const std::string& aJob);
 
   void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
@@ -127,7 +129,7 @@
   std::deque<std::string> mEndedOrder;
   MonotonicTime mRetryAt;
   MonotonicTime mDirtySince;
-  std::vector<dispatch::RunnerSpec> mRunnersBeingStored;
+  std::vector<dispatch::FormerRunner> mRunnersBeingStored;
 };
 
 } // namespace paddle
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -84,9 +84,9 @@
     if (row.mKey != kRunnersKey) {
       continue;
     }
-    for (const dispatch::RunnerSpec& runner : ParseRunners(row.mValue)) {
+    for (const dispatch::FormerRunner& runner : ParseRunners(row.mValue)) {
       dispatch::AddFormerRunner(mCore, runner, aNow);
-      mStoredRunners.insert(runner.mId);
+      mStoredRunners.insert(runner.mSpec.mId);
     }
   }
   // What an unreachable runner was last granted has ended once the former
@@ -150,6 +150,7 @@
   for (const StoreRow& row : mInboxRows) {
     ApplyInboxRow(row, history);
   }
+  dispatch::AdoptHeldRuns(mCore, BootTime());
   Log(LogLevel::Info,
       "shard_read",
       "jobs=" + std::to_string(mCore.mJobs.size()) +
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -94,7 +94,12 @@
   mCore.mUnheardUntil = mNow + Seconds(16);
   SetQueues(mCore, queues);
   for (const RunnerSpec& spec : mListed) {
-    AddFormerRunner(mCore, spec, mNow);
+    AddFormerRunner(mCore,
+                    { spec,
+                      mRecords.contains(spec.mId)
+                        ? std::optional(mRecords.at(spec.mId))
+                        : std::nullopt },
+                    mNow);
   }
   for (const auto& [id, spec] : mAccepted) {
     const auto stored = mStored.find(id);
@@ -105,6 +110,7 @@
                      mNow,
                      mNow);
   }
+  AdoptHeldRuns(mCore, mNow);
   SetRunners(mCore, mListed, mNow, mActions);
 }
 
@@ -180,7 +186,7 @@
   FakeRunner& fake = mRunners[mCore.mRunners[aRunner].mSpec.mId];
   const RenewalPlan plan = PlanRenewal(mCore, aRunner, mNow);
   if (!fake.mAnswers) {
-    HandleNoReport(mCore, aRunner);
+    HandleNoReport(mCore, aRunner, mNow);
     return;
   }
   std::erase_if(fake.mEnds, [&](const EndEntry& aEnd) {
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -56,6 +56,8 @@
   std::vector<RunnerSpec> mListed;
   std::map<std::string, JobProgress> mStored;
   std::map<std::string, JobSpec> mAccepted;
+  /// Records of silent runners that the former owner stored.
+  std::map<std::string, std::vector<HeldRun>> mRecords;
   std::map<std::string, JobPhase> mTerminal;
   Actions mActions;
   MonotonicTime mNow{ Seconds(1000) };
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -86,3 +86,51 @@
   world.Pass(Seconds(2));
   LONGS_EQUAL(2, world.mStarts);
 }
+
+// Guards against a shard that starts nothing for 16 s because one runner was
+// silent before the takeover: its record names all that it may run.
+TEST(Takeover, WaitsOnlyForTheRecordedRunsOfASilentRunner)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("held", { FiniteStep(1, 1000) }));
+  const std::string silent = world.RunnerOf("held.0.0.0");
+  world.mRunners[silent].mAnswers = false;
+  world.Pass(Millis(500));
+  const RunnerIndex index = world.mCore.mRunnerById.at(silent);
+  CHECK_TRUE(WantsRecord(world.mCore, index, world.mNow));
+  world.mRecords[silent] = HeldRuns(world.mCore, index);
+  world.mAccepted.emplace("other", MakeJob("other", { FiniteStep(1, 1000) }));
+  world.TakeOver(2);
+  world.Pass(Millis(500));
+  CHECK_TRUE(world.Runs("other.0.0.0"));
+  LONGS_EQUAL(2, world.mStarts);
+  world.Pass(Seconds(15));
+  LONGS_EQUAL(2, world.mStarts);
+  world.Pass(Seconds(1));
+  LONGS_EQUAL(3, world.mStarts);
+}
+
+// Guards against a stale record: the task that it names has run elsewhere since
+// and is done, but its end was ignored, and the task ran again.
+TEST(Takeover, PrefersALaterRunToAStaleRecord)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(2, 1000) }));
+  const std::string silent = world.RunnerOf("job.0.0.0");
+  world.mRunners[silent].mAnswers = false;
+  world.Pass(Millis(500));
+  world.mRecords[silent] =
+    HeldRuns(world.mCore, world.mCore.mRunnerById.at(silent));
+  LONGS_EQUAL(2, world.mRecords[silent].size());
+  // The runner's lease ends, and its tasks run elsewhere; one is done.
+  world.mRunners[silent].mRunning.clear();
+  world.Pass(Seconds(7));
+  LONGS_EQUAL(4, world.mStarts);
+  world.End("job.0.0.0", EndKind::Done);
+  world.TakeOver(2);
+  world.Pass(Seconds(20));
+  LONGS_EQUAL(4, world.mStarts);
+  LONGS_EQUAL(1, world.RunningTasks());
+}
