LibNode: Split shards by runner, and only above 600 runners

Ruled out: more shards for processor time. Change: a runner's id decides its shard; a shard holds up to 600 runners. Open: a job whose shard is full while another has room (above 600 runners).

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -267,9 +267,9 @@
 }
 
 std::uint32_t
-ShardOfRack(std::string_view aRack, std::uint32_t aShards)
+ShardOfRunner(std::string_view aRunner, std::uint32_t aShards)
 {
-  return static_cast<std::uint32_t>(XXH64(aRack.data(), aRack.size(), 0) %
+  return static_cast<std::uint32_t>(XXH64(aRunner.data(), aRunner.size(), 0) %
                                     std::max(1U, aShards));
 }
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -108,8 +108,9 @@
 std::optional<ShardRow>
 ParseShardRow(std::string_view aText);
 
-/// @return the shard that a runner belongs to: runners of one rack share one
+/// @return the shard that a runner belongs to. Every shard gets a part of each
+///         rack: racks are few and would fill the shards unevenly.
 std::uint32_t
-ShardOfRack(std::string_view aRack, std::uint32_t aShards);
+ShardOfRunner(std::string_view aRunner, std::uint32_t aShards);
 
 } // namespace paddle
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -39,8 +39,11 @@
   Millis mRetryPause{ 150 };
   /// This node serves clients only if the store answered it this recently.
   Millis mStoreFreshness{ 2500 };
-  /// A shard holds about this many runners.
-  std::uint32_t mRunnersPerShard = 110;
+  /// A shard holds at most about this many runners. One owner that sees all
+  /// runners places better than several that see parts (worth 0.87 against 0.73
+  /// on a calm day with 350 runners and four shards); 490 runners took 0.29 of
+  /// a core.
+  std::uint32_t mRunnersPerShard = 600;
   /// The longest wait of a client for an answer that is still open.
   Millis mLongestAnswer{ 2500 };
   /// Refused clients are asked to come back after this.
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -170,7 +170,7 @@
 {
   mState->mListed.clear();
   for (const dispatch::RunnerSpec& runner : aRunners) {
-    if (ShardOfRack(runner.mRack, aShards) == mState->mClaim.mShard) {
+    if (ShardOfRunner(runner.mId, aShards) == mState->mClaim.mShard) {
       mState->mListed.push_back(runner);
     }
   }
