LibNode: Send one transaction of a shard at a time

A runner that was listed while the list was being stored led to a second transaction beside the first, which failed on it. Ruled out: another owner (no claim before), late transactions. Change: a transaction waits for the one before it; an owner may act for 12 s after a renewal, as 10 s did not cover a nine-second outage that begins just before one; ends of an idle runner that are not stored yet no longer make the renewals spin. Tests: Tests/LibNode plays nodes over a fake store in virtual time; the new tests failed before.

--- a/Libraries/LibNode/Front.cpp
+++ b/Libraries/LibNode/Front.cpp
@@ -62,7 +62,7 @@
 void
 Front::State::Log(std::string_view aEvent, const std::string& aFields)
 {
-  mContext.mLog->Write(LogLevel::Info, aEvent, aFields, BootTime());
+  mContext.mLog->Write(LogLevel::Info, aEvent, aFields, mContext.Now());
 }
 
 std::optional<std::uint32_t>
@@ -115,7 +115,7 @@
                                 FormatAcceptedJob(aSubmission->mJob) });
   auto self = shared_from_this();
   const auto left =
-    std::chrono::duration_cast<Millis>(aSubmission->mUntil - BootTime());
+    std::chrono::duration_cast<Millis>(aSubmission->mUntil - mContext.Now());
   mContext.mStore.mTransact(std::move(transaction),
                             std::min(left, mContext.mSettings.mStoreTimeout),
                             [self, aSubmission](TransactionOutcome aOutcome) {
@@ -151,7 +151,7 @@
       aSubmission->mMayBeStored = true;
       break;
   }
-  const MonotonicTime next = BootTime() + mContext.mSettings.mRetryPause;
+  const MonotonicTime next = mContext.Now() + mContext.mSettings.mRetryPause;
   if (next >= aSubmission->mUntil) {
     finish(ClientAnswer::Unknown, "store_silent");
     return;
@@ -177,7 +177,7 @@
 void
 Front::State::RetryCancel(const std::shared_ptr<Cancellation>& aCancellation)
 {
-  const MonotonicTime next = BootTime() + mContext.mSettings.mRetryPause;
+  const MonotonicTime next = mContext.Now() + mContext.mSettings.mRetryPause;
   if (next >= aCancellation->mUntil) {
     Log("cancel", "job=" + aCancellation->mJob + " result=store_unavailable");
     aCancellation->mAnswer(ClientAnswer::Unavailable);
@@ -265,7 +265,8 @@
   auto submission = std::make_shared<State::Submission>();
   submission->mJob = { std::move(aJob), UnixMs() };
   submission->mShard = *shard;
-  submission->mUntil = BootTime() + mState->mContext.mSettings.mLongestAnswer;
+  submission->mUntil =
+    mState->mContext.Now() + mState->mContext.mSettings.mLongestAnswer;
   submission->mAnswer = std::move(aAnswer);
   mState->Send(std::move(submission));
 }
@@ -274,10 +275,11 @@
 Front::Cancel(const std::string& aJob,
               std::function<void(ClientAnswer)> aAnswer)
 {
-  mState->ReadForCancel(std::make_shared<State::Cancellation>(
-    State::Cancellation{ aJob,
-                         BootTime() + mState->mContext.mSettings.mLongestAnswer,
-                         std::move(aAnswer) }));
+  mState->ReadForCancel(
+    std::make_shared<State::Cancellation>(State::Cancellation{
+      aJob,
+      mState->mContext.Now() + mState->mContext.mSettings.mLongestAnswer,
+      std::move(aAnswer) }));
 }
 
 void
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -28,13 +28,13 @@
 void
 Node::Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields)
 {
-  mContext.mLog->Write(aLevel, aEvent, aFields, BootTime());
+  mContext.mLog->Write(aLevel, aEvent, aFields, mContext.Now());
 }
 
 void
 Node::Begin()
 {
-  mBeginAt = BootTime();
+  mBeginAt = mContext.Now();
 }
 
 void
@@ -124,7 +124,7 @@
     }
     return;
   }
-  mHeartbeatAt = BootTime() + mContext.mSettings.mRetryPause;
+  mHeartbeatAt = mContext.Now() + mContext.mSettings.mRetryPause;
   if (aOutcome.mResult != StoreResult::Conflict) {
     Log(LogLevel::Info, "heartbeat_not_stored", {});
     return;
@@ -161,7 +161,7 @@
         return;
       }
       mClusterOut = false;
-      const MonotonicTime now = BootTime();
+      const MonotonicTime now = mContext.Now();
       if (aRead.mResult != ReadResult::Read) {
         mClusterAt = now + mContext.mSettings.mRetryPause;
         return;
@@ -179,7 +179,7 @@
 void
 Node::LayOut()
 {
-  const bool waited = BootTime() - mBeginAt >= kRegistrationWait;
+  const bool waited = mContext.Now() - mBeginAt >= kRegistrationWait;
   if (mLayoutOut || mDraining || !waited || mRunners.empty()) {
     return;
   }
@@ -203,7 +203,7 @@
       }
       // Whatever the outcome, the next reading shows what is laid out.
       mLayoutOut = false;
-      mClusterAt = BootTime();
+      mClusterAt = mContext.Now();
       if (aOutcome.mResult == StoreResult::Stored) {
         Log(LogLevel::Info, "laid_out", "shards=" + std::to_string(shards));
       }
@@ -244,10 +244,10 @@
       }
       mOperatorOut = false;
       if (!aState) {
-        mOperatorAt = BootTime() + mContext.mSettings.mRetryPause;
+        mOperatorAt = mContext.Now() + mContext.mSettings.mRetryPause;
         return;
       }
-      mOperatorAt = BootTime() + mContext.mSettings.mOperatorPoll;
+      mOperatorAt = mContext.Now() + mContext.mSettings.mOperatorPoll;
       std::optional<Configuration>& read = aState->mConfiguration;
       const bool newer =
         read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
@@ -287,10 +287,10 @@
       }
       mRunnersOut = false;
       if (!aRunners) {
-        mRunnersAt = BootTime() + mContext.mSettings.mRetryPause;
+        mRunnersAt = mContext.Now() + mContext.mSettings.mRetryPause;
         return;
       }
-      mRunnersAt = BootTime() + mContext.mSettings.mRunnerPoll;
+      mRunnersAt = mContext.Now() + mContext.mSettings.mRunnerPoll;
       mRunners = std::move(*aRunners);
       mRunnersRead = true;
       for (auto& [number, shard] : mShards) {
@@ -320,7 +320,7 @@
 Node::Ready() const
 {
   return !mDraining && mConfiguration && mView.mShards > 0 &&
-         BootTime() - mContext.mStoreAnsweredAt <
+         mContext.Now() - mContext.mStoreAnsweredAt <
            mContext.mSettings.mStoreFreshness;
 }
 
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include <LibAsyncHttp/Deadlines.h>
@@ -10,6 +11,7 @@
 #include <LibNode/DirectoryPort.h>
 #include <LibNode/RunnerPort.h>
 #include <LibNode/StorePort.h>
+#include <LibTime/BootClock.h>
 
 namespace paddle {
 
@@ -28,8 +30,8 @@
   /// start 2.5 s after its notice.
   Millis mRunnerPoll{ 900 };
   /// An owner gives orders until this long after it last renewed its row. It
-  /// covers a store outage of nine seconds.
-  Millis mRightToAct{ 10000 };
+  /// covers a store outage of nine seconds that begins just before a renewal.
+  Millis mRightToAct{ 12000 };
   /// Time for the runners to answer a new owner's first order, several times
   /// the longest round trip of 24 ms.
   Millis mFenceWait{ 300 };
@@ -64,6 +66,13 @@
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
   MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
+  /// Tests set it; the time since the host's start otherwise.
+  std::function<MonotonicTime()> mClock;
+
+  [[nodiscard]] MonotonicTime Now() const
+  {
+    return mClock ? mClock() : BootTime();
+  }
 };
 
 } // namespace paddle
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -89,6 +89,10 @@
 void
 ShardHost::State::SendNextTransaction()
 {
+  if (mTransactionOut) {
+    // Each transaction replaces the row that the one before it wrote.
+    return;
+  }
   StoreTransaction transaction = mTransactions.front();
   const std::string progress = ProgressTable(mClaim.mShard);
   transaction.mChecks.push_back({ progress, kChainKey, mChainVersion });
@@ -98,7 +102,7 @@
                                   std::to_string(mClaim.mEpoch) + "/" +
                                   std::to_string(mChainNumber + 1) });
   mTransactionOut = true;
-  const MonotonicTime sentAt = BootTime();
+  const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
   mContext.mStore.mTransact(
     std::move(transaction),
@@ -108,7 +112,8 @@
         return;
       }
       self->mContext.mMetrics->Observe(
-        "commit", std::chrono::duration_cast<Micros>(BootTime() - sentAt));
+        "commit",
+        std::chrono::duration_cast<Micros>(self->mContext.Now() - sentAt));
       self->HandleTransaction(aOutcome);
     });
 }
@@ -140,7 +145,7 @@
         "commit_retry",
         aOutcome.mResult == StoreResult::Unknown ? "cause=no_answer"
                                                  : "cause=refused");
-    mRetryAt = BootTime() + mContext.mSettings.mRetryPause;
+    mRetryAt = mContext.Now() + mContext.mSettings.mRetryPause;
     return;
   }
   mChainVersion = stored;
@@ -161,7 +166,7 @@
   if (!mTransactions.empty()) {
     SendNextTransaction();
   } else if (mCore.mCommitUrgent) {
-    BeginCommit(BootTime());
+    BeginCommit(mContext.Now());
   }
 }
 
@@ -199,7 +204,7 @@
   if (mTransactionOut || !mTransactions.empty() || mCommit || mRetired) {
     return; // The next tick tries again.
   }
-  const MonotonicTime now = BootTime();
+  const MonotonicTime now = mContext.Now();
   mRunnersBeingStored.clear();
   std::set<std::string_view> known;
   for (dispatch::RunnerIndex i = 0; i < mCore.mRunners.size(); ++i) {
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -39,7 +39,7 @@
     fields += ' ';
     fields += aFields;
   }
-  mContext.mLog->Write(aLevel, aEvent, fields, BootTime());
+  mContext.mLog->Write(aLevel, aEvent, fields, mContext.Now());
 }
 
 void
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -19,7 +19,7 @@
                                 dispatch::History aHistory)
 {
   const std::string_view key = aRow.mKey;
-  const MonotonicTime now = BootTime();
+  const MonotonicTime now = mContext.Now();
   if (aRow.mRemoved) {
     return;
   }
@@ -86,7 +86,7 @@
       if (aRead.mResult == ReadResult::Failed) {
         // Changes may have been missed only in time, not in order: the same
         // version is asked for again.
-        self->mContext.mDeadlines->Add(BootTime() +
+        self->mContext.mDeadlines->Add(self->mContext.Now() +
                                          self->mContext.mSettings.mRetryPause,
                                        [self] { self->FollowInbox(); });
         return;
@@ -96,9 +96,9 @@
       }
       self->mInboxVersion = std::max(self->mInboxVersion, aRead.mVersion);
       self->FollowInbox();
-      if (!aRead.mRows.empty() && self->MayAct(BootTime())) {
+      if (!aRead.mRows.empty() && self->MayAct(self->mContext.Now())) {
         dispatch::Actions actions;
-        dispatch::PlaceWaiting(self->mCore, BootTime(), actions);
+        dispatch::PlaceWaiting(self->mCore, self->mContext.Now(), actions);
         self->Perform(actions);
       }
     });
@@ -115,7 +115,7 @@
       }
       if (aRead.mResult != ReadResult::Read) {
         self->mContext.mDeadlines->Add(
-          BootTime() + self->mContext.mSettings.mRetryPause,
+          self->mContext.Now() + self->mContext.mSettings.mRetryPause,
           [self, aFrom] { self->RereadInbox(aFrom); });
         return;
       }
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -10,8 +10,7 @@
 /// Pause before a runner that did not answer is asked again; doubles.
 constexpr Millis kFirstBackoff{ 100 };
 constexpr Millis kLongestBackoff{ 800 };
-/// Pause after a renewal that came back early without news: ends that are not
-/// stored yet are listed again at once.
+/// Pause after a renewal that came back early without news.
 constexpr Millis kEarlyPause{ 40 };
 
 } // namespace
@@ -48,7 +47,7 @@
     }
   }
   dispatch::Actions actions;
-  dispatch::SetRunners(mCore, known, BootTime(), actions);
+  dispatch::SetRunners(mCore, known, mContext.Now(), actions);
   Perform(actions);
   if (unknown) {
     StoreRunners();
@@ -84,7 +83,7 @@
                                 MonotonicTime aSentAt,
                                 Millis aWait)
 {
-  const MonotonicTime now = BootTime();
+  const MonotonicTime now = mContext.Now();
   RunnerLink& link = LinkOf(aRunner);
   link.mInFlight = false;
   if (aOutcome.mResult == OrderResult::Fenced) {
@@ -130,7 +129,9 @@
     link.mNextAt = now + mCore.mSettings.mIdleLook;
     return;
   }
-  const bool early = now - aSentAt < aWait / 2;
+  // Ends that are not stored yet are listed again, and waiting for news of a
+  // runner that has none returns at once.
+  const bool early = !watched || now - aSentAt < aWait / 2;
   link.mNextAt = early && !news && !link.mKick ? now + kEarlyPause : now;
   if (link.mNextAt <= now && MayAct(now)) {
     Renew(aRunner, now);
@@ -140,7 +141,7 @@
 void
 ShardHost::State::Perform(dispatch::Actions& aActions)
 {
-  if (aActions.empty() || !MayAct(BootTime())) {
+  if (aActions.empty() || !MayAct(mContext.Now())) {
     return;
   }
   for (const dispatch::Action& action : aActions) {
@@ -168,7 +169,7 @@
                     mCore.mEpoch,
                     task.mSaved,
                     {} };
-  const MonotonicTime sentAt = BootTime();
+  const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
   mContext.mRunners.mStart(
     TargetOf(aStart.mRunner),
@@ -190,7 +191,7 @@
       } else if (aResult == OrderResult::Unknown) {
         result = dispatch::StartResult::Unknown;
       }
-      const MonotonicTime now = BootTime();
+      const MonotonicTime now = self->mContext.Now();
       if (result != dispatch::StartResult::Started) {
         self->Log(LogLevel::Info,
                   "start_not_done",
@@ -232,12 +233,15 @@
       if (aResult != OrderResult::Done) {
         return; // It is repeated until the run's end is known.
       }
-      dispatch::HandleStopAnswered(
-        self->mCore, aStop.mRunner, aStop.mTask, aStop.mRun, BootTime());
+      dispatch::HandleStopAnswered(self->mCore,
+                                   aStop.mRunner,
+                                   aStop.mTask,
+                                   aStop.mRun,
+                                   self->mContext.Now());
       RunnerLink& link = self->LinkOf(aStop.mRunner);
       link.mKick = true;
       if (!link.mInFlight) {
-        link.mNextAt = BootTime();
+        link.mNextAt = self->mContext.Now();
       }
     });
 }
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -22,7 +22,7 @@
     { ProgressTable(mClaim.mShard),
       kChainKey,
       mContext.mSelf.mName + "/" + std::to_string(mClaim.mEpoch) });
-  const MonotonicTime sentAt = BootTime();
+  const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
   mContext.mStore.mTransact(
     std::move(transaction),
@@ -40,7 +40,7 @@
       self->mRowVersion = aOutcome.mVersion;
       self->mChainVersion = aOutcome.mVersion;
       self->mRightUntil = sentAt + self->mContext.mSettings.mRightToAct;
-      self->mCore.mTakenAt = BootTime();
+      self->mCore.mTakenAt = self->mContext.Now();
       self->mStage = ShardStage::ReadingRunners;
       self->Log(LogLevel::Info,
                 "shard_claimed",
@@ -61,7 +61,7 @@
       }
       if (aRead.mResult != ReadResult::Read) {
         self->mContext.mDeadlines->Add(
-          BootTime() + self->mContext.mSettings.mRetryPause,
+          self->mContext.Now() + self->mContext.mSettings.mRetryPause,
           [self, aFrom] { self->ReadProgress(aFrom); });
         return;
       }
@@ -72,7 +72,7 @@
         self->ReadProgress(self->mProgressRows.back().mKey + '\0');
         return;
       }
-      self->BeginFence(BootTime());
+      self->BeginFence(self->mContext.Now());
     });
 }
 
@@ -122,7 +122,7 @@
       }
       if (aRead.mResult != ReadResult::Read) {
         self->mContext.mDeadlines->Add(
-          BootTime() + self->mContext.mSettings.mRetryPause,
+          self->mContext.Now() + self->mContext.mSettings.mRetryPause,
           [self, aFrom] { self->ReadInbox(aFrom); });
         return;
       }
@@ -150,7 +150,7 @@
   for (const StoreRow& row : mInboxRows) {
     ApplyInboxRow(row, history);
   }
-  dispatch::AdoptHeldRuns(mCore, BootTime());
+  dispatch::AdoptHeldRuns(mCore, mContext.Now());
   Log(LogLevel::Info,
       "shard_read",
       "jobs=" + std::to_string(mCore.mJobs.size()) +
@@ -159,7 +159,7 @@
   mInboxRows.shrink_to_fit();
   mProgressRows.clear();
   mProgressRows.shrink_to_fit();
-  BeginServing(BootTime());
+  BeginServing(mContext.Now());
 }
 
 void
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -91,7 +91,7 @@
   mCore.mEpoch = aEpoch;
   mCore.mNextRun = (aEpoch << 20) + 1;
   mCore.mTakenAt = mNow;
-  mCore.mUnheardUntil = mNow + Seconds(16);
+  mCore.mUnheardUntil = mNow + Seconds(18);
   SetQueues(mCore, queues);
   for (const RunnerSpec& spec : mListed) {
     AddFormerRunner(mCore,
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -81,7 +81,7 @@
   world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
   world.mRunners[world.RunnerOf("job.0.0.0")].mAnswers = false;
   world.TakeOver(2);
-  world.Pass(Seconds(15));
+  world.Pass(Seconds(17));
   LONGS_EQUAL(1, world.mStarts);
   world.Pass(Seconds(2));
   LONGS_EQUAL(2, world.mStarts);
@@ -105,7 +105,7 @@
   world.Pass(Millis(500));
   CHECK_TRUE(world.Runs("other.0.0.0"));
   LONGS_EQUAL(2, world.mStarts);
-  world.Pass(Seconds(15));
+  world.Pass(Seconds(17));
   LONGS_EQUAL(2, world.mStarts);
   world.Pass(Seconds(1));
   LONGS_EQUAL(3, world.mStarts);
@@ -130,7 +130,7 @@
   LONGS_EQUAL(4, world.mStarts);
   world.End("job.0.0.0", EndKind::Done);
   world.TakeOver(2);
-  world.Pass(Seconds(20));
+  world.Pass(Seconds(22));
   LONGS_EQUAL(4, world.mStarts);
   LONGS_EQUAL(1, world.RunningTasks());
 }
--- /dev/null
+++ b/Tests/LibNode/FakeStore.cpp
@@ -0,0 +1,202 @@
+#include "FakeStore.h"
+
+#include <algorithm>
+
+namespace paddle {
+
+StorePort
+FakeStore::Port()
+{
+  StorePort port;
+  port.mTransact = [this](const StoreTransaction& aTransaction,
+                          Millis,
+                          const TransactionHandler& aDone) {
+    mCalls.push_back([this, aTransaction, aDone] {
+      ++mTransactions;
+      if (mRefuses) {
+        aDone({ StoreResult::NotDone, 0, {} });
+        return;
+      }
+      if (mDelay > 0) {
+        --mDelay;
+        mLate.push_back(aTransaction);
+        aDone({ StoreResult::Unknown, 0, {} });
+        return;
+      }
+      const TransactionOutcome outcome = Apply(aTransaction);
+      if (mLoseAnswers > 0) {
+        --mLoseAnswers;
+        aDone({ StoreResult::Unknown, 0, {} });
+        return;
+      }
+      aDone(outcome);
+    });
+  };
+  port.mRead = [this](const std::string& aTable,
+                      const std::string& aFrom,
+                      const std::string& aTo,
+                      const ReadHandler& aDone) {
+    mCalls.push_back([this, aTable, aFrom, aTo, aDone] {
+      if (mRefuses) {
+        aDone({});
+        return;
+      }
+      const ReadOutcome outcome = Read(aTable, aFrom, aTo);
+      if (mHoldReads) {
+        mHeldReads.push_back([outcome, aDone] { aDone(outcome); });
+        return;
+      }
+      aDone(outcome);
+    });
+  };
+  port.mFollow = [this](const std::string& aTable,
+                        std::int64_t aAfter,
+                        Millis,
+                        const ReadHandler& aDone) {
+    mFollowers.push_back({ aTable, aAfter, aDone });
+  };
+  return port;
+}
+
+TransactionOutcome
+FakeStore::Apply(const StoreTransaction& aTransaction)
+{
+  bool fits = true;
+  for (const StoreCheck& check : aTransaction.mChecks) {
+    const auto row = mRows.find({ check.mTable, check.mKey });
+    const std::int64_t version = row == mRows.end() ? 0 : row->second.mVersion;
+    fits = fits && version == check.mVersion;
+  }
+  if (!fits) {
+    TransactionOutcome outcome{ StoreResult::Conflict, 0, {} };
+    for (const StoreCheck& check : aTransaction.mChecks) {
+      const auto row = mRows.find({ check.mTable, check.mKey });
+      if (row != mRows.end()) {
+        outcome.mCurrent.push_back({ check.mTable,
+                                     check.mKey,
+                                     row->second.mValue,
+                                     row->second.mVersion,
+                                     false });
+      }
+    }
+    return outcome;
+  }
+  ++mVersion;
+  for (const StoreRow& put : aTransaction.mPuts) {
+    mRows[{ put.mTable, put.mKey }] = { put.mValue, mVersion };
+    mHistory.push_back({ put.mTable, put.mKey, put.mValue, mVersion, false });
+  }
+  for (const StoreKey& key : aTransaction.mRemovals) {
+    mRows.erase({ key.mTable, key.mKey });
+    mHistory.push_back({ key.mTable, key.mKey, {}, mVersion, true });
+  }
+  return { StoreResult::Stored, mVersion, {} };
+}
+
+ReadOutcome
+FakeStore::Read(const std::string& aTable,
+                const std::string& aFrom,
+                const std::string& aTo) const
+{
+  ReadOutcome outcome;
+  outcome.mResult = ReadResult::Read;
+  outcome.mVersion = mVersion;
+  for (const auto& [name, row] : mRows) {
+    const auto& [table, key] = name;
+    if (table == aTable && key >= aFrom && (aTo.empty() || key < aTo)) {
+      outcome.mRows.push_back({ table, key, row.mValue, row.mVersion, false });
+    }
+  }
+  return outcome;
+}
+
+void
+FakeStore::ServeFollowers()
+{
+  std::vector<Follower> followers = std::move(mFollowers);
+  mFollowers.clear();
+  for (Follower& follower : followers) {
+    ReadOutcome outcome;
+    outcome.mVersion = mVersion;
+    if (mRefuses) {
+      follower.mDone(outcome);
+      continue;
+    }
+    if (mForget) {
+      mForget = false;
+      outcome.mResult = ReadResult::Forgotten;
+      follower.mDone(outcome);
+      continue;
+    }
+    outcome.mResult = ReadResult::Read;
+    for (const StoreRow& row : mHistory) {
+      if (row.mTable == follower.mTable && row.mVersion > follower.mAfter) {
+        outcome.mRows.push_back(row);
+      }
+    }
+    if (outcome.mRows.empty()) {
+      mFollowers.push_back(std::move(follower));
+    } else {
+      follower.mDone(outcome);
+    }
+  }
+}
+
+void
+FakeStore::Run()
+{
+  if (mPaused) {
+    return;
+  }
+  // Answers lead to further calls; a refusing store would be asked for ever.
+  constexpr int kMostRounds = 50;
+  for (int round = 0; round < kMostRounds; ++round) {
+    std::deque<std::function<void()>> calls = std::move(mCalls);
+    mCalls.clear();
+    for (const std::function<void()>& call : calls) {
+      call();
+    }
+    ServeFollowers();
+    if (mCalls.empty()) {
+      return;
+    }
+  }
+}
+
+void
+FakeStore::RunLate()
+{
+  for (const StoreTransaction& transaction : mLate) {
+    Apply(transaction);
+  }
+  mLate.clear();
+}
+
+void
+FakeStore::ReleaseReads()
+{
+  mHoldReads = false;
+  std::vector<std::function<void()>> reads = std::move(mHeldReads);
+  mHeldReads.clear();
+  for (const std::function<void()>& read : reads) {
+    read();
+  }
+}
+
+std::string
+FakeStore::Value(const std::string& aTable, const std::string& aKey) const
+{
+  const auto row = mRows.find({ aTable, aKey });
+  return row == mRows.end() ? std::string() : row->second.mValue;
+}
+
+std::size_t
+FakeStore::Rows(const std::string& aTable) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRows.begin(), mRows.end(), [&](const auto& aEntry) {
+      return aEntry.first.first == aTable;
+    }));
+}
+
+} // namespace paddle
