Platform: Follow the operator's rows by their changes

A storm of configurations left 1,637 routes, some 400 KB, which each of 36 nodes read again every 0.8 s. That is more than the 60 Mbit/s between regions carry; a new owner could not read its shard for 25 s. Ruled out: processor time (a profile showed no peak), the takeover itself. Change: nodes read these rows once and follow their changes, with a pause that grows with the size of a change. A new owner finds progress by job instead of searching all rows; the order of service is kept for 100 ms.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -85,6 +85,8 @@
   TextMap<QueueSpec> mQueues;
   std::set<std::string, std::less<>> mEvacuatedZones;
   std::set<WaitingStep> mWaiting;
+  std::vector<WaitingStep> mOrder; ///< Order of service, as of mOrderedAt.
+  MonotonicTime mOrderedAt;
   std::uint64_t mNextOrder = 1;
   MonotonicTime mExplainedAt;
   MonotonicTime mPlacedAt;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -27,6 +27,9 @@
 constexpr double kDisturbanceCost = 100;
 /// Added for each failure in a row on a runner.
 constexpr double kFailureCost = 200;
+/// The order of service is kept this long for passes over single runners; what
+/// a job can still earn changes more slowly.
+constexpr Millis kOrderInterval{ 100 };
 /// A job that ends later than this many objectives earns nothing.
 constexpr int kLatestObjective = 3;
 /// Longest waiting steps that one report explains.
@@ -440,9 +443,10 @@
 PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
 {
   // Where only room was freed, only the runners that have it are looked at.
+  const bool full = aDispatcher.mPlacementDue;
   std::vector<RunnerIndex> candidates =
-    aDispatcher.mPlacementDue ? OpenRunners(aDispatcher, aNow)
-                              : std::exchange(aDispatcher.mFreedRunners, {});
+    full ? OpenRunners(aDispatcher, aNow)
+         : std::exchange(aDispatcher.mFreedRunners, {});
   if (candidates.empty() || aDispatcher.mWaiting.empty()) {
     aDispatcher.mPlacementDue =
       aDispatcher.mPlacementDue && !aDispatcher.mWaiting.empty();
@@ -455,8 +459,14 @@
   }
   std::uint32_t started = 0;
   Refusals refusals;
-  const std::vector<WaitingStep> waiting = OrderOfService(aDispatcher, aNow);
-  for (const WaitingStep& entry : waiting) {
+  if (full || aNow - aDispatcher.mOrderedAt >= kOrderInterval) {
+    aDispatcher.mOrder = OrderOfService(aDispatcher, aNow);
+    aDispatcher.mOrderedAt = aNow;
+  }
+  for (const WaitingStep& entry : aDispatcher.mOrder) {
+    if (!full && !aDispatcher.mWaiting.contains(entry)) {
+      continue; // It has been served, or its job is gone.
+    }
     Job& job = *entry.mJob;
     const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
     if (queue == nullptr || (job.mFormer && !aDispatcher.mRecovered)) {
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -42,12 +42,14 @@
 {
   std::optional<Configuration> mConfiguration;
   std::vector<std::string> mEvacuatedZones;
+  std::size_t mBytes = 0; ///< Size of what has changed; 0: nothing.
 };
 
 /// Readings of what the operator and the runners publish. A handler gets
 /// nothing if the reading failed.
 struct DirectoryPort
 {
+  /// Answers at the next change, or after a while without one.
   std::function<void(std::function<void(std::optional<OperatorState>)>)>
     mReadOperator;
   std::function<void(
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -12,6 +12,25 @@
 /// they do so within about three seconds of the start.
 constexpr Millis kRegistrationWait{ 3500 };
 
+/// Nodes read each change in full, and share a regional link of 30 Mbit/s or
+/// more: a storm of large configurations must leave room for everything else.
+constexpr std::size_t kBytesPerMilli = 350;
+constexpr Millis kShortestPause{ 100 };
+constexpr Millis kLongestPause{ 1500 };
+
+/// @param aBytes size of the change that was read
+/// @return the pause before the next one is read
+Millis
+OperatorPause(std::size_t aBytes)
+{
+  if (aBytes == 0) {
+    return Millis(0);
+  }
+  return std::min(kLongestPause,
+                  kShortestPause +
+                    Millis(static_cast<Millis::rep>(aBytes / kBytesPerMilli)));
+}
+
 } // namespace
 
 Node::Node(NodeContext& aContext)
@@ -247,7 +266,7 @@
         mOperatorAt = mContext.Now() + mContext.mSettings.mRetryPause;
         return;
       }
-      mOperatorAt = mContext.Now() + mContext.mSettings.mOperatorPoll;
+      mOperatorAt = mContext.Now() + OperatorPause(aState->mBytes);
       std::optional<Configuration>& read = aState->mConfiguration;
       const bool newer =
         read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -22,10 +22,8 @@
   dispatch::DispatchSettings mDispatch;
   /// Interval of a node's own row and of the rows of its shards.
   Millis mHeartbeat{ 1000 };
-  /// Interval of reading the cluster, and of what the operator asks for; the
-  /// tightest bound on it is 2.5 s from a change to its effect.
+  /// Interval of reading the cluster.
   Millis mClusterPoll{ 700 };
-  Millis mOperatorPoll{ 800 };
   /// Interval of reading the list of runners; a draining runner must get no
   /// start 2.5 s after its notice.
   Millis mRunnerPoll{ 900 };
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -44,10 +44,9 @@
   }
   const std::string id = job->mSpec.mId;
   std::optional<dispatch::JobProgress> progress;
-  for (const StoreRow& row : mProgressRows) {
-    if (row.mKey == kJobPrefix + id) {
-      progress = ParseProgress(row.mValue);
-    }
+  const auto stored = mStoredProgress.find(id);
+  if (stored != mStoredProgress.end()) {
+    progress = ParseProgress(stored->second);
   }
   // Clocks of hosts differ, so an age outside of this range is not believed.
   const std::int64_t age =
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -110,7 +111,9 @@
   std::vector<dispatch::RunnerSpec> mListed; ///< Latest reading of this shard.
   bool mListedRead = false;
   std::set<std::string> mStoredRunners;
-  std::vector<StoreRow> mProgressRows;
+  /// Read by a new owner: progress by job, and the runners that were used.
+  std::unordered_map<std::string, std::string> mStoredProgress;
+  std::vector<dispatch::FormerRunner> mFormerRunners;
   std::vector<StoreRow> mInboxRows;
   std::int64_t mInboxVersion = 0;
 
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -65,11 +65,20 @@
           [self, aFrom] { self->ReadProgress(aFrom); });
         return;
       }
+      const std::string last =
+        aRead.mRows.empty() ? std::string() : aRead.mRows.back().mKey;
       for (StoreRow& row : aRead.mRows) {
-        self->mProgressRows.push_back(std::move(row));
+        const std::string_view key = row.mKey;
+        if (key == kRunnersKey) {
+          self->mFormerRunners = ParseRunners(row.mValue);
+        } else if (key.starts_with(kJobPrefix)) {
+          self->mStoredProgress.emplace(
+            key.substr(std::string_view(kJobPrefix).size()),
+            std::move(row.mValue));
+        }
       }
-      if (aRead.mMore && !self->mProgressRows.empty()) {
-        self->ReadProgress(self->mProgressRows.back().mKey + '\0');
+      if (aRead.mMore && !last.empty()) {
+        self->ReadProgress(last + '\0');
         return;
       }
       self->BeginFence(self->mContext.Now());
@@ -80,15 +89,11 @@
 ShardHost::State::BeginFence(MonotonicTime aNow)
 {
   const NodeSettings& settings = mContext.mSettings;
-  for (const StoreRow& row : mProgressRows) {
-    if (row.mKey != kRunnersKey) {
-      continue;
-    }
-    for (const dispatch::FormerRunner& runner : ParseRunners(row.mValue)) {
-      dispatch::AddFormerRunner(mCore, runner, aNow);
-      mStoredRunners.insert(runner.mSpec.mId);
-    }
+  for (const dispatch::FormerRunner& runner : mFormerRunners) {
+    dispatch::AddFormerRunner(mCore, runner, aNow);
+    mStoredRunners.insert(runner.mSpec.mId);
   }
+  mFormerRunners.clear();
   // What an unreachable runner was last granted has ended once the former
   // owner's right to act and the longest lease are over.
   Millis unheard = settings.mDispatch.mLapseMargin;
@@ -157,8 +162,7 @@
         " former_runners=" + std::to_string(mCore.mRunners.size()));
   mInboxRows.clear();
   mInboxRows.shrink_to_fit();
-  mProgressRows.clear();
-  mProgressRows.shrink_to_fit();
+  mStoredProgress.clear();
   BeginServing(mContext.Now());
 }
 
