LibDispatch: Restart lasting tasks before finite ones

Cause: a new test showed that within a priority finite steps came first, against what the declaration says: a lasting task waited behind them for room. Ruled out: the reach of a job (lasting steps always count as in time). Change: lasting steps come first.

--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -145,9 +145,12 @@
 bool
 WaitingStep::operator<(const WaitingStep& aOther) const
 {
-  return std::tie(mPriority, mKind, mDueAt, mOrder, mOccurrence, mStep) <
+  // Lasting steps come first: a task that lasts must be back within seconds.
+  const bool finite = mKind == StepKind::Finite;
+  const bool otherFinite = aOther.mKind == StepKind::Finite;
+  return std::tie(mPriority, finite, mDueAt, mOrder, mOccurrence, mStep) <
          std::tie(aOther.mPriority,
-                  aOther.mKind,
+                  otherFinite,
                   aOther.mDueAt,
                   aOther.mOrder,
                   aOther.mOccurrence,
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -198,7 +198,11 @@
   report.mIncarnation = fake.mIncarnation;
   for (const Run& run : fake.mRunning) {
     report.mRunning.push_back(
-      { *ParseTaskName(run.mTask), run.mRun, {}, 50, run.mLoadFigure });
+      { *ParseTaskName(run.mTask),
+        run.mRun,
+        {},
+        50,
+        mFigure ? mFigure(fake, run) : run.mLoadFigure });
   }
   report.mEnds = fake.mEnds;
   HandleReport(mCore, aRunner, report, mNow, mNow, mActions);
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -66,6 +67,8 @@
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0;
+  /// @return the figure that a runner reports for a run; 0 without one
+  std::function<std::int32_t(const FakeRunner&, const Run&)> mFigure;
 };
 
 /// A step of finite tasks that reserve processors.
