Build: Satisfy the linter in the platform's parts, and install rapidjson

Cause: the linter named parameters by value that are only read, and short names in lambdas; Meta/install.sh did not install rapidjson-dev, which the build needs. Change: references, house names, the package. Behaviour is unchanged; the three test programs pass.

--- a/Libraries/LibAsyncHttp/HttpServer.cpp
+++ b/Libraries/LibAsyncHttp/HttpServer.cpp
@@ -276,17 +276,18 @@
   connection.mHandling = true;
   ++mActive;
   std::weak_ptr<State> weak = shared_from_this();
-  mHandler(std::move(incoming), [weak, aConnection, keep](HttpReply aReply) {
-    const auto self = weak.lock();
-    if (!self) {
-      return;
-    }
-    --self->mActive;
-    aConnection->mHandling = false;
-    if (!aConnection->mClosed) {
-      self->Reply(aConnection, aReply, keep);
-    }
-  });
+  mHandler(std::move(incoming),
+           [weak, aConnection, keep](const HttpReply& aReply) {
+             const auto self = weak.lock();
+             if (!self) {
+               return;
+             }
+             --self->mActive;
+             aConnection->mHandling = false;
+             if (!aConnection->mClosed) {
+               self->Reply(aConnection, aReply, keep);
+             }
+           });
   // NOTE: Reading goes on while the request is handled, to notice that the
   // caller has gone.
   if (!connection.mClosed && connection.mHandling) {
--- a/Libraries/LibBase/EventLog.h
+++ b/Libraries/LibBase/EventLog.h
@@ -20,7 +20,7 @@
   double mLinesPerSecond = 300;
   double mBurst = 600;
   /// Lines that wait while the reader of standard output does not read.
-  std::size_t mBufferBytes = 256 * 1024;
+  std::size_t mBufferBytes = 256UL * 1024;
 };
 
 /// Writes key=value lines to standard output without ever blocking: lines are
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -458,10 +458,11 @@
   }
   // The worst disturbers first, until enough of the rise is taken away. The
   // others go on, because they would disturb as much anywhere.
-  std::sort(
-    disturbers.begin(),
-    disturbers.end(),
-    [](const Disturber& a, const Disturber& b) { return a.mRise > b.mRise; });
+  std::sort(disturbers.begin(),
+            disturbers.end(),
+            [](const Disturber& aFirst, const Disturber& aSecond) {
+              return aFirst.mRise > aSecond.mRise;
+            });
   const bool over = aTails.mWorst > 1;
   const double enough = total * (over ? kTakenWhenOver : kTakenWhenNear);
   double taken = 0;
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -122,11 +122,12 @@
   std::vector<Millis> ends(steps.size(), Millis(0));
   Millis longest(0);
   for (std::size_t i = aStep; i < steps.size(); ++i) {
-    const bool follows = i == aStep || std::any_of(steps[i].mAfter.begin(),
-                                                   steps[i].mAfter.end(),
-                                                   [&](std::uint32_t b) {
-                                                     return ends[b].count() > 0;
-                                                   });
+    const bool follows =
+      i == aStep || std::any_of(steps[i].mAfter.begin(),
+                                steps[i].mAfter.end(),
+                                [&](std::uint32_t aBefore) {
+                                  return ends[aBefore].count() > 0;
+                                });
     const bool done =
       occurrence.mSteps[i].mDone == occurrence.mSteps[i].mTasks.size();
     if (!follows || done) {
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -321,11 +321,12 @@
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     order.emplace_back(ReachOf(waiting[i], aNow), i);
   }
-  std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-    const std::int32_t first = waiting[a.second].mPriority;
-    const std::int32_t second = waiting[b.second].mPriority;
-    return std::tie(first, a) < std::tie(second, b);
-  });
+  std::sort(
+    order.begin(), order.end(), [&](const auto& aFirst, const auto& aSecond) {
+      const std::int32_t first = waiting[aFirst.second].mPriority;
+      const std::int32_t second = waiting[aSecond.second].mPriority;
+      return std::tie(first, aFirst) < std::tie(second, aSecond);
+    });
   std::vector<WaitingStep> ordered;
   ordered.reserve(waiting.size());
   for (const auto& [reach, index] : order) {
@@ -522,9 +523,9 @@
     if (aNow - step.mOpenedAt < kExplainAfter) {
       continue;
     }
-    const auto task =
-      std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& t) {
-        return t.mPhase == TaskPhase::Waiting;
+    const auto task = std::find_if(
+      step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
+        return aTask.mPhase == TaskPhase::Waiting;
       });
     if (queue == nullptr || task == step.mTasks.end()) {
       continue;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -127,12 +127,16 @@
   if (job.mSpec.mOccurrences > 0) {
     // NOTE: The tasks of other occurrences keep their own entries, so an ended
     // occurrence can go as soon as nothing of it runs.
-    const bool idle = std::all_of(
-      occurrence.mSteps.begin(), occurrence.mSteps.end(), [](const Step& s) {
-        return std::all_of(s.mTasks.begin(), s.mTasks.end(), [](const Task& t) {
-          return t.mRunner == kNoRunner;
-        });
-      });
+    const bool idle =
+      std::all_of(occurrence.mSteps.begin(),
+                  occurrence.mSteps.end(),
+                  [](const Step& aStep) {
+                    return std::all_of(aStep.mTasks.begin(),
+                                       aStep.mTasks.end(),
+                                       [](const Task& aOther) {
+                                         return aOther.mRunner == kNoRunner;
+                                       });
+                  });
     if (idle) {
       job.mOccurrences.erase(aTask.mOccurrence);
     }
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -85,12 +85,12 @@
   if (aDispatcher.mRecovered) {
     return;
   }
-  const auto unheard =
-    std::count_if(aDispatcher.mRunners.begin(),
-                  aDispatcher.mRunners.end(),
-                  [](const Runner& r) {
-                    return r.mPhase == RunnerPhase::Unheard && r.mFormer;
-                  });
+  const auto unheard = std::count_if(
+    aDispatcher.mRunners.begin(),
+    aDispatcher.mRunners.end(),
+    [](const Runner& aRunner) {
+      return aRunner.mPhase == RunnerPhase::Unheard && aRunner.mFormer;
+    });
   if (unheard > 0 && aNow < aDispatcher.mUnheardUntil) {
     return;
   }
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -106,10 +106,12 @@
   add(aSelf);
   std::sort(candidates.begin(),
             candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.mCost, a.mScore) < std::tie(b.mCost, b.mScore);
+            [](const Candidate& aFirst, const Candidate& aSecond) {
+              return std::tie(aFirst.mCost, aFirst.mScore) <
+                     std::tie(aSecond.mCost, aSecond.mScore);
             });
   std::vector<std::string> names;
+  names.reserve(candidates.size());
   for (Candidate& candidate : candidates) {
     names.push_back(std::move(candidate.mName));
   }
--- a/Libraries/LibNode/Front.cpp
+++ b/Libraries/LibNode/Front.cpp
@@ -42,11 +42,11 @@
   };
 
   std::optional<std::uint32_t> ChooseShard(const dispatch::JobSpec& aJob) const;
-  void Send(std::shared_ptr<Submission> aSubmission);
+  void Send(const std::shared_ptr<Submission>& aSubmission);
   void Handle(const std::shared_ptr<Submission>& aSubmission,
               const TransactionOutcome& aOutcome);
-  void ReadForCancel(std::shared_ptr<Cancellation> aCancellation);
-  void WriteCancel(std::shared_ptr<Cancellation> aCancellation,
+  void ReadForCancel(const std::shared_ptr<Cancellation>& aCancellation);
+  void WriteCancel(const std::shared_ptr<Cancellation>& aCancellation,
                    JobStatus aStatus,
                    std::int64_t aVersion);
   void RetryCancel(const std::shared_ptr<Cancellation>& aCancellation);
@@ -100,7 +100,7 @@
 }
 
 void
-Front::State::Send(std::shared_ptr<Submission> aSubmission)
+Front::State::Send(const std::shared_ptr<Submission>& aSubmission)
 {
   const std::string& id = aSubmission->mJob.mSpec.mId;
   const JobStatus status{ aSubmission->mShard,
@@ -116,11 +116,12 @@
   auto self = shared_from_this();
   const auto left =
     std::chrono::duration_cast<Millis>(aSubmission->mUntil - mContext.Now());
-  mContext.mStore.mTransact(std::move(transaction),
-                            std::min(left, mContext.mSettings.mStoreTimeout),
-                            [self, aSubmission](TransactionOutcome aOutcome) {
-                              self->Handle(aSubmission, aOutcome);
-                            });
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    std::min(left, mContext.mSettings.mStoreTimeout),
+    [self, aSubmission](const TransactionOutcome& aOutcome) {
+      self->Handle(aSubmission, aOutcome);
+    });
 }
 
 void
@@ -189,7 +190,7 @@
 }
 
 void
-Front::State::ReadForCancel(std::shared_ptr<Cancellation> aCancellation)
+Front::State::ReadForCancel(const std::shared_ptr<Cancellation>& aCancellation)
 {
   auto self = shared_from_this();
   const std::string& id = aCancellation->mJob;
@@ -220,7 +221,7 @@
 }
 
 void
-Front::State::WriteCancel(std::shared_ptr<Cancellation> aCancellation,
+Front::State::WriteCancel(const std::shared_ptr<Cancellation>& aCancellation,
                           JobStatus aStatus,
                           std::int64_t aVersion)
 {
@@ -235,7 +236,7 @@
   mContext.mStore.mTransact(
     std::move(transaction),
     mContext.mSettings.mStoreTimeout,
-    [self, aCancellation](TransactionOutcome aOutcome) {
+    [self, aCancellation](const TransactionOutcome& aOutcome) {
       if (aOutcome.mResult != StoreResult::Stored) {
         // Reading shows whether it was stored, or ended meanwhile.
         self->RetryCancel(aCancellation);
@@ -268,7 +269,7 @@
   submission->mUntil =
     mState->mContext.Now() + mState->mContext.mSettings.mLongestAnswer;
   submission->mAnswer = std::move(aAnswer);
-  mState->Send(std::move(submission));
+  mState->Send(submission);
 }
 
 void
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -116,7 +116,7 @@
   mContext.mStore.mTransact(std::move(transaction),
                             mContext.mSettings.mStoreTimeout,
                             [this, alive, shards, aNow, released = mDraining](
-                              TransactionOutcome aOutcome) {
+                              const TransactionOutcome& aOutcome) {
                               if (!alive.expired()) {
                                 HandleHeartbeat(
                                   aOutcome, shards, released, aNow);
@@ -216,7 +216,7 @@
   mContext.mStore.mTransact(
     std::move(transaction),
     mContext.mSettings.mStoreTimeout,
-    [this, alive, shards](TransactionOutcome aOutcome) {
+    [this, alive, shards](const TransactionOutcome& aOutcome) {
       if (alive.expired()) {
         return;
       }
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -107,7 +107,7 @@
   mContext.mStore.mTransact(
     std::move(transaction),
     mContext.mSettings.mStoreTimeout,
-    [self, sentAt](TransactionOutcome aOutcome) {
+    [self, sentAt](const TransactionOutcome& aOutcome) {
       if (self->mLost) {
         return;
       }
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -71,7 +71,7 @@
     InboxTable(mClaim.mShard),
     mInboxVersion,
     kFollowWait,
-    [self](ReadOutcome aRead) {
+    [self](const ReadOutcome& aRead) {
       if (self->mLost || self->mRetired) {
         return;
       }
@@ -104,32 +104,35 @@
 }
 
 void
-ShardHost::State::RereadInbox(std::string aFrom)
+ShardHost::State::RereadInbox(const std::string& aFrom)
 {
   auto self = shared_from_this();
-  mContext.mStore.mRead(
-    InboxTable(mClaim.mShard), aFrom, {}, [self, aFrom](ReadOutcome aRead) {
-      if (self->mLost || self->mRetired) {
-        return;
-      }
-      if (aRead.mResult != ReadResult::Read) {
-        self->mContext.mDeadlines->Add(
-          self->mContext.Now() + self->mContext.mSettings.mRetryPause,
-          [self, aFrom] { self->RereadInbox(aFrom); });
-        return;
-      }
-      if (aFrom.empty()) {
-        self->mInboxVersion = aRead.mVersion;
-      }
-      for (const StoreRow& row : aRead.mRows) {
-        self->ApplyInboxRow(row, dispatch::History::None);
-      }
-      if (aRead.mMore && !aRead.mRows.empty()) {
-        self->RereadInbox(aRead.mRows.back().mKey + '\0');
-        return;
-      }
-      self->FollowInbox();
-    });
+  mContext.mStore.mRead(InboxTable(mClaim.mShard),
+                        aFrom,
+                        {},
+                        [self, aFrom](const ReadOutcome& aRead) {
+                          if (self->mLost || self->mRetired) {
+                            return;
+                          }
+                          if (aRead.mResult != ReadResult::Read) {
+                            self->mContext.mDeadlines->Add(
+                              self->mContext.Now() +
+                                self->mContext.mSettings.mRetryPause,
+                              [self, aFrom] { self->RereadInbox(aFrom); });
+                            return;
+                          }
+                          if (aFrom.empty()) {
+                            self->mInboxVersion = aRead.mVersion;
+                          }
+                          for (const StoreRow& row : aRead.mRows) {
+                            self->ApplyInboxRow(row, dispatch::History::None);
+                          }
+                          if (aRead.mMore && !aRead.mRows.empty()) {
+                            self->RereadInbox(aRead.mRows.back().mKey + '\0');
+                            return;
+                          }
+                          self->FollowInbox();
+                        });
 }
 
 } // namespace paddle
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -70,7 +70,7 @@
   mContext.mRunners.mRenew(
     TargetOf(aRunner),
     order,
-    [self, aRunner, aNow, wait = plan.mWait](RenewOutcome aOutcome) {
+    [self, aRunner, aNow, wait = plan.mWait](const RenewOutcome& aOutcome) {
       if (!self->mLost) {
         self->HandleRenewal(aRunner, aOutcome, aNow, wait);
       }
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -58,15 +58,15 @@
 
   // Taking the shard (ShardTaking.cpp).
   void SendClaim();
-  void ReadProgress(std::string aFrom);
+  void ReadProgress(const std::string& aFrom);
   void BeginFence(MonotonicTime aNow);
-  void ReadInbox(std::string aFrom);
+  void ReadInbox(const std::string& aFrom);
   void LoadJobs();
   void BeginServing(MonotonicTime aNow);
 
   // The inbox (ShardInbox.cpp).
   void FollowInbox();
-  void RereadInbox(std::string aFrom);
+  void RereadInbox(const std::string& aFrom);
   void ApplyInboxRow(const StoreRow& aRow, dispatch::History aHistory);
 
   // Runners (ShardRunners.cpp).
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -27,7 +27,7 @@
   mContext.mStore.mTransact(
     std::move(transaction),
     mContext.mSettings.mStoreTimeout,
-    [self, sentAt](TransactionOutcome aOutcome) {
+    [self, sentAt](const TransactionOutcome& aOutcome) {
       if (self->mLost) {
         return;
       }
@@ -51,7 +51,7 @@
 }
 
 void
-ShardHost::State::ReadProgress(std::string aFrom)
+ShardHost::State::ReadProgress(const std::string& aFrom)
 {
   auto self = shared_from_this();
   mContext.mStore.mRead(
@@ -117,7 +117,7 @@
 }
 
 void
-ShardHost::State::ReadInbox(std::string aFrom)
+ShardHost::State::ReadInbox(const std::string& aFrom)
 {
   auto self = shared_from_this();
   mContext.mStore.mRead(
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build ccache
   libcxxtools-dev libjsonrpccpp-dev libjsoncpp-dev libboost-dev libcli11-dev
-  liblog4cplus-dev libcpputest-dev liblua5.4-dev libxxhash-dev
+  liblog4cplus-dev libcpputest-dev liblua5.4-dev libxxhash-dev rapidjson-dev
 )
 if [ "${1:-}" = --checks ]; then
   packages+=(clang-format clang-tidy)
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -39,7 +39,7 @@
   int Run();
 
 private:
-  void ServeClients(HttpIncoming aRequest, ReplyHandler aReply);
+  void ServeClients(const HttpIncoming& aRequest, ReplyHandler aReply);
   void ServeReadiness(const HttpIncoming& aRequest, const ReplyHandler& aReply);
   void WaitForTick();
   void WaitForSignal();
@@ -90,8 +90,8 @@
   , mClients(mLoop,
              mDeadlines,
              {},
-             [this](HttpIncoming aRequest, ReplyHandler aReply) {
-               ServeClients(std::move(aRequest), std::move(aReply));
+             [this](const HttpIncoming& aRequest, ReplyHandler aReply) {
+               ServeClients(aRequest, std::move(aReply));
              })
   , mReadiness(
       mLoop,
@@ -121,7 +121,7 @@
 }
 
 void
-Process::ServeClients(HttpIncoming aRequest, ReplyHandler aReply)
+Process::ServeClients(const HttpIncoming& aRequest, ReplyHandler aReply)
 {
   const MonotonicTime begin = BootTime();
   platform::HandleClientCall(
--- a/Tests/LibDispatch/TestDisturbance.cpp
+++ b/Tests/LibDispatch/TestDisturbance.cpp
@@ -25,7 +25,7 @@
 
 TEST_GROUP(Disturbance)
 {
-  DispatchWorld world;
+  DispatchWorld mWorld;
 
   /// Two runners, each full of one serving image; tasks of the jobs "loud..."
   /// disturb the image of the job "first" only.
@@ -35,8 +35,8 @@
     first.mImage = "first-image";
     StepSpec second = LastingStep(2, 7000);
     second.mImage = "second-image";
-    world.mFigure = [](const DispatchWorld::FakeRunner& aRunner,
-                       const DispatchWorld::Run& aRun) -> std::int32_t {
+    mWorld.mFigure = [](const DispatchWorld::FakeRunner& aRunner,
+                        const DispatchWorld::Run& aRun) -> std::int32_t {
       const bool loud = std::any_of(aRunner.mRunning.begin(),
                                     aRunner.mRunning.end(),
                                     [](const DispatchWorld::Run& aOther) {
@@ -47,10 +47,10 @@
       }
       return StartsWith(aRun, "second") ? kRestingTail : 2000;
     };
-    world.ListRunners(2);
-    world.AddJob(MakeJob("first", { first }));
-    world.AddJob(MakeJob("second", { second }));
-    world.Pass(Seconds(4));
+    mWorld.ListRunners(2);
+    mWorld.AddJob(MakeJob("first", { first }));
+    mWorld.AddJob(MakeJob("second", { second }));
+    mWorld.Pass(Seconds(4));
   }
 };
 
@@ -59,9 +59,9 @@
 TEST(Disturbance, KeepsServingImagesApart)
 {
   Begin();
-  STRCMP_EQUAL(world.RunnerOf("first.0.0.0").c_str(),
-               world.RunnerOf("first.0.0.1").c_str());
-  CHECK_TRUE(world.RunnerOf("first.0.0.0") != world.RunnerOf("second.0.0.0"));
+  STRCMP_EQUAL(mWorld.RunnerOf("first.0.0.0").c_str(),
+               mWorld.RunnerOf("first.0.0.1").c_str());
+  CHECK_TRUE(mWorld.RunnerOf("first.0.0.0") != mWorld.RunnerOf("second.0.0.0"));
 }
 
 // The load of a calm day on prensa-comun: an image disturbs one serving image
@@ -72,19 +72,19 @@
   Begin();
   for (int i = 0; i < 12; ++i) {
     const std::string job = "loud" + std::to_string(i);
-    world.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
-    world.Pass(Seconds(2));
-    world.End(job + ".0.0.0", EndKind::Done);
-    world.Pass(Millis(200));
+    mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
+    mWorld.Pass(Seconds(2));
+    mWorld.End(job + ".0.0.0", EndKind::Done);
+    mWorld.Pass(Millis(200));
   }
-  const std::string quiet = world.RunnerOf("second.0.0.0");
+  const std::string quiet = mWorld.RunnerOf("second.0.0.0");
   for (int i = 12; i < 16; ++i) {
     const std::string job = "loud" + std::to_string(i);
-    world.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
-    world.Pass(Millis(500));
-    STRCMP_EQUAL(quiet.c_str(), world.RunnerOf(job + ".0.0.0").c_str());
-    world.End(job + ".0.0.0", EndKind::Done);
-    world.Pass(Millis(200));
+    mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
+    mWorld.Pass(Millis(500));
+    STRCMP_EQUAL(quiet.c_str(), mWorld.RunnerOf(job + ".0.0.0").c_str());
+    mWorld.End(job + ".0.0.0", EndKind::Done);
+    mWorld.Pass(Millis(200));
   }
 }
 
@@ -93,18 +93,18 @@
 TEST(Disturbance, ActsBeforeAServingTaskIsHarmed)
 {
   Begin();
-  world.AddJob(MakeJob("loud", { LeftoverStep(1, 2000, "loud-image") }));
-  if (world.RunnerOf("loud.0.0.0") != world.RunnerOf("first.0.0.0")) {
+  mWorld.AddJob(MakeJob("loud", { LeftoverStep(1, 2000, "loud-image") }));
+  if (mWorld.RunnerOf("loud.0.0.0") != mWorld.RunnerOf("first.0.0.0")) {
     // It went where it disturbs nothing; there is nothing to act on.
     return;
   }
-  world.Pass(Seconds(3));
+  mWorld.Pass(Seconds(3));
   const bool halted =
-    std::any_of(world.mPaceOrders.begin(),
-                world.mPaceOrders.end(),
+    std::any_of(mWorld.mPaceOrders.begin(),
+                mWorld.mPaceOrders.end(),
                 [](const PaceTask& aPace) { return aPace.mPercent <= 50; });
   CHECK_TRUE(halted ||
-             world.RunnerOf("loud.0.0.0") != world.RunnerOf("first.0.0.0"));
+             mWorld.RunnerOf("loud.0.0.0") != mWorld.RunnerOf("first.0.0.0"));
 }
 
 // Guards against tasks that stay halted for good after a takeover: the new
@@ -112,13 +112,13 @@
 TEST(Disturbance, StatesThePaceOfAdoptedTasks)
 {
   Begin();
-  world.AddJob(MakeJob("idle", { LeftoverStep(1, 2000, "idle-image") }));
-  world.Pass(Millis(500));
-  world.TakeOver(2);
-  world.mPaceOrders.clear();
-  world.Pass(Seconds(3));
+  mWorld.AddJob(MakeJob("idle", { LeftoverStep(1, 2000, "idle-image") }));
+  mWorld.Pass(Millis(500));
+  mWorld.TakeOver(2);
+  mWorld.mPaceOrders.clear();
+  mWorld.Pass(Seconds(3));
   CHECK_TRUE(
-    std::any_of(world.mPaceOrders.begin(),
-                world.mPaceOrders.end(),
+    std::any_of(mWorld.mPaceOrders.begin(),
+                mWorld.mPaceOrders.end(),
                 [](const PaceTask& aPace) { return aPace.mPercent == 100; }));
 }
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -15,12 +15,12 @@
 
 TEST_GROUP(Node)
 {
-  NodeWorld world;
+  NodeWorld mWorld;
 
   void Begin()
   {
-    world.StartNode("a");
-    world.Pass(Seconds(6));
+    mWorld.StartNode("a");
+    mWorld.Pass(Seconds(6));
   }
 };
 
@@ -28,13 +28,13 @@
 TEST(Node, RunsAJob)
 {
   Begin();
-  CHECK_TRUE(world.Submit("a", kJob) == ClientAnswer::Accepted);
-  LONGS_EQUAL(1, world.Running(kTask));
-  world.End(kTask, dispatch::EndKind::Done);
-  world.Pass(Seconds(1));
-  const StatusAnswer status = world.Status("a", kJob);
+  CHECK_TRUE(mWorld.Submit("a", kJob) == ClientAnswer::Accepted);
+  LONGS_EQUAL(1, mWorld.Running(kTask));
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.Pass(Seconds(1));
+  const StatusAnswer status = mWorld.Status("a", kJob);
   CHECK_TRUE(status.mStatus.mPhase == dispatch::JobPhase::Completed);
-  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against a refusal after a store call without an answer: the job may be
@@ -42,9 +42,9 @@
 TEST(Node, NeverRefusesAJobThatMayBeStored)
 {
   Begin();
-  world.mStore.mLoseAnswers = 1;
-  CHECK_TRUE(world.Submit("a", kJob) == ClientAnswer::Accepted);
-  LONGS_EQUAL(1, world.mStarts);
+  mWorld.mStore.mLoseAnswers = 1;
+  CHECK_TRUE(mWorld.Submit("a", kJob) == ClientAnswer::Accepted);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against a job that is refused and runs all the same: the transaction
@@ -52,17 +52,17 @@
 TEST(Node, AnswersUnknownWhenTheStoreStaysSilent)
 {
   Begin();
-  world.mStore.mDelay = 1;
+  mWorld.mStore.mDelay = 1;
   ClientAnswer answer = ClientAnswer::Unavailable;
   dispatch::JobSpec job;
   job.mId = kJob;
   job.mQueue = "queue";
   job.mSteps.push_back({});
-  world.mNodes.at("a").mNode->Clients().Submit(
+  mWorld.mNodes.at("a").mNode->Clients().Submit(
     job, [&](ClientAnswer aAnswer) { answer = aAnswer; });
-  world.mStore.Run();
-  world.mStore.mRefuses = true;
-  world.Pass(Seconds(3));
+  mWorld.mStore.Run();
+  mWorld.mStore.mRefuses = true;
+  mWorld.Pass(Seconds(3));
   CHECK_TRUE(answer == ClientAnswer::Unknown);
 }
 
@@ -71,11 +71,11 @@
 TEST(Node, AcceptsARepeatedJobOnce)
 {
   Begin();
-  world.StartNode("b");
-  world.Pass(Seconds(2));
-  CHECK_TRUE(world.Submit("a", kJob) == ClientAnswer::Accepted);
-  CHECK_TRUE(world.Submit("b", kJob) == ClientAnswer::Accepted);
-  LONGS_EQUAL(1, world.mStarts);
+  mWorld.StartNode("b");
+  mWorld.Pass(Seconds(2));
+  CHECK_TRUE(mWorld.Submit("a", kJob) == ClientAnswer::Accepted);
+  CHECK_TRUE(mWorld.Submit("b", kJob) == ClientAnswer::Accepted);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against losing or repeating work when the owner is killed and its host
@@ -83,31 +83,31 @@
 TEST(Node, TakesItsShardBackAfterAKill)
 {
   Begin();
-  world.Submit("a", kJob);
-  LONGS_EQUAL(1, world.Running(kTask));
-  world.StartNode("a");
-  world.Pass(Seconds(3));
-  LONGS_EQUAL(1, world.mStarts);
-  world.End(kTask, dispatch::EndKind::Done);
-  world.Pass(Seconds(1));
-  CHECK_TRUE(world.Status("a", kJob).mStatus.mPhase ==
+  mWorld.Submit("a", kJob);
+  LONGS_EQUAL(1, mWorld.Running(kTask));
+  mWorld.StartNode("a");
+  mWorld.Pass(Seconds(3));
+  LONGS_EQUAL(1, mWorld.mStarts);
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.Pass(Seconds(1));
+  CHECK_TRUE(mWorld.Status("a", kJob).mStatus.mPhase ==
              dispatch::JobPhase::Completed);
-  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against a shard without an owner when the owner's host is gone.
 TEST(Node, SucceedsAnOwnerThatIsGone)
 {
   Begin();
-  world.StartNode("b");
-  world.Pass(Seconds(2));
-  world.Submit("a", kJob);
-  world.KillNode("a");
-  world.End(kTask, dispatch::EndKind::Done);
-  world.Pass(Seconds(6));
-  CHECK_TRUE(world.Status("b", kJob).mStatus.mPhase ==
+  mWorld.StartNode("b");
+  mWorld.Pass(Seconds(2));
+  mWorld.Submit("a", kJob);
+  mWorld.KillNode("a");
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.Pass(Seconds(6));
+  CHECK_TRUE(mWorld.Status("b", kJob).mStatus.mPhase ==
              dispatch::JobPhase::Completed);
-  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against running a job again that a reading of the inbox shows which
@@ -115,17 +115,17 @@
 TEST(Node, IgnoresAnEndedJobInAnOldReading)
 {
   Begin();
-  world.Submit("a", kJob);
-  LONGS_EQUAL(1, world.Running(kTask));
-  world.mStore.mForget = true;
-  world.mStore.mHoldReads = true;
-  world.Pass(Millis(50)); // The reading is taken with the job in it.
-  world.End(kTask, dispatch::EndKind::Done);
-  world.Pass(Millis(400));
-  LONGS_EQUAL(0, world.mStore.Rows("inbox-0"));
-  world.mStore.ReleaseReads();
-  world.Pass(Seconds(1));
-  LONGS_EQUAL(1, world.mStarts);
+  mWorld.Submit("a", kJob);
+  LONGS_EQUAL(1, mWorld.Running(kTask));
+  mWorld.mStore.mForget = true;
+  mWorld.mStore.mHoldReads = true;
+  mWorld.Pass(Millis(50)); // The reading is taken with the job in it.
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.Pass(Millis(400));
+  LONGS_EQUAL(0, mWorld.mStore.Rows("inbox-0"));
+  mWorld.mStore.ReleaseReads();
+  mWorld.Pass(Seconds(1));
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against a late transaction of the same owner that puts old progress
@@ -133,49 +133,49 @@
 TEST(Node, FencesItsOwnLateTransactions)
 {
   Begin();
-  world.Submit("a", kJob);
-  world.mStore.mDelay = 1;
-  world.End(kTask, dispatch::EndKind::Failed);
-  world.Pass(Seconds(2));
-  const std::string progress = world.mStore.Value("progress-0", "job/" + kJob);
+  mWorld.Submit("a", kJob);
+  mWorld.mStore.mDelay = 1;
+  mWorld.End(kTask, dispatch::EndKind::Failed);
+  mWorld.Pass(Seconds(2));
+  const std::string progress = mWorld.mStore.Value("progress-0", "job/" + kJob);
   CHECK_FALSE(progress.empty());
-  world.End(kTask, dispatch::EndKind::Failed);
-  world.Pass(Seconds(1));
-  const std::string later = world.mStore.Value("progress-0", "job/" + kJob);
+  mWorld.End(kTask, dispatch::EndKind::Failed);
+  mWorld.Pass(Seconds(1));
+  const std::string later = mWorld.mStore.Value("progress-0", "job/" + kJob);
   CHECK_TRUE(progress != later);
-  world.mStore.RunLate();
+  mWorld.mStore.RunLate();
   STRCMP_EQUAL(later.c_str(),
-               world.mStore.Value("progress-0", "job/" + kJob).c_str());
+               mWorld.mStore.Value("progress-0", "job/" + kJob).c_str());
 }
 
 // Guards against tasks that stop because the store is away for nine seconds.
 TEST(Node, GoesOnThroughAStoreOutage)
 {
   Begin();
-  world.Submit("a", kJob);
-  world.mStore.mRefuses = true;
-  world.Pass(Seconds(9));
-  LONGS_EQUAL(1, world.Running(kTask));
-  world.End(kTask, dispatch::EndKind::Done);
-  world.mStore.mRefuses = false;
-  world.Pass(Seconds(2));
-  CHECK_TRUE(world.Status("a", kJob).mStatus.mPhase ==
+  mWorld.Submit("a", kJob);
+  mWorld.mStore.mRefuses = true;
+  mWorld.Pass(Seconds(9));
+  LONGS_EQUAL(1, mWorld.Running(kTask));
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.mStore.mRefuses = false;
+  mWorld.Pass(Seconds(2));
+  CHECK_TRUE(mWorld.Status("a", kJob).mStatus.mPhase ==
              dispatch::JobPhase::Completed);
-  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against a job that goes on after its cancellation was acknowledged.
 TEST(Node, StopsACancelledJob)
 {
   Begin();
-  world.Submit("a", kJob);
+  mWorld.Submit("a", kJob);
   ClientAnswer answer = ClientAnswer::Unavailable;
-  world.mNodes.at("a").mNode->Clients().Cancel(
+  mWorld.mNodes.at("a").mNode->Clients().Cancel(
     kJob, [&](ClientAnswer aAnswer) { answer = aAnswer; });
-  world.Pass(Seconds(1));
+  mWorld.Pass(Seconds(1));
   CHECK_TRUE(answer == ClientAnswer::Accepted);
-  LONGS_EQUAL(0, world.Running(kTask));
-  CHECK_TRUE(world.Status("a", kJob).mStatus.mPhase ==
+  LONGS_EQUAL(0, mWorld.Running(kTask));
+  CHECK_TRUE(mWorld.Status("a", kJob).mStatus.mPhase ==
              dispatch::JobPhase::Cancelled);
 }
 
@@ -183,18 +183,18 @@
 TEST(Node, HandsItsShardOverWhenItDrains)
 {
   Begin();
-  world.StartNode("b");
-  world.Pass(Seconds(2));
-  world.Submit("a", kJob);
-  world.mNodes.at("a").mNode->Drain();
-  world.Pass(Millis(2500));
-  CHECK_TRUE(world.mNodes.at("a").mNode->Drained());
-  CHECK_FALSE(world.mNodes.at("a").mNode->Ready());
-  world.End(kTask, dispatch::EndKind::Done);
-  world.Pass(Seconds(1));
-  CHECK_TRUE(world.Status("b", kJob).mStatus.mPhase ==
+  mWorld.StartNode("b");
+  mWorld.Pass(Seconds(2));
+  mWorld.Submit("a", kJob);
+  mWorld.mNodes.at("a").mNode->Drain();
+  mWorld.Pass(Millis(2500));
+  CHECK_TRUE(mWorld.mNodes.at("a").mNode->Drained());
+  CHECK_FALSE(mWorld.mNodes.at("a").mNode->Ready());
+  mWorld.End(kTask, dispatch::EndKind::Done);
+  mWorld.Pass(Seconds(1));
+  CHECK_TRUE(mWorld.Status("b", kJob).mStatus.mPhase ==
              dispatch::JobPhase::Completed);
-  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, mWorld.mStarts);
 }
 
 // Guards against two transactions of one owner at the same time: the second
@@ -203,21 +203,21 @@
 TEST(Node, KeepsItsShardWhileRunnersComeOneAfterTheOther)
 {
   Begin();
-  world.StartNode("b");
-  world.Pass(Seconds(2));
+  mWorld.StartNode("b");
+  mWorld.Pass(Seconds(2));
   for (int i = 0; i < 3; ++i) {
     // The second runner is listed while the first is being stored.
-    world.mRunners["new" + std::to_string(i)] = {};
-    world.Pass(Millis(900));
-    world.mRunners["newer" + std::to_string(i)] = {};
-    world.mStore.mPaused = true;
-    world.mRunners["newest" + std::to_string(i)] = {};
-    world.Pass(Millis(950));
-    world.mRunners["last" + std::to_string(i)] = {};
-    world.Pass(Millis(950));
-    world.mStore.mPaused = false;
-    world.Pass(Seconds(1));
+    mWorld.mRunners["new" + std::to_string(i)] = {};
+    mWorld.Pass(Millis(900));
+    mWorld.mRunners["newer" + std::to_string(i)] = {};
+    mWorld.mStore.mPaused = true;
+    mWorld.mRunners["newest" + std::to_string(i)] = {};
+    mWorld.Pass(Millis(950));
+    mWorld.mRunners["last" + std::to_string(i)] = {};
+    mWorld.Pass(Millis(950));
+    mWorld.mStore.mPaused = false;
+    mWorld.Pass(Seconds(1));
   }
-  CHECK_TRUE(world.mStore.Value("cluster", "shard/0").find("\"epoch\":1,") !=
+  CHECK_TRUE(mWorld.mStore.Value("cluster", "shard/0").find("\"epoch\":1,") !=
              std::string::npos);
 }
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -49,7 +49,7 @@
 // bytes that can't be read name no runner to use.
 TEST(Directory, RejectsDamagedRunnerEntries)
 {
-  const auto with = [](std::string aFrom, const std::string& aTo) {
+  const auto with = [](const std::string& aFrom, const std::string& aTo) {
     std::string text = kEntry;
     return text.replace(text.find(aFrom), aFrom.size(), aTo);
   };
