LibDispatch: Track own load, and learn disturbance by what neighbours do now

Ruled out: too few processors (free 430 of 2464 cores throughout), the order of service, a wrong tail formula (residual 0.017 of utilization). Change: a Kalman track of own load by serving step; pairs learned from the present activity, and unseen pairs judged by the image's others; pace solved from the predicted utilization instead of steps by tail thresholds; places where any image may run cost a harmless task more; lasting tasks leave a fifth of the runners free; a rise of 0.04 by all neighbours is tolerated at any own load.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -81,6 +81,8 @@
 
   std::vector<Runner> mRunners;
   TextMap<RunnerIndex> mRunnerById;
+  std::uint32_t mListedRunners = 0;  ///< In the latest reading.
+  std::uint32_t mLastingRunners = 0; ///< Of all, those with lasting tasks.
   TextMap<std::unique_ptr<Job>> mJobs;
   TextMap<QueueSpec> mQueues;
   std::set<std::string, std::less<>> mEvacuatedZones;
--- a/Libraries/LibDispatch/Interference.h
+++ b/Libraries/LibDispatch/Interference.h
@@ -12,8 +12,8 @@
 
 /// How strongly tasks of one image without reservation load the lasting tasks
 /// of another: the rise of their utilization for each share of the runner's
-/// processors that the former use. An image disturbs only some others, so the
-/// figure belongs to the pair.
+/// processors that the former ask for and use to the full. An image disturbs
+/// only some others, so the figure belongs to the pair.
 struct PairEffect
 {
   double mMean = 0;
@@ -26,9 +26,9 @@
 {
   /// Shortest tail seen, taken as the time without queueing.
   double mShortestTail = 0;
-  /// Mean utilization without neighbours.
-  double mOwnLoad = 0;
-  double mSamples = 0;
+  /// Mean effect of all images without reservation on this one: runners that
+  /// serve only images of little sensitivity are where disturbing tasks go.
+  double mSensitivity = 1;
 };
 
 /// What is learned from the tails that runners report.
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -106,9 +106,52 @@
 void
 ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow);
 
-/// @return the rise of utilization that a task without reservation is expected
-///         to cause to the runner's lasting tasks, or nothing if it must not
-///         start there
+// Disturbance of lasting tasks by tasks without reservation.
+
+/// Figures are of the last half second: those of a task count from this long
+/// after its start or change of pace.
+inline constexpr Millis kSettleTime{ 600 };
+/// A smaller rise of utilization decides nothing.
+inline constexpr double kNegligibleRise = 0.01;
+/// A rise by all neighbours that is accepted at any own load: a limit lies this
+/// far below the target's utilization, so such neighbours seldom decide whether
+/// the target is missed.
+inline constexpr double kToleratedRise = 0.04;
+/// A calm task may turn busy before the next figures show it.
+inline constexpr double kLeastPressure = 0.6;
+
+/// @return whether the task serves users of its own and reports their tail
+bool
+IsServing(const TaskRef& aTask);
+
+bool
+IsLeftover(const TaskRef& aTask);
+
+/// @return whether the task's figures are of its present pace
+bool
+HasSettled(const Task& aTask, MonotonicTime aNow);
+
+/// @return how strongly a task disturbs beside a task of full activity: a calm
+///         phase disturbs much less than it uses less
+double
+PressureAt(double aActivity);
+
+/// @return share of the runner's processors by which the task disturbs, as last
+///         reported
+double
+PressureOf(const Runner& aRunner, const TaskRef& aTask);
+
+/// Takes note of what a task without reservation uses.
+void
+NoteActivity(const TaskRef& aTask, MonotonicTime aNow);
+
+/// Learns from the tails that a runner has just reported.
+void
+LearnFromTails(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow);
+
+/// @return the rise of utilization that a task without reservation is feared to
+///         cause to the runner's lasting tasks, or nothing if it must not start
+///         there
 /// Only valid after RateLasting() in the same pass.
 std::optional<double>
 DisturbanceCost(const Dispatcher& aDispatcher,
@@ -116,6 +159,19 @@
                 const TaskRef& aTask,
                 MonotonicTime aNow);
 
+/// @return how far any image may run there without disturbing, 0 to 1
+/// Only valid after RateLasting() in the same pass.
+double
+Openness(const Dispatcher& aDispatcher, const Runner& aRunner);
+
+/// @return the rise that a task on the runner is feared to cause at full pace
+double
+FearedRise(const Dispatcher& aDispatcher,
+           const Runner& aRunner,
+           const TaskRef& aTask,
+           const ServingHere& aServing,
+           MonotonicTime aNow);
+
 /// Sums up a runner's lasting tasks and their neighbours for one placement
 /// pass.
 void
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <LibDispatch/JobSpec.h>
+#include <LibDispatch/LoadTrack.h>
 
 namespace paddle::dispatch {
 
@@ -33,6 +34,9 @@
   Moved ///< Runs again elsewhere.
 };
 
+/// Activity of a task that has not reported yet, between the two phases.
+inline constexpr double kUnknownActivity = 0.85;
+
 struct Task
 {
   TaskPhase mPhase = TaskPhase::Waiting;
@@ -49,9 +53,12 @@
   RunnerIndex mRunner = kNoRunner;
   std::int32_t mProgress = -1;  ///< Percent, as last reported.
   std::int32_t mLoadFigure = 0; ///< Tail in ms, or thousandths of a core.
-  MonotonicTime mStartedAt;     ///< When the latest start was sent.
-  MonotonicTime mAnsweredAt;    ///< When that start was acknowledged.
-  MonotonicTime mProgressAt;    ///< When the progress last changed.
+  /// Share of the processors asked for, at its pace, that it uses. Tasks
+  /// alternate between calm and busy phases of a few seconds.
+  double mActivity = kUnknownActivity;
+  MonotonicTime mStartedAt;  ///< When the latest start was sent.
+  MonotonicTime mAnsweredAt; ///< When that start was acknowledged.
+  MonotonicTime mProgressAt; ///< When the progress last changed.
   MonotonicTime mStopSentAt;
   /// When the runner answered a stop of this run; set while Stopping.
   std::optional<MonotonicTime> mStopAnsweredAt;
@@ -73,6 +80,7 @@
   MonotonicTime mOpenedAt;
   /// Longest chain of estimates from this step to the job's end.
   Millis mRemainingChain{ 0 };
+  LoadTrack mLoad; ///< Of a serving step.
 };
 
 struct Occurrence
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -23,8 +23,18 @@
 /// more than the cores of a runner, so that room decides only among equals.
 constexpr double kUnsharedCost = 100;
 constexpr double kMixedCost = 200;
-/// Cores of unused room that weigh as much as a rise of utilization of 1.
+/// The last runners without lasting tasks stay free for images that disturb.
+constexpr double kReservedOpenShare = 0.2;
+constexpr double kLastOpenCost = 300;
+/// Subtracted for a runner that serves the same job already: its tasks peak
+/// together, and neighbours use the time between the peaks.
+constexpr double kSameJobGain = 50;
+/// Costs for a task without reservation: of a feared rise of utilization by 1;
+/// of a runner where any image may run, which is kept for those that disturb
+/// elsewhere; and the gain by a core of unused room.
 constexpr double kDisturbanceCost = 100;
+constexpr double kOpenRunnerCost = 8;
+constexpr double kUnusedWeight = 0.1;
 /// Added for each failure in a row on a runner.
 constexpr double kFailureCost = 200;
 /// The order of service is kept this long for passes over single runners; what
@@ -128,7 +138,9 @@
 /// Cost of a place for a task that reserves processors: the room that would be
 /// left, so that full runners fill up first and whole runners stay free.
 double
-ReservedCost(const Runner& aRunner, const TaskRef& aTask)
+ReservedCost(const Dispatcher& aDispatcher,
+             const Runner& aRunner,
+             const TaskRef& aTask)
 {
   const StepSpec& spec = SpecOf(aTask);
   const std::int64_t left =
@@ -148,7 +160,16 @@
   if (mixed) {
     return cost + kMixedCost;
   }
-  return aRunner.mLasting == 0 ? cost + kUnsharedCost : cost;
+  if (CountOfStep(aRunner, aTask) > 0) {
+    return cost - kSameJobGain;
+  }
+  if (aRunner.mLasting > 0) {
+    return cost;
+  }
+  const double open =
+    1 - static_cast<double>(aDispatcher.mLastingRunners) /
+          std::max(1.0, static_cast<double>(aDispatcher.mListedRunners));
+  return cost + (open > kReservedOpenShare ? kUnsharedCost : kLastOpenCost);
 }
 
 /// Cost of a place for a task, or what keeps it from being one.
@@ -169,7 +190,8 @@
   if (aRunner.mStarved) {
     return Obstacle::LittleUnused;
   }
-  const double cost = -unused / 1000;
+  const double cost = kOpenRunnerCost * Openness(aDispatcher, aRunner) -
+                      unused / 1000 * kUnusedWeight;
   if (aRunner.mLasting == 0) {
     return cost;
   }
@@ -210,7 +232,7 @@
   }
   double cost = 0;
   if (spec.mReservation == Reservation::Reserved) {
-    cost = ReservedCost(runner, aTask);
+    cost = ReservedCost(aDispatcher, runner, aTask);
   } else {
     const Place leftover = LeftoverCost(aDispatcher, runner, aTask, aNow);
     if (std::holds_alternative<Obstacle>(leftover)) {
@@ -272,6 +294,7 @@
   task.mPaceSentAt = aNow;
   task.mSlowSince.reset();
   task.mLoadFigure = 0;
+  task.mActivity = kUnknownActivity;
   --step.mWaiting;
   Occupy(aDispatcher, aRunner, aTask);
   Runner& runner = aDispatcher.mRunners[aRunner];
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -22,7 +22,7 @@
 }
 
 void
-Vacate(Dispatcher& aDispatcher, const TaskRef& aTask)
+Vacate(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
 {
   Task& task = TaskOf(aTask);
   Runner& runner = aDispatcher.mRunners[task.mRunner];
@@ -33,9 +33,11 @@
   runner.mUsed.mAccelerators -= amount.mAccelerators;
   if (spec.mReservation == Reservation::Leftover) {
     runner.mLeftoverCores -= spec.mAmount.mCores;
+    runner.mLeftoverEndedAt = aNow;
   }
   if (spec.mKind == StepKind::Lasting) {
     --runner.mLasting;
+    aDispatcher.mLastingRunners -= runner.mLasting == 0 ? 1 : 0;
     runner.mLastingCores -= amount.mCores;
   }
   if (task.mPhase == TaskPhase::Starting) {
@@ -146,7 +148,7 @@
 
 /// One member's end stands for all members of a gang.
 void
-FinishGang(Dispatcher& aDispatcher, const TaskRef& aTask)
+FinishGang(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
 {
   Step& step =
     aTask.mJob->mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
@@ -157,7 +159,7 @@
       continue;
     }
     if (task.mRunner != kNoRunner) {
-      Vacate(aDispatcher, member);
+      Vacate(aDispatcher, member, aNow);
     }
     if (task.mPhase == TaskPhase::Waiting) {
       --step.mWaiting;
@@ -351,6 +353,7 @@
     runner.mLeftoverCores += spec.mAmount.mCores;
   }
   if (spec.mKind == StepKind::Lasting) {
+    aDispatcher.mLastingRunners += runner.mLasting == 0 ? 1 : 0;
     ++runner.mLasting;
     runner.mLastingCores += amount.mCores;
   }
@@ -374,7 +377,7 @@
   Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
   const RunnerIndex runner = task.mRunner;
   if (runner != kNoRunner) {
-    Vacate(aDispatcher, aTask);
+    Vacate(aDispatcher, aTask, aNow);
     if (task.mPhase != TaskPhase::Waiting) {
       ++step.mWaiting;
     }
@@ -398,7 +401,7 @@
     ++aDispatcher.mCounters.mDone;
     durable = true;
     if (spec.mGang) {
-      FinishGang(aDispatcher, aTask);
+      FinishGang(aDispatcher, aTask, aNow);
     } else {
       task.mPhase = TaskPhase::Done;
       --step.mWaiting;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -81,15 +81,16 @@
   std::vector<EndEntry> mEnds;
 };
 
-/// The lasting tasks of one image on a runner, summed up for placement.
+/// The tasks of one serving step on a runner, summed up for placement and pace.
 struct ServingHere
 {
-  std::uint32_t mImage = 0;
-  double mWorstRatio = 0;  ///< Tail over target.
-  double mUtilization = 0; ///< The highest.
-  double mLimit = 1;       ///< Utilization at the target.
-  double mPresent = 0;     ///< Feared rise by all neighbours.
-  double mUnseen = 0;      ///< By those that the tails don't show yet.
+  Step* mStep = nullptr;
+  double mWorstRatio = 0; ///< Tail over target.
+  double mMeasured = 0;   ///< Highest utilization by its tails.
+  double mLimit = 1;      ///< Utilization to keep below, near the target's.
+  double mLevel = 0;      ///< Own utilization now.
+  double mAhead = 0;      ///< Own utilization expected soon.
+  double mPresent = 0;    ///< Feared rise by all neighbours at full pace.
 };
 
 /// A run that no known task accounts for. Its size is unknown, so nothing is
@@ -150,7 +151,8 @@
   std::vector<OrphanRun> mOrphans;
 
   MonotonicTime mPacedAt;
-  MonotonicTime mLearnedAt; ///< When its tails were last learned from.
+  MonotonicTime mLeftoverEndedAt; ///< When a task without reservation left.
+  MonotonicTime mLearnedAt;       ///< When its tails were last learned from.
 
   std::uint32_t mConsecutiveFailures = 0;
   std::string mLastFailedJob;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -101,6 +101,7 @@
            MonotonicTime aNow,
            Actions& aActions)
 {
+  aDispatcher.mListedRunners = static_cast<std::uint32_t>(aRunners.size());
   for (Runner& runner : aDispatcher.mRunners) {
     if (runner.mListed) {
       runner.mListed = false;
--- a/Tests/LibDispatch/TestDisturbance.cpp
+++ b/Tests/LibDispatch/TestDisturbance.cpp
@@ -122,3 +122,118 @@
                 mWorld.mPaceOrders.end(),
                 [](const PaceTask& aPace) { return aPace.mPercent == 100; }));
 }
+
+// Guards against taking a calm phase, in which a task uses two thirds of what
+// it asks for, for a runner without room: its neighbour would wait for nothing
+// (thenpetti quiet-1, where half of the work waited beside idle processors).
+TEST(Disturbance, CalmPhasesAreNoLackOfRoom)
+{
+  mWorld.mFigure = [](const DispatchWorld::FakeRunner&,
+                      const DispatchWorld::Run&) -> std::int32_t {
+    return 1340;
+  };
+  mWorld.ListRunners(1);
+  mWorld.AddJob(MakeJob("calm", { LeftoverStep(2, 2000, "calm-image") }));
+  mWorld.Pass(Seconds(2));
+  mWorld.AddJob(MakeJob("next", { LeftoverStep(1, 2000, "calm-image") }));
+  mWorld.Pass(Millis(500));
+  CHECK_TRUE(mWorld.Runs("next.0.0.0"));
+}
+
+// Guards against lasting tasks that open a new runner for each image and for
+// each task of a step that is kept apart: no runner is left for tasks that
+// disturb all of them (thenpetti quiet-1).
+TEST(Disturbance, LastingTasksLeaveRunnersFree)
+{
+  mWorld.ListRunners(10);
+  for (int i = 0; i < 4; ++i) {
+    StepSpec step = LastingStep(6, 2000);
+    step.mImage = "image-" + std::to_string(i);
+    step.mMostPerRunner = 1;
+    mWorld.AddJob(MakeJob("job" + std::to_string(i), { step }));
+    mWorld.Pass(Millis(300));
+  }
+  const auto free = std::count_if(
+    mWorld.mRunners.begin(), mWorld.mRunners.end(), [](const auto& aRunner) {
+      return aRunner.second.mRunning.empty();
+    });
+  CHECK_TRUE(free >= 2);
+}
+
+// The load of a calm day on thenpetti: images that disturb most serving images,
+// one serving image that none disturbs, and images that disturb nothing. Guards
+// against filling the places where everything may run with the latter.
+TEST(Disturbance, HarmlessTasksLeaveOpenRunnersToOthers)
+{
+  StepSpec touchy = LastingStep(2, 7000);
+  touchy.mImage = "touchy-image";
+  StepSpec steady = LastingStep(2, 7000);
+  steady.mImage = "steady-image";
+  mWorld.mFigure = [](const DispatchWorld::FakeRunner& aRunner,
+                      const DispatchWorld::Run& aRun) -> std::int32_t {
+    if (StartsWith(aRun, "steady")) {
+      return kRestingTail;
+    }
+    if (!StartsWith(aRun, "touchy")) {
+      return 2000;
+    }
+    const bool loud = std::any_of(aRunner.mRunning.begin(),
+                                  aRunner.mRunning.end(),
+                                  [](const DispatchWorld::Run& aOther) {
+                                    return StartsWith(aOther, "loud");
+                                  });
+    return loud ? kDisturbedTail : kRestingTail;
+  };
+  mWorld.ListRunners(2);
+  mWorld.AddJob(MakeJob("touchy", { touchy }));
+  mWorld.AddJob(MakeJob("steady", { steady }));
+  mWorld.Pass(Seconds(4));
+  for (int i = 0; i < 8; ++i) {
+    for (const char* kind : { "loud", "mild" }) {
+      const std::string job = kind + std::to_string(i);
+      mWorld.AddJob(
+        MakeJob(job, { LeftoverStep(1, 2000, std::string(kind) + "-image") }));
+      mWorld.Pass(Seconds(2));
+      mWorld.End(job + ".0.0.0", EndKind::Done);
+      mWorld.Pass(Seconds(1));
+    }
+  }
+  const std::string open = mWorld.RunnerOf("steady.0.0.0");
+  mWorld.AddJob(MakeJob("mild-last", { LeftoverStep(1, 2000, "mild-image") }));
+  mWorld.AddJob(MakeJob("loud-last", { LeftoverStep(1, 2000, "loud-image") }));
+  mWorld.Pass(Millis(300));
+  STRCMP_EQUAL(mWorld.RunnerOf("touchy.0.0.0").c_str(),
+               mWorld.RunnerOf("mild-last.0.0.0").c_str());
+  STRCMP_EQUAL(open.c_str(), mWorld.RunnerOf("loud-last.0.0.0").c_str());
+}
+
+// Guards against slowing a harmless neighbour down because a serving task is
+// near its target by its own load (thenpetti quiet-1).
+TEST(Disturbance, OwnLoadSlowsNobodyDown)
+{
+  StepSpec step = LastingStep(1, 7000);
+  const MonotonicTime begin = mWorld.mNow;
+  mWorld.mFigure = [&](const DispatchWorld::FakeRunner&,
+                       const DispatchWorld::Run& aRun) -> std::int32_t {
+    if (!StartsWith(aRun, "serving")) {
+      return 1500;
+    }
+    // The tail rises for ten seconds and stays just below the target of 18 ms,
+    // whatever runs beside it.
+    const auto seconds = (mWorld.mNow - begin) / Seconds(1);
+    return 7 + static_cast<std::int32_t>(std::min<std::int64_t>(10, seconds));
+  };
+  mWorld.ListRunners(1);
+  mWorld.AddJob(MakeJob("serving", { step }));
+  mWorld.Pass(Seconds(2));
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "mild" + std::to_string(i);
+    mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 1500, "mild-image") }));
+    mWorld.Pass(Seconds(2));
+    mWorld.mPaceOrders.clear();
+    mWorld.Pass(Seconds(1));
+    CHECK_TRUE(mWorld.mPaceOrders.empty());
+    mWorld.End(job + ".0.0.0", EndKind::Done);
+    mWorld.Pass(Millis(700));
+  }
+}
