LibNode: Claim only while own heartbeats are stored; small nodes leave shards

While the store is slow it refuses most transactions of its one part; the owner's renewals are not stored, so every node takes it for silent and claims each 0.7 s, and the first claim that the store takes wins, whoever sent it. Where that was a host of 0.12 cores, it could not follow 490 runners, kept the shard, and took it back at once after the power cut: nothing was served any more. Ruled out: the takeover itself (owners of 0.5 cores recovered in 0.2 to 0.8 s), a shard without owner (the line shard_recovered had been dropped by the log budget). Change: silence of an owner counts only while the store takes this node's own heartbeats; a node with less than half of another's processor time claims 1.5 s later, and hands a shard over once a larger node has been seen for 4 s.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -60,7 +60,10 @@
   if (found != aMap.end() && found->second.mVersion == aVersion) {
     return;
   }
-  aMap.insert_or_assign(aKey, Observed<T>{ std::move(aRow), aVersion, aNow });
+  const MonotonicTime knownSince =
+    found != aMap.end() ? found->second.mKnownSince : aNow;
+  aMap.insert_or_assign(
+    aKey, Observed<T>{ std::move(aRow), aVersion, aNow, knownSince });
 }
 
 std::uint64_t
@@ -69,6 +72,45 @@
   return XXH64(aNode.data(), aNode.size(), aShard);
 }
 
+/// Processor time of a node for each shard, if it owned @p aShard as well.
+std::int64_t
+TimePerShard(const ClusterView& aView,
+             std::uint32_t aShard,
+             const NodeRow& aNode)
+{
+  const auto owned = std::count_if(
+    aView.mShardRows.begin(), aView.mShardRows.end(), [&](const auto& aEntry) {
+      return aEntry.second.mRow.mOwner == aNode.mName && aEntry.first != aShard;
+    });
+  return aNode.mMilliCores / (owned + 1);
+}
+
+/// @return whether another node is so much larger that shards are left to it
+bool
+IsSmallBeside(const ClusterView& aView,
+              std::uint32_t aShard,
+              const NodeRow& aSelf,
+              const NodeRow& aOther,
+              const ClaimSettings& aSettings)
+{
+  return static_cast<double>(TimePerShard(aView, aShard, aSelf)) <
+         aSettings.mSmallShare *
+           static_cast<double>(TimePerShard(aView, aShard, aOther));
+}
+
+/// @return whether any node that has been seen is much larger
+bool
+IsSmall(const ClusterView& aView,
+        std::uint32_t aShard,
+        const NodeRow& aSelf,
+        const ClaimSettings& aSettings)
+{
+  return std::any_of(
+    aView.mNodes.begin(), aView.mNodes.end(), [&](const auto& aEntry) {
+      return IsSmallBeside(aView, aShard, aSelf, aEntry.second.mRow, aSettings);
+    });
+}
+
 /// Candidates in order of preference: the most processor time first, then the
 /// fewest shards already owned, then a hash that differs by shard.
 std::vector<std::string>
@@ -86,15 +128,7 @@
   };
   std::vector<Candidate> candidates;
   const auto add = [&](const NodeRow& aNode) {
-    const auto owned =
-      std::count_if(aView.mShardRows.begin(),
-                    aView.mShardRows.end(),
-                    [&](const auto& aEntry) {
-                      return aEntry.second.mRow.mOwner == aNode.mName &&
-                             aEntry.first != aShard;
-                    });
-    // Processor time for each shard that the node would own.
-    candidates.push_back({ -aNode.mMilliCores / (owned + 1),
+    candidates.push_back({ -TimePerShard(aView, aShard, aNode),
                            Score(aShard, aNode.mName),
                            aNode.mName });
   };
@@ -193,8 +227,13 @@
 void
 UpdateView(ClusterView& aView,
            std::span<const StoreRow> aRows,
+           const NodeRow& aSelf,
+           const ClaimSettings& aSettings,
            MonotonicTime aNow)
 {
+  const auto before = aView.mNodes.find(aSelf.mName);
+  const MonotonicTime ownSeenAt =
+    before != aView.mNodes.end() ? before->second.mSeenAt : MonotonicTime{};
   std::vector<std::string> nodes;
   for (const StoreRow& row : aRows) {
     const std::string_view key = row.mKey;
@@ -221,6 +260,27 @@
     return std::find(nodes.begin(), nodes.end(), aEntry.first) == nodes.end();
   });
   aView.mReadAt = aNow;
+  const auto own = aView.mNodes.find(aSelf.mName);
+  if (own != aView.mNodes.end() && own->second.mSeenAt != ownSeenAt &&
+      aNow - ownSeenAt > aSettings.mNodeSilence) {
+    aView.mOwnStoredSince = aNow;
+  }
+}
+
+bool
+ShouldHandOver(const ClusterView& aView,
+               std::uint32_t aShard,
+               const NodeRow& aSelf,
+               const ClaimSettings& aSettings,
+               MonotonicTime aNow)
+{
+  return std::any_of(
+    aView.mNodes.begin(), aView.mNodes.end(), [&](const auto& aEntry) {
+      const Observed<NodeRow>& node = aEntry.second;
+      return aNow - node.mSeenAt <= aSettings.mNodeSilence &&
+             aNow - node.mKnownSince >= aSettings.mHandOverAfter &&
+             IsSmallBeside(aView, aShard, aSelf, node.mRow, aSettings);
+    });
 }
 
 std::vector<Claim>
@@ -230,6 +290,9 @@
              MonotonicTime aNow)
 {
   std::vector<Claim> claims;
+  const auto own = aView.mNodes.find(aSelf.mName);
+  const bool served = own != aView.mNodes.end() &&
+                      aNow - own->second.mSeenAt <= aSettings.mNodeSilence;
   for (std::uint32_t shard = 0; shard < aView.mShards; ++shard) {
     const auto found = aView.mShardRows.find(shard);
     Claim claim{ shard, 0, 1, false, {} };
@@ -240,23 +303,36 @@
       claim.mEpoch = row.mRow.mEpoch + 1;
       claim.mPending = row.mRow.mPending;
       if (row.mRow.mOwner == aSelf.mName) {
+        if (row.mRow.mOwnerIncarnation == aSelf.mIncarnation) {
+          continue;
+        }
         // Only one process of this name runs at a time, so a former one is
         // certainly gone.
-        if (row.mRow.mOwnerIncarnation != aSelf.mIncarnation) {
+        if (!IsSmall(aView, shard, aSelf, aSettings)) {
           claims.push_back(claim);
+          continue;
         }
-        continue;
       }
       freeSince = row.mSeenAt;
       const auto owner = aView.mNodes.find(row.mRow.mOwner);
       const bool restarted =
-        owner != aView.mNodes.end() &&
-        owner->second.mRow.mIncarnation > row.mRow.mOwnerIncarnation;
+        row.mRow.mOwner == aSelf.mName ||
+        (owner != aView.mNodes.end() &&
+         owner->second.mRow.mIncarnation > row.mRow.mOwnerIncarnation);
       if (!row.mRow.mOwner.empty() && !restarted) {
-        freeSince += aSettings.mSilence;
+        // Silence counts only while the store takes this node's own heartbeats:
+        // a store that takes nobody's says nothing about the owner.
+        if (!served) {
+          continue;
+        }
+        freeSince =
+          std::max(freeSince, aView.mOwnStoredSince) + aSettings.mSilence;
         claim.mFormerOwnerMayAct = true;
       }
     }
+    if (IsSmall(aView, shard, aSelf, aSettings)) {
+      freeSince += aSettings.mSmallDelay;
+    }
     const std::vector<std::string> ranked =
       RankCandidates(aView, shard, aSelf, aSettings, aNow);
     const auto rank =
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -49,6 +49,7 @@
   T mRow;
   std::int64_t mVersion = 0;
   MonotonicTime mSeenAt;
+  MonotonicTime mKnownSince; ///< When any version was first seen.
 };
 
 // FIXME: A waiting job does not move to another shard that has room. Only
@@ -61,6 +62,8 @@
   std::map<std::string, Observed<NodeRow>> mNodes;
   std::map<std::uint32_t, Observed<ShardRow>> mShardRows;
   MonotonicTime mReadAt;
+  /// Since when the store has taken this node's own heartbeats without a gap.
+  MonotonicTime mOwnStoredSince;
 };
 
 struct ClaimSettings
@@ -71,8 +74,16 @@
   /// Delay for each better candidate, so that one claims first; longer than a
   /// store transaction with its notice.
   Millis mStagger{ 500 };
-  /// A node whose row is older is no candidate.
+  /// A node whose row is older is no candidate, and one whose own row is older
+  /// knows that the store does not serve it.
   Millis mNodeSilence{ 3000 };
+  /// A node with less than this share of another's processor time leaves shards
+  /// to it: an owner on the smallest hosts can't follow its runners.
+  double mSmallShare = 0.5;
+  /// A small node claims this much later, so that a larger one can start.
+  Millis mSmallDelay{ 1500 };
+  /// A small owner hands over once a larger node has been seen for this long.
+  Millis mHandOverAfter{ 4000 };
 };
 
 struct Claim
@@ -91,8 +102,18 @@
 void
 UpdateView(ClusterView& aView,
            std::span<const StoreRow> aRows,
+           const NodeRow& aSelf,
+           const ClaimSettings& aSettings,
            MonotonicTime aNow);
 
+/// @return whether this node should hand a shard over to a larger node
+bool
+ShouldHandOver(const ClusterView& aView,
+               std::uint32_t aShard,
+               const NodeRow& aSelf,
+               const ClaimSettings& aSettings,
+               MonotonicTime aNow);
+
 /// @return the shards that this node should claim now
 std::vector<Claim>
 DecideClaims(const ClusterView& aView,
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -101,42 +101,40 @@
     transaction.mRemovals.push_back(
       { kClusterTable, NodeKey(mContext.mSelf.mName) });
   }
-  std::vector<std::uint32_t> shards;
+  std::vector<SentShard> shards;
   for (auto& [number, shard] : mShards) {
-    if (!shard->Owned() || (mDraining && !shard->Settled())) {
+    if (!shard->Owned() || (shard->Retired() && !shard->Settled())) {
       continue;
     }
-    shards.push_back(number);
+    shards.push_back({ number, shard->Retired() });
     transaction.mChecks.push_back(
       { kClusterTable, ShardKey(number), shard->RowVersion() });
     transaction.mPuts.push_back(
       { kClusterTable, ShardKey(number), FormatShardRow(shard->Row(aNow)) });
   }
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mTransact(std::move(transaction),
-                            mContext.mSettings.mStoreTimeout,
-                            [this, alive, shards, aNow, released = mDraining](
-                              const TransactionOutcome& aOutcome) {
-                              if (!alive.expired()) {
-                                HandleHeartbeat(
-                                  aOutcome, shards, released, aNow);
-                              }
-                            });
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    mContext.mSettings.mStoreTimeout,
+    [this, alive, shards, aNow](const TransactionOutcome& aOutcome) {
+      if (!alive.expired()) {
+        HandleHeartbeat(aOutcome, shards, aNow);
+      }
+    });
 }
 
 void
 Node::HandleHeartbeat(const TransactionOutcome& aOutcome,
-                      const std::vector<std::uint32_t>& aShards,
-                      bool aReleased,
+                      const std::vector<SentShard>& aShards,
                       MonotonicTime aSentAt)
 {
   mHeartbeatOut = false;
   if (aOutcome.mResult == StoreResult::Stored) {
-    for (const std::uint32_t number : aShards) {
-      const auto shard = mShards.find(number);
+    for (const SentShard& sent : aShards) {
+      const auto shard = mShards.find(sent.mNumber);
       if (shard != mShards.end()) {
         shard->second->HandleRenewed(aOutcome.mVersion, aSentAt);
-        if (aReleased) {
+        if (sent.mReleased) {
           shard->second->HandleSucceeded();
         }
       }
@@ -186,15 +184,32 @@
         return;
       }
       mClusterAt = now + mContext.mSettings.mClusterPoll;
-      UpdateView(mView, aRead.mRows, now);
+      UpdateView(
+        mView, aRead.mRows, mContext.mSelf, mContext.mSettings.mClaims, now);
       if (mView.mShards == 0) {
         LayOut();
       } else {
         ClaimShards(now);
+        HandOverShards(now);
       }
     });
 }
 
+void
+Node::HandOverShards(MonotonicTime aNow)
+{
+  for (auto& [number, shard] : mShards) {
+    if (shard->Serving() && !shard->Retired() &&
+        ShouldHandOver(
+          mView, number, mContext.mSelf, mContext.mSettings.mClaims, aNow)) {
+      Log(LogLevel::Warning,
+          "shard_handed_over",
+          "shard=" + std::to_string(number) + " cause=larger_node");
+      shard->Retire();
+    }
+  }
+}
+
 void
 Node::LayOut()
 {
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -37,16 +37,23 @@
   [[nodiscard]] Front& Clients();
 
 private:
+  /// A shard whose row a heartbeat carries.
+  struct SentShard
+  {
+    std::uint32_t mNumber = 0;
+    bool mReleased = false;
+  };
+
   void Heartbeat(MonotonicTime aNow);
   void HandleHeartbeat(const TransactionOutcome& aOutcome,
-                       const std::vector<std::uint32_t>& aShards,
-                       bool aReleased,
+                       const std::vector<SentShard>& aShards,
                        MonotonicTime aSentAt);
   void ReadCluster();
   void ReadOperator();
   void ReadRunners();
   void LayOut();
   void ClaimShards(MonotonicTime aNow);
+  void HandOverShards(MonotonicTime aNow);
   void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
 
   NodeContext& mContext;
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -223,6 +223,18 @@
   mState->mRetired = true;
 }
 
+bool
+ShardHost::Serving() const
+{
+  return !mState->mLost && mState->mStage == ShardStage::Serving;
+}
+
+bool
+ShardHost::Retired() const
+{
+  return mState->mRetired;
+}
+
 bool
 ShardHost::Settled() const
 {
--- a/Libraries/LibNode/ShardHost.h
+++ b/Libraries/LibNode/ShardHost.h
@@ -53,6 +53,8 @@
 
   /// Gives no more orders; progress that is due is still stored.
   void Retire();
+  [[nodiscard]] bool Serving() const;
+  [[nodiscard]] bool Retired() const;
   /// @return whether nothing is left to store
   [[nodiscard]] bool Settled() const;
 
