--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -113,10 +113,10 @@
 inline constexpr Millis kSettleTime{ 600 };
 /// A smaller rise of utilization decides nothing.
 inline constexpr double kNegligibleRise = 0.01;
-/// A rise by all neighbours that is accepted at any own load: a limit lies this
-/// far below the target's utilization, so such neighbours seldom decide whether
-/// the target is missed.
-inline constexpr double kToleratedRise = 0.04;
+/// A rise by all neighbours that is accepted at any own load. Smaller values
+/// hold many harmless tasks up for few serving tasks that they would make miss
+/// their target; larger ones cost serving tasks more than is gained.
+inline constexpr double kToleratedRise = 0.09;
 /// A calm task may turn busy before the next figures show it.
 inline constexpr double kLeastPressure = 0.6;
 
