LibBase: Never leave out log lines about a change of state

Change: level Notice, which only the buffer's size bounds, for starts, stops, settings, configuration, evacuations, the store and shards.

--- a/Libraries/LibBase/EventLog.cpp
+++ b/Libraries/LibBase/EventLog.cpp
@@ -21,6 +21,8 @@
       return "DEBUG";
     case LogLevel::Info:
       return "INFO";
+    case LogLevel::Notice:
+      return "NOTICE";
     case LogLevel::Warning:
       return "WARN";
     case LogLevel::Error:
--- a/Libraries/LibBase/EventLog.h
+++ b/Libraries/LibBase/EventLog.h
@@ -31,8 +31,8 @@
   /// @param aProcess part of every line
   EventLog(std::string aProcess, const EventLogLimits& aLimits);
 
-  /// Lines of level Debug and Info are subject to the budget; warnings and
-  /// errors only to the size of the buffer.
+  /// Lines of level Debug and Info are subject to the budget; notices, warnings
+  /// and errors only to the size of the buffer.
   void Write(LogLevel aLevel,
              std::string_view aEvent,
              std::string_view aFields,
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -19,6 +19,7 @@
     case LogLevel::Debug:
       return log4cplus::DEBUG_LOG_LEVEL;
     case LogLevel::Info:
+    case LogLevel::Notice:
       return log4cplus::INFO_LOG_LEVEL;
     case LogLevel::Warning:
       return log4cplus::WARN_LOG_LEVEL;
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -11,6 +11,7 @@
 {
   Debug,
   Info,
+  Notice, ///< A rare change of state, which no budget of lines leaves out.
   Warning,
   Error
 };
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -64,7 +64,7 @@
     aNow - mContext.mStoreAnsweredAt < settings.mStoreFreshness;
   if (reachable != mStoreReachable) {
     mStoreReachable = reachable;
-    Log(LogLevel::Info, reachable ? "store_regained" : "store_lost", {});
+    Log(LogLevel::Notice, reachable ? "store_regained" : "store_lost", {});
   }
   if (!mHeartbeatOut && aNow >= mHeartbeatAt) {
     Heartbeat(aNow);
@@ -311,7 +311,7 @@
       mLayoutOut = false;
       mClusterAt = mContext.Now();
       if (aOutcome.mResult == StoreResult::Stored) {
-        Log(LogLevel::Info, "laid_out", "shards=" + std::to_string(shards));
+        Log(LogLevel::Notice, "laid_out", "shards=" + std::to_string(shards));
       }
     });
 }
@@ -358,7 +358,7 @@
       const bool newer =
         read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
       if (newer) {
-        Log(LogLevel::Info,
+        Log(LogLevel::Notice,
             "configuration_applied",
             "version=" + std::to_string(read->mVersion) +
               " routes=" + std::to_string(read->mRoutes.size()));
@@ -373,7 +373,7 @@
         for (const std::string& zone : mEvacuatedZones) {
           zones += (zones.empty() ? "" : ",") + zone;
         }
-        Log(LogLevel::Info, "evacuated_data_centres", "names=" + zones);
+        Log(LogLevel::Notice, "evacuated_data_centres", "names=" + zones);
         for (auto& [number, shard] : mShards) {
           shard->SetEvacuatedZones(mEvacuatedZones);
         }
@@ -408,7 +408,7 @@
 Node::Drain()
 {
   mDraining = true;
-  Log(LogLevel::Info, "draining", "shards=" + std::to_string(mShards.size()));
+  Log(LogLevel::Notice, "draining", "shards=" + std::to_string(mShards.size()));
   for (auto& [number, shard] : mShards) {
     shard->Retire();
   }
--- a/Libraries/LibNode/ShardHost.cpp
+++ b/Libraries/LibNode/ShardHost.cpp
@@ -68,7 +68,8 @@
     if (aJob != nullptr) {
       aDetails = "job=" + aJob->mSpec.mId + " " + aDetails;
     }
-    state->Log(LogLevel::Info, aEvent, aDetails);
+    const bool ofShard = aEvent.starts_with("shard_");
+    state->Log(ofShard ? LogLevel::Notice : LogLevel::Info, aEvent, aDetails);
   };
 }
 
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -48,7 +48,7 @@
       self->mRightUntil = sentAt + self->mContext.mSettings.mRightToAct;
       self->mCore.mTakenAt = self->mContext.Now();
       self->mStage = ShardStage::ReadingRunners;
-      self->Log(LogLevel::Info,
+      self->Log(LogLevel::Notice,
                 "shard_claimed",
                 self->mClaim.mFormerOwnerMayAct ? "former_owner=maybe_alive"
                                                 : "former_owner=gone");
@@ -202,7 +202,7 @@
     ApplyInboxRow(row, history);
   }
   dispatch::AdoptHeldRuns(mCore, mContext.Now());
-  Log(LogLevel::Info,
+  Log(LogLevel::Notice,
       "shard_read",
       "jobs=" + std::to_string(mCore.mJobs.size()) +
         " former_runners=" + std::to_string(mCore.mRunners.size()));
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -197,7 +197,7 @@
     UpdateLimits();
     mLog.Flush(now);
     if (mDraining && MayEnd(now)) {
-      mLog.Write(LogLevel::Info, "stopped", {}, now);
+      mLog.Write(LogLevel::Notice, "stopped", {}, now);
       mLog.Flush(now);
       mLoop.stop();
       return;
@@ -234,7 +234,7 @@
     // Addresses and identity are fixed for the life of a process; bounds are
     // taken by the shards that are claimed from now on.
     mContext.mSettings.mDispatch = ValueOf(settings).mDispatch;
-    mLog.Write(LogLevel::Info, "settings_read", {}, now);
+    mLog.Write(LogLevel::Notice, "settings_read", {}, now);
     return;
   }
   if (mDraining) {
@@ -263,7 +263,7 @@
       return 1;
     }
   }
-  mLog.Write(LogLevel::Info,
+  mLog.Write(LogLevel::Notice,
              "started",
              "node=" + mSettings.mNodeName + " data_centre=" + mSettings.mZone +
                " incarnation=" + std::to_string(mContext.mSelf.mIncarnation) +
