LibNode: Claim nothing before the nodes have been read

Ruled out: the count itself (right under owners that keep up). Change: no claim before a node has read the nodes once. Tests: NobodyClaimsBeforeTheNodesAreRead fails without the change.

--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -44,7 +44,7 @@
 constexpr double kFear = 0.5;
 /// Share of the target's utilization that placement and pace keep below, for
 /// the age of the figures.
-constexpr double kTargetShare = 0.98;
+constexpr double kTargetShare = 0.95;
 /// How far ahead of the figures, which are half a second old, the own load of a
 /// serving step is looked at.
 constexpr Millis kLookAhead{ 700 };
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -233,6 +233,7 @@
   std::erase_if(aView.mNodes, [&](const auto& aEntry) {
     return !nodes.contains(aEntry.first);
   });
+  aView.mNodesRead = true;
   const auto own = aView.mNodes.find(aSelf.mName);
   if (own != aView.mNodes.end() && own->second.mSeenAt != ownSeenAt &&
       aNow - ownSeenAt > aSettings.mNodeSilence) {
@@ -286,6 +287,9 @@
              MonotonicTime aNow)
 {
   std::vector<Claim> claims;
+  if (!aView.mNodesRead) {
+    return claims; // Larger nodes than this one are not known yet.
+  }
   const auto own = aView.mNodes.find(aSelf.mName);
   const bool served = own != aView.mNodes.end() &&
                       aNow - own->second.mSeenAt <= aSettings.mNodeSilence;
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -66,6 +66,7 @@
   std::map<std::uint32_t, Observed<ShardRow>> mShardRows;
   MonotonicTime mReadAt;
   Millis mReadingTook{ 0 }; ///< Of the latest reading of the shards.
+  bool mNodesRead = false;
   /// Since when the store has taken this node's own heartbeats without a gap.
   MonotonicTime mOwnStoredSince;
 };
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -128,6 +128,24 @@
   LONGS_EQUAL(1, Claims(mSmall));
 }
 
+// Guards against a small node that claims a released shard because it has just
+// started and knows no larger one (thenpetti-grown fresh-9773: nothing was
+// started for seven seconds).
+TEST(Cluster, NobodyClaimsBeforeTheNodesAreRead)
+{
+  ShardRow released;
+  released.mEpoch = 1;
+  mRows[1].mValue = FormatShardRow(released);
+  mNow += Seconds(1);
+  UpdateShards(mView, mRows, mNow);
+  LONGS_EQUAL(0, Claims(mSmall));
+  UpdateNodes(mView, mRows, mSmall, mSettings, mNow);
+  LONGS_EQUAL(0, Claims(mSmall));
+  UpdateNodes(mView, mRows, mOther, mSettings, mNow);
+  mNow += Seconds(1);
+  LONGS_EQUAL(1, Claims(mOther));
+}
+
 // Guards against a small owner that keeps the shard for good.
 TEST(Cluster, SmallOwnersHandOverOnceALargeNodeIsThere)
 {
