LibDispatch: Remove what nothing reads; LibNode: reject negative stored figures

Found when reading the change as a newcomer: two fields and a function that no decision reads any more, and a stored variance below zero that would have become not-a-number.

--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -117,13 +117,6 @@
            std::max<std::int64_t>(1, aRunner.mSpec.mCapacity.mCores));
 }
 
-double
-TailRatio(const TaskRef& aTask)
-{
-  return static_cast<double>(TaskOf(aTask).mLoadFigure) /
-         static_cast<double>(SpecOf(aTask).mTailTarget.count());
-}
-
 void
 NoteSensitivity(Interference& aInterference, std::uint32_t aServing)
 {
@@ -408,14 +401,12 @@
       serving = aRunner.mServing.insert(serving, ServingHere{});
       serving->mStep = &step;
       const LoadTrack track = Advanced(step.mLoad, aNow);
-      serving->mLevel = track.mLevel;
       serving->mAhead = LevelAhead(track, kLookAhead);
       serving->mLater = LevelAhead(track, kPlacementLookAhead);
       serving->mLimit =
         kTargetShare *
         UtilizationOf(image, static_cast<double>(spec.mTailTarget.count()));
     }
-    serving->mWorstRatio = std::max(serving->mWorstRatio, TailRatio(ref));
     serving->mMeasured = std::max(
       serving->mMeasured, UtilizationOf(image, TaskOf(ref).mLoadFigure));
   }
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -85,13 +85,11 @@
 struct ServingHere
 {
   Step* mStep = nullptr;
-  double mWorstRatio = 0; ///< Tail over target.
-  double mMeasured = 0;   ///< Highest utilization by its tails.
-  double mLimit = 1;      ///< Utilization to keep below, near the target's.
-  double mLevel = 0;      ///< Own utilization now.
-  double mAhead = 0;      ///< Own utilization expected soon.
-  double mLater = 0;      ///< While a new neighbour would run.
-  double mPresent = 0;    ///< Feared rise by all neighbours at full pace.
+  double mMeasured = 0; ///< Highest utilization by its tails.
+  double mLimit = 1;    ///< Utilization to keep below, near the target's.
+  double mAhead = 0;    ///< Own utilization expected soon.
+  double mLater = 0;    ///< While a new neighbour would run.
+  double mPresent = 0;  ///< Feared rise by all neighbours at full pace.
 };
 
 /// A run that no known task accounts for. Its size is unknown, so nothing is
--- a/Libraries/LibNode/InterferenceRow.cpp
+++ b/Libraries/LibNode/InterferenceRow.cpp
@@ -19,6 +19,13 @@
   return std::llround(aValue * kScale);
 }
 
+/// @return whether the value is a figure as Scaled() makes them
+bool
+IsFigure(const Json::Value& aValue)
+{
+  return aValue.isInt64() && aValue.asInt64() >= 0;
+}
+
 double
 Unscaled(const Json::Value& aValue)
 {
@@ -53,7 +60,7 @@
   const Json::Value& tails = (*value)["tails"];
   if (tails.isObject()) {
     for (const std::string& name : tails.getMemberNames()) {
-      if (tails[name].isInt64()) {
+      if (IsFigure(tails[name])) {
         record.mImages.push_back({ name, Unscaled(tails[name]) });
       }
     }
@@ -69,8 +76,8 @@
     }
     for (const std::string& serving : row.getMemberNames()) {
       const Json::Value& entry = row[serving];
-      if (entry.isArray() && entry.size() == 2 && entry[0].isInt64() &&
-          entry[1].isInt64()) {
+      if (entry.isArray() && entry.size() == 2 && IsFigure(entry[0]) &&
+          IsFigure(entry[1])) {
         record.mEffects.push_back(
           { disturbing, serving, Unscaled(entry[0]), Unscaled(entry[1]) });
       }
--- a/Tests/LibNode/TestInterferenceRow.cpp
+++ b/Tests/LibNode/TestInterferenceRow.cpp
@@ -32,6 +32,8 @@
                             "[]",
                             "{\"tails\":3,\"effects\":[1]}",
                             "{\"tails\":{\"a\":\"b\"}}",
+                            "{\"tails\":{\"a\":-1}}",
+                            "{\"effects\":{\"a\":{\"b\":[1,-1]}}}",
                             "{\"effects\":{\"a\":[1],\"b\":{\"c\":[1]}}}" }) {
     const InterferenceRecord read = ParseInterference(text);
     CHECK_TRUE(read.mImages.empty());
