LibDispatch: End a probation by a lasting task at work

Lasting tasks of runners that had left found no room for 9 s beside a runner with 20 free cores: it was on probation since its failures 20 s before, with one task at a time, and that task lasted, so it never ended as done. Ruled out: the lapse (one lease, 6.1 s after the runner was gone), the order of service (the tasks were first), the other runners (44 without a core for them). Test: ALastingTaskAtWorkEndsAProbation fails without the change.

--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -263,6 +263,30 @@
   aOrphans.push_back({ aEntry.mTask, aEntry.mRun, aEntry.mSaved, {} });
 }
 
+/// Ends a runner's probation by a lasting task, which never ends as done.
+void
+EndProbation(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
+{
+  constexpr int kAtWork = 100; // Percent that a lasting task at work reports.
+  const auto proof = std::find_if(
+    aRunner.mTasks.begin(), aRunner.mTasks.end(), [&](const TaskRef& aTask) {
+      const Task& task = TaskOf(aTask);
+      return SpecOf(aTask).mKind == StepKind::Lasting &&
+             task.mPhase == TaskPhase::Running && task.mProgress == kAtWork &&
+             aNow - task.mProgressAt >= aDispatcher.mSettings.mProbation;
+    });
+  if (!aRunner.mOnProbation || proof == aRunner.mTasks.end()) {
+    return;
+  }
+  NoteRunnerOutcome(
+    aDispatcher, aRunner, proof->mJob->mSpec.mId, RunOutcome::Done, aNow);
+  aDispatcher.mPlacementDue = true;
+  Emit(aDispatcher,
+       "runner_trusted",
+       proof->mJob,
+       "runner=" + aRunner.mSpec.mId + " cause=lasting_task_at_work");
+}
+
 /// Releases tasks that the runner neither runs nor lists as ended.
 void
 ReleaseUnlisted(Dispatcher& aDispatcher,
@@ -527,6 +551,7 @@
   for (const RunningEntry& entry : aReport.mRunning) {
     ApplyRunning(aDispatcher, aRunner, entry, orphans, aNow);
   }
+  EndProbation(aDispatcher, runner, aNow);
   runner.mOrphans = std::move(orphans);
   for (OrphanRun& orphan : runner.mOrphans) {
     if (aNow - orphan.mStopSentAt >= aDispatcher.mSettings.mStopRepeat) {
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -201,7 +201,7 @@
       { *ParseTaskName(run.mTask),
         run.mRun,
         {},
-        50,
+        mProgress,
         mFigure ? mFigure(fake, run) : run.mLoadFigure });
   }
   report.mEnds = fake.mEnds;
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -67,6 +67,7 @@
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0;
+  std::int32_t mProgress = 50; ///< Percent that runners report for each run.
   /// @return the figure that a runner reports for a run; 0 without one
   std::function<std::int32_t(const FakeRunner&, const Run&)> mFigure;
 };
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -101,3 +101,29 @@
   world.Pass(Seconds(1));
   LONGS_EQUAL(0, world.mStarts);
 }
+
+// Guards against a runner that stays on probation for good because the one task
+// that it was given lasts and so never ends: lasting tasks found no other room
+// (prensa-comun mix 675805236702, where workers had failed their tasks for 6
+// s).
+TEST(Runners, ALastingTaskAtWorkEndsAProbation)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "bad" + std::to_string(i);
+    world.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
+    world.Pass(Millis(100));
+    world.End(job + ".0.0.0", EndKind::Failed);
+    world.Pass(Millis(100));
+    CancelJob(world.mCore, job, world.mNow, world.mActions);
+  }
+  CHECK_TRUE(world.mCore.mRunners[0].mOnProbation);
+  world.mProgress = 100;
+  world.AddJob(MakeJob("lasting", { LastingStep(1, 1000) }));
+  world.Pass(Seconds(25));
+  CHECK_TRUE(world.Runs("lasting.0.0.0"));
+  world.AddJob(MakeJob("next", { LastingStep(1, 1000) }));
+  world.Pass(Seconds(1));
+  CHECK_TRUE(world.Runs("next.0.0.0"));
+}
