LibDispatch: Judge a runner after failures by what it is given from then on

A runner on probation took a task only when it ran none, so one that still served lasting tasks from before its failures was never tried again; failures of tasks that had been started before a quarantine doubled it up to 24 s within one second; and an earlier lasting task counted as proof. Ruled out: the rate of probation itself (workers were sound again at 20.1 s). Change: the trial is the first task given since the quarantine, whatever else runs there; failures within a quarantine don't prolong it; only a task started since then proves a runner sound. Tests: FailuresInAQuarantineDoNotProlongIt, AnEarlierTaskEndsNoProbation, EarlierTasksDoNotHinderAProbation; each fails without its part of the change.

--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -86,6 +86,17 @@
   "disturbs"
 };
 
+/// @return whether a runner on probation has a task that it was given since its
+///         failures, by which it is judged
+bool
+HasTrialTask(const Runner& aRunner)
+{
+  return std::any_of(
+    aRunner.mTasks.begin(), aRunner.mTasks.end(), [&](const TaskRef& aTask) {
+      return TaskOf(aTask).mStartedAt > aRunner.mQuarantinedAt;
+    });
+}
+
 /// @return what keeps the runner from taking any task now
 Obstacle
 ObstacleOfRunner(const Dispatcher& aDispatcher,
@@ -98,7 +109,7 @@
     return Obstacle::NotLive;
   }
   if (aRunner.mAvoidUntil > aNow ||
-      (aRunner.mOnProbation && !aRunner.mTasks.empty())) {
+      (aRunner.mOnProbation && HasTrialTask(aRunner))) {
     return Obstacle::Paused;
   }
   if (aRunner.mStarting >= aDispatcher.mSettings.mStartsAtOnce) {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -263,7 +263,8 @@
   aOrphans.push_back({ aEntry.mTask, aEntry.mRun, aEntry.mSaved, {} });
 }
 
-/// Ends a runner's probation by a lasting task, which never ends as done.
+/// Ends a runner's probation by a lasting task that it was given since its
+/// failures; such a task never ends as done.
 void
 EndProbation(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
 {
@@ -273,6 +274,7 @@
       const Task& task = TaskOf(aTask);
       return SpecOf(aTask).mKind == StepKind::Lasting &&
              task.mPhase == TaskPhase::Running && task.mProgress == kAtWork &&
+             task.mStartedAt > aRunner.mQuarantinedAt &&
              aNow - task.mProgressAt >= aDispatcher.mSettings.mProbation;
     });
   if (!aRunner.mOnProbation || proof == aRunner.mTasks.end()) {
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -158,6 +158,7 @@
   std::uint32_t mFailedJobs = 0; ///< Different jobs among these failures.
   std::uint32_t mQuarantines = 0;
   MonotonicTime mAvoidUntil; ///< No start before this.
+  MonotonicTime mQuarantinedAt;
   bool mOnProbation = false; ///< At most one start at a time.
   MonotonicTime mMissingSince;
 };
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -262,9 +262,13 @@
   const bool bad = aRunner.mOnProbation || (aRunner.mConsecutiveFailures >=
                                               settings.mFailuresToQuarantine &&
                                             aRunner.mFailedJobs >= 2);
-  if (!bad) {
+  // Tasks that were started before a quarantine say nothing new by failing in
+  // it.
+  const bool known = aRunner.mOnProbation && aNow < aRunner.mAvoidUntil;
+  if (!bad || known) {
     return;
   }
+  aRunner.mQuarantinedAt = aNow;
   const Millis pause =
     std::min(settings.mLongestQuarantine,
              settings.mQuarantine * (1 << std::min(aRunner.mQuarantines, 4U)));
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -127,3 +127,73 @@
   world.Pass(Seconds(1));
   CHECK_TRUE(world.Runs("next.0.0.0"));
 }
+
+// Guards against one bad second that sets a runner apart for 24 s because ten
+// tasks failed in it: each counted as a failed probation, and lasting tasks
+// found no other room (thenpetti mix 370822737977).
+TEST(Runners, FailuresInAQuarantineDoNotProlongIt)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  for (int i = 0; i < 9; ++i) {
+    world.AddJob(MakeJob("bad" + std::to_string(i), { FiniteStep(1, 1000) }));
+  }
+  world.Pass(Millis(100));
+  for (int i = 0; i < 9; ++i) {
+    world.End("bad" + std::to_string(i) + ".0.0.0", EndKind::Failed);
+  }
+  world.Report();
+  const Runner& runner = world.mCore.mRunners[0];
+  CHECK_TRUE(runner.mOnProbation);
+  CHECK_TRUE(runner.mAvoidUntil <=
+             world.mNow + world.mCore.mSettings.mQuarantine);
+}
+
+// Guards against trusting a runner because of a task that it began before its
+// failures: bad workers fail what they start, and run on what they run.
+TEST(Runners, AnEarlierTaskEndsNoProbation)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.mProgress = 100;
+  world.AddJob(MakeJob("lasting", { LastingStep(1, 1000) }));
+  world.Pass(Seconds(4));
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "bad" + std::to_string(i);
+    world.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
+    world.Pass(Millis(100));
+    world.End(job + ".0.0.0", EndKind::Failed);
+    world.Pass(Millis(100));
+  }
+  world.Pass(Millis(500));
+  CHECK_TRUE(world.mCore.mRunners[0].mOnProbation);
+}
+
+// Guards against a probation that never begins because the runner still has
+// tasks from before its failures (both mix days above: three runners stayed
+// unused).
+TEST(Runners, EarlierTasksDoNotHinderAProbation)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.AddJob(MakeJob("lasting", { LastingStep(1, 1000) }));
+  world.Pass(Millis(500));
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "bad" + std::to_string(i);
+    world.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
+    world.Pass(Millis(100));
+    world.End(job + ".0.0.0", EndKind::Failed);
+    world.Pass(Millis(100));
+    CancelJob(world.mCore, job, world.mNow, world.mActions);
+  }
+  CHECK_TRUE(world.mCore.mRunners[0].mOnProbation);
+  world.AddJob(MakeJob("first", { FiniteStep(1, 1000) }));
+  world.AddJob(MakeJob("second", { FiniteStep(1, 1000) }));
+  world.Pass(Seconds(4));
+  // One of them is the trial, and the other waits for its end.
+  CHECK_TRUE(world.Runs("first.0.0.0"));
+  CHECK_FALSE(world.Runs("second.0.0.0"));
+  world.End("first.0.0.0", EndKind::Done);
+  world.Pass(Millis(500));
+  CHECK_TRUE(world.Runs("second.0.0.0"));
+}
