--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -33,8 +33,8 @@
   std::uint32_t mFailuresToQuarantine = 3;
   Millis mQuarantine{ 3000 }; ///< Doubles with each failed probation.
   Millis mLongestQuarantine{ 24000 };
-  /// A lasting task that has been at work for this long shows that its runner is
-  /// sound; bad workers fail tasks within a second.
+  /// A lasting task that has been at work for this long shows that its runner
+  /// is sound; bad workers fail tasks within a second.
   Millis mProbation{ 2000 };
   /// A runner that refused a start for health is avoided this long.
   Millis mUnhealthyPause{ 700 };
