LibDispatch: Say once what stood twice, and drop what nothing reads

Found when reading the whole change once more. EndJob serves cancelled and failed jobs, AcknowledgeStored reports and commits, NoteStarted the two ways in which a start shows itself, NextChainValue the chain row's text; NoteNeighbour calls FearedRise; StepOf also takes a waiting entry; Correct sets the track's time itself. Nothing read RunnersInUse, the time at which a shard was taken, and the count of opened connections. Tests share two loops; their assertions are unchanged.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -110,7 +110,6 @@
   Deadlines& mDeadlines;
   std::string mAddress;
   std::size_t mMost;
-  std::size_t mOpened = 0;
   std::uint64_t mQueued = 0;
   bool mStopped = false;
   std::vector<Shared> mConnections;
@@ -156,7 +155,6 @@
 {
   auto connection = std::make_shared<Connection>(mLoop);
   mConnections.push_back(connection);
-  ++mOpened;
   connection->mCurrent = std::move(aWaiting);
   auto self = shared_from_this();
   connection->mDeadline =
@@ -395,10 +393,4 @@
   mState->Start({ std::move(aCall), std::move(aDone), until });
 }
 
-std::size_t
-HttpPool::Opened() const
-{
-  return mState->mOpened;
-}
-
 } // namespace paddle
--- a/Libraries/LibAsyncHttp/HttpPool.h
+++ b/Libraries/LibAsyncHttp/HttpPool.h
@@ -30,9 +30,6 @@
   /// @param aDone called once, never from within this function
   void Send(HttpCall aCall, AnswerHandler aDone);
 
-  /// @return connections opened since the start
-  [[nodiscard]] std::size_t Opened() const;
-
   struct State;
 
 private:
--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -2,6 +2,16 @@
 
 namespace paddle::dispatch {
 
+void
+AcknowledgeStored(const Dispatcher& aDispatcher, Runner& aRunner)
+{
+  while (!aRunner.mUnstoredEnds.empty() &&
+         aRunner.mUnstoredEnds.front().second <= aDispatcher.mStoredThrough) {
+    aRunner.mAcknowledgedEnds = aRunner.mUnstoredEnds.front().first;
+    aRunner.mUnstoredEnds.pop_front();
+  }
+}
+
 std::optional<Commit>
 TakeCommit(Dispatcher& aDispatcher)
 {
@@ -26,11 +36,7 @@
 {
   aDispatcher.mStoredThrough = aCommit.mSequence;
   for (Runner& runner : aDispatcher.mRunners) {
-    while (!runner.mUnstoredEnds.empty() &&
-           runner.mUnstoredEnds.front().second <= aCommit.mSequence) {
-      runner.mAcknowledgedEnds = runner.mUnstoredEnds.front().first;
-      runner.mUnstoredEnds.pop_front();
-    }
+    AcknowledgeStored(aDispatcher, runner);
   }
   for (std::size_t i = 0; i < aCommit.mJobs.size(); ++i) {
     if (aPhases[i] != JobPhase::Active) {
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -73,7 +73,6 @@
   DispatchSettings mSettings;
   std::int64_t mEpoch = 0; ///< Fencing token of every order.
   std::int64_t mNextRun = 1;
-  MonotonicTime mTakenAt;
   /// Until then an earlier owner may have left tasks on runners that have not
   /// been heard from.
   MonotonicTime mUnheardUntil;
@@ -278,10 +277,6 @@
 std::uint64_t
 PendingJobs(const Dispatcher& aDispatcher, std::string_view aQueue);
 
-/// @return the ids of runners on which tasks may run
-std::vector<RunnerIndex>
-RunnersInUse(const Dispatcher& aDispatcher);
-
 TaskName
 NameOf(const TaskRef& aTask);
 
@@ -297,6 +292,13 @@
   return occurrence->second.mSteps[aTask.mStep];
 }
 
+/// @return the step that waits
+inline Step&
+StepOf(const WaitingStep& aEntry)
+{
+  return StepOf(TaskRef{ aEntry.mJob, aEntry.mOccurrence, aEntry.mStep, 0 });
+}
+
 inline Task&
 TaskOf(const TaskRef& aTask)
 {
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -176,9 +176,7 @@
   if (!aDisturbing.empty()) {
     NoteSensitivity(interference, step.mImage);
   }
-  Correct(step.mLoad, surprise, spread);
-  step.mLoad.mAt = aNow;
-  step.mLoad.mObserved = true;
+  Correct(step.mLoad, surprise, spread, aNow);
 }
 
 /// Rise of the serving image's utilization that tasks of an image are feared to
@@ -363,14 +361,8 @@
   if (!IsLeftover(aTask)) {
     return;
   }
-  const double pressure =
-    ShareOf(aRunner, aTask) *
-    std::max(PressureAt(TaskOf(aTask).mActivity), kLeastPressure);
   for (ServingHere& serving : aRunner.mServing) {
-    serving.mPresent += pressure * FearedEffect(aDispatcher,
-                                                StepOf(aTask).mImage,
-                                                serving.mStep->mImage,
-                                                aNow);
+    serving.mPresent += FearedRise(aDispatcher, aRunner, aTask, serving, aNow);
   }
 }
 
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -84,6 +84,18 @@
 void
 MarkDirty(Dispatcher& aDispatcher, Job& aJob);
 
+/// Gives a job its last phase and stops what runs of it.
+void
+EndJob(Dispatcher& aDispatcher,
+       Job& aJob,
+       JobPhase aPhase,
+       MonotonicTime aNow,
+       Actions& aActions);
+
+/// Lets the next renewal acknowledge the runner's ends that are stored.
+void
+AcknowledgeStored(const Dispatcher& aDispatcher, Runner& aRunner);
+
 /// Removes a job of which nothing is left to do.
 void
 EraseIfOver(Dispatcher& aDispatcher, Job& aJob);
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -285,6 +285,29 @@
   }
 }
 
+void
+EndJob(Dispatcher& aDispatcher,
+       Job& aJob,
+       JobPhase aPhase,
+       MonotonicTime aNow,
+       Actions& aActions)
+{
+  aJob.mPhase = aPhase;
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      UpdateWaiting(aDispatcher, aJob, number, i);
+      for (std::uint32_t t = 0; t < occurrence.mSteps[i].mTasks.size(); ++t) {
+        const TaskRef ref{ &aJob, number, i, t };
+        const TaskPhase phase = TaskOf(ref).mPhase;
+        if (phase == TaskPhase::Starting || phase == TaskPhase::Running) {
+          BeginStop(aDispatcher, ref, StopCause::Cancelled, aNow, aActions);
+        }
+      }
+    }
+  }
+  MarkDirty(aDispatcher, aJob);
+}
+
 void
 CancelJob(Dispatcher& aDispatcher,
           std::string_view aJob,
@@ -296,22 +319,8 @@
       found->second->mPhase != JobPhase::Active) {
     return;
   }
-  Job& job = *found->second;
-  job.mPhase = JobPhase::Cancelled;
   ++aDispatcher.mCounters.mJobsCancelled;
-  for (auto& [number, occurrence] : job.mOccurrences) {
-    for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
-      UpdateWaiting(aDispatcher, job, number, i);
-      for (std::uint32_t t = 0; t < occurrence.mSteps[i].mTasks.size(); ++t) {
-        const TaskRef ref{ &job, number, i, t };
-        const TaskPhase phase = TaskOf(ref).mPhase;
-        if (phase == TaskPhase::Starting || phase == TaskPhase::Running) {
-          BeginStop(aDispatcher, ref, StopCause::Cancelled, aNow, aActions);
-        }
-      }
-    }
-  }
-  MarkDirty(aDispatcher, job);
+  EndJob(aDispatcher, *found->second, JobPhase::Cancelled, aNow, aActions);
 }
 
 void
--- a/Libraries/LibDispatch/LoadTrack.cpp
+++ b/Libraries/LibDispatch/LoadTrack.cpp
@@ -52,8 +52,10 @@
 }
 
 void
-Correct(LoadTrack& aTrack, double aSurprise, double aSpread)
+Correct(LoadTrack& aTrack, double aSurprise, double aSpread, MonotonicTime aNow)
 {
+  aTrack.mAt = aNow;
+  aTrack.mObserved = true;
   const double levelGain = aTrack.mLevelVariance / aSpread;
   const double rateGain = aTrack.mCovariance / aSpread;
   aTrack.mLevel =
--- a/Libraries/LibDispatch/LoadTrack.h
+++ b/Libraries/LibDispatch/LoadTrack.h
@@ -26,7 +26,10 @@
 /// @param aSurprise observed minus expected utilization
 /// @param aSpread   variance of that difference
 void
-Correct(LoadTrack& aTrack, double aSurprise, double aSpread);
+Correct(LoadTrack& aTrack,
+        double aSurprise,
+        double aSpread,
+        MonotonicTime aNow);
 
 /// @return the highest utilization expected until @p aHorizon after the
 ///         estimate's time
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -288,8 +288,7 @@
       Actions& aActions)
 {
   Task& task = TaskOf(aTask);
-  Job& job = *aTask.mJob;
-  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  Step& step = StepOf(aTask);
   task.mPhase = TaskPhase::Starting;
   task.mStopCause = StopCause::None;
   task.mRun = aRun;
@@ -327,9 +326,7 @@
   const Job& job = *aEntry.mJob;
   const auto objective =
     std::chrono::duration_cast<Millis>(aEntry.mDueAt - job.mAcceptedAt);
-  const Millis needed = job.mOccurrences.at(aEntry.mOccurrence)
-                          .mSteps[aEntry.mStep]
-                          .mRemainingChain;
+  const Millis needed = StepOf(aEntry).mRemainingChain;
   if (aNow + needed <= aEntry.mDueAt) {
     return Reach::InTime;
   }
@@ -374,7 +371,7 @@
           Actions& aActions)
 {
   Job& job = *aWaiting.mJob;
-  Step& step = job.mOccurrences.at(aWaiting.mOccurrence).mSteps[aWaiting.mStep];
+  Step& step = StepOf(aWaiting);
   if (step.mWaiting < step.mTasks.size()) {
     // Members of the former run have not all ended yet.
     return false;
@@ -505,7 +502,7 @@
     if (refusals.Covers(spec, queue->mService)) {
       continue;
     }
-    Step& step = job.mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
+    Step& step = StepOf(entry);
     if (spec.mGang) {
       if (StartGang(
             aDispatcher, candidates, entry, queue->mService, aNow, aActions)) {
@@ -545,8 +542,7 @@
   }
   std::size_t explained = 0;
   for (const WaitingStep& entry : aDispatcher.mWaiting) {
-    const Step& step =
-      entry.mJob->mOccurrences.at(entry.mOccurrence).mSteps[entry.mStep];
+    const Step& step = StepOf(entry);
     const QueueSpec* queue = FindQueue(aDispatcher, entry.mJob->mSpec.mQueue);
     if (aNow - step.mOpenedAt < kExplainAfter) {
       continue;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -56,21 +56,8 @@
         MonotonicTime aNow,
         Actions& aActions)
 {
-  aJob.mPhase = JobPhase::Failed;
   ++aDispatcher.mCounters.mJobsFailed;
-  for (auto& [number, occurrence] : aJob.mOccurrences) {
-    for (std::uint32_t i = 0; i < occurrence.mSteps.size(); ++i) {
-      UpdateWaiting(aDispatcher, aJob, number, i);
-      for (std::uint32_t t = 0; t < occurrence.mSteps[i].mTasks.size(); ++t) {
-        const TaskRef ref{ &aJob, number, i, t };
-        const TaskPhase phase = TaskOf(ref).mPhase;
-        if (phase == TaskPhase::Starting || phase == TaskPhase::Running) {
-          BeginStop(aDispatcher, ref, StopCause::Cancelled, aNow, aActions);
-        }
-      }
-    }
-  }
-  MarkDirty(aDispatcher, aJob);
+  EndJob(aDispatcher, aJob, JobPhase::Failed, aNow, aActions);
   aDispatcher.mCommitUrgent = true;
 }
 
@@ -89,7 +76,7 @@
   if (spec.mKind == StepKind::Lasting || job.mPhase != JobPhase::Active) {
     return false;
   }
-  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  Step& step = StepOf(aTask);
   // The failures of a gang count on its first member.
   std::vector<std::int64_t>& failed =
     step.mTasks[spec.mGang ? 0 : aTask.mIndex].mFailedRuns;
@@ -150,8 +137,7 @@
 void
 FinishGang(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
 {
-  Step& step =
-    aTask.mJob->mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  Step& step = StepOf(aTask);
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     const TaskRef member{ aTask.mJob, aTask.mOccurrence, aTask.mStep, i };
     Task& task = TaskOf(member);
@@ -215,6 +201,18 @@
     aDispatcher, ref, outcome, aEnd.mRun, aEnd.mSaved, aNow, aActions);
 }
 
+/// Takes note that a runner has begun a task that it was told to start.
+void
+NoteStarted(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
+{
+  Task& task = TaskOf(aTask);
+  --aDispatcher.mRunners[task.mRunner].mStarting;
+  task.mPhase = TaskPhase::Running;
+  aTask.mJob->mBegan = true;
+  task.mAnsweredAt = aNow;
+  task.mProgressAt = aNow;
+}
+
 void
 ApplyRunning(Dispatcher& aDispatcher,
              RunnerIndex aRunner,
@@ -235,11 +233,7 @@
       }
     } else {
       if (task.mPhase == TaskPhase::Starting) {
-        --aDispatcher.mRunners[aRunner].mStarting;
-        task.mPhase = TaskPhase::Running;
-        ref.mJob->mBegan = true;
-        task.mAnsweredAt = aNow;
-        task.mProgressAt = aNow;
+        NoteStarted(aDispatcher, ref, aNow);
       }
       if (task.mProgress != aEntry.mProgress) {
         task.mProgress = aEntry.mProgress;
@@ -400,7 +394,7 @@
   Task& task = TaskOf(aTask);
   Job& job = *aTask.mJob;
   const StepSpec& spec = SpecOf(aTask);
-  Step& step = job.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  Step& step = StepOf(aTask);
   const RunnerIndex runner = task.mRunner;
   if (runner != kNoRunner) {
     Vacate(aDispatcher, aTask, aNow);
@@ -543,11 +537,7 @@
     runner.mUnstoredEnds.emplace_back(
       end.mNumber, durable ? aDispatcher.mCommitSequence : 0);
   }
-  while (!runner.mUnstoredEnds.empty() &&
-         runner.mUnstoredEnds.front().second <= aDispatcher.mStoredThrough) {
-    runner.mAcknowledgedEnds = runner.mUnstoredEnds.front().first;
-    runner.mUnstoredEnds.pop_front();
-  }
+  AcknowledgeStored(aDispatcher, runner);
 
   std::vector<OrphanRun> orphans;
   for (const RunningEntry& entry : aReport.mRunning) {
@@ -587,11 +577,7 @@
   switch (aResult) {
     case StartResult::Started:
       if (task.mPhase == TaskPhase::Starting) {
-        --aDispatcher.mRunners[aRunner].mStarting;
-        task.mPhase = TaskPhase::Running;
-        ref.mJob->mBegan = true;
-        task.mAnsweredAt = aNow;
-        task.mProgressAt = aNow;
+        NoteStarted(aDispatcher, ref, aNow);
       }
       return;
     case StartResult::Unknown:
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -356,17 +356,4 @@
   return room;
 }
 
-std::vector<RunnerIndex>
-RunnersInUse(const Dispatcher& aDispatcher)
-{
-  std::vector<RunnerIndex> used;
-  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
-    if (aDispatcher.mRunners[i].mListed ||
-        !aDispatcher.mRunners[i].mTasks.empty()) {
-      used.push_back(i);
-    }
-  }
-  return used;
-}
-
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -65,9 +65,7 @@
   }
   std::size_t waiting = 0;
   for (const WaitingStep& entry : aDispatcher.mWaiting) {
-    waiting += entry.mJob->mOccurrences.at(entry.mOccurrence)
-                 .mSteps[entry.mStep]
-                 .mWaiting;
+    waiting += StepOf(entry).mWaiting;
   }
   Emit(aDispatcher,
        "room",
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -103,6 +103,13 @@
   SendNextTransaction();
 }
 
+std::string
+ShardHost::State::NextChainValue() const
+{
+  return mContext.mSelf.mName + "/" + std::to_string(mClaim.mEpoch) + "/" +
+         std::to_string(mChainNumber + 1);
+}
+
 void
 ShardHost::State::SendNextTransaction()
 {
@@ -114,12 +121,7 @@
   const std::string progress = ProgressTable(mClaim.mShard);
   const std::string part = mContext.mParts.OfProgress(mClaim.mShard);
   transaction.mChecks.push_back({ progress, part, kChainKey, mChainVersion });
-  transaction.mPuts.push_back({ progress,
-                                part,
-                                kChainKey,
-                                mContext.mSelf.mName + "/" +
-                                  std::to_string(mClaim.mEpoch) + "/" +
-                                  std::to_string(mChainNumber + 1) });
+  transaction.mPuts.push_back({ progress, part, kChainKey, NextChainValue() });
   mTransactionOut = true;
   const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
@@ -145,9 +147,7 @@
   if (aOutcome.mResult == StoreResult::Stored) {
     stored = aOutcome.mVersion;
   } else if (aOutcome.mResult == StoreResult::Conflict) {
-    const std::string ours = mContext.mSelf.mName + "/" +
-                             std::to_string(mClaim.mEpoch) + "/" +
-                             std::to_string(mChainNumber + 1);
+    const std::string ours = NextChainValue();
     for (const StoreRow& row : aOutcome.mCurrent) {
       // An earlier send of this same transaction was carried out after all.
       if (row.mKey == kChainKey && row.mValue == ours) {
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -93,6 +93,8 @@
   // Progress (ShardCommits.cpp).
   void BeginCommit(MonotonicTime aNow);
   void SendNextTransaction();
+  /// @return the value of the chain row that the next transaction writes
+  [[nodiscard]] std::string NextChainValue() const;
   void HandleTransaction(const TransactionOutcome& aOutcome);
   void StoreRunners();
   void HandleRunnersStored();
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -46,7 +46,6 @@
       self->mRowVersion = aOutcome.mVersion;
       self->mChainVersion = aOutcome.mVersion;
       self->mRightUntil = sentAt + self->mContext.mSettings.mRightToAct;
-      self->mCore.mTakenAt = self->mContext.Now();
       self->mStage = ShardStage::ReadingRunners;
       self->Log(LogLevel::Notice,
                 "shard_claimed",
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -90,7 +90,6 @@
   mActions.clear();
   mCore.mEpoch = aEpoch;
   mCore.mNextRun = (aEpoch << 20) + 1;
-  mCore.mTakenAt = mNow;
   mCore.mUnheardUntil = mNow + Seconds(18);
   SetQueues(mCore, queues);
   for (const RunnerSpec& spec : mListed) {
--- a/Tests/LibDispatch/TestDisturbance.cpp
+++ b/Tests/LibDispatch/TestDisturbance.cpp
@@ -52,6 +52,18 @@
     mWorld.AddJob(MakeJob("second", { second }));
     mWorld.Pass(Seconds(4));
   }
+
+  /// @param aPause between the end of a job and the next
+  void RunTwelveLoudJobs(Millis aPause)
+  {
+    for (int i = 0; i < 12; ++i) {
+      const std::string job = "loud" + std::to_string(i);
+      mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
+      mWorld.Pass(Seconds(2));
+      mWorld.End(job + ".0.0.0", EndKind::Done);
+      mWorld.Pass(aPause);
+    }
+  }
 };
 
 // Guards against mixed serving images: each runner takes one of them where
@@ -70,13 +82,7 @@
 TEST(Disturbance, LearnsWhichImageDisturbsWhich)
 {
   Begin();
-  for (int i = 0; i < 12; ++i) {
-    const std::string job = "loud" + std::to_string(i);
-    mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
-    mWorld.Pass(Seconds(2));
-    mWorld.End(job + ".0.0.0", EndKind::Done);
-    mWorld.Pass(Millis(200));
-  }
+  RunTwelveLoudJobs(Millis(200));
   const std::string quiet = mWorld.RunnerOf("second.0.0.0");
   for (int i = 12; i < 16; ++i) {
     const std::string job = "loud" + std::to_string(i);
@@ -243,13 +249,7 @@
 TEST(Disturbance, ANewOwnerKnowsWhatWasLearned)
 {
   Begin();
-  for (int i = 0; i < 12; ++i) {
-    const std::string job = "loud" + std::to_string(i);
-    mWorld.AddJob(MakeJob(job, { LeftoverStep(1, 2000, "loud-image") }));
-    mWorld.Pass(Seconds(2));
-    mWorld.End(job + ".0.0.0", EndKind::Done);
-    mWorld.Pass(Millis(700));
-  }
+  RunTwelveLoudJobs(Millis(700));
   const InterferenceRecord record =
     RecordOf(mWorld.mCore.mInterference, mWorld.mNow);
   mWorld.TakeOver(2);
--- a/Tests/LibDispatch/TestLoadTrack.cpp
+++ b/Tests/LibDispatch/TestLoadTrack.cpp
@@ -35,10 +35,10 @@
     for (Millis passed(0); passed < aTime; passed += kInterval) {
       mNow += kInterval;
       mTrack = Advanced(mTrack, mNow);
-      Correct(
-        mTrack, LoadAt(mNow) - mTrack.mLevel, mTrack.mLevelVariance + kNoise);
-      mTrack.mAt = mNow;
-      mTrack.mObserved = true;
+      Correct(mTrack,
+              LoadAt(mNow) - mTrack.mLevel,
+              mTrack.mLevelVariance + kNoise,
+              mNow);
     }
   }
 };
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -7,6 +7,24 @@
 using namespace paddle;
 using namespace paddle::dispatch;
 
+namespace {
+
+/// Lets four jobs fail one after the other, and cancels them.
+void
+FailFourJobs(DispatchWorld& aWorld)
+{
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "bad" + std::to_string(i);
+    aWorld.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
+    aWorld.Pass(Millis(100));
+    aWorld.End(job + ".0.0.0", EndKind::Failed);
+    aWorld.Pass(Millis(100));
+    CancelJob(aWorld.mCore, job, aWorld.mNow, aWorld.mActions);
+  }
+}
+
+} // namespace
+
 TEST_GROUP(Runners){};
 
 // Guards against renewals that are sent in vain and extend the lease that the
@@ -110,14 +128,7 @@
 {
   DispatchWorld world;
   world.ListRunners(1);
-  for (int i = 0; i < 4; ++i) {
-    const std::string job = "bad" + std::to_string(i);
-    world.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
-    world.Pass(Millis(100));
-    world.End(job + ".0.0.0", EndKind::Failed);
-    world.Pass(Millis(100));
-    CancelJob(world.mCore, job, world.mNow, world.mActions);
-  }
+  FailFourJobs(world);
   CHECK_TRUE(world.mCore.mRunners[0].mOnProbation);
   world.mProgress = 100;
   world.AddJob(MakeJob("lasting", { LastingStep(1, 1000) }));
@@ -178,14 +189,7 @@
   world.ListRunners(1);
   world.AddJob(MakeJob("lasting", { LastingStep(1, 1000) }));
   world.Pass(Millis(500));
-  for (int i = 0; i < 4; ++i) {
-    const std::string job = "bad" + std::to_string(i);
-    world.AddJob(MakeJob(job, { FiniteStep(1, 1000) }));
-    world.Pass(Millis(100));
-    world.End(job + ".0.0.0", EndKind::Failed);
-    world.Pass(Millis(100));
-    CancelJob(world.mCore, job, world.mNow, world.mActions);
-  }
+  FailFourJobs(world);
   CHECK_TRUE(world.mCore.mRunners[0].mOnProbation);
   world.AddJob(MakeJob("first", { FiniteStep(1, 1000) }));
   world.AddJob(MakeJob("second", { FiniteStep(1, 1000) }));
