LibDispatch, LibNode: Log what a new owner waits for after a takeover

Callers saw long-running tasks stopped for up to 18 s after a change of owner.

New lines: earlier_leases, fencing_ended, runner_awaited (by runner: rule, remaining time), runners_awaited, runner_recorded, record_adopted, and held= in step_waits (by task).

--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -602,6 +602,13 @@
     }
     std::string details = "task=" + FormatTaskName(NameOf(ref)) +
                           " waiting=" + std::to_string(step.mWaitingTasks);
+    if (entry.mJob->mInherited && !aDispatcher.mRecovered) {
+      details += " held=" + std::to_string(step.mWaitingTasks) +
+                 " remaining_ms=" +
+                 std::to_string(std::chrono::duration_cast<Millis>(
+                                  aDispatcher.mEarlierLeasesUntil - aNow)
+                                  .count());
+    }
     for (std::size_t i = 0; i < counts.size(); ++i) {
       if (counts[i] > 0) {
         details += " ";
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -174,6 +174,12 @@
         AdoptRun(aDispatcher, index, ref, run.mRun, aNow);
       }
     }
+    Emit(aDispatcher,
+         "record_adopted",
+         nullptr,
+         "runner=" + runner.mSpec.mId +
+           " recorded=" + std::to_string(runs.size()) +
+           " adopted=" + std::to_string(runner.mTasks.size()));
     runner.mSilent = true;
     runner.mSilentSince = aNow;
     runner.mPhase =
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -8,6 +8,8 @@
 
 /// Interval of the log events that say why steps wait.
 constexpr Seconds kExplainInterval{ 2 };
+/// Largest number of awaited runners that are logged one by one at a time.
+constexpr std::size_t kMaxExplainedRunners = 20;
 /// Longest interval between two placement passes over all runners.
 constexpr Millis kPlaceInterval{ 150 };
 
@@ -78,6 +80,48 @@
          " jobs=" + std::to_string(aDispatcher.mJobs.size()));
 }
 
+/// Logs for which runners the dispatcher waits before it starts tasks elsewhere
+/// that may still run there: for how long at most, and by which rule.
+void
+ExplainAwaitedRunners(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::size_t awaited = 0;
+  for (const Runner& runner : aDispatcher.mRunners) {
+    std::string_view rule;
+    MonotonicTime until = runner.mLeasesExpireAt;
+    if (runner.mPhase == RunnerPhase::AwaitingReport && runner.mInherited) {
+      rule = "earlier_owner";
+      until = std::max(until, aDispatcher.mEarlierLeasesUntil);
+    } else if (runner.mPhase == RunnerPhase::Live && runner.mSilent &&
+               !runner.mTasks.empty()) {
+      rule = runner.mClockMs == 0 ? "record" : "own_lease";
+    } else {
+      continue;
+    }
+    if (++awaited > kMaxExplainedRunners) {
+      continue;
+    }
+    Emit(aDispatcher,
+         "runner_awaited",
+         nullptr,
+         "runner=" + runner.mSpec.mId + " rule=" + std::string(rule) +
+           " remaining_ms=" +
+           std::to_string(
+             std::chrono::duration_cast<Millis>(until - aNow).count()) +
+           " tasks=" +
+           (rule == "earlier_owner" ? "any"
+                                    : std::to_string(runner.mTasks.size())) +
+           " listed=" + (runner.mListed ? "1" : "0"));
+  }
+  if (awaited > 0) {
+    Emit(aDispatcher,
+         "runners_awaited",
+         nullptr,
+         "runners=" + std::to_string(awaited) +
+           " recovered=" + (aDispatcher.mRecovered ? "1" : "0"));
+  }
+}
+
 /// Completes the recovery after a takeover as soon as every inherited runner
 /// has answered, or the leases of earlier owners have ended.
 void
@@ -101,12 +145,17 @@
   for (const auto& [id, job] : aDispatcher.mJobs) {
     job->mInherited = false;
   }
+  // Runners whose wait has ended have left the phase AwaitingReport by now.
+  const auto unheard =
+    std::count_if(aDispatcher.mRunners.begin(),
+                  aDispatcher.mRunners.end(),
+                  [](const Runner& aRunner) { return aRunner.mInherited; });
   Emit(aDispatcher,
        "shard_recovered",
        nullptr,
-       "epoch=" + std::to_string(aDispatcher.mEpoch) +
-         " jobs=" + std::to_string(aDispatcher.mJobs.size()) +
-         " unheard=" + std::to_string(awaitingReport));
+       "jobs=" + std::to_string(aDispatcher.mJobs.size()) +
+         " cause=" + (unheard > 0 ? "leases_ended" : "all_answered") +
+         " unheard=" + std::to_string(unheard));
 }
 
 } // namespace
@@ -135,6 +184,7 @@
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
     aDispatcher.mExplainedAt = aNow;
     ExplainWaiting(aDispatcher, aNow);
+    ExplainAwaitedRunners(aDispatcher, aNow);
     EmitCapacity(aDispatcher, aNow);
   }
 }
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -244,6 +244,13 @@
     }
     dispatch::InheritedRunner entry{ runner.mSpec, {} };
     if (dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
+      if (!runner.mRecordStored ||
+          runner.mRecordedRunCount != runner.mTasks.size()) {
+        Log(LogLevel::Info,
+            "runner_recorded",
+            "runner=" + runner.mSpec.mId +
+              " runs=" + std::to_string(runner.mTasks.size()));
+      }
       // From now on the dispatcher starts no task there, so that the record
       // stays complete.
       runner.mRecordStored = true;
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -3,6 +3,8 @@
 #include <LibNode/ShardState.h>
 #include <LibTime/BootClock.h>
 
+#include <algorithm>
+
 namespace paddle {
 
 std::string
@@ -197,6 +199,14 @@
   }
   if (state.mStage == ShardStage::Fencing &&
       (aNow >= state.mFencingEndsAt || state.mRenewals.empty())) {
+    const auto answered = std::count_if(
+      state.mRenewals.begin(),
+      state.mRenewals.end(),
+      [](const RunnerRenewal& aRenewal) { return aRenewal.mAnswered; });
+    state.Log(LogLevel::Notice,
+              "fencing_ended",
+              "answered=" + std::to_string(answered) +
+                " runners=" + std::to_string(state.mRenewals.size()));
     state.mStage = ShardStage::ReadingJobs;
     state.ReadInbox();
   }
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -122,6 +122,17 @@
     }
   }
   mDispatcher.mEarlierLeasesUntil = aNow + leaseWait;
+  const auto recorded = std::count_if(
+    mDispatcher.mRunners.begin(),
+    mDispatcher.mRunners.end(),
+    [](const dispatch::Runner& aRunner) { return aRunner.mRecordStored; });
+  Log(
+    LogLevel::Notice,
+    "earlier_leases",
+    "wait_ms=" + std::to_string(leaseWait.count()) + " rule=" +
+      (mClaim.mEarlierOwnerMayAct ? "shard_and_runner_lease" : "runner_lease") +
+      " runners=" + std::to_string(mDispatcher.mRunners.size()) +
+      " recorded=" + std::to_string(recorded));
   mStage = ShardStage::Fencing;
   mFencingEndsAt = aNow + settings.mFencingTimeout;
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
