--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -140,6 +140,17 @@
     runner.mSpec = spec;
     runner.mListed = true;
   }
+  for (const Runner& runner : aDispatcher.mRunners) {
+    if (!runner.mListed && runner.mUnlistedSince == aNow) {
+      Emit(aDispatcher,
+           "runner_unlisted",
+           nullptr,
+           "runner=" + runner.mSpec.mId +
+             " tasks=" + std::to_string(runner.mTasks.size()) +
+             " silent=" + (runner.mSilent ? "1" : "0") +
+             " recorded=" + (runner.mRecordStored ? "1" : "0"));
+    }
+  }
 }
 
 void
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -278,6 +278,9 @@
 ShardOwner::State::HandleRunnersStored()
 {
   mStoringRunners = false;
+  Log(LogLevel::Info,
+      "runners_stored",
+      "runners=" + std::to_string(mRunnersBeingStored.size()));
   mStoredRunners.clear();
   for (const dispatch::InheritedRunner& entry : mRunnersBeingStored) {
     mStoredRunners.insert(entry.mSpec.mId);
