Meta: Exclude known failures by removing them from the registry

CppUTest 4.0 has no option -xt, so a program with an entry of the form GROUP.NAME printed its usage and failed; of several -xsn options only a test that all of them name is left out. The tests are now removed from the registry before the run, and printed.

--- a/Tests/Support/TestMain.cpp
+++ b/Tests/Support/TestMain.cpp
@@ -1,10 +1,13 @@
+#include <algorithm>
 #include <cstdlib>
+#include <iostream>
 #include <sstream>
 #include <string>
 #include <vector>
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <CppUTest/TestRegistry.h>
 
 namespace {
 
@@ -22,6 +25,31 @@
   return tests;
 }
 
+/// Removes tests from the registry. The options of CppUTest can exclude only
+/// one test.
+/// @param aExcluded names in the form GROUP.NAME, also of other programs' tests
+void
+RemoveTests(TestRegistry& aRegistry, const std::vector<std::string>& aExcluded)
+{
+  std::vector<UtestShell*> tests;
+  while (UtestShell* first = aRegistry.getFirstTest()) {
+    tests.push_back(first);
+    aRegistry.unDoLastAddTest();
+  }
+  // Tests are added at the front.
+  std::reverse(tests.begin(), tests.end());
+  for (UtestShell* test : tests) {
+    const std::string name = std::string(test->getGroup().asCharString()) +
+                             "." + test->getName().asCharString();
+    if (std::find(aExcluded.begin(), aExcluded.end(), name) ==
+        aExcluded.end()) {
+      aRegistry.addTest(test);
+    } else {
+      std::cout << "known failure, not run: " << name << "\n";
+    }
+  }
+}
+
 } // namespace
 
 int
@@ -31,12 +59,6 @@
   // and log4cplus as leaks of the test that uses them first, although they are
   // kept for later tests.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-  const std::vector<std::string> excluded = KnownFailures();
-  std::vector<const char*> arguments(aArguments, aArguments + aCount);
-  for (const std::string& name : excluded) {
-    arguments.push_back("-xt");
-    arguments.push_back(name.c_str());
-  }
-  return CommandLineTestRunner::RunAllTests(static_cast<int>(arguments.size()),
-                                            arguments.data());
+  RemoveTests(*TestRegistry::getCurrentRegistry(), KnownFailures());
+  return CommandLineTestRunner::RunAllTests(aCount, aArguments);
 }
