TestLibDispatch: Meet tasks that wait for a silent runner without cause

After a change of owner, tasks whose only run a runner has shown to the new owner must start again when that run ends, not when the wait for another, silent runner is over.

The simulated runners end runs whose leases are over, so that the tests can count the runs that a task has at the same time.

--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -9,6 +9,20 @@
 /// Step of virtual time.
 constexpr Millis kTimeStep{ 50 };
 
+std::size_t
+RunsOf(const std::map<std::string, DispatchWorld::FakeRunner>& aRunners,
+       const std::string& aTask)
+{
+  std::size_t runs = 0;
+  for (const auto& [id, runner] : aRunners) {
+    runs += static_cast<std::size_t>(std::count_if(
+      runner.mRunning.begin(),
+      runner.mRunning.end(),
+      [&](const DispatchWorld::Run& aRun) { return aRun.mTask == aTask; }));
+  }
+  return runs;
+}
+
 } // namespace
 
 StepSpec
@@ -151,6 +165,9 @@
           continue;
         }
         runner.mRunning.push_back({ FormatTaskName(name), start->mRun });
+        runner.mLeaseEndMs = std::max(runner.mLeaseEndMs, start->mLeaseEndMs);
+        mMostRunsOfATask =
+          std::max(mMostRunsOfATask, RunsOf(mRunners, FormatTaskName(name)));
         HandleStartResult(mDispatcher,
                           start->mRunner,
                           name,
@@ -198,9 +215,9 @@
   std::erase_if(fake.mEnds, [&](const EndEntry& aEnd) {
     return aEnd.mNumber <= plan.mAcknowledgedEnd;
   });
+  fake.mLeaseEndMs = std::max(fake.mLeaseEndMs, plan.mLeaseEndMs);
   RunnerReport report;
-  report.mClockMs =
-    std::chrono::duration_cast<Millis>(mNow.time_since_epoch()).count();
+  report.mClockMs = ClockOf(fake);
   report.mIncarnation = fake.mIncarnation;
   for (const Run& run : fake.mRunning) {
     report.mRunning.push_back(
@@ -226,7 +243,9 @@
 void
 DispatchWorld::Tick()
 {
-  HandleTick(mDispatcher, mNow, 0, mActions);
+  const auto unixTime =
+    std::chrono::duration_cast<Millis>(mNow.time_since_epoch());
+  HandleTick(mDispatcher, mNow, unixTime.count(), mActions);
   PerformOrders();
 }
 
@@ -257,12 +276,86 @@
 {
   for (Millis passed(0); passed < aTime; passed += kTimeStep) {
     mNow += kTimeStep;
+    ExpireLeases();
     Report();
     Tick();
     Commit();
   }
 }
 
+Millis
+DispatchWorld::TimeUntilRunning(const std::string& aTask, Millis aLimit)
+{
+  Millis passed(0);
+  while (!IsRunning(aTask) && passed < aLimit) {
+    AdvanceTime(kTimeStep);
+    passed += kTimeStep;
+  }
+  return passed;
+}
+
+std::int64_t
+DispatchWorld::ClockOf(const FakeRunner& aRunner) const
+{
+  const auto now = std::chrono::duration_cast<Millis>(mNow.time_since_epoch());
+  return static_cast<std::int64_t>(static_cast<double>(now.count()) *
+                                   aRunner.mClockRate);
+}
+
+void
+DispatchWorld::ExpireLeases()
+{
+  for (auto& [id, runner] : mRunners) {
+    if (ClockOf(runner) < runner.mLeaseEndMs) {
+      continue;
+    }
+    for (const Run& run : runner.mRunning) {
+      runner.mEnds.push_back({ runner.mNextEnd++,
+                               *ParseTaskName(run.mTask),
+                               run.mRun,
+                               EndKind::LeaseExpired,
+                               {} });
+    }
+    runner.mRunning.clear();
+  }
+}
+
+void
+DispatchWorld::ExtendLeases(const std::string& aRunner, Millis aLeft)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  runner.mLeaseEndMs = ClockOf(runner) + aLeft.count();
+}
+
+void
+DispatchWorld::Leave(const std::string& aRunner)
+{
+  mRunners.at(aRunner).mRunning.clear();
+  mRunners.at(aRunner).mAnswers = false;
+  std::erase_if(mListed,
+                [&](const RunnerSpec& aSpec) { return aSpec.mId == aRunner; });
+  SetRunners(mDispatcher, mListed, mNow, mActions);
+  PerformOrders();
+}
+
+void
+DispatchWorld::Restart(const std::string& aRunner)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  runner.mRunning.clear();
+  runner.mEnds.clear();
+  runner.mNextEnd = 1;
+  runner.mLeaseEndMs = 0;
+  ++runner.mIncarnation;
+  for (RunnerSpec& spec : mListed) {
+    if (spec.mId == aRunner) {
+      spec.mIncarnation = runner.mIncarnation;
+    }
+  }
+  SetRunners(mDispatcher, mListed, mNow, mActions);
+  PerformOrders();
+}
+
 void
 DispatchWorld::End(const std::string& aTask, EndKind aKind)
 {
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -27,26 +27,44 @@
     std::int64_t mNextEnd = 1;
     std::int64_t mIncarnation = 1;
     bool mAnswers = true; ///< Whether the runner answers any order.
+    /// Rate of the runner's clock. At 0.98, its leases last longer.
+    double mClockRate = 1;
+    /// End of the leases of its runs, on its own clock.
+    std::int64_t mLeaseEndMs = 0;
   };
 
   DispatchWorld();
 
   /// Lists runners r0, r1, ... with 16 cores and 64 GB each, four in a rack.
   void ListRunners(std::size_t aCount);
+  /// Ends the runs of a runner, which answers nothing and is listed no more.
+  void Leave(const std::string& aRunner);
+  /// Replaces the process of a runner, which ends its runs.
+  void Restart(const std::string& aRunner);
+  /// Sets the end of a runner's leases, as if an earlier owner that is cut off
+  /// from the present one had renewed them.
+  void ExtendLeases(const std::string& aRunner, Millis aLeft);
   /// Replaces the dispatcher by that of a later owner, which starts from the
   /// stored progress and records.
   void TakeOver(std::int64_t aEpoch);
 
   /// Accepts a job and runs a placement pass.
   void AddJob(JobSpec aSpec, PriorRuns aPriorRuns = PriorRuns::None);
-  /// Lets time pass in steps of 50 ms. In each step, the runners answer a
-  /// renewal and the changed jobs are stored.
+  /// Lets time pass in steps of 50 ms. In each step, the runners end the runs
+  /// whose leases are over and answer a renewal, and the changed jobs are
+  /// stored.
   void AdvanceTime(Millis aTime);
+  /// Lets time pass until a task runs, or @p aLimit is over.
+  /// @return the time that passed
+  Millis TimeUntilRunning(const std::string& aTask,
+                          Millis aLimit = Seconds(30));
   /// Lets every runner answer a renewal.
   void Report();
   void Report(RunnerIndex aRunner);
   void Tick();
   void Commit(); ///< Stores the changed jobs.
+  /// Ends the runs of all runners whose leases are over.
+  void ExpireLeases();
 
   /// Ends the run of a task on its runner, which reports it with its next
   /// answer.
@@ -54,6 +72,7 @@
   [[nodiscard]] bool IsRunning(const std::string& aTask) const;
   [[nodiscard]] std::string RunnerOf(const std::string& aTask) const;
   [[nodiscard]] std::size_t RunningTasks() const;
+  [[nodiscard]] std::int64_t ClockOf(const FakeRunner& aRunner) const;
 
   /// Carries out the orders in mActions and those that follow from the answers.
   void PerformOrders();
@@ -73,6 +92,9 @@
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0; ///< Number of start orders, lost ones included.
+  /// Largest number of runs that any task had at the same time, after an order
+  /// to start it.
+  std::size_t mMostRunsOfATask = 0;
   /// Progress that runners report for each run.
   std::int32_t mProgressPercent = 50;
   /// Function that returns the load that a runner reports for a run. Without a
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -8,6 +8,72 @@
 using namespace paddle;
 using namespace paddle::dispatch;
 
+namespace {
+
+/// Time within which a task starts that may start at once: a step of the world
+/// to report the end, and the interval of placement passes.
+constexpr Millis kAtOnce{ 200 };
+/// Time that the leases of a runner take at most from its last answer on, with
+/// a step of the world and the interval of placement passes.
+constexpr Millis kOneLease{ 6000 * 103 / 100 + 150 + 200 };
+/// The wait of DispatchWorld for runners that have not answered a new owner.
+constexpr Millis kWait{ 18000 };
+
+/// The runners of the two tasks of a job after a takeover.
+struct Runners
+{
+  std::string mSilent; ///< Of the first task. It does not answer the new owner.
+  std::string mHeard;  ///< Of the second task.
+};
+
+/// Lets an owner start a job of two tasks that don't fit on the same runner,
+/// and a later one take over while the runner of the first does not answer.
+Runners
+TakeOverWithTheFirstSilent(DispatchWorld& aWorld, JobSpec aJob)
+{
+  aWorld.ListRunners(4);
+  aWorld.AddJob(std::move(aJob));
+  aWorld.AdvanceTime(Millis(500));
+  LONGS_EQUAL(2, aWorld.mStarts);
+  Runners runners{ aWorld.RunnerOf("job.0.0.0"), aWorld.RunnerOf("job.0.0.1") };
+  CHECK_TRUE(runners.mSilent != runners.mHeard);
+  aWorld.mRunners[runners.mSilent].mAnswers = false;
+  aWorld.TakeOver(2);
+  aWorld.AdvanceTime(Seconds(1));
+  CHECK_TRUE(runners.mHeard == aWorld.RunnerOf("job.0.0.1"));
+  return runners;
+}
+
+/// Lets the rest of the wait pass and checks that the first task is started
+/// again only then.
+/// @param aWaited time since the latest takeover
+/// @param aStarts number of starts so far
+void
+CheckFirstWaits(DispatchWorld& aWorld, Millis aWaited, std::uint32_t aStarts)
+{
+  aWorld.AdvanceTime(kWait - Millis(200) - aWaited);
+  LONGS_EQUAL(aStarts, aWorld.mStarts);
+  aWorld.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(aStarts + 1, aWorld.mStarts);
+  CHECK_TRUE(aWorld.IsRunning("job.0.0.0"));
+  LONGS_EQUAL(1, aWorld.mMostRunsOfATask);
+}
+
+/// Lets a runner without runs answer no more.
+void
+SilenceAnIdleRunner(DispatchWorld& aWorld)
+{
+  for (auto& [id, runner] : aWorld.mRunners) {
+    if (runner.mRunning.empty()) {
+      runner.mAnswers = false;
+      return;
+    }
+  }
+  FAIL("All runners have runs.");
+}
+
+} // namespace
+
 TEST_GROUP(Takeover){};
 
 // Guards against counting only the failure of the latest run when a new owner
@@ -160,3 +226,262 @@
   LONGS_EQUAL(0, world.mStarts);
   CHECK_TRUE(world.IsRunning("job.0.0.0"));
 }
+
+// Guards against a long-running task that waits for a silent runner although
+// another one has shown it to this owner and then reports that it failed.
+TEST(Takeover, RestartsAShownLongRunningTaskThatFails)
+{
+  DispatchWorld world;
+  TakeOverWithTheFirstSilent(world,
+                             MakeJob("job", { LongRunningStep(2, 9000) }));
+  world.End("job.0.0.1", EndKind::Failed);
+  const Millis waited = world.TimeUntilRunning("job.0.0.1");
+  CHECK_COMPARE(waited.count(), <=, kAtOnce.count());
+  CheckFirstWaits(world, Seconds(1) + waited, 3);
+}
+
+// Guards against a long-running task that waits for a silent runner although
+// its own runner has shown it to this owner before that runner left. Only the
+// lease there has to be waited out.
+TEST(Takeover, RestartsAShownTaskWhoseRunnerLeaves)
+{
+  DispatchWorld world;
+  const Runners runners = TakeOverWithTheFirstSilent(
+    world, MakeJob("job", { LongRunningStep(2, 9000) }));
+  world.Leave(runners.mHeard);
+  const Millis waited = world.TimeUntilRunning("job.0.0.1");
+  CHECK_COMPARE(waited.count(), >=, 6000);
+  CHECK_COMPARE(waited.count(), <=, kOneLease.count());
+  CheckFirstWaits(world, Seconds(1) + waited, 3);
+}
+
+// Guards against a long-running task that waits for a silent runner although
+// its own runner has shown it to this owner and has a new process since.
+TEST(Takeover, RestartsAShownTaskWhoseRunnerRestarts)
+{
+  DispatchWorld world;
+  const Runners runners = TakeOverWithTheFirstSilent(
+    world, MakeJob("job", { LongRunningStep(2, 9000) }));
+  world.Restart(runners.mHeard);
+  const Millis waited = world.TimeUntilRunning("job.0.0.1");
+  CHECK_COMPARE(waited.count(), <=, kAtOnce.count());
+  CheckFirstWaits(world, Seconds(1) + waited, 3);
+}
+
+// Guards against a second owner within the wait that holds back what it has
+// been shown, because the one before has not heard all runners either.
+TEST(Takeover, RestartsAShownTaskUnderTheSecondNextOwner)
+{
+  DispatchWorld world;
+  TakeOverWithTheFirstSilent(world,
+                             MakeJob("job", { LongRunningStep(2, 9000) }));
+  world.AdvanceTime(Seconds(3));
+  world.TakeOver(3);
+  world.AdvanceTime(Seconds(1));
+  world.End("job.0.0.1", EndKind::Failed);
+  const Millis waited = world.TimeUntilRunning("job.0.0.1");
+  CHECK_COMPARE(waited.count(), <=, kAtOnce.count());
+  CheckFirstWaits(world, Seconds(1) + waited, 3);
+}
+
+// Guards against a gang that waits for a silent runner without any member of
+// it, although all members have been shown to this owner.
+TEST(Takeover, RestartsAGangOfWhichAllMembersWereShown)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  StepSpec gang = FiniteStep(2, 9000);
+  gang.mGang = true;
+  world.AddJob(MakeJob("job", { gang }));
+  world.AdvanceTime(Millis(500));
+  SilenceAnIdleRunner(world);
+  world.TakeOver(2);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+  world.End("job.0.0.0", EndKind::Failed);
+  world.End("job.0.0.1", EndKind::GangMemberEnded);
+  const Millis waited = world.TimeUntilRunning("job.0.0.0");
+  CHECK_COMPARE(waited.count(), <=, kAtOnce.count());
+  LONGS_EQUAL(4, world.mStarts);
+}
+
+// Guards against a step that waits for a silent runner although a task of the
+// step before was shown to this owner, so that no earlier owner can have begun
+// it.
+TEST(Takeover, BeginsTheStepAfterAShownTask)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  StepSpec second = FiniteStep(2, 1000);
+  second.mPredecessors = { 0 };
+  StepSpec third = FiniteStep(1, 1000);
+  third.mPredecessors = { 1 };
+  world.AddJob(MakeJob("job", { FiniteStep(2, 1000), second, third }));
+  world.End("job.0.0.0", EndKind::Done);
+  world.AdvanceTime(Millis(500));
+  world.mRunners["r3"].mAnswers = false;
+  world.TakeOver(2);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+  world.End("job.0.0.1", EndKind::Done);
+  const Millis second0 = world.TimeUntilRunning("job.0.1.0");
+  CHECK_COMPARE(second0.count(), <=, kAtOnce.count());
+  LONGS_EQUAL(4, world.mStarts);
+  world.End("job.0.1.0", EndKind::Done);
+  world.End("job.0.1.1", EndKind::Done);
+  const Millis third0 = world.TimeUntilRunning("job.0.2.0");
+  CHECK_COMPARE(third0.count(), <=, kAtOnce.count());
+}
+
+// Guards against starting a step that an earlier owner may have begun on a
+// silent runner, because it had seen the end of the step before, which a runner
+// reports to this owner as well.
+TEST(Takeover, HoldsTheStepAfterATaskThatEndedUnderTheEarlierOwner)
+{
+  DispatchWorld world;
+  world.ListRunners(8);
+  StepSpec second = FiniteStep(1, 1000);
+  second.mPredecessors = { 0 };
+  second.mRequiredLabel = "rack1";
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000), second }));
+  const std::string first = world.RunnerOf("job.0.0.0");
+  world.End("job.0.0.0", EndKind::Done);
+  // The earlier owner begins the second step, but stores no end.
+  world.Report();
+  world.Tick();
+  const std::string silent = world.RunnerOf("job.0.1.0");
+  CHECK_TRUE(!silent.empty() && silent != first);
+  world.mRunners[silent].mAnswers = false;
+  world.ExtendLeases(silent, kWait - Millis(500));
+  world.TakeOver(2);
+  world.AdvanceTime(kWait - Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(3, world.mStarts);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against starting a task again whose failed end a runner reports: the
+// earlier owner may have seen that end as well and may have started the task
+// again on the silent runner.
+TEST(Takeover, HoldsATaskWhoseFailedEndIsReported)
+{
+  for (const bool answersAgain : { false, true }) {
+    DispatchWorld world;
+    world.ListRunners(4);
+    world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+    const std::string first = world.RunnerOf("job.0.0.0");
+    world.End("job.0.0.0", EndKind::Failed);
+    world.Report();
+    world.Tick();
+    const std::string silent = world.RunnerOf("job.0.0.0");
+    CHECK_TRUE(!silent.empty() && silent != first);
+    world.mRunners[silent].mAnswers = false;
+    world.ExtendLeases(silent, kWait - Millis(500));
+    world.TakeOver(2);
+    CHECK_FALSE(world.mRunners[first].mEnds.empty());
+    world.AdvanceTime(kWait - Seconds(1));
+    LONGS_EQUAL(2, world.mStarts);
+    CHECK_TRUE(silent == world.RunnerOf("job.0.0.0"));
+    world.mRunners[silent].mAnswers = answersAgain;
+    world.AdvanceTime(Seconds(5));
+    LONGS_EQUAL(answersAgain ? 2 : 3, world.mStarts);
+    CHECK_TRUE(answersAgain == (silent == world.RunnerOf("job.0.0.0")));
+    LONGS_EQUAL(1, world.mMostRunsOfATask);
+  }
+}
+
+// Guards against starting a gang while a member of its former run may still run
+// on a silent runner.
+TEST(Takeover, HoldsAGangOfWhichAMemberWasNotShown)
+{
+  DispatchWorld world;
+  StepSpec gang = FiniteStep(2, 9000);
+  gang.mGang = true;
+  const Runners runners =
+    TakeOverWithTheFirstSilent(world, MakeJob("job", { gang }));
+  world.ExtendLeases(runners.mSilent, kWait - Millis(1500));
+  world.End("job.0.0.1", EndKind::GangMemberEnded);
+  world.AdvanceTime(kWait - Millis(1200));
+  LONGS_EQUAL(2, world.mStarts);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(4, world.mStarts);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against taking the record of a silent runner for the place of a task:
+// the earlier owner may have started the task again after it wrote the record,
+// on a runner that does not answer either.
+TEST(Takeover, HoldsATaskOfARecordWhileAnotherRunnerIsUnheard)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  const std::string recorded = world.RunnerOf("job.0.0.0");
+  world.mRunners[recorded].mAnswers = false;
+  world.AdvanceTime(Millis(500));
+  world.mRecords[recorded] =
+    PossibleRuns(world.mDispatcher, world.mDispatcher.mRunnerById.at(recorded));
+  LONGS_EQUAL(1, world.mRecords[recorded].size());
+  world.AdvanceTime(Seconds(7));
+  const std::string unheard = world.RunnerOf("job.0.0.0");
+  CHECK_TRUE(!unheard.empty() && unheard != recorded);
+  world.mRunners[unheard].mAnswers = false;
+  world.ExtendLeases(unheard, kWait - Millis(500));
+  world.TakeOver(2);
+  world.AdvanceTime(kWait - Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(3, world.mStarts);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against a second run of a task that goes on running on the silent
+// runner and is shown by it when it answers again, while shown tasks of the
+// same job are restarted.
+TEST(Takeover, NeverRunsATaskTwiceThatASilentRunnerShowsLater)
+{
+  for (const int answersAfter : { 2000, 5000, 11000, 16500 }) {
+    DispatchWorld world;
+    const Runners runners = TakeOverWithTheFirstSilent(
+      world, MakeJob("job", { LongRunningStep(2, 9000) }));
+    world.ExtendLeases(runners.mSilent, kWait - Seconds(1));
+    world.End("job.0.0.1", EndKind::Failed);
+    world.AdvanceTime(Millis(answersAfter));
+    CHECK_TRUE(runners.mSilent == world.RunnerOf("job.0.0.0"));
+    world.mRunners[runners.mSilent].mAnswers = true;
+    world.AdvanceTime(Seconds(20));
+    CHECK_TRUE(runners.mSilent == world.RunnerOf("job.0.0.0"));
+    CHECK_TRUE(world.IsRunning("job.0.0.1"));
+    LONGS_EQUAL(3, world.mStarts);
+    LONGS_EQUAL(1, world.mMostRunsOfATask);
+  }
+}
+
+// Guards against starting an occurrence that is due during the wait: an earlier
+// owner that still acts may have begun it on the silent runner. A task of the
+// occurrence before, shown to this owner, says nothing about it.
+TEST(Takeover, HoldsAnOccurrenceThatBeginsDuringTheWait)
+{
+  DispatchWorld world;
+  JobSpec job = MakeJob("job", { FiniteStep(2, 4000) });
+  job.mOccurrences = 2;
+  job.mFirstDueMs =
+    std::chrono::duration_cast<Millis>(world.mNow.time_since_epoch()).count();
+  job.mIntervalMs = 4000;
+  world.ListRunners(4);
+  world.AddJob(job);
+  world.AdvanceTime(Millis(500));
+  LONGS_EQUAL(2, world.mStarts);
+  SilenceAnIdleRunner(world);
+  world.TakeOver(2);
+  world.AdvanceTime(Seconds(5));
+  LONGS_EQUAL(2,
+              world.mDispatcher.mJobs.find("job")->second->mOccurrencesBegun);
+  world.AdvanceTime(kWait - Seconds(5) - Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(4, world.mStarts);
+  CHECK_TRUE(world.IsRunning("job.1.0.0"));
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
