LibDispatch: Hold single tasks, not jobs, for unheard runners

Cause: after a takeover every job that an earlier owner may have begun was held as a whole until every inherited runner had answered or its lease was over.

A task is now held only while an earlier owner may have started it on a runner that has not answered. A runner that lists a run under the new epoch has fenced the earlier owner, which never starts a task twice; so that run is the only one, and the steps that follow were not begun. Ends that are only reported, members of a gang that were not shown, and records of silent runners, which may be stale, don't release a task.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -84,8 +84,8 @@
   /// Time until which runners that have not answered this owner may still run
   /// tasks of an earlier owner.
   MonotonicTime mEarlierLeasesUntil;
-  /// Whether all runs of earlier owners are known or have ended. Jobs that an
-  /// earlier owner may have begun are placed only from then on.
+  /// Whether all runs of earlier owners are known or have ended. Tasks that an
+  /// earlier owner may have started unseen are placed only from then on.
   bool mRecovered = false;
 
   std::vector<Runner> mRunners;
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -39,6 +39,17 @@
          std::int64_t aRun,
          MonotonicTime aNow);
 
+/// @return whether the task must not be started yet, because a run of an
+///         earlier owner may still be running on a runner that has not answered
+bool
+MayRunUnseen(const Dispatcher& aDispatcher, const Task& aTask);
+
+/// Handles that a runner has shown a run of the task under this owner's epoch.
+/// An earlier owner had then no other run of the task, and had not started any
+/// step that follows.
+void
+MarkSeen(const TaskRef& aTask);
+
 /// Adds a run of a task to a runner and to the resources in use there.
 void
 AssignToRunner(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -79,6 +79,10 @@
   std::optional<MonotonicTime> mOverTargetSince;
   /// Start of the period for which the task has been throttled strongly.
   std::optional<MonotonicTime> mLowPaceSince;
+  /// Whether an earlier owner may have started a run of the task that this
+  /// owner has not seen. Until the recovery after the takeover is complete, the
+  /// task is not started.
+  bool mMayRunUnseen = false;
   /// Runner on which the latest run failed. The task avoids it next time.
   RunnerIndex mFailedOn = kNoRunner;
   std::string mCheckpoint; ///< Latest checkpoint, or empty.
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -40,14 +40,16 @@
          target;
 }
 
-/// @return an occurrence of which no task has run
+/// @return an occurrence of which this owner has started no task
 Occurrence
-MakeOccurrence(Dispatcher& aDispatcher, const JobSpec& aSpec)
+MakeOccurrence(Dispatcher& aDispatcher, const Job& aJob)
 {
+  Task task;
+  task.mMayRunUnseen = aJob.mInherited && !aDispatcher.mRecovered;
   Occurrence occurrence;
-  for (const StepSpec& spec : aSpec.mSteps) {
+  for (const StepSpec& spec : aJob.mSpec.mSteps) {
     Step step;
-    step.mTasks.resize(spec.mTaskCount);
+    step.mTasks.resize(spec.mTaskCount, task);
     step.mWaitingTasks = spec.mTaskCount;
     step.mImageIndex = ImageIndex(aDispatcher.mInterference, spec.mImage);
     occurrence.mSteps.push_back(std::move(step));
@@ -108,6 +110,7 @@
       if (task.mPhase != TaskPhase::Waiting) {
         return false;
       }
+      MarkSeen(ref);
       // A stop order may be under way, so the run counts as being stopped.
       task.mRun = aOrphan.mRun;
       task.mPhase = TaskPhase::Stopping;
@@ -122,6 +125,38 @@
 
 } // namespace
 
+bool
+MayRunUnseen(const Dispatcher& aDispatcher, const Task& aTask)
+{
+  return aTask.mMayRunUnseen && !aDispatcher.mRecovered;
+}
+
+void
+MarkSeen(const TaskRef& aTask)
+{
+  if (!TaskOf(aTask).mMayRunUnseen) {
+    return;
+  }
+  TaskOf(aTask).mMayRunUnseen = false;
+  const std::vector<StepSpec>& specs = aTask.mJob->mSpec.mSteps;
+  std::vector<Step>& steps =
+    aTask.mJob->mOccurrences.at(aTask.mOccurrence).mSteps;
+  // Predecessors have lower numbers, so one pass finds all that follow.
+  std::vector<bool> follows(specs.size(), false);
+  follows[aTask.mStep] = true;
+  for (std::size_t i = aTask.mStep + 1; i < specs.size(); ++i) {
+    follows[i] =
+      std::any_of(specs[i].mPredecessors.begin(),
+                  specs[i].mPredecessors.end(),
+                  [&](std::uint32_t aBefore) { return follows[aBefore]; });
+    if (follows[i]) {
+      for (Task& task : steps[i].mTasks) {
+        task.mMayRunUnseen = false;
+      }
+    }
+  }
+}
+
 Millis
 RemainingCriticalPath(const Job& aJob,
                       std::uint32_t aOccurrence,
@@ -249,7 +284,7 @@
       return;
     }
     const std::uint32_t number = aJob.mOccurrencesBegun++;
-    Occurrence occurrence = MakeOccurrence(aDispatcher, aJob.mSpec);
+    Occurrence occurrence = MakeOccurrence(aDispatcher, aJob);
     const bool timed = aJob.mSpec.mOccurrences > 0;
     occurrence.mSoftDeadline =
       SoftDeadlineOf(aDispatcher, aJob, timed ? aNow : aJob.mAcceptedAt);
@@ -285,7 +320,7 @@
     job.mOccurrencesBegun = aProgress->mOccurrencesBegun;
     job.mOccurrencesDone = aProgress->mOccurrencesDone;
     for (const auto& [number, steps] : aProgress->mOccurrences) {
-      Occurrence occurrence = MakeOccurrence(aDispatcher, job.mSpec);
+      Occurrence occurrence = MakeOccurrence(aDispatcher, job);
       occurrence.mSoftDeadline = SoftDeadlineOf(aDispatcher, job, aAcceptedAt);
       ApplyProgress(occurrence, steps);
       job.mOccurrences.emplace(number, std::move(occurrence));
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -405,6 +405,12 @@
     // Some members of the former run have not ended yet.
     return false;
   }
+  if (std::any_of(
+        step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
+          return MayRunUnseen(aDispatcher, aTask);
+        })) {
+    return false;
+  }
   std::string checkpoint;
   for (const Task& task : step.mTasks) {
     if (!task.mCheckpoint.empty()) {
@@ -529,7 +535,7 @@
     }
     Job& job = *entry.mJob;
     const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
-    if (queue == nullptr || (job.mInherited && !aDispatcher.mRecovered)) {
+    if (queue == nullptr) {
       continue;
     }
     const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
@@ -546,7 +552,8 @@
       for (std::uint32_t i = 0;
            i < step.mTasks.size() && step.mWaitingTasks > 0;
            ++i) {
-        if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
+        if (step.mTasks[i].mPhase != TaskPhase::Waiting ||
+            MayRunUnseen(aDispatcher, step.mTasks[i])) {
           continue;
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
@@ -602,9 +609,13 @@
     }
     std::string details = "task=" + FormatTaskName(NameOf(ref)) +
                           " waiting=" + std::to_string(step.mWaitingTasks);
-    if (entry.mJob->mInherited && !aDispatcher.mRecovered) {
-      details += " held=" + std::to_string(step.mWaitingTasks) +
-                 " remaining_ms=" +
+    const auto held = std::count_if(
+      step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
+        return aTask.mPhase == TaskPhase::Waiting &&
+               MayRunUnseen(aDispatcher, aTask);
+      });
+    if (held > 0) {
+      details += " held=" + std::to_string(held) + " remaining_ms=" +
                  std::to_string(std::chrono::duration_cast<Millis>(
                                   aDispatcher.mEarlierLeasesUntil - aNow)
                                   .count());
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -237,9 +237,11 @@
         EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, none);
       }
       if (AdoptRun(aDispatcher, aRunner, ref, aEntry.mRun, aNow)) {
+        MarkSeen(ref);
         return;
       }
     } else {
+      MarkSeen(ref);
       if (task.mPhase == TaskPhase::Starting) {
         MarkStarted(aDispatcher, ref, aNow);
       }
