LibNode: Simulate runner leases, cuts and frozen nodes in tests

Fake runners now hold leases on their own clocks, which may be slow, have incarnations and reject old runs. Paths between nodes and runners can be cut or late, nodes can be frozen, killed or cut from the store, and a history of runs shows tasks that ran twice.

--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -1,25 +1,150 @@
 #include "ClusterSimulation.h"
 
 #include <algorithm>
+#include <type_traits>
+#include <utility>
 
 namespace paddle {
 
 namespace {
 
 constexpr Millis kTimeStep{ 25 };
-constexpr std::size_t kRunnerCount = 4;
+/// Resolution of the messages between nodes and runners.
+constexpr Millis kMessageStep{ 5 };
+/// Time that an order takes to a runner, and its answer back.
+constexpr Millis kLatency{ 5 };
+constexpr Millis kMaxLease{ 6000 };
+/// Time after which the caller gives up an order that got no answer. A renewal
+/// has its long poll in addition.
+constexpr Millis kOrderTimeout{ 900 };
+constexpr Millis kRenewalTimeout{ 700 };
+/// Time after which a caller gives up a read of the store.
+constexpr Millis kReadTimeout{ 1500 };
 
 } // namespace
 
-ClusterSimulation::ClusterSimulation()
+ClusterSimulation::ClusterSimulation(std::size_t aRunners)
 {
-  for (std::size_t i = 0; i < kRunnerCount; ++i) {
+  for (std::size_t i = 0; i < aRunners; ++i) {
     mRunners["r" + std::to_string(i)] = {};
   }
+  mStore.mClock = [this] {
+    return std::chrono::duration_cast<Millis>(mNow.time_since_epoch()).count();
+  };
+}
+
+void
+ClusterSimulation::Deliver(const Caller& aCaller,
+                           std::function<void()> aHandler)
+{
+  SimulatedNode& node = mNodes.at(aCaller.mNode);
+  if (!node.mNode || node.mProcess != aCaller.mProcess) {
+    return;
+  }
+  if (node.mFrozen) {
+    node.mPendingAnswers.push_back(std::move(aHandler));
+    return;
+  }
+  aHandler();
+}
+
+bool
+ClusterSimulation::IsCutFromStore(const Caller& aCaller) const
+{
+  return mNodes.at(aCaller.mNode).mCutFromStore;
+}
+
+ClusterSimulation::Path
+ClusterSimulation::PathTo(const Caller& aCaller,
+                          const std::string& aRunner) const
+{
+  Path worst;
+  for (const auto& [key, path] : mPaths) {
+    const bool applies = (key.first == kAll || key.first == aCaller.mNode) &&
+                         (key.second == kAll || key.second == aRunner);
+    if (applies) {
+      worst.mCut = worst.mCut || path.mCut;
+      worst.mLateness = std::max(worst.mLateness, path.mLateness);
+    }
+  }
+  return worst;
+}
+
+StorePort
+ClusterSimulation::MakeStorePort(const Caller& aCaller)
+{
+  StorePort port;
+  const StorePort store = mStore.Port();
+  port.mTransact = [this, aCaller, store](const StoreTransaction& aTransaction,
+                                          Millis aTimeout,
+                                          const TransactionHandler& aDone) {
+    const auto giveUp = [this, aCaller, aTimeout, aDone] {
+      mDeadlines.Add(mNow + aTimeout, [this, aCaller, aDone] {
+        Deliver(aCaller, [aDone] { aDone({}); });
+      });
+    };
+    if (IsCutFromStore(aCaller)) {
+      giveUp();
+      return;
+    }
+    store.mTransact(
+      aTransaction,
+      aTimeout,
+      [this, aCaller, aDone, giveUp](const TransactionOutcome& aOutcome) {
+        if (IsCutFromStore(aCaller)) {
+          giveUp();
+          return;
+        }
+        Deliver(aCaller, [aDone, aOutcome] { aDone(aOutcome); });
+      });
+  };
+  // Answers a read, or lets it fail later if the node is cut off by then.
+  const auto answer = [this, aCaller](const ReadHandler& aDone,
+                                      const ReadOutcome& aOutcome) {
+    if (!IsCutFromStore(aCaller)) {
+      Deliver(aCaller, [aDone, aOutcome] { aDone(aOutcome); });
+      return;
+    }
+    mDeadlines.Add(mNow + kReadTimeout, [this, aCaller, aDone] {
+      Deliver(aCaller, [aDone] { aDone({}); });
+    });
+  };
+  port.mRead = [this, aCaller, store, answer](const std::string& aTable,
+                                              const std::string& aPartition,
+                                              const std::string& aFrom,
+                                              const std::string& aTo,
+                                              const ReadHandler& aDone) {
+    if (IsCutFromStore(aCaller)) {
+      answer(aDone, {});
+      return;
+    }
+    store.mRead(aTable,
+                aPartition,
+                aFrom,
+                aTo,
+                [aDone, answer](const ReadOutcome& aOutcome) {
+                  answer(aDone, aOutcome);
+                });
+  };
+  port.mWaitForChanges =
+    [this, aCaller, store, answer](const std::string& aTable,
+                                   std::int64_t aAfter,
+                                   Millis aWait,
+                                   const ReadHandler& aDone) {
+      if (IsCutFromStore(aCaller)) {
+        answer(aDone, {});
+        return;
+      }
+      store.mWaitForChanges(
+        aTable, aAfter, aWait, [aDone, answer](const ReadOutcome& aOutcome) {
+          answer(aDone, aOutcome);
+        });
+    };
+  return port;
 }
 
 DirectoryPort
-ClusterSimulation::MakeDirectoryPort()
+ClusterSimulation::MakeDirectoryPort(const Caller& aCaller)
 {
   DirectoryPort port;
   port.mReadOperatorState =
@@ -35,17 +160,28 @@
       aDone(std::move(state));
     };
   port.mReadRunners =
-    [this](const std::function<void(
-             std::optional<std::vector<dispatch::RunnerSpec>>)>& aDone) {
+    [this,
+     aCaller](const std::function<void(
+                std::optional<std::vector<dispatch::RunnerSpec>>)>& aDone) {
+      if (mStore.mRefuses || IsCutFromStore(aCaller)) {
+        mDeadlines.Add(mNow + kReadTimeout, [this, aCaller, aDone] {
+          Deliver(aCaller, [aDone] { aDone({}); });
+        });
+        return;
+      }
       std::vector<dispatch::RunnerSpec> runners;
       for (const auto& [id, runner] : mRunners) {
+        if (!runner.mListed) {
+          continue;
+        }
         dispatch::RunnerSpec spec;
         spec.mId = id;
         spec.mAddress = id;
         spec.mService = "service";
         spec.mDataCentre = "zone";
         spec.mCapacity = { 16000, 64000, 0 };
-        spec.mIncarnation = 1;
+        spec.mIncarnation = runner.mIncarnation;
+        spec.mDraining = runner.mDraining;
         runners.push_back(spec);
       }
       aDone(std::move(runners));
@@ -53,93 +189,300 @@
   return port;
 }
 
+template<typename Result>
+void
+ClusterSimulation::SendOrder(
+  const Caller& aCaller,
+  const std::string& aRunner,
+  Millis aTimeout,
+  const std::function<void(FakeRunner&, std::function<void(Result)>)>&
+    aCarryOut,
+  const std::function<void(Result)>& aDone)
+{
+  auto answered = std::make_shared<bool>(false);
+  // NOTE: A value-initialized result says that there was no answer, see
+  // RenewalOutcome; RunnerResult has no such value.
+  const auto noAnswer = [] {
+    if constexpr (std::is_same_v<Result, RunnerResult>) {
+      return RunnerResult::Unknown;
+    } else {
+      return Result{};
+    }
+  };
+  mDeadlines.Add(mNow + aTimeout, [this, aCaller, aDone, answered, noAnswer] {
+    if (!std::exchange(*answered, true)) {
+      Deliver(aCaller, [aDone, noAnswer] { aDone(noAnswer()); });
+    }
+  });
+  const Path path = PathTo(aCaller, aRunner);
+  if (path.mCut) {
+    return;
+  }
+  const bool late = path.mLateness > Millis(0);
+  const auto answer =
+    [this, aCaller, aRunner, aDone, answered, late](Result aResult) {
+      mDeadlines.Add(mNow + kLatency,
+                     [this, aCaller, aRunner, aDone, answered, late, aResult] {
+                       if (late || PathTo(aCaller, aRunner).mCut ||
+                           std::exchange(*answered, true)) {
+                         return;
+                       }
+                       Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
+                     });
+    };
+  mDeadlines.Add(mNow + (late ? path.mLateness : kLatency),
+                 [this, aCaller, aRunner, aCarryOut, answer, late] {
+                   const auto runner = mRunners.find(aRunner);
+                   // A late order is past the cut already.
+                   const bool cut = !late && PathTo(aCaller, aRunner).mCut;
+                   if (runner != mRunners.end() && runner->second.mUp && !cut) {
+                     aCarryOut(runner->second, answer);
+                   }
+                 });
+}
+
 RunnerPort
-ClusterSimulation::MakeRunnerPort()
+ClusterSimulation::MakeRunnerPort(const Caller& aCaller)
 {
   RunnerPort port;
-  port.mRenew = [this](const RunnerTarget& aTarget,
-                       const RenewalOrder& aOrder,
-                       const std::function<void(RenewalOutcome)>& aDone) {
-    // The answer must come after the call has returned.
-    mDeadlines.Add(mNow, [this, id = aTarget.mId, aOrder, aDone] {
-      FakeRunner& runner = mRunners[id];
-      RenewalOutcome outcome;
-      if (aOrder.mFencingToken < runner.mFencingToken) {
-        outcome.mResult = RunnerResult::Fenced;
-        aDone(outcome);
-        return;
-      }
-      runner.mFencingToken = aOrder.mFencingToken;
-      std::erase_if(runner.mEnds, [&](const dispatch::EndEntry& aEnd) {
-        return aEnd.mNumber <= aOrder.mAcknowledgedEnd;
-      });
-      outcome.mResult = RunnerResult::Done;
-      outcome.mReport.mClockMs =
-        std::chrono::duration_cast<Millis>(mNow.time_since_epoch()).count();
-      outcome.mReport.mIncarnation = 1;
-      outcome.mReport.mEnds = runner.mEnds;
-      for (const FakeRun& run : runner.mRunning) {
-        outcome.mReport.mRunning.push_back(
-          { *dispatch::ParseTaskName(run.mTask), run.mRun, {}, 50, 0 });
-      }
-      aDone(outcome);
-    });
+  port.mRenew = [this,
+                 aCaller](const RunnerTarget& aTarget,
+                          const RenewalOrder& aOrder,
+                          const std::function<void(RenewalOutcome)>& aDone) {
+    SendOrder<RenewalOutcome>(
+      aCaller,
+      aTarget.mId,
+      aOrder.mLongPollTimeout + kRenewalTimeout,
+      [this, id = aTarget.mId, aOrder](
+        FakeRunner&, const std::function<void(RenewalOutcome)>& aAnswer) {
+        CarryOutRenewal(id, aOrder, aAnswer);
+      },
+      aDone);
   };
-  port.mStart = [this](const RunnerTarget& aTarget,
-                       const StartOrder& aOrder,
-                       const std::function<void(RunnerResult)>& aDone) {
-    mDeadlines.Add(mNow, [this, id = aTarget.mId, aOrder, aDone] {
-      FakeRunner& runner = mRunners[id];
-      if (aOrder.mFencingToken < runner.mFencingToken) {
-        aDone(RunnerResult::Fenced);
-        return;
-      }
-      ++mStarts;
-      runner.mRunning.push_back({ aOrder.mTask, aOrder.mRun });
-      aDone(RunnerResult::Done);
-    });
+  port.mStart = [this,
+                 aCaller](const RunnerTarget& aTarget,
+                          const StartOrder& aOrder,
+                          const std::function<void(RunnerResult)>& aDone) {
+    SendOrder<RunnerResult>(
+      aCaller,
+      aTarget.mId,
+      kOrderTimeout,
+      [this, id = aTarget.mId, aOrder](
+        FakeRunner&, const std::function<void(RunnerResult)>& aAnswer) {
+        aAnswer(CarryOutStart(id, aOrder));
+      },
+      aDone);
   };
-  port.mStop = [this](const RunnerTarget& aTarget,
-                      const RunChangeOrder& aOrder,
-                      const std::function<void(RunnerResult)>& aDone) {
-    mDeadlines.Add(mNow, [this, id = aTarget.mId, aOrder, aDone] {
-      FakeRunner& runner = mRunners[id];
-      const auto run = std::find_if(
-        runner.mRunning.begin(),
-        runner.mRunning.end(),
-        [&](const FakeRun& aRun) { return aRun.mTask == aOrder.mTask; });
-      if (run != runner.mRunning.end()) {
-        runner.mRunning.erase(run);
-        runner.mEnds.push_back({ runner.mNextEnd++,
-                                 *dispatch::ParseTaskName(aOrder.mTask),
-                                 aOrder.mRun,
-                                 dispatch::EndKind::Stopped,
-                                 {} });
-      }
-      aDone(RunnerResult::Done);
-    });
+  port.mStop = [this, aCaller](const RunnerTarget& aTarget,
+                               const RunChangeOrder& aOrder,
+                               const std::function<void(RunnerResult)>& aDone) {
+    SendOrder<RunnerResult>(
+      aCaller,
+      aTarget.mId,
+      kOrderTimeout,
+      [this, id = aTarget.mId, aOrder](
+        FakeRunner&, const std::function<void(RunnerResult)>& aAnswer) {
+        aAnswer(CarryOutStop(id, aOrder));
+      },
+      aDone);
   };
-  port.mSetPace = [](const RunnerTarget&,
-                     const RunChangeOrder&,
-                     const std::function<void(RunnerResult)>& aDone) {
-    aDone(RunnerResult::Done);
+  port.mSetPace = [this,
+                   aCaller](const RunnerTarget& aTarget,
+                            const RunChangeOrder& aOrder,
+                            const std::function<void(RunnerResult)>& aDone) {
+    SendOrder<RunnerResult>(
+      aCaller,
+      aTarget.mId,
+      kOrderTimeout,
+      [aOrder](FakeRunner& aRunner,
+               const std::function<void(RunnerResult)>& aAnswer) {
+        const bool fenced = aOrder.mFencingToken < aRunner.mFencingToken;
+        aAnswer(fenced ? RunnerResult::Fenced : RunnerResult::Done);
+      },
+      aDone);
   };
   return port;
 }
 
+std::int64_t
+ClusterSimulation::ClockOf(const FakeRunner& aRunner) const
+{
+  const auto up = std::chrono::duration_cast<Millis>(mNow - aRunner.mStartedAt);
+  return static_cast<std::int64_t>(static_cast<double>(up.count()) *
+                                   aRunner.mClockRate);
+}
+
+void
+ClusterSimulation::ExtendLease(FakeRunner& aRunner,
+                               std::int64_t aLeaseEndMs) const
+{
+  aRunner.mLeaseEndMs =
+    std::max(aRunner.mLeaseEndMs,
+             std::min(aLeaseEndMs, ClockOf(aRunner) + kMaxLease.count()));
+}
+
+void
+ClusterSimulation::CarryOutRenewal(
+  const std::string& aRunner,
+  const RenewalOrder& aOrder,
+  const std::function<void(const RenewalOutcome&)>& aAnswer)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  if (aOrder.mFencingToken < runner.mFencingToken) {
+    RenewalOutcome outcome;
+    outcome.mResult = RunnerResult::Fenced;
+    aAnswer(outcome);
+    return;
+  }
+  runner.mFencingToken = aOrder.mFencingToken;
+  ExtendLease(runner, aOrder.mLeaseEndMs);
+  std::erase_if(runner.mEnds, [&](const dispatch::EndEntry& aEnd) {
+    return aEnd.mNumber <= aOrder.mAcknowledgedEnd;
+  });
+  // Answers once: when a run ends, or when the long poll is over.
+  const auto answer = [this,
+                       aRunner,
+                       aAnswer,
+                       incarnation = runner.mIncarnation,
+                       answered = std::make_shared<bool>(false)] {
+    const FakeRunner& current = mRunners.at(aRunner);
+    const bool sameProcess = current.mUp && current.mIncarnation == incarnation;
+    if (!sameProcess || std::exchange(*answered, true)) {
+      return;
+    }
+    RenewalOutcome outcome;
+    outcome.mResult = RunnerResult::Done;
+    outcome.mReport.mClockMs = ClockOf(current);
+    outcome.mReport.mIncarnation = current.mIncarnation;
+    outcome.mReport.mEnds = current.mEnds;
+    for (const FakeRun& run : current.mRunning) {
+      outcome.mReport.mRunning.push_back(
+        { *dispatch::ParseTaskName(run.mTask), run.mRun, {}, 50, 0 });
+    }
+    aAnswer(outcome);
+  };
+  const bool waits = aOrder.mLongPollTimeout > Millis(0) &&
+                     runner.mEnds.empty() && !runner.mRunning.empty();
+  if (!waits) {
+    answer();
+    return;
+  }
+  runner.mLongPolls.emplace_back(answer);
+  mDeadlines.Add(mNow + aOrder.mLongPollTimeout, answer);
+}
+
+RunnerResult
+ClusterSimulation::CarryOutStart(const std::string& aRunner,
+                                 const StartOrder& aOrder)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  if (aOrder.mFencingToken < runner.mFencingToken) {
+    return RunnerResult::Fenced;
+  }
+  runner.mFencingToken = aOrder.mFencingToken;
+  ExtendLease(runner, aOrder.mLeaseEndMs);
+  if (aOrder.mLeaseEndMs <= ClockOf(runner)) {
+    return RunnerResult::LeaseAlreadyEnded;
+  }
+  const bool running = std::any_of(
+    runner.mRunning.begin(), runner.mRunning.end(), [&](const FakeRun& aRun) {
+      return aRun.mTask == aOrder.mTask && aRun.mRun == aOrder.mRun;
+    });
+  if (running) {
+    return RunnerResult::Done;
+  }
+  const auto ended = runner.mHighestEndedRun.find(aOrder.mTask);
+  if (ended != runner.mHighestEndedRun.end() && aOrder.mRun <= ended->second) {
+    return RunnerResult::OldRunNumber;
+  }
+  ++mStarts;
+  runner.mRunning.push_back({ aOrder.mTask, aOrder.mRun });
+  mHistory[aOrder.mTask].push_back({ aRunner, aOrder.mRun, mNow, {} });
+  return RunnerResult::Done;
+}
+
+RunnerResult
+ClusterSimulation::CarryOutStop(const std::string& aRunner,
+                                const RunChangeOrder& aOrder)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  if (aOrder.mFencingToken < runner.mFencingToken) {
+    return RunnerResult::Fenced;
+  }
+  runner.mFencingToken = aOrder.mFencingToken;
+  std::int64_t& highest = runner.mHighestEndedRun[aOrder.mTask];
+  highest = std::max(highest, aOrder.mRun);
+  for (const FakeRun& run : std::vector<FakeRun>(runner.mRunning)) {
+    if (run.mTask == aOrder.mTask && run.mRun == aOrder.mRun) {
+      EndRunAt(aRunner, run, dispatch::EndKind::Stopped);
+    }
+  }
+  return RunnerResult::Done;
+}
+
+void
+ClusterSimulation::RecordEnd(const std::string& aRunner, const FakeRun& aRun)
+{
+  for (RunRecord& record : mHistory[aRun.mTask]) {
+    if (record.mRunner == aRunner && record.mRun == aRun.mRun && !record.mTo) {
+      record.mTo = mNow;
+    }
+  }
+}
+
+void
+ClusterSimulation::EndRunAt(const std::string& aRunner,
+                            const FakeRun& aRun,
+                            dispatch::EndKind aKind)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  const FakeRun run = aRun; // The parameter may be an entry of mRunning.
+  std::erase_if(runner.mRunning, [&](const FakeRun& aOther) {
+    return aOther.mTask == run.mTask && aOther.mRun == run.mRun;
+  });
+  std::int64_t& highest = runner.mHighestEndedRun[run.mTask];
+  highest = std::max(highest, run.mRun);
+  runner.mEnds.push_back({ runner.mNextEnd++,
+                           *dispatch::ParseTaskName(run.mTask),
+                           run.mRun,
+                           aKind,
+                           {} });
+  RecordEnd(aRunner, run);
+  for (const std::function<void()>& answer :
+       std::exchange(runner.mLongPolls, {})) {
+    answer();
+  }
+}
+
+void
+ClusterSimulation::ExpireLeases()
+{
+  for (auto& [id, runner] : mRunners) {
+    if (runner.mRunning.empty() || ClockOf(runner) < runner.mLeaseEndMs) {
+      continue;
+    }
+    for (const FakeRun& run : std::vector<FakeRun>(runner.mRunning)) {
+      EndRunAt(id, run, dispatch::EndKind::LeaseExpired);
+    }
+  }
+}
+
 void
 ClusterSimulation::StartNode(const std::string& aName)
 {
   KillNode(aName);
   SimulatedNode& node = mNodes[aName];
+  node.mProcess = mNextProcess++;
+  const Caller caller{ aName, node.mProcess };
+  node.mContext = {};
   node.mContext.mSelf.mName = aName;
   node.mContext.mSelf.mIncarnation = mNextIncarnation++;
   node.mContext.mSelf.mMilliCores = 100;
   node.mContext.mPartitions = mPartitions;
-  node.mContext.mStore = mStore.Port();
-  node.mContext.mRunners = MakeRunnerPort();
-  node.mContext.mDirectory = MakeDirectoryPort();
-  node.mContext.mDeadlines = &mDeadlines;
+  node.mContext.mStore = MakeStorePort(caller);
+  node.mContext.mRunners = MakeRunnerPort(caller);
+  node.mContext.mDirectory = MakeDirectoryPort(caller);
+  node.mContext.mDeadlines = &node.mDeadlines;
   node.mContext.mLog = &mLog;
   node.mContext.mMetrics = &mMetrics;
   node.mContext.mClock = [this] { return mNow; };
@@ -151,19 +494,103 @@
 ClusterSimulation::KillNode(const std::string& aName)
 {
   const auto found = mNodes.find(aName);
-  if (found != mNodes.end()) {
-    found->second.mNode.reset();
+  if (found == mNodes.end()) {
+    return;
+  }
+  SimulatedNode& node = found->second;
+  node.mNode.reset();
+  node.mFrozen = false;
+  node.mPendingAnswers.clear();
+  node.mDeadlines = {};
+}
+
+void
+ClusterSimulation::FreezeNode(const std::string& aName)
+{
+  mNodes.at(aName).mFrozen = true;
+}
+
+void
+ClusterSimulation::WakeNode(const std::string& aName, OnWaking aOrder)
+{
+  SimulatedNode& node = mNodes.at(aName);
+  if (!std::exchange(node.mFrozen, false) || !node.mNode) {
+    return;
+  }
+  if (aOrder == OnWaking::TickFirst) {
+    node.mDeadlines.Expire(mNow);
+    node.mNode->Tick(mNow);
+  }
+  for (const std::function<void()>& answer :
+       std::exchange(node.mPendingAnswers, {})) {
+    answer();
+  }
+}
+
+void
+ClusterSimulation::CutFromStore(const std::string& aName, bool aCut)
+{
+  mNodes.at(aName).mCutFromStore = aCut;
+}
+
+void
+ClusterSimulation::SetPath(const std::string& aNode,
+                           const std::string& aRunner,
+                           const Path& aPath)
+{
+  mPaths[{ aNode, aRunner }] = aPath;
+}
+
+void
+ClusterSimulation::RemoveRunner(const std::string& aRunner, Millis aListedFor)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  for (const FakeRun& run : std::exchange(runner.mRunning, {})) {
+    RecordEnd(aRunner, run);
   }
+  runner.mLongPolls.clear();
+  runner.mUp = false;
+  if (aListedFor == Millis(0)) {
+    runner.mListed = false;
+    return;
+  }
+  mDeadlines.Add(mNow + aListedFor,
+                 [this, aRunner, incarnation = runner.mIncarnation] {
+                   FakeRunner& current = mRunners.at(aRunner);
+                   if (current.mIncarnation == incarnation) {
+                     current.mListed = false;
+                   }
+                 });
+}
+
+void
+ClusterSimulation::RestartRunner(const std::string& aRunner)
+{
+  RemoveRunner(aRunner, Millis(0));
+  FakeRunner& runner = mRunners.at(aRunner);
+  FakeRunner next;
+  next.mIncarnation = runner.mIncarnation + 1;
+  next.mStartedAt = mNow;
+  next.mClockRate = runner.mClockRate;
+  runner = std::move(next);
 }
 
 void
 ClusterSimulation::AdvanceTime(Millis aTime)
 {
   for (Millis passed(0); passed < aTime; passed += kTimeStep) {
-    mNow += kTimeStep;
-    mDeadlines.Expire(mNow);
+    for (Millis part(0); part < kTimeStep; part += kMessageStep) {
+      mNow += kMessageStep;
+      mDeadlines.Expire(mNow);
+      ExpireLeases();
+      for (auto& [name, node] : mNodes) {
+        if (!node.mFrozen) {
+          node.mDeadlines.Expire(mNow);
+        }
+      }
+    }
     for (auto& [name, node] : mNodes) {
-      if (node.mNode) {
+      if (node.mNode && !node.mFrozen) {
         node.mNode->Tick(mNow);
       }
     }
@@ -171,16 +598,33 @@
   }
 }
 
+std::string
+ClusterSimulation::AwaitOwner(std::int64_t aAtLeastEpoch, Millis aTimeout)
+{
+  for (Millis passed(0); passed < aTimeout; passed += kTimeStep) {
+    const ShardRow row = Shard();
+    if (row.mEpoch >= aAtLeastEpoch && !row.mOwner.empty()) {
+      return row.mOwner;
+    }
+    AdvanceTime(kTimeStep);
+  }
+  return {};
+}
+
 ClientAnswer
-ClusterSimulation::Submit(const std::string& aNode, const std::string& aJob)
+ClusterSimulation::Submit(const std::string& aNode,
+                          const std::string& aJob,
+                          dispatch::StepKind aKind,
+                          std::uint32_t aTasks)
 {
   dispatch::JobSpec job;
   job.mId = aJob;
   job.mQueue = "queue";
   dispatch::StepSpec step;
-  step.mTaskCount = 1;
+  step.mTaskCount = aTasks;
   step.mDemand = { 1000, 1000, 0 };
   step.mEstimatedDuration = Millis(800);
+  step.mKind = aKind;
   job.mSteps.push_back(step);
   ClientAnswer answer = ClientAnswer::Unavailable;
   mNodes.at(aNode).mNode->FrontEnd().Submit(
@@ -203,18 +647,11 @@
 ClusterSimulation::EndRun(const std::string& aTask, dispatch::EndKind aKind)
 {
   for (auto& [id, runner] : mRunners) {
-    const auto run =
-      std::find_if(runner.mRunning.begin(),
-                   runner.mRunning.end(),
-                   [&](const FakeRun& aRun) { return aRun.mTask == aTask; });
-    if (run != runner.mRunning.end()) {
-      runner.mEnds.push_back({ runner.mNextEnd++,
-                               *dispatch::ParseTaskName(aTask),
-                               run->mRun,
-                               aKind,
-                               {} });
-      runner.mRunning.erase(run);
-      return;
+    for (const FakeRun& run : runner.mRunning) {
+      if (run.mTask == aTask) {
+        EndRunAt(id, run, aKind);
+        return;
+      }
     }
   }
 }
@@ -232,4 +669,81 @@
   return running;
 }
 
+std::string
+ClusterSimulation::RunnerOf(const std::string& aTask) const
+{
+  for (const auto& [id, runner] : mRunners) {
+    for (const FakeRun& run : runner.mRunning) {
+      if (run.mTask == aTask) {
+        return id;
+      }
+    }
+  }
+  return {};
+}
+
+std::optional<MonotonicTime>
+ClusterSimulation::StartedAfter(const std::string& aTask,
+                                MonotonicTime aTime) const
+{
+  const auto records = mHistory.find(aTask);
+  if (records == mHistory.end()) {
+    return {};
+  }
+  for (const RunRecord& record : records->second) {
+    if (record.mFrom > aTime) {
+      return record.mFrom;
+    }
+  }
+  return {};
+}
+
+std::string
+ClusterSimulation::Overlap() const
+{
+  for (const auto& [task, records] : mHistory) {
+    for (std::size_t i = 1; i < records.size(); ++i) {
+      for (std::size_t j = 0; j < i; ++j) {
+        // The records are in the order of their beginnings.
+        if (!records[j].mTo || *records[j].mTo > records[i].mFrom) {
+          return HistoryOf(task);
+        }
+      }
+    }
+  }
+  return {};
+}
+
+std::string
+ClusterSimulation::HistoryOf(const std::string& aTask) const
+{
+  std::string text = aTask + ":";
+  const auto records = mHistory.find(aTask);
+  if (records == mHistory.end()) {
+    return text + " never started";
+  }
+  for (const RunRecord& record : records->second) {
+    text += " " + record.mRunner + " run " + std::to_string(record.mRun) +
+            " from " + std::to_string(SinceBegin(record.mFrom)) + " to " +
+            (record.mTo ? std::to_string(SinceBegin(*record.mTo)) : "now") +
+            ";";
+  }
+  return text;
+}
+
+ShardRow
+ClusterSimulation::Shard() const
+{
+  return ParseShardRow(mStore.Value(kClusterTable, ShardKey(0)))
+    .value_or(ShardRow{});
+}
+
+std::int64_t
+ClusterSimulation::SinceBegin(MonotonicTime aTime) const
+{
+  return std::chrono::duration_cast<Millis>(aTime -
+                                            MonotonicTime{ Seconds(1000) })
+    .count();
+}
+
 } // namespace paddle
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <LibNode/ClientFrontEnd.h>
@@ -21,30 +24,99 @@
     std::string mTask;
     std::int64_t mRun = 0;
   };
+  /// One process of a runner, or several in turn under the same id.
   struct FakeRunner
   {
     std::vector<FakeRun> mRunning;
     std::vector<dispatch::EndEntry> mEnds;
     std::int64_t mNextEnd = 1;
     std::int64_t mFencingToken = 0; ///< Highest token seen.
+    /// On the runner's clock; everything on the runner ends then.
+    std::int64_t mLeaseEndMs = 0;
+    /// By task: the highest run that ended or was stopped here.
+    std::map<std::string, std::int64_t> mHighestEndedRun;
+    /// Answers to renewals that wait for the end of a run.
+    std::vector<std::function<void()>> mLongPolls;
+    std::int64_t mIncarnation = 1;
+    MonotonicTime mStartedAt; ///< When its clock read 0.
+    double mClockRate = 1;    ///< Below 1: the clock is slow.
+    bool mUp = true;
+    bool mListed = true; ///< In the list of runners that nodes read.
+    bool mDraining = false;
+  };
+  /// State of the way from a node to a runner.
+  struct Path
+  {
+    bool mCut = false; ///< No order arrives, and no answer either.
+    /// Orders are carried out after this time and get no answer; 0: in time.
+    Millis mLateness{ 0 };
+  };
+  /// What happens first when a frozen node wakes.
+  enum class OnWaking
+  {
+    AnswersFirst, ///< The answers that have arrived are handled.
+    TickFirst
   };
   struct SimulatedNode
   {
     NodeContext mContext;
     std::unique_ptr<Node> mNode;
+    std::uint64_t mProcess = 0; ///< Differs for each process of the node.
+    bool mFrozen = false;
+    bool mCutFromStore = false;
+    std::vector<std::function<void()>> mPendingAnswers; ///< While frozen.
+    Deadlines mDeadlines; ///< Of the node's own components.
   };
+  /// A run of a task, from its start on a runner to its end there.
+  struct RunRecord
+  {
+    std::string mRunner;
+    std::int64_t mRun = 0;
+    MonotonicTime mFrom;
+    std::optional<MonotonicTime> mTo; ///< Nothing: it still runs.
+  };
+  /// Stands for all nodes or all runners in the key of a path.
+  static constexpr const char* kAll = "*";
 
-  ClusterSimulation();
+  explicit ClusterSimulation(std::size_t aRunners = 4);
 
   /// Starts a new process of the node, after killing the present one, if any.
   void StartNode(const std::string& aName);
   /// Destroys the node without draining it.
   void KillNode(const std::string& aName);
+  /// Stops the node's process: it gets no ticks, and the answers to its calls
+  /// are held back. Orders that it has sent are still carried out.
+  void FreezeNode(const std::string& aName);
+  void WakeNode(const std::string& aName, OnWaking aOrder);
+  /// Cuts the node off from the store and from the list of runners: its calls
+  /// have no effect and get no answer within their time-outs.
+  void CutFromStore(const std::string& aName, bool aCut);
+  /// Sets the state of the way from a node, or all nodes, to a runner, or all
+  /// runners. The worst of the states that apply to a pair counts.
+  void SetPath(const std::string& aNode,
+               const std::string& aRunner,
+               const Path& aPath);
+
+  /// Ends the runner's process and everything on it.
+  /// @param aListedFor time after which it is dropped from the list of runners
+  void RemoveRunner(const std::string& aRunner, Millis aListedFor);
+  /// Starts a new process under the runner's id, after ending the present one,
+  /// if any. It has a new incarnation and knows nothing of before.
+  void RestartRunner(const std::string& aRunner);
+
   /// Advances the clock in steps of 25 ms, with a tick of all nodes in each.
   void AdvanceTime(Millis aTime);
-  /// Submits a job with one task through a node and advances the clock by 3 s.
+  /// Advances the clock until the shard has an owner, but at most by
+  /// @p aTimeout.
+  /// @param aAtLeastEpoch lowest epoch of the owner
+  /// @return the owner's name, or an empty text after the time-out
+  std::string AwaitOwner(std::int64_t aAtLeastEpoch, Millis aTimeout);
+  /// Submits a job with one step through a node and advances the clock by 3 s.
   /// @return the answer, or Unavailable if there was none
-  ClientAnswer Submit(const std::string& aNode, const std::string& aJob);
+  ClientAnswer Submit(const std::string& aNode,
+                      const std::string& aJob,
+                      dispatch::StepKind aKind = dispatch::StepKind::Finite,
+                      std::uint32_t aTasks = 1);
   /// Asks a node for the status of a job and advances the clock by 100 ms.
   /// @return the answer, or Unavailable if there was none
   StatusAnswer Status(const std::string& aNode, const std::string& aJob);
@@ -53,21 +125,85 @@
   void EndRun(const std::string& aTask, dispatch::EndKind aKind);
   /// @return the number of runs of the task, over all runners
   [[nodiscard]] std::size_t Running(const std::string& aTask) const;
+  /// @return the first runner that runs the task, or an empty text
+  [[nodiscard]] std::string RunnerOf(const std::string& aTask) const;
+  /// @return when a run of the task first started after @p aTime
+  [[nodiscard]] std::optional<MonotonicTime> StartedAfter(
+    const std::string& aTask,
+    MonotonicTime aTime) const;
+  /// @return a description of two runs of a task that overlapped in time, or an
+  ///         empty text if there are none
+  [[nodiscard]] std::string Overlap() const;
+  /// @return the runs of a task as a text, with times since the beginning
+  [[nodiscard]] std::string HistoryOf(const std::string& aTask) const;
+  /// @return the shard's row, as its owner last wrote it
+  [[nodiscard]] ShardRow Shard() const;
+  /// @return milliseconds from the beginning to @p aTime
+  [[nodiscard]] std::int64_t SinceBegin(MonotonicTime aTime) const;
 
   FakeStore mStore;
   std::map<std::string, FakeRunner> mRunners;
   std::map<std::string, SimulatedNode> mNodes;
-  Deadlines mDeadlines;
+  Deadlines mDeadlines; ///< Of everything but the nodes.
   EventLog mLog{ "test", { 0, 0, 0 } };
   Metrics mMetrics;
   MonotonicTime mNow{ Seconds(1000) };
   RowPartitions mPartitions; ///< For the nodes that are started from now on.
   int mStarts = 0;           ///< Number of starts that runners carried out.
   std::int64_t mNextIncarnation = 1;
+  std::map<std::pair<std::string, std::string>, Path> mPaths;
+  std::map<std::string, std::vector<RunRecord>> mHistory; ///< By task.
 
 private:
-  RunnerPort MakeRunnerPort();
-  DirectoryPort MakeDirectoryPort();
+  /// Identifies the process of a node that makes a call.
+  struct Caller
+  {
+    std::string mNode;
+    std::uint64_t mProcess = 0;
+  };
+
+  StorePort MakeStorePort(const Caller& aCaller);
+  RunnerPort MakeRunnerPort(const Caller& aCaller);
+  DirectoryPort MakeDirectoryPort(const Caller& aCaller);
+  /// Calls a handler of a node, unless its process has ended. A frozen node
+  /// handles it when it wakes.
+  void Deliver(const Caller& aCaller, std::function<void()> aHandler);
+  [[nodiscard]] bool IsCutFromStore(const Caller& aCaller) const;
+  [[nodiscard]] Path PathTo(const Caller& aCaller,
+                            const std::string& aRunner) const;
+  /// Sends an order to a runner.
+  /// @param aCarryOut is called at the runner with a function that answers
+  template<typename Result>
+  void SendOrder(
+    const Caller& aCaller,
+    const std::string& aRunner,
+    Millis aTimeout,
+    const std::function<void(FakeRunner&, std::function<void(Result)>)>&
+      aCarryOut,
+    const std::function<void(Result)>& aDone);
+
+  // Carry out an order at a runner.
+  void CarryOutRenewal(
+    const std::string& aRunner,
+    const RenewalOrder& aOrder,
+    const std::function<void(const RenewalOutcome&)>& aAnswer);
+  RunnerResult CarryOutStart(const std::string& aRunner,
+                             const StartOrder& aOrder);
+  RunnerResult CarryOutStop(const std::string& aRunner,
+                            const RunChangeOrder& aOrder);
+
+  [[nodiscard]] std::int64_t ClockOf(const FakeRunner& aRunner) const;
+  void ExtendLease(FakeRunner& aRunner, std::int64_t aLeaseEndMs) const;
+  /// Ends a run at a runner that stays up, which reports the end.
+  void EndRunAt(const std::string& aRunner,
+                const FakeRun& aRun,
+                dispatch::EndKind aKind);
+  /// Records that a run has ended.
+  void RecordEnd(const std::string& aRunner, const FakeRun& aRun);
+  /// Ends everything on the runners whose leases have ended.
+  void ExpireLeases();
+
+  std::uint64_t mNextProcess = 1;
 };
 
 } // namespace paddle
--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -24,6 +24,16 @@
 
 } // namespace
 
+template<typename Outcome>
+Outcome
+FakeStore::WithClock(Outcome aOutcome) const
+{
+  if constexpr (requires { aOutcome.mClockMs; }) {
+    aOutcome.mClockMs = mClock ? mClock() : 0;
+  }
+  return aOutcome;
+}
+
 StorePort
 FakeStore::Port()
 {
@@ -44,7 +54,7 @@
         aDone({ StoreResult::Unknown, 0, {} });
         return;
       }
-      const TransactionOutcome outcome = Apply(aTransaction);
+      const TransactionOutcome outcome = WithClock(Apply(aTransaction));
       if (mLoseNextAnswers > 0) {
         --mLoseNextAnswers;
         aDone({ StoreResult::Unknown, 0, {} });
@@ -63,7 +73,8 @@
         aDone({});
         return;
       }
-      const ReadOutcome outcome = Read(aTable, aPartition, aFrom, aTo);
+      const ReadOutcome outcome =
+        WithClock(Read(aTable, aPartition, aFrom, aTo));
       if (mHoldReads) {
         mHeldReads.push_back([outcome, aDone] { aDone(outcome); });
         return;
@@ -158,15 +169,19 @@
       continue;
     }
     outcome.mResult = ReadResult::Read;
-    for (const StoreRow& row : mHistory) {
-      if (row.mTable == reader.mTable && row.mVersion > reader.mAfter) {
-        outcome.mRows.push_back(row);
+    const auto changes = std::partition_point(
+      mHistory.begin(), mHistory.end(), [&](const StoreRow& aRow) {
+        return aRow.mVersion <= reader.mAfter;
+      });
+    for (auto row = changes; row != mHistory.end(); ++row) {
+      if (row->mTable == reader.mTable) {
+        outcome.mRows.push_back(*row);
       }
     }
     if (outcome.mRows.empty()) {
       mWaitingReaders.push_back(std::move(reader));
     } else {
-      reader.mDone(outcome);
+      reader.mDone(WithClock(std::move(outcome)));
     }
   }
 }
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -55,6 +55,9 @@
   void ReleaseReads();
 
   int mTransactions = 0; ///< Number of transactions received.
+  /// Reads the store's clock in milliseconds. Without it, answers have no
+  /// reading.
+  std::function<std::int64_t()> mClock;
 
 private:
   struct Row
@@ -70,6 +73,9 @@
     ReadHandler mDone;
   };
 
+  /// @return the answer with a reading of the clock
+  template<typename Outcome>
+  Outcome WithClock(Outcome aOutcome) const;
   TransactionOutcome Apply(const StoreTransaction& aTransaction);
   ReadOutcome Read(const std::string& aTable,
                    const std::string& aPartition,
