TestLibNode: Meet waits around a change of owner, and doubled tasks

Runners' clocks keep their reading when their rate changes. Where nothing could show that an idle runner had left, the task may wait for its leases (9 s after its end), since the runner can't be told from one that is cut off.

--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -307,11 +307,22 @@
 std::int64_t
 ClusterSimulation::ClockOf(const FakeRunner& aRunner) const
 {
-  const auto up = std::chrono::duration_cast<Millis>(mNow - aRunner.mStartedAt);
-  return static_cast<std::int64_t>(static_cast<double>(up.count()) *
+  const auto since =
+    std::chrono::duration_cast<Millis>(mNow - aRunner.mClockSetAt);
+  return aRunner.mClockSetMs +
+         static_cast<std::int64_t>(static_cast<double>(since.count()) *
                                    aRunner.mClockRate);
 }
 
+void
+ClusterSimulation::SetClockRate(const std::string& aRunner, double aRate)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  runner.mClockSetMs = ClockOf(runner);
+  runner.mClockSetAt = mNow;
+  runner.mClockRate = aRate;
+}
+
 void
 ClusterSimulation::ExtendLease(FakeRunner& aRunner,
                                std::int64_t aLeaseEndMs) const
@@ -570,7 +581,7 @@
   FakeRunner& runner = mRunners.at(aRunner);
   FakeRunner next;
   next.mIncarnation = runner.mIncarnation + 1;
-  next.mStartedAt = mNow;
+  next.mClockSetAt = mNow;
   next.mClockRate = runner.mClockRate;
   runner = std::move(next);
 }
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -38,8 +38,9 @@
     /// Answers to renewals that wait for the end of a run.
     std::vector<std::function<void()>> mLongPolls;
     std::int64_t mIncarnation = 1;
-    MonotonicTime mStartedAt; ///< When its clock read 0.
-    double mClockRate = 1;    ///< Below 1: the clock is slow.
+    MonotonicTime mClockSetAt; ///< When its clock read mClockSetMs.
+    std::int64_t mClockSetMs = 0;
+    double mClockRate = 1; ///< Below 1: the clock is slow.
     bool mUp = true;
     bool mListed = true; ///< In the list of runners that nodes read.
     bool mDraining = false;
@@ -121,6 +122,8 @@
   /// @return the answer, or Unavailable if there was none
   StatusAnswer Status(const std::string& aNode, const std::string& aJob);
 
+  /// Sets the rate at which a runner's clock goes on from its present reading.
+  void SetClockRate(const std::string& aRunner, double aRate);
   /// Ends the run of a task at the first runner that runs it.
   void EndRun(const std::string& aTask, dispatch::EndKind aKind);
   /// @return the number of runs of the task, over all runners
--- /dev/null
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -0,0 +1,687 @@
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "ClusterSimulation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+using OnWaking = ClusterSimulation::OnWaking;
+
+constexpr std::uint32_t kTasks = 12;
+const std::string kJob = "0123456789abcdef";
+const std::array<OnWaking, 2> kOnWaking{ OnWaking::AnswersFirst,
+                                         OnWaking::TickFirst };
+constexpr ClusterSimulation::Path kCut{ true, Millis(0) };
+constexpr ClusterSimulation::Path kHealed{ false, Millis(0) };
+/// Rate of the slowest clock that a runner may have.
+constexpr double kSlowClock = 0.98;
+
+/// @return the name of a task of the job's only step
+std::string
+TaskNamed(std::uint32_t aIndex)
+{
+  return kJob + ".0.0." + std::to_string(aIndex);
+}
+
+/// A cluster of three nodes that runs a job with long-running tasks.
+struct Scenario
+{
+  explicit Scenario(std::size_t aRunners = 8, std::uint32_t aTasks = kTasks)
+    : mCluster(aRunners)
+  {
+    mCluster.StartNode("a");
+    mCluster.AdvanceTime(Seconds(6));
+    mCluster.StartNode("b");
+    mCluster.StartNode("c");
+    mCluster.AdvanceTime(Seconds(3));
+    mCluster.Submit("a", kJob, dispatch::StepKind::LongRunning, aTasks);
+    // Later than this, the owner has heard from all runners and stored them.
+    mCluster.AdvanceTime(Seconds(3));
+    mOwner = mCluster.Shard().mOwner;
+    mEpoch = mCluster.Shard().mEpoch;
+    for (std::uint32_t i = 0; i < aTasks; ++i) {
+      mTasks.push_back(TaskNamed(i));
+      CHECK_EQUAL(1, mCluster.Running(mTasks.back()));
+    }
+    mRunner = mCluster.RunnerOf(mTasks.front());
+  }
+
+  /// Cuts the ways from all nodes but the first owner to mRunner.
+  void CutFromOtherNodes()
+  {
+    for (const auto& [name, node] : mCluster.mNodes) {
+      if (name != mOwner) {
+        mCluster.SetPath(name, mRunner, kCut);
+      }
+    }
+  }
+
+  /// Advances the clock until the shard has the owner after @p aEpoch.
+  /// @return the owner's name
+  std::string AwaitOwnerAfter(std::int64_t aEpoch)
+  {
+    return mCluster.AwaitOwner(aEpoch + 1, Seconds(30));
+  }
+
+  /// Ends the runner's process.
+  /// @return the tasks that it ran
+  std::vector<std::string> LoseRunner(Millis aListedFor)
+  {
+    std::vector<std::string> tasks;
+    for (const auto& run : mCluster.mRunners.at(mRunner).mRunning) {
+      tasks.push_back(run.mTask);
+    }
+    mCluster.RemoveRunner(mRunner, aListedFor);
+    return tasks;
+  }
+
+  /// Advances the clock until all of the tasks run, but at most until 25 s
+  /// after @p aLimit.
+  /// @param aSince when the tasks ended
+  /// @return a line if some task started later than @p aLimit, or nothing
+  std::string CheckRunning(const std::vector<std::string>& aTasks,
+                           MonotonicTime aSince,
+                           MonotonicTime aLimit)
+  {
+    const auto runs = [&](const std::string& aTask) {
+      return mCluster.Running(aTask) > 0;
+    };
+    while (mCluster.mNow < aLimit + Seconds(25) &&
+           !std::all_of(aTasks.begin(), aTasks.end(), runs)) {
+      mCluster.AdvanceTime(Millis(25));
+    }
+    MonotonicTime latest = mCluster.mNow;
+    if (std::all_of(aTasks.begin(), aTasks.end(), runs)) {
+      latest = {};
+      for (const std::string& task : aTasks) {
+        latest = std::max(latest, *mCluster.StartedAfter(task, aSince));
+      }
+    }
+    if (latest <= aLimit) {
+      return {};
+    }
+    return "ran again after " + MsBetween(aSince, latest) +
+           " ms instead of at most " + MsBetween(aSince, aLimit) + " ms\n";
+  }
+
+  static std::string MsBetween(MonotonicTime aFrom, MonotonicTime aTo)
+  {
+    return std::to_string(
+      std::chrono::duration_cast<Millis>(aTo - aFrom).count());
+  }
+
+  ClusterSimulation mCluster;
+  std::string mOwner;      ///< The first owner.
+  std::int64_t mEpoch = 0; ///< Of the first owner.
+  std::string mRunner;     ///< Runs at least one of the tasks.
+  std::vector<std::string> mTasks;
+};
+
+/// Collects the variations of a test that failed.
+class Failures
+{
+public:
+  /// @param aProblem what went wrong, or an empty text
+  void Add(const std::string& aVariation, const std::string& aProblem)
+  {
+    ++mVariations;
+    if (!aProblem.empty()) {
+      ++mFailed;
+      mText += aVariation + ": " + aProblem + "\n";
+    }
+  }
+
+  void Check() const
+  {
+    const std::string text = std::to_string(mFailed) + " of " +
+                             std::to_string(mVariations) +
+                             " variations failed\n" + mText;
+    CHECK_TRUE_TEXT(mFailed == 0, text.c_str());
+  }
+
+private:
+  int mVariations = 0;
+  int mFailed = 0;
+  std::string mText;
+};
+
+std::string
+Text(Millis aTime)
+{
+  return std::to_string(aTime.count()) + " ms";
+}
+
+std::string
+Text(OnWaking aOrder)
+{
+  return aOrder == OnWaking::TickFirst ? "tick first" : "answers first";
+}
+
+} // namespace
+
+TEST_GROUP(TakeoverSimulation)
+{
+  Failures mFailures;
+};
+
+// Guards against a next owner that waits for the longest leases of a frozen
+// owner before it starts the tasks of a runner that is gone: they did not run
+// for 18 s.
+TEST(TakeoverSimulation, TasksOfALostRunnerRunAgainAfterAFreeze)
+{
+  for (const int lostAfter : { -500, 500, 1500, 2500, 3500 }) {
+    for (const int listedFor : { 0, 4500 }) {
+      for (const OnWaking order : kOnWaking) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        std::vector<std::string> tasks;
+        MonotonicTime lostAt;
+        const auto lose = [&] {
+          tasks = scenario.LoseRunner(Millis(listedFor));
+          lostAt = cluster.mNow;
+        };
+        if (lostAfter < 0) {
+          lose();
+          cluster.AdvanceTime(Millis(-lostAfter));
+        }
+        cluster.FreezeNode(scenario.mOwner);
+        const MonotonicTime wakesAt = cluster.mNow + Seconds(4);
+        if (lostAfter >= 0) {
+          cluster.AdvanceTime(Millis(lostAfter));
+          lose();
+        }
+        cluster.AdvanceTime(
+          std::chrono::duration_cast<Millis>(wakesAt - cluster.mNow));
+        cluster.WakeNode(scenario.mOwner, order);
+        const MonotonicTime limit =
+          std::max(lostAt + Seconds(9), wakesAt + Seconds(7));
+        std::string problem = scenario.CheckRunning(tasks, lostAt, limit);
+        problem += cluster.Overlap();
+        mFailures.Add("lost " + Text(Millis(lostAfter)) +
+                        " after the freeze, listed for " +
+                        Text(Millis(listedFor)) + ", " + Text(order),
+                      problem);
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a wait for the leases of a lost runner that starts anew with
+// each change of owner.
+TEST(TakeoverSimulation, TwoChangesOfOwnerDoNotProlongTheWait)
+{
+  enum class Change
+  {
+    Kill,
+    Drain,
+    Freeze
+  };
+  for (const Change first : { Change::Kill, Change::Drain, Change::Freeze }) {
+    for (const Change second : { Change::Kill, Change::Drain }) {
+      for (const int lostBefore : { 0, 300, 1000 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+        const MonotonicTime lostAt = cluster.mNow;
+        cluster.AdvanceTime(Millis(lostBefore));
+        const MonotonicTime wakesAt = cluster.mNow + Seconds(4);
+        if (first == Change::Kill) {
+          cluster.KillNode(scenario.mOwner);
+        } else if (first == Change::Drain) {
+          cluster.mNodes.at(scenario.mOwner).mNode->Drain();
+        } else {
+          cluster.FreezeNode(scenario.mOwner);
+        }
+        const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+        MonotonicTime changeAt = cluster.mNow;
+        const MonotonicTime secondAt = cluster.mNow + Seconds(3);
+        while (cluster.mNow < secondAt) {
+          cluster.AdvanceTime(Millis(25));
+          if (cluster.mNow >= wakesAt) {
+            cluster.WakeNode(scenario.mOwner, OnWaking::AnswersFirst);
+          }
+        }
+        std::string problem;
+        if (cluster.Shard().mEpoch != scenario.mEpoch + 1) {
+          problem = "the owner changed too early\n";
+        }
+        if (second == Change::Kill) {
+          cluster.KillNode(next);
+        } else {
+          cluster.mNodes.at(next).mNode->Drain();
+        }
+        scenario.AwaitOwnerAfter(scenario.mEpoch + 1);
+        changeAt = cluster.mNow;
+        cluster.WakeNode(scenario.mOwner, OnWaking::AnswersFirst);
+        const MonotonicTime limit =
+          std::max(lostAt + Seconds(9), changeAt + Seconds(7));
+        problem += scenario.CheckRunning(tasks, lostAt, limit);
+        problem += cluster.Overlap();
+        const std::array<const char*, 3> names{ "kill", "drain", "freeze" };
+        mFailures.Add(std::string(names.at(static_cast<std::size_t>(first))) +
+                        " " + Text(Millis(lostBefore)) +
+                        " after the loss, then " +
+                        names.at(static_cast<std::size_t>(second)),
+                      problem);
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a next owner that waits for the leases of a runner that had
+// left with no task on it.
+TEST(TakeoverSimulation, ARunnerThatLeftIdleDelaysNoRecovery)
+{
+  for (const bool killed : { true, false }) {
+    for (const bool restarted : { true, false }) {
+      for (const int leftBefore : { 1000, 5000, 10000, 20000 }) {
+        for (const int listedFor : { 0, 4500 }) {
+          Scenario scenario;
+          ClusterSimulation& cluster = scenario.mCluster;
+          // A runner that never had a task, started for this purpose.
+          cluster.mRunners["idle"] = {};
+          cluster.mRunners["idle"].mDraining = true;
+          cluster.AdvanceTime(Seconds(5));
+          cluster.RemoveRunner("idle", Millis(listedFor));
+          cluster.AdvanceTime(Millis(leftBefore));
+          if (killed) {
+            cluster.KillNode(scenario.mOwner);
+          } else {
+            cluster.FreezeNode(scenario.mOwner);
+          }
+          const MonotonicTime wakesAt = cluster.mNow + Seconds(4);
+          // Both show the next owner that the task does not run any more.
+          const MonotonicTime endedAt = cluster.mNow;
+          std::vector<std::string> tasks{ scenario.mTasks.front() };
+          if (restarted) {
+            tasks = scenario.LoseRunner(Millis(0));
+            cluster.RestartRunner(scenario.mRunner);
+          } else {
+            cluster.EndRun(tasks.front(), dispatch::EndKind::Failed);
+          }
+          scenario.AwaitOwnerAfter(scenario.mEpoch);
+          // An owner asks an idle runner every 3 s. If the runner has left
+          // later and is still listed, nothing tells it from one that is cut
+          // off, so that its leases must be waited for.
+          const bool unnoticed = leftBefore < 3000 && listedFor > leftBefore;
+          const MonotonicTime limit =
+            unnoticed ? endedAt + Seconds(9) : cluster.mNow + Seconds(3);
+          if (!killed) {
+            cluster.AdvanceTime(
+              std::chrono::duration_cast<Millis>(wakesAt - cluster.mNow));
+            cluster.WakeNode(scenario.mOwner, OnWaking::AnswersFirst);
+          }
+          std::string problem = scenario.CheckRunning(tasks, endedAt, limit);
+          problem += cluster.Overlap();
+          mFailures.Add(std::string(killed ? "killed " : "frozen ") +
+                          Text(Millis(leftBefore)) +
+                          " after the runner left, listed for " +
+                          Text(Millis(listedFor)) +
+                          (restarted ? ", restart" : ", failed run"),
+                        problem);
+        }
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a planned hand-over that starts the wait for the leases of a
+// lost runner anew.
+TEST(TakeoverSimulation, AHandOverDoesNotProlongTheWait)
+{
+  for (const int drainedAfter : { 1000, 3000, 5000, 5700, 6200 }) {
+    for (const int listedFor : { 0, 4500 }) {
+      Scenario scenario;
+      ClusterSimulation& cluster = scenario.mCluster;
+      const std::vector<std::string> tasks =
+        scenario.LoseRunner(Millis(listedFor));
+      const MonotonicTime lostAt = cluster.mNow;
+      cluster.AdvanceTime(Millis(drainedAfter));
+      cluster.mNodes.at(scenario.mOwner).mNode->Drain();
+      scenario.AwaitOwnerAfter(scenario.mEpoch);
+      // Once the leases of 6 s are over, the next owner needs one second from
+      // its claim at most.
+      const MonotonicTime limit =
+        std::max(lostAt + Millis(6900), cluster.mNow + Seconds(1));
+      std::string problem = scenario.CheckRunning(tasks, lostAt, limit);
+      problem += cluster.Overlap();
+      mFailures.Add("drained " + Text(Millis(drainedAfter)) +
+                      " after the loss, listed for " + Text(Millis(listedFor)),
+                    problem);
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a runner that is never used again once service discovery has
+// dropped it.
+TEST(TakeoverSimulation, ARunnerThatComesBackIsUsedAgain)
+{
+  enum class Absence
+  {
+    Restarted,
+    Unlisted,
+    UnlistedAndCut
+  };
+  for (const Absence absence :
+       { Absence::Restarted, Absence::Unlisted, Absence::UnlistedAndCut }) {
+    for (const int away : { 500, 3000, 5000, 8000, 20000 }) {
+      for (const bool idle : { true, false }) {
+        // Two runners have room for 16 tasks each.
+        Scenario scenario(2, 16);
+        ClusterSimulation& cluster = scenario.mCluster;
+        std::string runner = scenario.mRunner;
+        if (idle) {
+          cluster.mRunners["late"] = {};
+          cluster.AdvanceTime(Seconds(4));
+          runner = "late";
+        }
+        if (absence == Absence::Restarted) {
+          cluster.RemoveRunner(runner, Millis(0));
+        }
+        if (absence == Absence::UnlistedAndCut) {
+          cluster.SetPath(ClusterSimulation::kAll, runner, kCut);
+        }
+        cluster.mRunners.at(runner).mListed = false;
+        cluster.AdvanceTime(Millis(away));
+        if (absence == Absence::Restarted) {
+          cluster.RestartRunner(runner);
+        }
+        cluster.mRunners.at(runner).mListed = true;
+        cluster.SetPath(ClusterSimulation::kAll, runner, kHealed);
+        // With this job, all runners are full.
+        dispatch::JobSpec job;
+        const std::string filler = "fedcba9876543210";
+        cluster.Submit("b", filler, dispatch::StepKind::LongRunning, 32);
+        cluster.AdvanceTime(Seconds(9));
+        std::string problem;
+        const std::size_t running = cluster.mRunners.at(runner).mRunning.size();
+        if (running < 16) {
+          problem += std::to_string(running) + " instead of 16 tasks run there";
+        }
+        if (cluster.Shard().mEpoch != scenario.mEpoch) {
+          problem += " the owner has changed";
+        }
+        problem += cluster.Overlap();
+        const std::array<const char*, 3> names{ "restarted",
+                                                "unlisted",
+                                                "unlisted and cut off" };
+        mFailures.Add(std::string(names.at(static_cast<std::size_t>(absence))) +
+                        " for " + Text(Millis(away)) + (idle ? ", idle" : ""),
+                      problem);
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because a frozen owner wakes and still
+// reaches a runner that the next owner can't reach.
+TEST(TakeoverSimulation, AnOwnerThatWakesDoublesNoTask)
+{
+  for (int frozenFor = 4000; frozenFor <= 12000; frozenFor += 500) {
+    for (const OnWaking order : kOnWaking) {
+      for (const int endedAfter : { -1, 100, 2000, 5000 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        cluster.SetClockRate(scenario.mRunner, kSlowClock);
+        cluster.AdvanceTime(Seconds(1));
+        scenario.CutFromOtherNodes();
+        cluster.FreezeNode(scenario.mOwner);
+        if (endedAfter >= 0 && endedAfter < frozenFor) {
+          // The owner starts the task again when it wakes.
+          cluster.AdvanceTime(Millis(endedAfter));
+          cluster.EndRun(scenario.mTasks.front(), dispatch::EndKind::Failed);
+          cluster.AdvanceTime(Millis(frozenFor - endedAfter));
+        } else {
+          cluster.AdvanceTime(Millis(frozenFor));
+        }
+        cluster.WakeNode(scenario.mOwner, order);
+        cluster.AdvanceTime(Seconds(25));
+        mFailures.Add("frozen for " + Text(Millis(frozenFor)) + ", " +
+                        Text(order) + ", run ended after " +
+                        Text(Millis(endedAfter)),
+                      cluster.Overlap());
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because its runner, whose clock is
+// slow, is cut off from all nodes but goes on.
+TEST(TakeoverSimulation, ARunnerThatIsCutOffDoublesNoTask)
+{
+  enum class Change
+  {
+    None,
+    Kill,
+    Freeze,
+    Drain
+  };
+  for (const Change change :
+       { Change::None, Change::Kill, Change::Freeze, Change::Drain }) {
+    for (int changedAfter = -6000; changedAfter <= 6000; changedAfter += 500) {
+      for (const bool listed : { true, false }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        cluster.SetClockRate(scenario.mRunner, kSlowClock);
+        cluster.AdvanceTime(Seconds(2));
+        const auto applyChange = [&] {
+          if (change == Change::Kill) {
+            cluster.KillNode(scenario.mOwner);
+          } else if (change == Change::Freeze) {
+            cluster.FreezeNode(scenario.mOwner);
+          } else if (change == Change::Drain) {
+            cluster.mNodes.at(scenario.mOwner).mNode->Drain();
+          }
+        };
+        const auto cut = [&] {
+          cluster.SetPath(ClusterSimulation::kAll, scenario.mRunner, kCut);
+          cluster.mRunners.at(scenario.mRunner).mListed = listed;
+        };
+        if (changedAfter < 0) {
+          applyChange();
+          cluster.AdvanceTime(Millis(-changedAfter));
+          cut();
+        } else {
+          cut();
+          cluster.AdvanceTime(Millis(changedAfter));
+          applyChange();
+        }
+        cluster.AdvanceTime(Seconds(5));
+        cluster.WakeNode(scenario.mOwner, OnWaking::TickFirst);
+        cluster.AdvanceTime(Seconds(20));
+        const std::array<const char*, 4> names{
+          "no change", "kill", "freeze", "drain"
+        };
+        mFailures.Add(std::string(names.at(static_cast<std::size_t>(change))) +
+                        " " + Text(Millis(changedAfter)) + " after the cut" +
+                        (listed ? "" : ", unlisted"),
+                      cluster.Overlap());
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because orders of the former owner
+// arrive late: at runners that the next owner reaches, or can't reach.
+TEST(TakeoverSimulation, LateOrdersDoubleNoTask)
+{
+  for (int lateness = 2000; lateness <= 12000; lateness += 1000) {
+    for (const bool killed : { true, false }) {
+      for (const bool reached : { true, false }) {
+        for (const int changedAfter : { 100, 700, 1500, 3000 }) {
+          Scenario scenario;
+          ClusterSimulation& cluster = scenario.mCluster;
+          cluster.SetClockRate(scenario.mRunner, kSlowClock);
+          cluster.AdvanceTime(Seconds(1));
+          if (!reached) {
+            scenario.CutFromOtherNodes();
+          }
+          cluster.SetPath(scenario.mOwner,
+                          ClusterSimulation::kAll,
+                          { false, Millis(lateness) });
+          // The owner starts these tasks again, by orders that arrive late.
+          for (const std::string& task : scenario.mTasks) {
+            cluster.EndRun(task, dispatch::EndKind::Failed);
+          }
+          cluster.AdvanceTime(Millis(changedAfter));
+          if (killed) {
+            cluster.KillNode(scenario.mOwner);
+          } else {
+            cluster.FreezeNode(scenario.mOwner);
+          }
+          cluster.AdvanceTime(Seconds(4));
+          cluster.SetPath(scenario.mOwner, ClusterSimulation::kAll, kHealed);
+          cluster.WakeNode(scenario.mOwner, OnWaking::TickFirst);
+          cluster.AdvanceTime(Seconds(25));
+          mFailures.Add(
+            "late by " + Text(Millis(lateness)) +
+              (killed ? ", killed " : ", frozen ") +
+              Text(Millis(changedAfter)) + " after the ends" +
+              (reached ? "" : ", one runner out of reach of the others"),
+            cluster.Overlap());
+        }
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because an owner that is cut from the
+// store goes on with a runner that the next two owners can't reach.
+TEST(TakeoverSimulation, AnOwnerWithoutTheStoreDoublesNoTask)
+{
+  for (const bool killed : { true, false }) {
+    for (const int changedAfter : { 500, 1500, 3000, 5000, 8000 }) {
+      for (const int endedAfter : { 0, 2000, 4000, 6000, 9000, 11000, 13000 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        cluster.SetClockRate(scenario.mRunner, kSlowClock);
+        cluster.AdvanceTime(Seconds(1));
+        scenario.CutFromOtherNodes();
+        cluster.CutFromStore(scenario.mOwner, true);
+        const MonotonicTime cutAt = cluster.mNow;
+        const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+        const MonotonicTime changeAt = cluster.mNow + Millis(changedAfter);
+        bool changed = false;
+        bool ended = false;
+        while (cluster.mNow < cutAt + Seconds(40)) {
+          cluster.AdvanceTime(Millis(25));
+          if (!changed && cluster.mNow >= changeAt) {
+            changed = true;
+            if (killed) {
+              cluster.KillNode(next);
+            } else {
+              cluster.mNodes.at(next).mNode->Drain();
+            }
+          }
+          if (!ended && cluster.mNow >= cutAt + Millis(endedAfter)) {
+            ended = true;
+            // The cut-off owner starts it again, where it can.
+            cluster.EndRun(scenario.mTasks.front(), dispatch::EndKind::Failed);
+          }
+        }
+        mFailures.Add(std::string(killed ? "killed " : "drained ") +
+                        Text(Millis(changedAfter)) +
+                        " after the claim, run ended after " +
+                        Text(Millis(endedAfter)),
+                      cluster.Overlap());
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because a runner restarts around a
+// change of owner: it has forgotten the token that fences the former owner.
+TEST(TakeoverSimulation, ARestartedRunnerDoublesNoTask)
+{
+  for (int restartedAfter = 0; restartedAfter <= 9000; restartedAfter += 500) {
+    for (const int frozenFor : { 4000, 6000, 8000, 11000 }) {
+      for (const OnWaking order : kOnWaking) {
+        for (const bool reached : { true, false }) {
+          Scenario scenario;
+          ClusterSimulation& cluster = scenario.mCluster;
+          cluster.SetClockRate(scenario.mRunner, kSlowClock);
+          cluster.AdvanceTime(Seconds(1));
+          if (!reached) {
+            scenario.CutFromOtherNodes();
+          }
+          cluster.FreezeNode(scenario.mOwner);
+          const MonotonicTime frozenAt = cluster.mNow;
+          bool restarted = false;
+          while (cluster.mNow < frozenAt + Seconds(35)) {
+            cluster.AdvanceTime(Millis(25));
+            if (!restarted &&
+                cluster.mNow >= frozenAt + Millis(restartedAfter)) {
+              restarted = true;
+              cluster.RestartRunner(scenario.mRunner);
+            }
+            if (cluster.mNow >= frozenAt + Millis(frozenFor)) {
+              cluster.WakeNode(scenario.mOwner, order);
+            }
+          }
+          mFailures.Add("restarted after " + Text(Millis(restartedAfter)) +
+                          ", frozen for " + Text(Millis(frozenFor)) + ", " +
+                          Text(order) +
+                          (reached ? "" : ", out of reach of the others"),
+                        cluster.Overlap());
+        }
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against an owner that gives up its tasks, or starts no more, while the
+// store is unavailable for nine seconds although all runners answer.
+TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
+{
+  // One runner has room for 16 tasks, of which 4 are long-running.
+  Scenario scenario(1, 4);
+  ClusterSimulation& cluster = scenario.mCluster;
+  const std::string finite = "fedcba9876543210";
+  cluster.Submit("a", finite, dispatch::StepKind::Finite, 60);
+  FakeStore& store = cluster.mStore;
+  LONGS_EQUAL(16, cluster.mRunners.at("r0").mRunning.size());
+  store.mRefuses = true;
+  std::uint32_t next = 0;
+  const auto endFour = [&] {
+    for (int i = 0; i < 4; ++i) {
+      cluster.EndRun(finite + ".0.0." + std::to_string(next++),
+                     dispatch::EndKind::Done);
+    }
+  };
+  for (int second = 0; second < 9; ++second) {
+    endFour();
+    cluster.AdvanceTime(Seconds(1));
+    LONGS_EQUAL(16, cluster.mRunners.at("r0").mRunning.size());
+  }
+  store.mRefuses = false;
+  cluster.AdvanceTime(Seconds(3));
+  LONGS_EQUAL(scenario.mEpoch, cluster.Shard().mEpoch);
+  while (next < 60) {
+    endFour();
+    cluster.AdvanceTime(Seconds(1));
+  }
+  CHECK_TRUE(cluster.Status("b", finite).mStatus.mPhase ==
+             dispatch::JobPhase::Completed);
+  STRCMP_EQUAL("", cluster.Overlap().c_str());
+  for (const std::string& task : scenario.mTasks) {
+    LONGS_EQUAL(1, cluster.mHistory.at(task).size());
+  }
+}
