LibNode: Use a runner again that was dropped from the stored list

Callers lose capacity: a runner that was unlisted for longer than its lease got no task any more until the shard's next owner (0 of 16 tasks there in the test).

Cause: the owner drops a lapsed, unlisted runner from the list that later owners read, and starts tasks only on runners of that list. When the runner was listed again, the list was built from the dispatcher's runners first, which skipped it, and it was known, so that nothing added it.

A runner that service discovery lists now is always part of the list. If it is listed again while a list without it is being stored, it gets no task before a list with it is stored; otherwise a later owner would not know of its tasks.

TakeoverSimulation.ARunnerThatComesBackIsUsedAgain failed before (4 of 30 variations) and passes now.

--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -234,13 +234,21 @@
   }
   const MonotonicTime now = mContext.Now();
   mRunnersBeingStored.clear();
+  mRunnersBeingDropped.clear();
+  std::set<std::string_view> listed;
+  for (const dispatch::RunnerSpec& spec : mShardRunners) {
+    listed.insert(spec.mId);
+  }
   std::set<std::string_view> known;
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
     dispatch::Runner& runner = mDispatcher.mRunners[i];
     known.insert(runner.mSpec.mId);
-    if (!runner.mListed && runner.mTasks.empty() &&
+    if (!listed.contains(runner.mSpec.mId) && !runner.mListed &&
+        runner.mTasks.empty() &&
         runner.mPhase == dispatch::RunnerPhase::LeaseExpired) {
-      continue; // The runner is not listed any more and can't run any task.
+      // The runner is not listed any more and can't run any task.
+      mRunnersBeingDropped.insert(runner.mSpec.mId);
+      continue;
     }
     dispatch::InheritedRunner entry{ runner.mSpec, {} };
     if (dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
@@ -278,6 +286,7 @@
 ShardOwner::State::HandleRunnersStored()
 {
   mStoringRunners = false;
+  mRunnersBeingDropped.clear();
   Log(LogLevel::Info,
       "runners_stored",
       "runners=" + std::to_string(mRunnersBeingStored.size()));
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -46,7 +46,8 @@
   std::vector<dispatch::RunnerSpec> storedRunners;
   bool anyNotStored = false;
   for (const dispatch::RunnerSpec& runner : mShardRunners) {
-    if (mStoredRunners.contains(runner.mId)) {
+    if (mStoredRunners.contains(runner.mId) &&
+        !mRunnersBeingDropped.contains(runner.mId)) {
       storedRunners.push_back(runner);
     } else {
       anyNotStored = true;
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -220,6 +220,9 @@
   MonotonicTime mInterferenceStoredAt;
   /// The list of runners that is being stored while mStoringRunners is set.
   std::vector<dispatch::InheritedRunner> mRunnersBeingStored;
+  /// Ids of the runners that are not in that list any more. If one is listed
+  /// again meanwhile, it gets no task before a list with it is stored.
+  std::set<std::string> mRunnersBeingDropped;
 };
 
 } // namespace paddle
