LibNode: Give the list of runners a turn between commits

A later owner waited for 25 runners that this owner had given up 10 s before; 42 runners kept a record, which keeps tasks and lease renewals from them, although they answered.

Cause: transactions on a shard's progress go one after the other. The answer to a commit began the next urgent commit at once, so that a tick never found a gap for the list; and a runner that was listed meanwhile was only tried again with the next read of the runners.

The list now goes before the next commit, each 250 ms at most, and listed runners that are not stored count as a reason to store it.

Node.StoresItsRunnersWhileJobsEndAllTheTime failed before (not stored within 60 commits) and passes now.

--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -20,6 +20,9 @@
 /// flight when the jobs ended. Such a read takes a second at most, in which
 /// some hundred jobs of a shard end.
 constexpr std::size_t kMaxRememberedEndedJobs = 5000;
+/// Shortest interval between two writes of the list of runners, which has up to
+/// 50 KB and is priced.
+constexpr Millis kRunnersInterval{ 250 };
 
 } // namespace
 
@@ -190,6 +193,11 @@
     dispatch::HandleCommitted(mDispatcher, commit, mCommitPhases);
     RenewAfterCommit(mContext.Now());
   }
+  // The list of runners goes before the next commit. A busy shard always has
+  // one, so that the list would not be stored otherwise.
+  if (RunnerListOutdated(mContext.Now())) {
+    StoreRunners();
+  }
   if (!mTransactions.empty()) {
     SendNextTransaction();
   } else if (mDispatcher.mCommitUrgent) {
@@ -209,8 +217,14 @@
 }
 
 bool
-ShardOwner::State::RunnerRecordsOutdated(MonotonicTime aNow) const
+ShardOwner::State::RunnerListOutdated(MonotonicTime aNow) const
 {
+  if (aNow - mRunnersStoredAt < kRunnersInterval) {
+    return false;
+  }
+  if (mAnyListedNotStored) {
+    return true;
+  }
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
     const dispatch::Runner& runner = mDispatcher.mRunners[i];
     if (!mStoredRunners.contains(runner.mSpec.mId)) {
@@ -273,6 +287,7 @@
     }
   }
   mStoringRunners = true;
+  mRunnersStoredAt = now;
   StoreTransaction transaction;
   transaction.mPuts.push_back({ ProgressTable(mClaim.mShard),
                                 mContext.mPartitions.OfProgress(mClaim.mShard),
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -229,7 +229,7 @@
       }
     }
   }
-  if (state.RunnerRecordsOutdated(aNow)) {
+  if (state.RunnerListOutdated(aNow)) {
     state.StoreRunners();
   }
   state.BeginCommit(aNow);
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -44,19 +44,19 @@
     return;
   }
   std::vector<dispatch::RunnerSpec> storedRunners;
-  bool anyNotStored = false;
+  mAnyListedNotStored = false;
   for (const dispatch::RunnerSpec& runner : mShardRunners) {
     if (mStoredRunners.contains(runner.mId) &&
         !mRunnersBeingDropped.contains(runner.mId)) {
       storedRunners.push_back(runner);
     } else {
-      anyNotStored = true;
+      mAnyListedNotStored = true;
     }
   }
   dispatch::Actions actions;
   dispatch::SetRunners(mDispatcher, storedRunners, mContext.Now(), actions);
   PerformActions(actions);
-  if (anyNotStored) {
+  if (mAnyListedNotStored) {
     StoreRunners();
   }
 }
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -152,10 +152,10 @@
   void StoreRunners();
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
-  /// @return whether the stored list of runners must be replaced, because the
-  ///         record of what a silent runner may run has to be added, removed or
-  ///         changed
-  [[nodiscard]] bool RunnerRecordsOutdated(MonotonicTime aNow) const;
+  /// @return whether the stored list of runners must be replaced now: a runner
+  ///         has come, or the record of what a silent runner may run has to be
+  ///         added, removed or changed
+  [[nodiscard]] bool RunnerListOutdated(MonotonicTime aNow) const;
   /// Adds a job to mEndedJobs and drops the oldest one if there are too many.
   void RememberEnded(const std::string& aJob);
 
@@ -182,6 +182,8 @@
   /// Runners of this shard in the latest runner list.
   std::vector<dispatch::RunnerSpec> mShardRunners;
   bool mShardRunnersRead = false;
+  bool mAnyListedNotStored = false; ///< One of them is not in mStoredRunners.
+  MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
   /// Ids of the runners in the list that is stored for a later owner.
   std::set<std::string> mStoredRunners;
   /// Progress by job id, as the earlier owner stored it.
--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -192,10 +192,7 @@
   if (mPaused) {
     return;
   }
-  // Answers lead to further calls. Their number is limited, because calls that
-  // are refused are repeated without end.
-  constexpr int kMaxRounds = 50;
-  for (int round = 0; round < kMaxRounds; ++round) {
+  for (int round = 0; round < mMaxRounds; ++round) {
     std::deque<std::function<void()>> calls = std::move(mCalls);
     mCalls.clear();
     for (const std::function<void()>& call : calls) {
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -40,6 +40,10 @@
   /// Refuses transactions with an entry in this partition, as a slow store does
   /// when the partition's queue is full.
   std::optional<std::string> mRefusedPartition;
+  /// Answers lead to further calls, which Run() serves in further rounds. Their
+  /// number is limited, because calls that are refused are repeated without
+  /// end. With 1, a call that follows an answer is served by the next Run().
+  int mMaxRounds = 50;
   /// Run() does nothing while this is set.
   bool mPaused = false;
   /// The next call that waits for changes is answered with HistoryGone. Reset
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -231,6 +231,28 @@
              std::string::npos);
 }
 
+// Guards against a list of runners that a busy shard never stores, because each
+// commit was followed by the next at once. New runners got no tasks, and later
+// owners waited for runners that had left.
+TEST(Node, StoresItsRunnersWhileJobsEndAllTheTime)
+{
+  Begin();
+  std::vector<std::string> jobs;
+  for (int i = 10; i < 70; ++i) {
+    jobs.push_back("0123456789abcd" + std::to_string(i));
+    CHECK_TRUE(mCluster.Submit("a", jobs.back()) == ClientAnswer::Accepted);
+  }
+  // The store takes a step of the clock to answer, and a job ends in each.
+  mCluster.mStore.mMaxRounds = 1;
+  mCluster.mRunners["new"] = {};
+  for (const std::string& job : jobs) {
+    mCluster.EndRun(job + ".0.0.0", dispatch::EndKind::Done);
+    mCluster.AdvanceTime(Millis(25));
+  }
+  CHECK_TRUE(mCluster.mStore.Value("progress-0", "runners").find("\"new\"") !=
+             std::string::npos);
+}
+
 // Guards against an owner that loses its shard because a slow store refuses
 // what other nodes write: its lease renewals shared a partition with the
 // heartbeats of the nodes and with all jobs.
