LibNode: Claim a shard again whose claim got no answer

Callers got no service from a shard until another node claimed it after 1.6 s or more, and none at all from the only node that was left.

Cause: when a claim is stored and its answer is lost, the row names this process. The owner object was given up, and DecideClaims() took the row for a shard that this process owns.

The node claims again as soon as it reads its own name in the row and does not own or claim the shard; the new epoch fences orders of the first claim, of which there are none.

Node.ClaimsItsShardAgainAfterALostAnswer failed before (the job did not run) and passes now.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -315,11 +315,9 @@
       claim.mEpoch = row.mRow.mEpoch + 1;
       claim.mPending = row.mRow.mPending;
       if (row.mRow.mOwner == aSelf.mName) {
-        if (row.mRow.mOwnerIncarnation == aSelf.mIncarnation) {
-          continue;
-        }
         // Only one process of this name runs at a time, so the process that
-        // owned the shard has certainly ended.
+        // owned the shard has certainly ended. If it is this process, it has
+        // lost the shard, or its claim was stored without an answer.
         if (!IsSmallNode(aView, shard, aSelf, aSettings)) {
           claims.push_back(claim);
           continue;
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -156,7 +156,8 @@
                MonotonicTime aNow);
 
 /// @param aSelf the node that may claim shards
-/// @return the claims that this node should make now
+/// @return the claims that this node should make now, unless it owns or claims
+///         the shard already
 std::vector<Claim>
 DecideClaims(const ClusterView& aView,
              const NodeRow& aSelf,
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -1,3 +1,4 @@
+#include <climits>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,24 @@
   LONGS_EQUAL(1, mCluster.mStarts);
 }
 
+// Guards against a shard that stays without an owner because the answer to its
+// claim was lost: the row names this process, which does not know of it.
+TEST(Node, ClaimsItsShardAgainAfterALostAnswer)
+{
+  mCluster.StartNode("a");
+  while (mCluster.mStore.Value("cluster", "layout").empty()) {
+    mCluster.AdvanceTime(Millis(25));
+  }
+  mCluster.mStore.mLoseNextAnswers = INT_MAX;
+  while (mCluster.mStore.Value("cluster", "shard/0").empty()) {
+    mCluster.AdvanceTime(Millis(25));
+  }
+  mCluster.mStore.mLoseNextAnswers = 0;
+  mCluster.AdvanceTime(Seconds(2));
+  CHECK_TRUE(mCluster.Submit("a", kJob) == ClientAnswer::Accepted);
+  LONGS_EQUAL(1, mCluster.Running(kTask));
+}
+
 // Guards against a shard that stays without an owner when its owner's host is
 // gone.
 TEST(Node, TakesOverFromAnOwnerThatIsGone)
