LibDispatch: Wait for an unanswered start at a restarted runner

A task could run twice: when service discovery showed a new process of a runner, the next tick took the leases as ended and started a task elsewhere whose start order had got no answer, although the order may still reach the new process.

Cause: ResetRunner() set the end of the leases to the present time also when it kept runs with an unanswered start, which it stops at the new process first.

The end of the former leases stays in force then; the answer of the new process ends the wait earlier. Takeover.WaitsForAnUnansweredStartAtARestartedRunner failed before (second start within 1 s) and passes now.

--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -83,7 +83,9 @@
   runner.mHighestStoredEnd = 0;
   runner.mClockMs = 0;
   runner.mHighestLeaseMs = 0;
-  runner.mLeasesExpireAt = aNow;
+  if (unanswered.empty()) {
+    runner.mLeasesExpireAt = aNow;
+  }
   runner.mConsecutiveFailures = 0;
   runner.mDistinctFailedJobs = 0;
   runner.mQuarantines = 0;
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -485,3 +485,26 @@
   CHECK_TRUE(world.IsRunning("job.1.0.0"));
   LONGS_EQUAL(1, world.mMostRunsOfATask);
 }
+
+// Guards against giving up an unanswered start because service discovery shows
+// a new process of its runner that has not answered yet: the order may still
+// reach the new process, so the run has to be stopped there first, or its lease
+// be waited out.
+TEST(Takeover, WaitsForAnUnansweredStartAtARestartedRunner)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.mRunners["r0"].mAnswers = false;
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  LONGS_EQUAL(1, world.mLostStarts.size());
+  LONGS_EQUAL(0, world.mLostStarts.front().mRunner);
+  world.AdvanceTime(Millis(200));
+  world.Restart("r0");
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(1, world.mStarts);
+  // The new process answers and neither lists the run nor can start it.
+  world.mRunners["r0"].mAnswers = true;
+  const Millis waited = world.TimeUntilRunning("job.0.0.0");
+  CHECK_COMPARE(waited.count(), <=, 1000);
+  LONGS_EQUAL(2, world.mStarts);
+}
