LibNode: Drop runners that have left idle from the stored list

Cause: only a runner whose leases had lapsed was dropped from the list that later owners read. One that was unlisted without tasks was never asked again, so that it neither became silent, nor lapsed, nor got a record, and each later owner waited for it.

A runner that is not listed any more and certainly runs nothing is dropped at once; when it is listed again, it is stored before it is used.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -161,6 +161,12 @@
                   RunnerIndex aRunner,
                   MonotonicTime aNow);
 
+/// @return whether the runner is no longer listed and certainly runs nothing, so
+///         that a later owner need not know of it. Until service discovery
+///         lists it again, no task is started on it.
+bool
+HasLeft(const Dispatcher& aDispatcher, RunnerIndex aRunner);
+
 /// @return all runs that the runner may have
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner);
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -221,6 +221,15 @@
             aDispatcher.mSettings.mSilenceBeforeRecord);
 }
 
+bool
+HasLeft(const Dispatcher& aDispatcher, RunnerIndex aRunner)
+{
+  const Runner& runner = aDispatcher.mRunners[aRunner];
+  return !runner.mListed && runner.mPhase != RunnerPhase::AwaitingReport &&
+         runner.mTasks.empty() && runner.mOrphans.empty() &&
+         runner.mUnstoredEnds.empty();
+}
+
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -231,7 +231,7 @@
       continue;
     }
     const bool wanted = dispatch::ShouldStoreRecord(mDispatcher, i, aNow);
-    if (runner.mRecordStored != wanted ||
+    if (dispatch::HasLeft(mDispatcher, i) || runner.mRecordStored != wanted ||
         (wanted && runner.mRecordedRunCount != runner.mTasks.size())) {
       return true;
     }
@@ -257,10 +257,8 @@
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
     dispatch::Runner& runner = mDispatcher.mRunners[i];
     known.insert(runner.mSpec.mId);
-    if (!listed.contains(runner.mSpec.mId) && !runner.mListed &&
-        runner.mTasks.empty() &&
-        runner.mPhase == dispatch::RunnerPhase::LeaseExpired) {
-      // The runner is not listed any more and can't run any task.
+    if (dispatch::HasLeft(mDispatcher, i) &&
+        !listed.contains(runner.mSpec.mId)) {
       mRunnersBeingDropped.insert(runner.mSpec.mId);
       continue;
     }
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -153,8 +153,8 @@
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
   /// @return whether the stored list of runners must be replaced now: a runner
-  ///         has come, or the record of what a silent runner may run has to be
-  ///         added, removed or changed
+  ///         has come or left, or the record of what a silent runner may run
+  ///         has to be added, removed or changed
   [[nodiscard]] bool RunnerListOutdated(MonotonicTime aNow) const;
   /// Adds a job to mEndedJobs and drops the oldest one if there are too many.
   void RememberEnded(const std::string& aJob);
