LibNode: Store when the leases of a silent runner end

Cause: the record of a silent runner said what it may run, but not until when, since nodes have no clock in common. Each owner counted one longest lease from its own reading.

Every answer of the store carries a reading of its clock. StoreClock keeps the latest one with the times of its request and answer, so that a time can be stated not too early on the one side and read not too early on the other.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -161,7 +161,8 @@
                   RunnerIndex aRunner,
                   MonotonicTime aNow);
 
-/// @return whether the runner is no longer listed and certainly runs nothing, so
+/// @return whether the runner is no longer listed and certainly runs nothing,
+/// so
 ///         that a later owner need not know of it. Until service discovery
 ///         lists it again, no task is started on it.
 bool
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -44,6 +44,9 @@
   /// All runs that it may have, if the earlier owner recorded them while the
   /// runner was silent. Without a record it may run any task of the shard.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
+  /// With a record: time by which the leases of these runs have certainly
+  /// ended. Without a value it is not known.
+  std::optional<MonotonicTime> mLeasesExpireAt;
 };
 
 /// How a run ended, as the runner reports it.
@@ -171,8 +174,10 @@
   /// Whether an earlier owner used the runner and this owner has had no answer
   /// from it.
   bool mInherited = false;
-  /// Runs in the record of an earlier owner, until they are adopted.
+  /// Runs in the record of an earlier owner, until they are adopted, and when
+  /// their leases have certainly ended.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
+  std::optional<MonotonicTime> mRecordedLeasesExpireAt;
 
   /// Highest number of a reported end that has been applied to its task.
   std::int64_t mHighestAppliedEnd = 0;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -167,6 +167,7 @@
     aDispatcher.mRunners[AddRunner(aDispatcher, aRunner.mSpec, aNow)];
   runner.mInherited = true;
   runner.mPossibleRuns = aRunner.mPossibleRuns;
+  runner.mRecordedLeasesExpireAt = aRunner.mLeasesExpireAt;
   runner.mRecordStored = aRunner.mPossibleRuns.has_value();
 }
 
@@ -200,12 +201,14 @@
     // The earlier owner has granted no lease since it began to write the
     // record, and it can't remove the record any more. The leases therefore end
     // one longest lease from now at the latest.
-    runner.mLeasesExpireAt =
+    const MonotonicTime latest =
       aNow +
       Millis(static_cast<Millis::rep>(
         static_cast<double>(aDispatcher.mSettings.mMaxLease.count()) *
         aDispatcher.mSettings.mClockDriftFactor)) +
       aDispatcher.mSettings.mLeaseExpiryMargin;
+    runner.mLeasesExpireAt =
+      std::min(latest, runner.mRecordedLeasesExpireAt.value_or(latest));
   }
 }
 
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -275,7 +275,8 @@
 }
 
 std::string
-FormatRunners(std::span<const dispatch::InheritedRunner> aRunners)
+FormatRunners(std::span<const dispatch::InheritedRunner> aRunners,
+              const StoreClock& aClock)
 {
   Json::Value value(Json::objectValue);
   for (const dispatch::InheritedRunner& runner : aRunners) {
@@ -292,6 +293,13 @@
         runs.append(Json::Int64(run.mRun));
       }
       entry.append(runs);
+      const std::optional<std::int64_t> leasesEndMs =
+        runner.mLeasesExpireAt
+          ? LatestStoreTime(aClock, *runner.mLeasesExpireAt)
+          : std::nullopt;
+      if (leasesEndMs) {
+        entry.append(Json::Int64(*leasesEndMs));
+      }
     }
     value[runner.mSpec.mId] = entry;
   }
@@ -299,7 +307,7 @@
 }
 
 std::vector<dispatch::InheritedRunner>
-ParseRunners(std::string_view aText)
+ParseRunners(std::string_view aText, const StoreClock& aClock)
 {
   std::vector<dispatch::InheritedRunner> runners;
   const std::optional<Json::Value> value = ParseJsonObject(aText);
@@ -327,6 +335,10 @@
           runner.mPossibleRuns->push_back({ *task, entry[5][i + 1].asInt64() });
         }
       }
+      // Rows of earlier versions have no lease end.
+      if (entry.size() > 6 && entry[6].isIntegral()) {
+        runner.mLeasesExpireAt = TimeReached(aClock, entry[6].asInt64());
+      }
     }
     runners.push_back(std::move(runner));
   }
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -9,6 +9,7 @@
 
 #include <LibDispatch/Job.h>
 #include <LibDispatch/Runner.h>
+#include <LibNode/StoreClock.h>
 
 namespace paddle {
 
@@ -48,10 +49,11 @@
 ParseProgress(std::string_view aText);
 
 /// Formats the row that tells a later owner on which runners tasks of the shard
-/// may still run.
+/// may still run. The row states times on the store's clock.
 std::string
-FormatRunners(std::span<const dispatch::InheritedRunner> aRunners);
+FormatRunners(std::span<const dispatch::InheritedRunner> aRunners,
+              const StoreClock& aClock);
 std::vector<dispatch::InheritedRunner>
-ParseRunners(std::string_view aText);
+ParseRunners(std::string_view aText, const StoreClock& aClock);
 
 } // namespace paddle
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -174,6 +174,8 @@
                     MonotonicTime aSentAt)
 {
   mLeaseRenewalInFlight = false;
+  RecordReading(
+    mContext.mStoreClock, aOutcome.mClockMs, aSentAt, mContext.Now());
   if (aOutcome.mResult == StoreResult::Stored) {
     for (const RenewedShard& sent : aShards) {
       const auto shard = mShards.find(sent.mNumber);
@@ -243,33 +245,33 @@
   mShardReadInFlight = true;
   const MonotonicTime begin = mContext.Now();
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mRead(kClusterTable,
-                        mContext.mPartitions.OfShards(),
-                        {},
-                        {},
-                        [this, alive, begin](const ReadOutcome& aRead) {
-                          if (alive.expired()) {
-                            return;
-                          }
-                          mShardReadInFlight = false;
-                          const MonotonicTime now = mContext.Now();
-                          if (aRead.mResult != ReadResult::Read) {
-                            mNextShardReadAt =
-                              now + mContext.mSettings.mRetryPause;
-                            return;
-                          }
-                          mNextShardReadAt =
-                            now + mContext.mSettings.mShardPollInterval;
-                          UpdateShards(mView, aRead.mRows, now);
-                          mView.mShardReadDuration =
-                            std::chrono::duration_cast<Millis>(now - begin);
-                          if (mView.mShardCount == 0) {
-                            CreateLayout();
-                          } else {
-                            ClaimShards(now);
-                            HandOverShards(now);
-                          }
-                        });
+  mContext.mStore.mRead(
+    kClusterTable,
+    mContext.mPartitions.OfShards(),
+    {},
+    {},
+    [this, alive, begin](const ReadOutcome& aRead) {
+      if (alive.expired()) {
+        return;
+      }
+      mShardReadInFlight = false;
+      const MonotonicTime now = mContext.Now();
+      if (aRead.mResult != ReadResult::Read) {
+        mNextShardReadAt = now + mContext.mSettings.mRetryPause;
+        return;
+      }
+      mNextShardReadAt = now + mContext.mSettings.mShardPollInterval;
+      RecordReading(mContext.mStoreClock, aRead.mClockMs, begin, now);
+      UpdateShards(mView, aRead.mRows, now);
+      mView.mShardReadDuration =
+        std::chrono::duration_cast<Millis>(now - begin);
+      if (mView.mShardCount == 0) {
+        CreateLayout();
+      } else {
+        ClaimShards(now);
+        HandOverShards(now);
+      }
+    });
 }
 
 void
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -11,6 +11,7 @@
 #include <LibNode/DirectoryPort.h>
 #include <LibNode/RowPartitions.h>
 #include <LibNode/RunnerPort.h>
+#include <LibNode/StoreClock.h>
 #include <LibNode/StorePort.h>
 #include <LibTime/BootClock.h>
 
@@ -75,6 +76,7 @@
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
   MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
+  StoreClock mStoreClock;
   /// Clock for tests. Without it, the time since the host's start is used.
   std::function<MonotonicTime()> mClock;
 
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -262,7 +262,7 @@
       mRunnersBeingDropped.insert(runner.mSpec.mId);
       continue;
     }
-    dispatch::InheritedRunner entry{ runner.mSpec, {} };
+    dispatch::InheritedRunner entry{ runner.mSpec, {}, {} };
     if (dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
       if (!runner.mRecordStored ||
           runner.mRecordedRunCount != runner.mTasks.size()) {
@@ -276,21 +276,23 @@
       runner.mRecordStored = true;
       runner.mRecordedRunCount = runner.mTasks.size();
       entry.mPossibleRuns = dispatch::PossibleRuns(mDispatcher, i);
+      entry.mLeasesExpireAt = runner.mLeasesExpireAt;
     }
     mRunnersBeingStored.push_back(std::move(entry));
   }
   for (const dispatch::RunnerSpec& spec : mShardRunners) {
     if (!known.contains(spec.mId)) {
-      mRunnersBeingStored.push_back({ spec, {} });
+      mRunnersBeingStored.push_back({ spec, {}, {} });
     }
   }
   mStoringRunners = true;
   mRunnersStoredAt = now;
   StoreTransaction transaction;
-  transaction.mPuts.push_back({ ProgressTable(mClaim.mShard),
-                                mContext.mPartitions.OfProgress(mClaim.mShard),
-                                kRunnersKey,
-                                FormatRunners(mRunnersBeingStored) });
+  transaction.mPuts.push_back(
+    { ProgressTable(mClaim.mShard),
+      mContext.mPartitions.OfProgress(mClaim.mShard),
+      kRunnersKey,
+      FormatRunners(mRunnersBeingStored, mContext.mStoreClock) });
   mTransactions.push_back(std::move(transaction));
   SendNextTransaction();
 }
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -80,7 +80,8 @@
       for (StoreRow& row : aRead.mRows) {
         const std::string_view key = row.mKey;
         if (key == kRunnersKey) {
-          self->mInheritedRunners = ParseRunners(row.mValue);
+          self->mInheritedRunners =
+            ParseRunners(row.mValue, self->mContext.mStoreClock);
         } else if (key == kInterferenceKey) {
           dispatch::Adopt(self->mDispatcher.mInterference,
                           ParseInterference(row.mValue),
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -63,6 +63,8 @@
   std::int64_t mVersion = 0; ///< Version of the rows written, if stored.
   /// After a conflict: the checked rows as they are now.
   std::vector<StoreRow> mCurrent;
+  /// Reading of the store's clock in milliseconds; 0: the answer had none.
+  std::int64_t mClockMs = 0;
 };
 
 enum class ReadResult
@@ -80,6 +82,8 @@
   std::vector<StoreRow> mRows;
   bool mMore = false;        ///< There are rows after the last one of mRows.
   std::int64_t mVersion = 0; ///< Newest version in the store at the read.
+  /// Reading of the store's clock in milliseconds; 0: the answer had none.
+  std::int64_t mClockMs = 0;
 };
 
 using TransactionHandler = std::function<void(TransactionOutcome)>;
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -114,7 +114,8 @@
                        { spec,
                          mRecords.contains(spec.mId)
                            ? std::optional(mRecords.at(spec.mId))
-                           : std::nullopt },
+                           : std::nullopt,
+                         {} },
                        mNow);
   }
   for (const auto& [id, spec] : mAccepted) {
