LibNode: Bound all leases by the last stored renewal, on the store's clock

What callers saw: after a change of owner, long-running tasks of lost runners, and every task that may have run on an unreachable runner, were stopped for 18.4 s (former owner frozen, cut off or lost) or 6.4 s (restarted, released), and again from each further change.

Cause: an owner granted leases of 6 s to runners until its own lease of 12 s ended, and a successor could only count both from its own claim, on its own clock, whatever was known of the former owner; it passed nothing on to the next one.

An owner now grants no lease beyond 6.18 s after its last stored renewal, and says so in the shard's row on the store's clock, together with what earlier owners granted. To outlive a store outage it may go on until 12 s, with leases of 3 s, and start tasks, only while more than half of the runners in the stored list have answered it within a second. A successor that has reached more than half of the same list ends that: any two majorities have a runner in common, which rejects the former owner. Limits are times, so that they hold just after a freeze as well. Rows without the new members are waited for as before.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -12,6 +12,10 @@
 {
   /// Longest lease that a runner may be granted. The deployment sets it.
   Millis mMaxLease{ 6000 };
+  /// Longest lease that a runner is granted on the strength of an answer of a
+  /// majority of the runners, while the store does not answer. It is short, as
+  /// a later owner waits for it; a renewal is sent each 0.4 s then.
+  Millis mIsolatedLease{ 3000 };
   /// Longest time for which interference may keep a long-running task over its
   /// tail latency target. The deployment sets it.
   Millis mMaxTimeOverTarget{ 4000 };
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -84,6 +84,14 @@
   /// Time until which runners that have not answered this owner may still run
   /// tasks of an earlier owner.
   MonotonicTime mEarlierLeasesUntil;
+  /// No lease is granted beyond this time. A later owner counts on it.
+  MonotonicTime mLeaseLimit = MonotonicTime::max();
+  /// Whether the runners are to answer often, because the owner may soon depend
+  /// on the answers of a majority of them.
+  bool mFrequentContact = false;
+  /// No task is started from this time on. Like mLeaseLimit it is a time, so
+  /// that it also holds just after this process was suspended.
+  MonotonicTime mStartsUntil = MonotonicTime::max();
   /// Whether all runs of earlier owners are known or have ended. Tasks that an
   /// earlier owner may have started unseen are placed only from then on.
   bool mRecovered = false;
@@ -168,6 +176,27 @@
 bool
 HasLeft(const Dispatcher& aDispatcher, RunnerIndex aRunner);
 
+/// A process of a runner.
+struct RunnerProcess
+{
+  std::string mId;
+  std::int64_t mIncarnation = 0; ///< See RunnerSpec::mIncarnation.
+};
+
+/// @return the latest time such that more than half of the runners have
+///         answered this owner to a request that was sent then or later; the
+///         zero time if there is none. A restarted runner counts only if the
+///         list names its present process, because it has forgotten whether it
+///         had seen a later owner.
+MonotonicTime
+MajorityContactAt(const Dispatcher& aDispatcher,
+                  std::span<const RunnerProcess> aRunners);
+
+/// @return the time that a lease of this length takes at most, as a runner
+///         measures it by a clock that may be slow
+Millis
+LongestDuration(const DispatchSettings& aSettings, Millis aLease);
+
 /// @return all runs that the runner may have
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner);
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -263,6 +263,10 @@
 void
 UpdateLeaseExpiry(Dispatcher& aDispatcher, Runner& aRunner);
 
+/// @return the length of the longest lease that may be granted now
+Millis
+GrantableLease(const Dispatcher& aDispatcher, MonotonicTime aNow);
+
 /// Extends the leases of a runner by an order that is sent now.
 /// @return the lease end to send, on the runner's clock
 std::int64_t
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -507,6 +507,10 @@
 void
 PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
 {
+  if (aNow >= aDispatcher.mStartsUntil) {
+    aDispatcher.mPlacementDue = true;
+    return;
+  }
   // If runs have ended and nothing else has changed, only their runners are
   // considered.
   const bool full = aDispatcher.mPlacementDue;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/Internal.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace paddle::dispatch {
 
@@ -45,12 +46,11 @@
 UpdateLeaseExpiry(Dispatcher& aDispatcher, Runner& aRunner)
 {
   const DispatchSettings& settings = aDispatcher.mSettings;
-  const auto left = static_cast<double>(
+  const Millis left(
     std::max<std::int64_t>(0, aRunner.mHighestLeaseMs - aRunner.mClockMs));
-  aRunner.mLeasesExpireAt =
-    aRunner.mClockReadAt +
-    Millis(static_cast<Millis::rep>(left * settings.mClockDriftFactor)) +
-    settings.mLeaseExpiryMargin;
+  aRunner.mLeasesExpireAt = aRunner.mClockReadAt +
+                            LongestDuration(settings, left) +
+                            settings.mLeaseExpiryMargin;
 }
 
 void
@@ -82,6 +82,7 @@
   runner.mHighestAppliedEnd = 0;
   runner.mHighestStoredEnd = 0;
   runner.mClockMs = 0;
+  runner.mClockRequestedAt = {};
   runner.mHighestLeaseMs = 0;
   if (unanswered.empty()) {
     runner.mLeasesExpireAt = aNow;
@@ -201,12 +202,10 @@
     // The earlier owner has granted no lease since it began to write the
     // record, and it can't remove the record any more. The leases therefore end
     // one longest lease from now at the latest.
-    const MonotonicTime latest =
-      aNow +
-      Millis(static_cast<Millis::rep>(
-        static_cast<double>(aDispatcher.mSettings.mMaxLease.count()) *
-        aDispatcher.mSettings.mClockDriftFactor)) +
-      aDispatcher.mSettings.mLeaseExpiryMargin;
+    const DispatchSettings& settings = aDispatcher.mSettings;
+    const MonotonicTime latest = aNow +
+                                 LongestDuration(settings, settings.mMaxLease) +
+                                 settings.mLeaseExpiryMargin;
     runner.mLeasesExpireAt =
       std::min(latest, runner.mRecordedLeasesExpireAt.value_or(latest));
   }
@@ -233,6 +232,39 @@
          runner.mUnstoredEnds.empty();
 }
 
+MonotonicTime
+MajorityContactAt(const Dispatcher& aDispatcher,
+                  std::span<const RunnerProcess> aRunners)
+{
+  std::vector<MonotonicTime> contacts;
+  contacts.reserve(aRunners.size());
+  for (const RunnerProcess& listed : aRunners) {
+    const auto found = aDispatcher.mRunnerById.find(listed.mId);
+    if (found == aDispatcher.mRunnerById.end()) {
+      continue;
+    }
+    const Runner& runner = aDispatcher.mRunners[found->second];
+    if (runner.mSpec.mIncarnation == listed.mIncarnation) {
+      contacts.push_back(runner.mClockRequestedAt);
+    }
+  }
+  const std::size_t majority = aRunners.size() / 2 + 1;
+  if (contacts.size() < majority) {
+    return {};
+  }
+  const auto position =
+    contacts.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+  std::nth_element(contacts.begin(), position, contacts.end(), std::greater());
+  return *position;
+}
+
+Millis
+LongestDuration(const DispatchSettings& aSettings, Millis aLease)
+{
+  return Millis(static_cast<Millis::rep>(static_cast<double>(aLease.count()) *
+                                         aSettings.mClockDriftFactor));
+}
+
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
@@ -355,15 +387,34 @@
       plan.mLongPollTimeout =
         std::min(plan.mLongPollTimeout, settings.mLongPollBesideServing);
     }
+    if (aDispatcher.mFrequentContact) {
+      plan.mLongPollTimeout =
+        std::min(plan.mLongPollTimeout, settings.mLongPollBesideServing);
+    }
   }
   const bool clockKnown =
     runner.mPhase == RunnerPhase::Live && runner.mClockMs > 0;
-  if (clockKnown && mayHaveRuns && !runner.mSilent && !runner.mRecordStored) {
+  if (clockKnown && mayHaveRuns && !runner.mSilent && !runner.mRecordStored &&
+      GrantableLease(aDispatcher, aNow).count() > 0) {
     plan.mLeaseEndMs = GrantLease(aDispatcher, runner, aNow);
   }
   return plan;
 }
 
+Millis
+GrantableLease(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  const DispatchSettings& settings = aDispatcher.mSettings;
+  const auto left = std::chrono::floor<Millis>(aDispatcher.mLeaseLimit - aNow);
+  if (left >= LongestDuration(settings, settings.mMaxLease)) {
+    return settings.mMaxLease;
+  }
+  return std::max(
+    Millis(0),
+    Millis(static_cast<Millis::rep>(static_cast<double>(left.count()) /
+                                    settings.mClockDriftFactor)));
+}
+
 std::int64_t
 GrantLease(Dispatcher& aDispatcher, Runner& aRunner, MonotonicTime aNow)
 {
@@ -375,7 +426,7 @@
     static_cast<std::int64_t>(static_cast<double>(since.count()) /
                               aDispatcher.mSettings.mClockDriftFactor);
   const std::int64_t end =
-    aRunner.mClockMs + elapsed + aDispatcher.mSettings.mMaxLease.count();
+    aRunner.mClockMs + elapsed + GrantableLease(aDispatcher, aNow).count();
   aRunner.mHighestLeaseMs = std::max(aRunner.mHighestLeaseMs, end);
   UpdateLeaseExpiry(aDispatcher, aRunner);
   return end;
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -190,6 +190,8 @@
     pending[queue] = Json::UInt64(count);
   }
   value["pending"] = pending;
+  value["leases_end_ms"] = Json::Int64(aRow.mLeasesEndMs);
+  value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
   return WriteJson(value);
 }
 
@@ -215,6 +217,8 @@
       row.mPending.emplace(queue, pending[queue].asUInt64());
     }
   }
+  row.mLeasesEndMs = (*value)["leases_end_ms"].asInt64();
+  row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
   return row;
 }
 
@@ -307,13 +311,20 @@
     aNow - own->second.mVersionSeenAt <= aSettings.mNodeTimeout;
   for (std::uint32_t shard = 0; shard < aView.mShardCount; ++shard) {
     const auto found = aView.mShardRows.find(shard);
-    Claim claim{ shard, 0, 1, false, {} };
+    Claim claim;
+    claim.mShard = shard;
+    claim.mEpoch = 1;
     MonotonicTime claimableFrom = aView.mShardsReadAt;
     if (found != aView.mShardRows.end()) {
       const Observed<ShardRow>& row = found->second;
       claim.mRowVersion = row.mVersion;
       claim.mEpoch = row.mRow.mEpoch + 1;
       claim.mPending = row.mRow.mPending;
+      claim.mEarlierOwner =
+        row.mRow.mOwner.empty() ? EarlierOwner::Released : EarlierOwner::Ended;
+      claim.mRowSeenAt = row.mVersionSeenAt;
+      claim.mLeasesEndMs = row.mRow.mLeasesEndMs;
+      claim.mIsolatedLeasesEndMs = row.mRow.mIsolatedLeasesEndMs;
       if (row.mRow.mOwner == aSelf.mName) {
         // Only one process of this name runs at a time, so the process that
         // owned the shard has certainly ended. If it is this process, it has
@@ -339,7 +350,7 @@
         claimableFrom =
           std::max(claimableFrom, aView.mOwnHeartbeatsStoredSince) +
           aSettings.mOwnerTimeout + 2 * aView.mShardReadDuration;
-        claim.mEarlierOwnerMayAct = true;
+        claim.mEarlierOwner = EarlierOwner::MayAct;
       }
     }
     if (IsSmallNode(aView, shard, aSelf, aSettings)) {
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -57,6 +57,15 @@
   std::int64_t mTotalMilliCores = 0; ///< All processors of the runners.
   /// Number of accepted jobs of which no task has started, by queue.
   std::map<std::string, std::uint64_t> mPending;
+  /// Time on the store's clock by which all leases have ended that the owner or
+  /// an earlier owner has granted to runners up to this renewal, and that the
+  /// owner grants without a further renewal of this row. 0: not known, because
+  /// an earlier version of this program wrote the row.
+  std::int64_t mLeasesEndMs = 0;
+  /// The same for the leases that the owner grants beyond that while the store
+  /// does not answer, see NodeSettings::mMajorityContactAge. Another owner that
+  /// has reached a majority of the runners ends them earlier.
+  std::int64_t mIsolatedLeasesEndMs = 0;
 };
 
 /// A row as this node last read it, with local times. Nodes compare only times
@@ -116,6 +125,15 @@
   Millis mHandOverDelay{ 4000 };
 };
 
+/// What is known of the earlier owner of a shard when the shard is claimed.
+enum class EarlierOwner
+{
+  None,     ///< The shard never had an owner.
+  Released, ///< It has released the shard, and has no order in flight.
+  Ended,    ///< Its process has ended.
+  MayAct    ///< It may still send orders to runners until its lease ends.
+};
+
 /// This node's decision to become the owner of a shard.
 struct Claim
 {
@@ -124,8 +142,11 @@
   /// an owner.
   std::int64_t mRowVersion = 0;
   std::int64_t mEpoch = 0; ///< Epoch of the new owner.
-  /// The earlier owner may still send orders to runners until its lease ends.
-  bool mEarlierOwnerMayAct = false;
+  EarlierOwner mEarlierOwner = EarlierOwner::None;
+  MonotonicTime mRowSeenAt; ///< When this node first read that version.
+  /// The same members of the earlier owner's ShardRow.
+  std::int64_t mLeasesEndMs = 0;
+  std::int64_t mIsolatedLeasesEndMs = 0;
   /// The earlier owner's ShardRow::mPending. The new owner publishes it until
   /// it has read the jobs itself.
   std::map<std::string, std::uint64_t> mPending;
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -34,10 +34,26 @@
   /// Interval at which the list of runners is read. It must be short enough
   /// that a draining runner gets no more starts 2.5 s after its notice.
   Millis mRunnerPollInterval{ 900 };
+  /// While its last stored renewal is older than this, an owner asks its
+  /// runners often, so that it knows of the majority in time. Renewals are half
+  /// a second apart.
+  Millis mFrequentContactAge{ 800 };
+  /// Interval of requests to an idle runner during that.
+  Millis mFrequentPollInterval{ 400 };
   /// Duration of an owner's lease on its shard, counted from the time at which
   /// it sent the last renewal that was stored. It lasts through a store outage
   /// of nine seconds that begins just before a renewal.
   Millis mShardLeaseDuration{ 12000 };
+  /// While its last stored renewal is older than this, an owner starts tasks,
+  /// and grants leases beyond those that the renewal allows, only if a majority
+  /// of the runners has answered lately. It is less than
+  /// ClaimSettings::mOwnerTimeout, after which another node may own the shard.
+  Millis mRenewalMaxAge{ 1500 };
+  /// The answers of that majority are to requests of at most this age. Runners
+  /// are asked each 0.4 s then. Once a new owner has reached a majority of the
+  /// runners, they reject the earlier owner, which therefore grants no lease
+  /// after this time any more.
+  Millis mMajorityContactAge{ 1000 };
   /// A new owner waits at most this long for the answers of the earlier owner's
   /// runners to its first renewal, which fences them. It is several times the
   /// longest round trip of 24 ms.
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -227,9 +227,13 @@
   }
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
     const dispatch::Runner& runner = mDispatcher.mRunners[i];
-    if (!mStoredRunners.contains(runner.mSpec.mId)) {
+    const auto stored = mStoredRunners.find(runner.mSpec.mId);
+    if (stored == mStoredRunners.end()) {
       continue;
     }
+    if (stored->second != runner.mSpec.mIncarnation) {
+      return true;
+    }
     const bool wanted = dispatch::ShouldStoreRecord(mDispatcher, i, aNow);
     if (dispatch::HasLeft(mDispatcher, i) || runner.mRecordStored != wanted ||
         (wanted && runner.mRecordedRunCount != runner.mTasks.size())) {
@@ -247,6 +251,11 @@
     return; // The next tick tries again.
   }
   const MonotonicTime now = mContext.Now();
+  if (!mMajorityFenced && now < mEarlierIsolatedLeasesEnd) {
+    // The earlier owner may still count on a majority of the present list, so a
+    // later owner must read the same list.
+    return;
+  }
   mRunnersBeingStored.clear();
   mRunnersBeingDropped.clear();
   std::set<std::string_view> listed;
@@ -307,7 +316,7 @@
       "runners=" + std::to_string(mRunnersBeingStored.size()));
   mStoredRunners.clear();
   for (const dispatch::InheritedRunner& entry : mRunnersBeingStored) {
-    mStoredRunners.insert(entry.mSpec.mId);
+    mStoredRunners.emplace(entry.mSpec.mId, entry.mSpec.mIncarnation);
     const auto index = mDispatcher.mRunnerById.find(entry.mSpec.mId);
     if (!entry.mPossibleRuns && index != mDispatcher.mRunnerById.end()) {
       mDispatcher.mRunners[index->second].mRecordStored = false;
--- /dev/null
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -0,0 +1,182 @@
+#include <LibNode/ShardState.h>
+
+#include <algorithm>
+
+namespace paddle {
+
+namespace {
+
+/// @return the longest time that a lease lasts that is granted on the strength
+///         of a renewal of the shard's lease
+Millis
+OrdinaryLease(const NodeSettings& aSettings)
+{
+  return dispatch::LongestDuration(aSettings.mDispatch,
+                                   aSettings.mDispatch.mMaxLease);
+}
+
+/// @return the longest time that a lease lasts that is granted on the strength
+///         of the answers of a majority of the runners
+Millis
+IsolatedLease(const NodeSettings& aSettings)
+{
+  return dispatch::LongestDuration(aSettings.mDispatch,
+                                   aSettings.mDispatch.mIsolatedLease);
+}
+
+} // namespace
+
+void
+ShardOwner::State::AssumeEarlierLeases(MonotonicTime aNow)
+{
+  const NodeSettings& settings = mContext.mSettings;
+  if (mClaim.mEarlierOwner == EarlierOwner::None) {
+    return;
+  }
+  const StoreClock& clock = mContext.mStoreClock;
+  const std::optional<MonotonicTime> end =
+    mClaim.mLeasesEndMs > 0 ? TimeReached(clock, mClaim.mLeasesEndMs)
+                            : std::nullopt;
+  if (!end) {
+    // An owner of an earlier version grants long leases until its own lease
+    // ends, which counts from before its last renewal was seen.
+    mEarlierLeasesEnd =
+      OrdinaryLease(settings) +
+      (mClaim.mEarlierOwner == EarlierOwner::MayAct
+         ? std::max(aNow, mClaim.mRowSeenAt + settings.mShardLeaseDuration)
+         : aNow);
+    return;
+  }
+  mEarlierLeasesEnd = *end;
+  if (mClaim.mIsolatedLeasesEndMs > 0) {
+    mEarlierIsolatedLeasesEnd =
+      TimeReached(clock, mClaim.mIsolatedLeasesEndMs).value_or(*end);
+  }
+  if (mClaim.mEarlierOwner != EarlierOwner::MayAct) {
+    mEarlierIsolatedLeasesEnd =
+      std::min(mEarlierIsolatedLeasesEnd, aNow + IsolatedLease(settings));
+  }
+}
+
+void
+ShardOwner::State::UpdateEarlierLeases()
+{
+  mDispatcher.mEarlierLeasesUntil =
+    std::max(mEarlierLeasesEnd, mEarlierIsolatedLeasesEnd) +
+    mContext.mSettings.mDispatch.mLeaseExpiryMargin;
+}
+
+void
+ShardOwner::State::HandleFenced(dispatch::RunnerIndex aRunner,
+                                std::int64_t aIncarnation,
+                                MonotonicTime aNow)
+{
+  if (mMajorityFenced || aRunner >= mInheritedProcesses.size() ||
+      mInheritedProcesses[aRunner].mIncarnation != aIncarnation) {
+    return;
+  }
+  mFencedRunners.insert(aRunner);
+  if (mFencedRunners.size() <= mInheritedProcesses.size() / 2) {
+    return;
+  }
+  mMajorityFenced = true;
+  const NodeSettings& settings = mContext.mSettings;
+  mEarlierIsolatedLeasesEnd =
+    std::min(mEarlierIsolatedLeasesEnd,
+             aNow + settings.mMajorityContactAge + IsolatedLease(settings));
+  UpdateEarlierLeases();
+  Log(LogLevel::Notice,
+      "majority_fenced",
+      "runners=" + std::to_string(mInheritedProcesses.size()) +
+        " remaining_ms=" +
+        std::to_string(std::chrono::duration_cast<Millis>(
+                         mDispatcher.mEarlierLeasesUntil - aNow)
+                         .count()));
+}
+
+MonotonicTime
+ShardOwner::State::MajorityContact() const
+{
+  const auto contactAt =
+    [&](const std::map<std::string, std::int64_t>& aRunners) {
+      std::vector<dispatch::RunnerProcess> processes;
+      processes.reserve(aRunners.size());
+      for (const auto& [id, incarnation] : aRunners) {
+        processes.push_back({ id, incarnation });
+      }
+      return dispatch::MajorityContactAt(mDispatcher, processes);
+    };
+  MonotonicTime contact = contactAt(mStoredRunners);
+  if (mStoringRunners) {
+    // A later owner may read either list.
+    std::map<std::string, std::int64_t> next;
+    for (const dispatch::InheritedRunner& runner : mRunnersBeingStored) {
+      next.emplace(runner.mSpec.mId, runner.mSpec.mIncarnation);
+    }
+    contact = std::min(contact, contactAt(next));
+  }
+  return contact;
+}
+
+void
+ShardOwner::State::UpdateLeaseLimit(MonotonicTime aNow)
+{
+  const NodeSettings& settings = mContext.mSettings;
+  const auto age = std::chrono::duration_cast<Millis>(aNow - mRenewedAt);
+  const bool frequent = age > settings.mFrequentContactAge;
+  if (frequent && !mDispatcher.mFrequentContact) {
+    for (RunnerRenewal& renewal : mRenewals) {
+      renewal.mNextRenewalAt = std::min(renewal.mNextRenewalAt, aNow);
+    }
+  }
+  mDispatcher.mFrequentContact = frequent;
+  mDispatcher.mLeaseLimit = mRenewedAt + OrdinaryLease(settings);
+  mDispatcher.mStartsUntil = mRenewedAt + settings.mRenewalMaxAge;
+  if (age > settings.mRenewalMaxAge) {
+    const MonotonicTime contactEnds =
+      MajorityContact() + settings.mMajorityContactAge;
+    if (aNow < contactEnds) {
+      mDispatcher.mLeaseLimit =
+        std::max(mDispatcher.mLeaseLimit, aNow + IsolatedLease(settings));
+      mDispatcher.mStartsUntil = contactEnds;
+    }
+  }
+  const bool mayStart = aNow < mDispatcher.mStartsUntil;
+  if (mayStart != mMayStartLogged) {
+    mMayStartLogged = mayStart;
+    Log(LogLevel::Notice,
+        mayStart ? "starts_resumed" : "starts_paused",
+        "renewal_age_ms=" + std::to_string(age.count()));
+  }
+}
+
+void
+ShardOwner::State::SetLeaseEnds(ShardRow& aRow, MonotonicTime aNow) const
+{
+  const NodeSettings& settings = mContext.mSettings;
+  const StoreClock& clock = mContext.mStoreClock;
+  // The leases of this owner, and those of earlier owners.
+  MonotonicTime end =
+    std::max(aNow + OrdinaryLease(settings), mEarlierLeasesEnd);
+  MonotonicTime isolatedEnd =
+    aNow + settings.mShardLeaseDuration + IsolatedLease(settings);
+  if (mMajorityFenced) {
+    end = std::max(end, mEarlierIsolatedLeasesEnd);
+  } else {
+    isolatedEnd = std::max(isolatedEnd, mEarlierIsolatedLeasesEnd);
+  }
+  if (mSteppingDown) {
+    // No order is in flight or follows, so the leases that were granted count.
+    end = std::max(mEarlierLeasesEnd, mEarlierIsolatedLeasesEnd);
+    for (const dispatch::Runner& runner : mDispatcher.mRunners) {
+      end = std::max(end, runner.mLeasesExpireAt);
+    }
+    isolatedEnd = {};
+  }
+  aRow.mLeasesEndMs = LatestStoreTime(clock, end).value_or(0);
+  if (aRow.mLeasesEndMs > 0 && isolatedEnd > MonotonicTime{}) {
+    aRow.mIsolatedLeasesEndMs = LatestStoreTime(clock, isolatedEnd).value_or(0);
+  }
+}
+
+} // namespace paddle
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -110,6 +110,7 @@
   row.mOwnerIncarnation = state.mContext.mSelf.mIncarnation;
   row.mEpoch = state.mClaim.mEpoch;
   row.mHeartbeatCount = ++state.mHeartbeatCount;
+  state.SetLeaseEnds(row, aNow);
   const dispatch::ShardCapacity capacity =
     dispatch::AvailableCapacity(state.mDispatcher, aNow);
   row.mFreeMilliCores = capacity.mFreeMilliCores;
@@ -141,6 +142,8 @@
   mState->mRowVersion = aRowVersion;
   mState->mLeaseEndsAt =
     aSentAt + mState->mContext.mSettings.mShardLeaseDuration;
+  mState->mRenewedAt = aSentAt;
+  mState->UpdateLeaseLimit(mState->mContext.Now());
 }
 
 void
@@ -193,9 +196,12 @@
   if (state.mOwnershipLost) {
     return;
   }
-  if (state.mStage != ShardStage::Claiming && aNow >= state.mLeaseEndsAt) {
-    state.LoseOwnership("not_renewed");
-    return;
+  if (state.mStage != ShardStage::Claiming) {
+    if (aNow >= state.mLeaseEndsAt) {
+      state.LoseOwnership("not_renewed");
+      return;
+    }
+    state.UpdateLeaseLimit(aNow);
   }
   if (state.mStage == ShardStage::Fencing &&
       (aNow >= state.mFencingEndsAt || state.mRenewals.empty())) {
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -108,6 +108,7 @@
   }
   renewal.mBackOff = Millis(0);
   renewal.mAnswered = true;
+  HandleFenced(aRunner, aOutcome.mReport.mIncarnation, now);
   if (mStage != ShardStage::Serving) {
     // By answering, the runner shows that it rejects the earlier owner's
     // orders from now on. Its report is read again once the jobs are known.
@@ -138,7 +139,10 @@
   const dispatch::Runner& runner = mDispatcher.mRunners[aRunner];
   const bool mayRunTasks = !runner.mTasks.empty() || !runner.mOrphans.empty();
   if (!mayRunTasks && runner.mUnstoredEnds.empty()) {
-    renewal.mNextRenewalAt = now + mDispatcher.mSettings.mIdlePollInterval;
+    renewal.mNextRenewalAt =
+      now + (mDispatcher.mFrequentContact
+               ? mContext.mSettings.mFrequentPollInterval
+               : mDispatcher.mSettings.mIdlePollInterval);
     return;
   }
   if (!runner.mUnstoredEnds.empty()) {
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -100,6 +100,26 @@
   /// Begins to start tasks and to follow the changes of the inbox.
   void BeginServing(MonotonicTime aNow);
 
+  // Leases of runners (ShardLeases.cpp).
+  /// Derives from the claim until when leases of earlier owners may last.
+  void AssumeEarlierLeases(MonotonicTime aNow);
+  /// Passes on to the dispatcher how long it must wait for unreachable runners.
+  void UpdateEarlierLeases();
+  /// Handles the first answer of a runner under this epoch, from which on it
+  /// rejects earlier owners.
+  void HandleFenced(dispatch::RunnerIndex aRunner,
+                    std::int64_t aIncarnation,
+                    MonotonicTime aNow);
+  /// @return the time since which a majority of the runners has answered, see
+  ///         dispatch::MajorityContactAt()
+  [[nodiscard]] MonotonicTime MajorityContact() const;
+  /// Sets until when the dispatcher may grant leases and whether it may start
+  /// tasks, according to the age of the last stored renewal.
+  void UpdateLeaseLimit(MonotonicTime aNow);
+  /// Sets the members of the shard's row that tell a later owner until when
+  /// leases may last. The row must be sent now.
+  void SetLeaseEnds(ShardRow& aRow, MonotonicTime aNow) const;
+
   // The inbox (ShardInbox.cpp).
   /// Waits for changes of the inbox, applies them, and waits for the next.
   void WaitForInboxChanges();
@@ -153,8 +173,8 @@
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
   /// @return whether the stored list of runners must be replaced now: a runner
-  ///         has come or left, or the record of what a silent runner may run
-  ///         has to be added, removed or changed
+  ///         has come, left or restarted, or the record of what a silent runner
+  ///         may run has to be added, removed or changed
   [[nodiscard]] bool RunnerListOutdated(MonotonicTime aNow) const;
   /// Adds a job to mEndedJobs and drops the oldest one if there are too many.
   void RememberEnded(const std::string& aJob);
@@ -174,6 +194,18 @@
   std::int64_t mRowVersion = 0; ///< Of the shard's row as last written here.
   std::uint64_t mHeartbeatCount = 0;
   MonotonicTime mLeaseEndsAt;
+  MonotonicTime mRenewedAt; ///< When the last stored renewal was sent.
+  /// Time by which the leases of earlier owners have ended: those that they
+  /// granted on the strength of a renewal, and those beyond that.
+  MonotonicTime mEarlierLeasesEnd;
+  MonotonicTime mEarlierIsolatedLeasesEnd;
+  /// The runners' processes in the list that the earlier owner stored last, by
+  /// RunnerIndex, and those of them that reject it by now.
+  std::vector<dispatch::RunnerProcess> mInheritedProcesses;
+  std::set<dispatch::RunnerIndex> mFencedRunners;
+  bool mMajorityFenced = false;
+  bool mMayStartLogged =
+    true; ///< Whether tasks may be started, as last logged.
   /// Time until which answers of runners are awaited in the stage Fencing.
   MonotonicTime mFencingEndsAt;
 
@@ -184,8 +216,9 @@
   bool mShardRunnersRead = false;
   bool mAnyListedNotStored = false; ///< One of them is not in mStoredRunners.
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
-  /// Ids of the runners in the list that is stored for a later owner.
-  std::set<std::string> mStoredRunners;
+  /// Incarnations, by id, of the runners in the list that is stored for a later
+  /// owner.
+  std::map<std::string, std::int64_t> mStoredRunners;
   /// Progress by job id, as the earlier owner stored it.
   std::unordered_map<std::string, std::string> mStoredProgress;
   /// Runners that the earlier owner used.
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -8,6 +8,35 @@
 
 namespace paddle {
 
+namespace {
+
+/// @return the name in the log
+std::string_view
+NameOf(EarlierOwner aOwner)
+{
+  switch (aOwner) {
+    case EarlierOwner::None:
+      return "none";
+    case EarlierOwner::Released:
+      return "released";
+    case EarlierOwner::Ended:
+      return "ended";
+    case EarlierOwner::MayAct:
+      return "may_act";
+  }
+  return "none";
+}
+
+/// @return the milliseconds from @p aNow to @p aTime, at least 0, for the log
+std::string
+RemainingMs(MonotonicTime aTime, MonotonicTime aNow)
+{
+  return std::to_string(
+    std::chrono::duration_cast<Millis>(std::max(aTime, aNow) - aNow).count());
+}
+
+} // namespace
+
 void
 ShardOwner::State::SendClaim()
 {
@@ -17,6 +46,9 @@
   row.mOwnerIncarnation = mContext.mSelf.mIncarnation;
   row.mEpoch = mClaim.mEpoch;
   row.mPending = mClaim.mPending;
+  const MonotonicTime sentAt = mContext.Now();
+  AssumeEarlierLeases(sentAt);
+  SetLeaseEnds(row, sentAt);
   StoreTransaction transaction;
   const std::string shards = mContext.mPartitions.OfShards();
   transaction.mChecks.push_back(
@@ -28,7 +60,6 @@
       mContext.mPartitions.OfProgress(mClaim.mShard),
       kCommitSequenceKey,
       mContext.mSelf.mName + "/" + std::to_string(mClaim.mEpoch) });
-  const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
   mContext.mStore.mTransact(
     std::move(transaction),
@@ -47,11 +78,13 @@
       self->mSequenceRowVersion = aOutcome.mVersion;
       self->mLeaseEndsAt =
         sentAt + self->mContext.mSettings.mShardLeaseDuration;
+      self->mRenewedAt = sentAt;
+      self->UpdateLeaseLimit(self->mContext.Now());
       self->mStage = ShardStage::ReadingProgress;
       self->Log(LogLevel::Notice,
                 "shard_claimed",
-                self->mClaim.mEarlierOwnerMayAct ? "former_owner=maybe_alive"
-                                                 : "former_owner=gone");
+                "former_owner=" +
+                  std::string(NameOf(self->mClaim.mEarlierOwner)));
       self->ReadProgress({});
     });
 }
@@ -106,32 +139,24 @@
   const NodeSettings& settings = mContext.mSettings;
   for (const dispatch::InheritedRunner& runner : mInheritedRunners) {
     dispatch::AddInheritedRunner(mDispatcher, runner, aNow);
-    mStoredRunners.insert(runner.mSpec.mId);
+    mStoredRunners.emplace(runner.mSpec.mId, runner.mSpec.mIncarnation);
+    mInheritedProcesses.push_back(
+      { runner.mSpec.mId, runner.mSpec.mIncarnation });
   }
+  const auto recorded =
+    std::count_if(mInheritedRunners.begin(),
+                  mInheritedRunners.end(),
+                  [](const dispatch::InheritedRunner& aRunner) {
+                    return aRunner.mPossibleRuns.has_value();
+                  });
   mInheritedRunners.clear();
-  // The last lease that the earlier owner granted to a runner has certainly
-  // ended when the earlier owner's lease on the shard and then the longest
-  // lease of a runner are over. Until then, unreachable runners may still run
-  // tasks.
-  Millis leaseWait = settings.mDispatch.mLeaseExpiryMargin;
-  if (!mDispatcher.mRunners.empty()) {
-    leaseWait += Millis(static_cast<Millis::rep>(
-      static_cast<double>(settings.mDispatch.mMaxLease.count()) *
-      settings.mDispatch.mClockDriftFactor));
-    if (mClaim.mEarlierOwnerMayAct) {
-      leaseWait += settings.mShardLeaseDuration;
-    }
-  }
-  mDispatcher.mEarlierLeasesUntil = aNow + leaseWait;
-  const auto recorded = std::count_if(
-    mDispatcher.mRunners.begin(),
-    mDispatcher.mRunners.end(),
-    [](const dispatch::Runner& aRunner) { return aRunner.mRecordStored; });
+  UpdateEarlierLeases();
   Log(
     LogLevel::Notice,
     "earlier_leases",
-    "wait_ms=" + std::to_string(leaseWait.count()) + " rule=" +
-      (mClaim.mEarlierOwnerMayAct ? "shard_and_runner_lease" : "runner_lease") +
+    "remaining_ms=" + RemainingMs(mEarlierLeasesEnd, aNow) +
+      " isolated_remaining_ms=" + RemainingMs(mEarlierIsolatedLeasesEnd, aNow) +
+      " rule=" + (mClaim.mLeasesEndMs > 0 ? "shard_row" : "longest_leases") +
       " runners=" + std::to_string(mDispatcher.mRunners.size()) +
       " recorded=" + std::to_string(recorded));
   mStage = ShardStage::Fencing;
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -115,7 +115,9 @@
                          mRecords.contains(spec.mId)
                            ? std::optional(mRecords.at(spec.mId))
                            : std::nullopt,
-                         {} },
+                         mRecordedLeaseEnds.contains(spec.mId)
+                           ? std::optional(mRecordedLeaseEnds.at(spec.mId))
+                           : std::nullopt },
                        mNow);
   }
   for (const auto& [id, spec] : mAccepted) {
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -84,6 +84,8 @@
   std::map<std::string, JobSpec> mAccepted;   ///< Stored jobs.
   /// Stored records of the runs that silent runners may have, by runner.
   std::map<std::string, std::vector<PossibleRun>> mRecords;
+  /// When the leases of these runs have ended, as far as the records say it.
+  std::map<std::string, MonotonicTime> mRecordedLeaseEnds;
   std::map<std::string, JobPhase> mEndedJobs; ///< Final phases, by job.
   Actions mActions;
   MonotonicTime mNow{ Seconds(1000) };
