LibDispatch: Start nothing on a restarted runner before the next renewal

A run could outlive the limit that the shard's row states: a renewal meant for the former process of a runner states a time on that process's clock, which lies far ahead on the new one's, so that the new process takes the longest lease.

After a restart was seen, no task is started there until a renewal that was sent later is stored; the limit it states covers that lease. NothingStartsOnARestartedRunnerBeforeTheNextRenewal fails without the check and passes with it.

--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -123,6 +123,11 @@
         aDispatcher.mSettings.mMaxClockReadingAge) {
     return Obstacle::NotLive;
   }
+  if (aRunner.mRestartSeenAt > aDispatcher.mRenewedAt) {
+    // A renewal that was meant for its former process may have extended its
+    // leases beyond the limit that the store knows.
+    return Obstacle::NotLive;
+  }
   if (aRunner.mAvoidUntil > aNow ||
       (aRunner.mOnProbation && HasProbationTask(aRunner))) {
     return Obstacle::Paused;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -157,6 +157,8 @@
   std::int64_t mClockMs = 0;       ///< The runner's clock in its latest answer.
   MonotonicTime mClockReadAt;      ///< When that answer was received.
   MonotonicTime mClockRequestedAt; ///< When the request for it was sent.
+  /// When this owner learned that the runner has a new process.
+  MonotonicTime mRestartSeenAt;
   /// Latest lease end that was ever sent to the runner, on its own clock.
   std::int64_t mHighestLeaseMs = 0;
   /// Time on this process's clock from which all leases have certainly ended.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -100,6 +100,7 @@
   runner.mQuarantines = 0;
   runner.mOnProbation = false;
   runner.mSpec.mIncarnation = aIncarnation;
+  runner.mRestartSeenAt = aNow;
   runner.mPhase = RunnerPhase::AwaitingReport;
   for (const TaskRef& ref : unanswered) {
     BeginStop(aDispatcher, ref, StopCause::StartUnanswered, aNow, aActions);
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -130,6 +130,7 @@
     }
   }
   mDispatcher.mFrequentContact = frequent;
+  mDispatcher.mRenewedAt = mRenewedAt;
   mDispatcher.mLeaseLimit = mRenewedAt + OrdinaryLease(settings);
   mDispatcher.mStartsUntil = mRenewedAt + settings.mRenewalMaxAge;
   if (age > settings.mRenewalMaxAge) {
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -200,6 +200,25 @@
   LONGS_EQUAL(1, world.mStarts);
 }
 
+// Guards against a start on a restarted runner whose leases may have been
+// extended beyond what the store knows, by a renewal meant for its former
+// process.
+TEST(Leases, NothingStartsOnARestartedRunnerBeforeTheNextRenewal)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.AdvanceTime(Millis(500));
+  world.mDispatcher.mRenewedAt = world.mNow;
+  world.mNow += Millis(50);
+  world.Restart("r0");
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Seconds(2));
+  LONGS_EQUAL(0, world.mStarts);
+  world.mDispatcher.mRenewedAt = world.mNow;
+  world.AdvanceTime(kAtOnce);
+  LONGS_EQUAL(1, world.mStarts);
+}
+
 // Guards against taking half of the runners, or fewer, for a majority: a later
 // owner may have reached the others.
 TEST(Leases, MajorityIsMoreThanHalf)
