LibPlacement: Restart a job where it failed if no other worker answers

A service was never started again when it had failed on the only worker that answers: a silent worker counted as an alternative for as long as it was known (no restart within 60 s in the test).

Only workers that have reported within a lease count as alternatives now. Placement.JobRestartsOnTheOnlyWorkerThatAnswers failed before and passes now; ReportedJobRestartsWhileAnotherWorkerIsSilent passes before and after (a reported job is back within 1.2 s, one that no worker has shown after 11.0 s to 11.3 s).

--- a/Libraries/LibPlacement/Placing.cpp
+++ b/Libraries/LibPlacement/Placing.cpp
@@ -297,11 +297,22 @@
       aWorker.mReservedFor != aJob.mRow.mSpec.mJob) {
     return false;
   }
-  const auto index =
-    static_cast<WorkerIndex>(&aWorker - aShard.mWorkers.data());
-  if (std::find(aJob.mFailedOn.begin(), aJob.mFailedOn.end(), index) !=
-        aJob.mFailedOn.end() &&
-      aShard.mWorkers.size() > aJob.mFailedOn.size()) {
+  const auto failedOn = [&](const Worker& aOther) {
+    const auto index =
+      static_cast<WorkerIndex>(&aOther - aShard.mWorkers.data());
+    return std::find(aJob.mFailedOn.begin(), aJob.mFailedOn.end(), index) !=
+           aJob.mFailedOn.end();
+  };
+  // A worker that has been silent for longer than a lease may never answer.
+  const Millis lease =
+    aShard.mSettings.mTaskLease + aShard.mSettings.mLeaseMargin;
+  const auto isAlternative = [&](const Worker& aOther) {
+    return aOther.mLastReportAt && aNow - *aOther.mLastReportAt <= lease &&
+           !failedOn(aOther);
+  };
+  if (failedOn(aWorker) && std::any_of(aShard.mWorkers.begin(),
+                                       aShard.mWorkers.end(),
+                                       isAlternative)) {
     return false;
   }
   return AllowsStart(
--- a/Tests/LibPlacement/TestPlacement.cpp
+++ b/Tests/LibPlacement/TestPlacement.cpp
@@ -385,6 +385,87 @@
   LONGS_EQUAL(15000, mShard.mWorkers[1].mFree.mMilliCores);
 }
 
+// Guards against a job that waits for a silent worker after a takeover although
+// another worker has reported it to this owner before its task failed, and
+// against a start of a job that no worker has reported before the leases of the
+// earlier owner have ended.
+TEST(Placement, ReportedJobRestartsWhileAnotherWorkerIsSilent)
+{
+  mShard = MakeShard({}, mPolicy, PriorOwner::Possible, mNow);
+  SetWorker(mShard, { "w0", "dc", "rack", kWorkerCapacity, false });
+  SetWorker(mShard, { "w1", "dc", "rack", kWorkerCapacity, false });
+  SetWorker(mShard, { "silent", "dc", "rack", kWorkerCapacity, false });
+  for (const char* name : { "reported", "unseen" }) {
+    JobRow row;
+    row.mSpec = MakeSpec(name, 1);
+    LoadJob(mShard, row, mNow);
+  }
+  SetDataCentre(mShard, "dc", true, mNow, mNow);
+  WorkerReport report = MakeReport(0);
+  TaskReport task;
+  task.mJob = "reported";
+  task.mReserved = { 1000, 1000, 0 };
+  report.mTasks.push_back(task);
+  Actions actions;
+  HandleReport(mShard, 0, report, mNow, actions);
+  HandleReport(mShard, 1, MakeReport(1), mNow, actions);
+  report = {};
+  report.mToken = { 1, ++mWorkerClockMs };
+  report.mOutcomes = { { "reported", 0, TaskResult::Failed, "", "" } };
+  actions.clear();
+  HandleReport(mShard, 0, report, mNow, actions);
+  Commit(actions);
+  const MonotonicTime failedAt = mNow;
+  std::optional<Millis> restarted;
+  std::optional<Millis> unseen;
+  while (mNow - failedAt < Seconds(15)) {
+    mNow += Millis(100);
+    mWorkerClockMs += 100;
+    actions.clear();
+    HandleReport(mShard, 0, MakeReport(0), mNow, actions);
+    HandleReport(mShard, 1, MakeReport(1), mNow, actions);
+    ConfirmDataCentres();
+    HandleTick(mShard, mNow, actions);
+    Commit(actions);
+    PlaceQueued(mShard, mNow, 10, actions);
+    for (const StartTask& start : ActionsOf<StartTask>(actions)) {
+      (start.mJob == "reported" ? restarted : unseen) =
+        std::chrono::duration_cast<Millis>(mNow - failedAt);
+    }
+  }
+  CHECK_TRUE(restarted.has_value() && unseen.has_value());
+  CHECK_COMPARE(restarted->count(), <=, 1200);
+  CHECK_COMPARE(unseen->count(), >, 11000);
+  CHECK_COMPARE(unseen->count(), <=, 11300);
+}
+
+// Guards against a service that is never started again because it has failed on
+// the only worker that answers, while a silent one counts as an alternative.
+TEST(Placement, JobRestartsOnTheOnlyWorkerThatAnswers)
+{
+  AddWorkers(2);
+  Submit(MakeSpec("service", 1, TaskClass::Service));
+  const std::vector<StartTask> starts = Place();
+  LONGS_EQUAL(1, starts.size());
+  const WorkerIndex worker = starts.front().mWorker;
+  // The other worker has been silent for a while when the task fails.
+  mNow += Seconds(3);
+  mWorkerClockMs += 3000;
+  Finish(starts.front(), TaskResult::Failed);
+  std::size_t restarts = 0;
+  for (int i = 0; i < 600 && restarts == 0; ++i) {
+    mNow += Millis(100);
+    mWorkerClockMs += 100;
+    Actions actions;
+    HandleReport(mShard, worker, MakeReport(worker), mNow, actions);
+    ConfirmDataCentres();
+    HandleTick(mShard, mNow, actions);
+    Commit(actions);
+    restarts += Place().size();
+  }
+  LONGS_EQUAL(1, restarts);
+}
+
 // Guards against a cancelled job that is started again, and against a job that
 // had completed before the cancellation arrived but is stored as cancelled.
 TEST(Placement, CancelledJobIsNotRestartedAndCompletedJobStaysCompleted)
