LibNode: State when the leases of every runner end before a hand-over

Runners were gone at 18.6 s, the first owner was stopped at 19.7 s before it had noticed, the next one at 24.2 s before their leases were over; the third waited until 30.4 s.

Cause: a runner that an owner never reached has no record, and the shard's row states one time for all runners, which each owner moves on by its own leases on other runners.

An owner that hands over grants no lease any more, so it stores a last list that states for each runner when its leases end; for a runner that it never reached itself, what the owner before it stated. Runners that have restarted are left out, since a late order may reach the new process. The recovery ends when the last unheard runner's leases have ended.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -163,6 +163,11 @@
 void
 AdoptRecordedRuns(Dispatcher& aDispatcher, MonotonicTime aNow);
 
+/// @return the time by which the leases of earlier owners on a runner have
+///         ended that has not answered this owner
+MonotonicTime
+EarlierLeasesEnd(const Dispatcher& aDispatcher, RunnerIndex aRunner);
+
 /// @return whether the runs that the runner may have should be recorded in the
 ///         store, so that a later owner can start other tasks without waiting
 ///         for the runner
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -44,8 +44,8 @@
   /// All runs that it may have, if the earlier owner recorded them while the
   /// runner was silent. Without a record it may run any task of the shard.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
-  /// With a record: time by which the leases of these runs have certainly
-  /// ended. Without a value it is not known.
+  /// Time by which all leases of the runner have certainly ended, if the
+  /// earlier owner has granted none since it stored that time.
   std::optional<MonotonicTime> mLeasesExpireAt;
 };
 
@@ -176,9 +176,10 @@
   /// Whether an earlier owner used the runner and this owner has had no answer
   /// from it.
   bool mInherited = false;
-  /// Runs in the record of an earlier owner, until they are adopted, and when
-  /// their leases have certainly ended.
+  /// Runs in the record of an earlier owner, until they are adopted.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
+  /// Time by which all leases of earlier owners have ended, if one has stored
+  /// it.
   std::optional<MonotonicTime> mRecordedLeasesExpireAt;
 
   /// Highest number of a reported end that has been applied to its task.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -220,6 +220,15 @@
   }
 }
 
+MonotonicTime
+EarlierLeasesEnd(const Dispatcher& aDispatcher, RunnerIndex aRunner)
+{
+  const MonotonicTime latest = aDispatcher.mEarlierLeasesUntil;
+  return std::min(
+    latest,
+    aDispatcher.mRunners[aRunner].mRecordedLeasesExpireAt.value_or(latest));
+}
+
 bool
 ShouldStoreRecord(const Dispatcher& aDispatcher,
                   RunnerIndex aRunner,
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -20,12 +20,14 @@
                     MonotonicTime aNow,
                     Actions& aActions)
 {
-  for (Runner& runner : aDispatcher.mRunners) {
+  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+    Runner& runner = aDispatcher.mRunners[i];
     const bool silent =
       (runner.mPhase == RunnerPhase::Live && !runner.mTasks.empty() &&
        runner.mLeasesExpireAt <= aNow) ||
       (runner.mPhase == RunnerPhase::AwaitingReport &&
-       aNow > runner.mLeasesExpireAt && aNow > aDispatcher.mEarlierLeasesUntil);
+       aNow > runner.mLeasesExpireAt &&
+       aNow > EarlierLeasesEnd(aDispatcher, i));
     if (!silent) {
       continue;
     }
@@ -86,12 +88,13 @@
 ExplainAwaitedRunners(const Dispatcher& aDispatcher, MonotonicTime aNow)
 {
   std::size_t awaited = 0;
-  for (const Runner& runner : aDispatcher.mRunners) {
+  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+    const Runner& runner = aDispatcher.mRunners[i];
     std::string_view rule;
     MonotonicTime until = runner.mLeasesExpireAt;
     if (runner.mPhase == RunnerPhase::AwaitingReport && runner.mInherited) {
       rule = "earlier_owner";
-      until = std::max(until, aDispatcher.mEarlierLeasesUntil);
+      until = std::max(until, EarlierLeasesEnd(aDispatcher, i));
     } else if (runner.mPhase == RunnerPhase::Live && runner.mSilent &&
                !runner.mTasks.empty()) {
       rule = runner.mClockMs == 0 ? "record" : "own_lease";
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -13,6 +13,10 @@
 using dispatch::JobPhase;
 using dispatch::StepSpec;
 
+/// Position of the end of the leases in the entry of a runner. The member
+/// before it, the record of its runs, is null if there is none.
+constexpr Json::ArrayIndex kLeasesEndPosition = 6;
+
 // The Put functions leave out members that have their default value: rows are
 // read and written often, and traffic to and from the store costs money.
 
@@ -293,13 +297,12 @@
         runs.append(Json::Int64(run.mRun));
       }
       entry.append(runs);
-      const std::optional<std::int64_t> leasesEndMs =
-        runner.mLeasesExpireAt
-          ? LatestStoreTime(aClock, *runner.mLeasesExpireAt)
-          : std::nullopt;
-      if (leasesEndMs) {
-        entry.append(Json::Int64(*leasesEndMs));
-      }
+    }
+    const std::optional<std::int64_t> leasesEndMs =
+      runner.mLeasesExpireAt ? LatestStoreTime(aClock, *runner.mLeasesExpireAt)
+                             : std::nullopt;
+    if (leasesEndMs) {
+      entry[kLeasesEndPosition] = Json::Int64(*leasesEndMs);
     }
     value[runner.mSpec.mId] = entry;
   }
@@ -335,10 +338,12 @@
           runner.mPossibleRuns->push_back({ *task, entry[5][i + 1].asInt64() });
         }
       }
-      // Rows of earlier versions have no lease end.
-      if (entry.size() > 6 && entry[6].isIntegral()) {
-        runner.mLeasesExpireAt = TimeReached(aClock, entry[6].asInt64());
-      }
+    }
+    // Rows of earlier versions have no lease end.
+    if (entry.size() > kLeasesEndPosition &&
+        entry[kLeasesEndPosition].isIntegral()) {
+      runner.mLeasesExpireAt =
+        TimeReached(aClock, entry[kLeasesEndPosition].asInt64());
     }
     runners.push_back(std::move(runner));
   }
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -219,6 +219,9 @@
 bool
 ShardOwner::State::RunnerListOutdated(MonotonicTime aNow) const
 {
+  if (mSteppingDown) {
+    return FinalListDue();
+  }
   if (aNow - mRunnersStoredAt < kRunnersInterval) {
     return false;
   }
@@ -243,19 +246,27 @@
   return false;
 }
 
+bool
+ShardOwner::State::FinalListDue() const
+{
+  return mStage == ShardStage::Serving && !mFinalListSent &&
+         !mDispatcher.mRunners.empty() && !ListPinned(mContext.Now());
+}
+
+bool
+ShardOwner::State::ListPinned(MonotonicTime aNow) const
+{
+  return !mMajorityFenced && aNow < mEarlierIsolatedLeasesEnd;
+}
+
 void
 ShardOwner::State::StoreRunners()
 {
+  const MonotonicTime now = mContext.Now();
   if (mTransactionInFlight || !mTransactions.empty() || mCommit ||
-      mSteppingDown) {
+      (mSteppingDown && !FinalListDue()) || ListPinned(now)) {
     return; // The next tick tries again.
   }
-  const MonotonicTime now = mContext.Now();
-  if (!mMajorityFenced && now < mEarlierIsolatedLeasesEnd) {
-    // The earlier owner may still count on a majority of the present list, so a
-    // later owner must read the same list.
-    return;
-  }
   mRunnersBeingStored.clear();
   mRunnersBeingDropped.clear();
   std::set<std::string_view> listed;
@@ -286,6 +297,14 @@
       runner.mRecordedRunCount = runner.mTasks.size();
       entry.mPossibleRuns = dispatch::PossibleRuns(mDispatcher, i);
       entry.mLeasesExpireAt = runner.mLeasesExpireAt;
+    } else if (mSteppingDown && runner.mRestartSeenAt == MonotonicTime{}) {
+      // A late order to the former process of a restarted runner may still be
+      // carried out, so the end of its leases is not stated.
+      entry.mLeasesExpireAt =
+        runner.mPhase == dispatch::RunnerPhase::AwaitingReport
+          ? std::max(runner.mLeasesExpireAt,
+                     dispatch::EarlierLeasesEnd(mDispatcher, i))
+          : runner.mLeasesExpireAt;
     }
     mRunnersBeingStored.push_back(std::move(entry));
   }
@@ -295,6 +314,7 @@
     }
   }
   mStoringRunners = true;
+  mFinalListSent = mSteppingDown;
   mRunnersStoredAt = now;
   StoreTransaction transaction;
   transaction.mPuts.push_back(
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -264,7 +264,7 @@
 {
   return mState->mOwnershipLost ||
          (!mState->mTransactionInFlight && !mState->mCommit &&
-          mState->mDispatcher.mDirtyJobs.empty());
+          mState->mDispatcher.mDirtyJobs.empty() && !mState->FinalListDue());
 }
 
 std::uint32_t
--- a/Libraries/LibNode/ShardOwner.h
+++ b/Libraries/LibNode/ShardOwner.h
@@ -68,7 +68,8 @@
   /// @return whether this node owns the shard and has read its state
   [[nodiscard]] bool Serving() const;
   [[nodiscard]] bool SteppingDown() const;
-  /// @return whether no progress is left to store
+  /// @return whether neither progress nor the last list of runners is left to
+  ///         store
   [[nodiscard]] bool AllStored() const;
 
   [[nodiscard]] std::uint32_t Number() const;
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -170,6 +170,11 @@
   void HandleTransaction(const TransactionOutcome& aOutcome);
   /// Stores the list of runners that the shard's tasks may use.
   void StoreRunners();
+  /// @return whether the last list of this owner is still to be stored
+  [[nodiscard]] bool FinalListDue() const;
+  /// @return whether an earlier owner may still count on the answers of a
+  ///         majority of the stored list, which must not be replaced then
+  [[nodiscard]] bool ListPinned(MonotonicTime aNow) const;
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
   /// @return whether the stored list of runners must be replaced now: a runner
@@ -216,6 +221,9 @@
   bool mShardRunnersRead = false;
   bool mAnyListedNotStored = false; ///< One of them is not in mStoredRunners.
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
+  /// Whether the list that is being stored, or has been stored, is the last one
+  /// of this owner, which states when the leases of every runner end.
+  bool mFinalListSent = false;
   /// Incarnations, by id, of the runners in the list that is stored for a later
   /// owner.
   std::map<std::string, std::int64_t> mStoredRunners;
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -364,6 +364,41 @@
   mFailures.Check();
 }
 
+// Guards against hand-overs that each start the wait anew for a runner that
+// left before the first one and that no owner could record.
+TEST(TakeoverSimulation, HandOversInTurnDoNotProlongTheWait)
+{
+  for (const int drainedAfter : { 0, 300, 1000 }) {
+    for (const int drainedAgainAfter : { 2500, 4000, 5500 }) {
+      for (const int listedFor : { 0, 4500 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        // Each owner grants leases to the runner of this job.
+        cluster.Submit(
+          "b", "fedcba9876543210", dispatch::StepKind::LongRunning, 16);
+        const MonotonicTime lostAt = cluster.mNow;
+        const std::vector<std::string> tasks =
+          scenario.LoseRunner(Millis(listedFor));
+        cluster.AdvanceTime(Millis(drainedAfter));
+        cluster.mNodes.at(scenario.mOwner).mNode->Drain();
+        const std::string second = scenario.AwaitOwnerAfter(scenario.mEpoch);
+        cluster.AdvanceTime(std::chrono::duration_cast<Millis>(
+          lostAt + Millis(drainedAgainAfter) - cluster.mNow));
+        cluster.mNodes.at(second).mNode->Drain();
+        std::string problem =
+          scenario.CheckRunning(tasks, lostAt, lostAt + Seconds(9));
+        problem += cluster.Overlap();
+        mFailures.Add("drained " + Text(Millis(drainedAfter)) + " and " +
+                        Text(Millis(drainedAgainAfter)) +
+                        " after the loss, listed for " +
+                        Text(Millis(listedFor)),
+                      problem);
+      }
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against a runner that is never used again once service discovery has
 // dropped it.
 TEST(TakeoverSimulation, ARunnerThatComesBackIsUsedAgain)
@@ -688,6 +723,9 @@
 
 namespace {
 
+/// Seed of a schedule that has a test of its own.
+constexpr std::uint64_t kLateOrderAtRestartedRunnerSeed = 153;
+
 /// A seeded schedule of 60 s of faults and 20 s of calm.
 class RandomSchedule
 {
@@ -915,7 +953,19 @@
 TEST(TakeoverSimulation, RandomFaultsNeitherDoubleNorLoseTasks)
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
+    if (seed != kLateOrderAtRestartedRunnerSeed) {
+      mFailures.Add("seed " + std::to_string(seed),
+                    RandomSchedule(seed).Play());
+    }
   }
   mFailures.Check();
 }
+
+// Guards against a task that runs twice because a late order of a former owner
+// reaches a runner that has restarted since it was fenced.
+TEST(TakeoverSimulation, ALateOrderAtARestartedRunnerDoublesNoTask)
+{
+  mFailures.Add("seed " + std::to_string(kLateOrderAtRestartedRunnerSeed),
+                RandomSchedule(kLateOrderAtRestartedRunnerSeed).Play());
+  mFailures.Check();
+}
