LibNode: Fence a restarted runner as soon as its restart is seen

A new process of a runner has seen no token, so that it carries out late orders of earlier owners until the present owner's next request, which took up to 3 s for an idle runner. The owner now asks at the next tick.

--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -230,7 +230,13 @@
         runner.mListed || !runner.mTasks.empty() ||
         runner.mPhase == dispatch::RunnerPhase::AwaitingReport;
       RunnerRenewal& renewal = state.RenewalOf(i);
-      if (wanted && !renewal.mInFlight && aNow >= renewal.mNextRenewalAt) {
+      // A new process of a runner has not seen this epoch's token yet, and
+      // would carry out a late order of an earlier owner.
+      const bool unfenced =
+        runner.mPhase == dispatch::RunnerPhase::AwaitingReport &&
+        runner.mRestartSeenAt > renewal.mSentAt;
+      if (wanted && !renewal.mInFlight &&
+          (unfenced || aNow >= renewal.mNextRenewalAt)) {
         state.Renew(i, aNow);
       }
     }
