--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -83,6 +83,14 @@
         Deliver(aCaller, [aDone] { aDone({}); });
       });
     };
+    if (mNodes.at(aCaller.mNode).mWritesRefused) {
+      mDeadlines.Add(mNow + kLatency, [this, aCaller, aDone] {
+        Deliver(aCaller, [aDone] {
+          aDone({ StoreResult::NotApplied, 0, {} });
+        });
+      });
+      return;
+    }
     if (IsCutFromStore(aCaller)) {
       giveUp();
       return;
@@ -314,6 +322,25 @@
                                    aRunner.mClockRate);
 }
 
+MonotonicTime
+ClusterSimulation::ClockOf(const SimulatedNode& aNode) const
+{
+  const auto since =
+    std::chrono::duration_cast<Micros>(mNow - aNode.mClockSetAt);
+  return aNode.mClockSet +
+         Micros(static_cast<Micros::rep>(static_cast<double>(since.count()) *
+                                         aNode.mClockRate));
+}
+
+void
+ClusterSimulation::SetNodeClockRate(const std::string& aName, double aRate)
+{
+  SimulatedNode& node = mNodes.at(aName);
+  node.mClockSet = ClockOf(node);
+  node.mClockSetAt = mNow;
+  node.mClockRate = aRate;
+}
+
 void
 ClusterSimulation::SetClockRate(const std::string& aRunner, double aRate)
 {
@@ -496,7 +523,7 @@
   node.mContext.mDeadlines = &node.mDeadlines;
   node.mContext.mLog = &mLog;
   node.mContext.mMetrics = &mMetrics;
-  node.mContext.mClock = [this] { return mNow; };
+  node.mContext.mClock = [this, &node] { return ClockOf(node); };
   node.mNode = std::make_unique<Node>(node.mContext);
   node.mNode->Begin();
 }
@@ -529,8 +556,8 @@
     return;
   }
   if (aOrder == OnWaking::TickFirst) {
-    node.mDeadlines.Expire(mNow);
-    node.mNode->Tick(mNow);
+    node.mDeadlines.Expire(ClockOf(node));
+    node.mNode->Tick(ClockOf(node));
   }
   for (const std::function<void()>& answer :
        std::exchange(node.mPendingAnswers, {})) {
@@ -596,13 +623,13 @@
       ExpireLeases();
       for (auto& [name, node] : mNodes) {
         if (!node.mFrozen) {
-          node.mDeadlines.Expire(mNow);
+          node.mDeadlines.Expire(ClockOf(node));
         }
       }
     }
     for (auto& [name, node] : mNodes) {
       if (node.mNode && !node.mFrozen) {
-        node.mNode->Tick(mNow);
+        node.mNode->Tick(ClockOf(node));
       }
     }
     mStore.Run();
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -65,6 +65,11 @@
     std::uint64_t mProcess = 0; ///< Differs for each process of the node.
     bool mFrozen = false;
     bool mCutFromStore = false;
+    /// The store refuses its transactions, but still answers its reads.
+    bool mWritesRefused = false;
+    double mClockRate = 1; ///< Of its clock against the store's.
+    MonotonicTime mClockSet{ Seconds(1000) };           ///< Its reading at
+    MonotonicTime mClockSetAt{ Seconds(1000) };         ///< this time.
     std::vector<std::function<void()>> mPendingAnswers; ///< While frozen.
     Deadlines mDeadlines; ///< Of the node's own components.
   };
@@ -124,6 +129,8 @@
 
   /// Sets the rate at which a runner's clock goes on from its present reading.
   void SetClockRate(const std::string& aRunner, double aRate);
+  /// Sets the rate at which a node's clock goes on from its present reading.
+  void SetNodeClockRate(const std::string& aName, double aRate);
   /// Ends the run of a task at the first runner that runs it.
   void EndRun(const std::string& aTask, dispatch::EndKind aKind);
   /// @return the number of runs of the task, over all runners
@@ -206,6 +213,9 @@
   /// Ends everything on the runners whose leases have ended.
   void ExpireLeases();
 
+  /// @return the reading of the node's clock
+  [[nodiscard]] MonotonicTime ClockOf(const SimulatedNode& aNode) const;
+
   std::uint64_t mNextProcess = 1;
 };
 
