--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -278,6 +278,43 @@
   mFailures.Check();
 }
 
+// Guards against a next owner that waits for the longest leases of a frozen
+// owner although it has reached more than half of the listed runners, some of
+// which have restarted: the former process of such a runner can't answer the
+// frozen owner any more.
+TEST(TakeoverSimulation, RestartedRunnersDelayNoRecovery)
+{
+  for (const int restarted : { 0, 2, 3, 4, 5, 6 }) {
+    for (const bool killed : { true, false }) {
+      Scenario scenario;
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      if (killed) {
+        cluster.KillNode(scenario.mOwner);
+      } else {
+        cluster.FreezeNode(scenario.mOwner);
+      }
+      cluster.AdvanceTime(Millis(200));
+      int left = restarted;
+      std::vector<std::string> idle;
+      for (const auto& [id, runner] : cluster.mRunners) {
+        if (id != scenario.mRunner && left-- > 0) {
+          idle.push_back(id);
+        }
+      }
+      for (const std::string& id : idle) {
+        cluster.RestartRunner(id);
+      }
+      const std::vector<std::string> lost = scenario.LoseRunner(Millis(0));
+      const MonotonicTime lostAt = cluster.mNow;
+      mFailures.Add(std::to_string(restarted) + " of 8 runners restarted, " +
+                      (killed ? "killed" : "frozen"),
+                    scenario.CheckRunning(lost, lostAt, lostAt + Seconds(9)));
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against a next owner that waits for the leases of a runner that had
 // left with no task on it.
 TEST(TakeoverSimulation, ARunnerThatLeftIdleDelaysNoRecovery)
@@ -682,6 +719,108 @@
   mFailures.Check();
 }
 
+// Guards against a task that runs twice because an owner that is cut from the
+// store, but reaches a majority of the runners, takes a runner for lost whose
+// leases its successor goes on to extend.
+TEST(TakeoverSimulation, AnOwnerWithoutTheStoreLeavesRunnersToItsSuccessor)
+{
+  for (const int unreached : { 2, 3, 4, 5, 6 }) {
+    for (const int cutAfter : { 0, 500, 1000, 2000, 3000, 5000 }) {
+      Scenario scenario;
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      // The other nodes reach the runner of some task, but few others. The
+      // owner reaches just those others.
+      int cut = 0;
+      for (const auto& [id, runner] : cluster.mRunners) {
+        const bool onOwnersSide = id != scenario.mRunner && cut < unreached;
+        cut += onOwnersSide ? 1 : 0;
+        for (const auto& [name, node] : cluster.mNodes) {
+          if ((name == scenario.mOwner) != onOwnersSide) {
+            cluster.SetPath(name, id, kCut);
+          }
+        }
+      }
+      cluster.AdvanceTime(Millis(cutAfter));
+      cluster.CutFromStore(scenario.mOwner, true);
+      cluster.AdvanceTime(Seconds(30));
+      mFailures.Add(std::to_string(unreached) +
+                      " runners out of reach of the others, the store " +
+                      Text(Millis(cutAfter)) + " after the runner",
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task of a new job that is started by two owners: one whose
+// renewals the store refuses, but which still learns of new jobs, and the next.
+TEST(TakeoverSimulation, ANewJobIsStartedByOneOwner)
+{
+  for (const int unreached : { 0, 3, 4, 5, 6 }) {
+    for (const int submittedAfter : { 500, 1500, 1800, 2200, 3000, 5000 }) {
+      Scenario scenario;
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      std::string other;
+      int cut = 0;
+      for (const auto& [id, runner] : cluster.mRunners) {
+        const bool onOwnersSide = cut++ < unreached;
+        for (const auto& [name, node] : cluster.mNodes) {
+          other = name == scenario.mOwner ? other : name;
+          if ((name == scenario.mOwner) != onOwnersSide) {
+            cluster.SetPath(name, id, kCut);
+          }
+        }
+      }
+      cluster.mNodes.at(scenario.mOwner).mWritesRefused = true;
+      cluster.AdvanceTime(Millis(submittedAfter));
+      cluster.Submit(
+        other, "fedcba9876543210", dispatch::StepKind::LongRunning, 4);
+      cluster.AdvanceTime(Seconds(25));
+      mFailures.Add(std::to_string(unreached) +
+                      " runners out of reach of the others, submitted after " +
+                      Text(Millis(submittedAfter)),
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that runs twice because a renewal for the former
+// process of a runner reaches the new one late, after a task was started there,
+// and extends its lease beyond the limit of the shard's row.
+TEST(TakeoverSimulation, ALateRenewalOfARestartedRunnerDoublesNoTask)
+{
+  for (const int lateness : { 1500, 2000, 3000, 4000, 5000, 6000, 7000 }) {
+    for (const int killedAfter : { 1500, 2500, 4000 }) {
+      Scenario scenario(4);
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = id != scenario.mRunner;
+      }
+      cluster.AdvanceTime(Seconds(2));
+      cluster.SetPath(
+        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
+      cluster.AdvanceTime(Millis(1100));
+      cluster.RestartRunner(scenario.mRunner);
+      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      cluster.AdvanceTime(Millis(killedAfter));
+      scenario.CutFromOtherNodes();
+      cluster.KillNode(scenario.mOwner);
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = false;
+      }
+      cluster.AdvanceTime(Seconds(25));
+      mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
+                      Text(Millis(killedAfter)) + " after the restart",
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against an owner that gives up its tasks, or starts no more, while the
 // store is unavailable for nine seconds although all runners answer.
 TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
@@ -730,9 +869,13 @@
 class RandomSchedule
 {
 public:
-  explicit RandomSchedule(std::uint64_t aSeed)
+  /// @param aClockError by which the clock of node a is fast against the
+  ///                    store's, and that of node b slow
+  explicit RandomSchedule(std::uint64_t aSeed, double aClockError = 0)
     : mRandom(aSeed)
   {
+    mScenario.mCluster.SetNodeClockRate("a", 1 + aClockError);
+    mScenario.mCluster.SetNodeClockRate("b", 1 - aClockError);
     for (auto& [id, runner] : mScenario.mCluster.mRunners) {
       if (Below(3) == 0) {
         mScenario.mCluster.SetClockRate(id, kSlowClock);
@@ -969,3 +1112,14 @@
                 RandomSchedule(kLateOrderAtRestartedRunnerSeed).Play());
   mFailures.Check();
 }
+
+// Guards against tasks that run twice or are not started again because the
+// clocks of nodes differ from the store's by as much as is allowed.
+TEST(TakeoverSimulation, RandomFaultsWithInexactClocksNeitherDoubleNorLoseTasks)
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    mFailures.Add("seed " + std::to_string(seed),
+                  RandomSchedule(seed, 0.0099).Play());
+  }
+  mFailures.Check();
+}
