TestLibDispatch: Meet a start that is given up at a restarted runner

When the new process of a runner answers, the end of the former leases that ResetRunner() keeps is replaced. Without a further grant, as while a record is stored, the run is given up 150 ms later.

--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -509,6 +509,36 @@
   LONGS_EQUAL(2, world.mStarts);
 }
 
+// Guards against giving up an unanswered start 150 ms after the first answer of
+// its runner's new process, while the stop order to that process has got no
+// answer: a runner whose record is stored is granted no lease.
+TEST(Takeover, WaitsForAnUnansweredStartAfterAnAnswerOfTheNewProcess)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  DispatchWorld::FakeRunner& fake = world.mRunners["r0"];
+  fake.mAnswers = false;
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  LONGS_EQUAL(1, world.mLostStarts.size());
+  LONGS_EQUAL(0, world.mLostStarts.front().mRunner);
+  world.AdvanceTime(Millis(400));
+  CHECK_TRUE(ShouldStoreRecord(world.mDispatcher, 0, world.mNow));
+  world.mDispatcher.mRunners[0].mRecordStored = true;
+  RunnerReport report;
+  report.mClockMs = world.ClockOf(fake);
+  report.mIncarnation = ++fake.mIncarnation;
+  HandleReport(world.mDispatcher,
+               0,
+               report,
+               world.mNow - Millis(10),
+               world.mNow,
+               world.mActions);
+  world.mActions.clear(); // The stop order is lost.
+  // The start order may still arrive at the new process, for seconds.
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(1, world.mStarts);
+}
+
 // Guards against taking a shown task for proof that no earlier owner has begun
 // the next step. Here the first owner began it, and was lost together with the
 // unstored end of the step before, so that the second owner ran that step again
