TestLibNode: Meet successors that forget an owner without the store

AssumeEarlierLeases() shortens the isolated leases of the row when the owner in the row has ended, but they may be those of an owner before it. Two tests fail on the present code.

--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -753,6 +753,78 @@
   mFailures.Check();
 }
 
+// Guards against a task that runs twice because the successor of an owner that
+// is cut from the store, but reaches a majority of the runners, restarts, and
+// its next process forgets how long that owner may go on.
+TEST(TakeoverSimulation, ARestartedSuccessorRemembersTheOwnerWithoutTheStore)
+{
+  for (const int onOwnersSide : { 1, 3, 4, 5, 6, 7 }) {
+    for (const int killedAfter : { 100, 500, 1000, 2000, 3000 }) {
+      for (const int backAfter : { 100, 500, 1000 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        cluster.AdvanceTime(Seconds(1));
+        // All tasks run on the owner's side.
+        int left = onOwnersSide - 1;
+        for (const auto& [id, runner] : cluster.mRunners) {
+          const bool owners = id == scenario.mRunner || left-- > 0;
+          for (const auto& [name, node] : cluster.mNodes) {
+            if ((name == scenario.mOwner) != owners) {
+              cluster.SetPath(name, id, kCut);
+            }
+          }
+        }
+        cluster.CutFromStore(scenario.mOwner, true);
+        const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+        cluster.AdvanceTime(Millis(killedAfter));
+        cluster.KillNode(next);
+        cluster.AdvanceTime(Millis(backAfter));
+        cluster.StartNode(next);
+        cluster.AdvanceTime(Seconds(25));
+        mFailures.Add(std::to_string(onOwnersSide) +
+                        " runners on the owner's side, successor killed " +
+                        Text(Millis(killedAfter)) + " after its claim for " +
+                        Text(Millis(backAfter)),
+                      cluster.Overlap());
+      }
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against the same after the successor's claim was stored, but its
+// answer was lost, so that it claims again.
+TEST(TakeoverSimulation, AClaimMadeAgainRemembersTheOwnerWithoutTheStore)
+{
+  for (const int onOwnersSide : { 1, 3, 4, 5, 6, 7 }) {
+    Scenario scenario;
+    ClusterSimulation& cluster = scenario.mCluster;
+    cluster.AdvanceTime(Seconds(1));
+    int left = onOwnersSide - 1;
+    for (const auto& [id, runner] : cluster.mRunners) {
+      const bool owners = id == scenario.mRunner || left-- > 0;
+      for (const auto& [name, node] : cluster.mNodes) {
+        if ((name == scenario.mOwner) != owners) {
+          cluster.SetPath(name, id, kCut);
+        }
+      }
+    }
+    cluster.CutFromStore(scenario.mOwner, true);
+    while (cluster.Shard().mEpoch == scenario.mEpoch) {
+      // The answers of all transactions are lost until one is the claim.
+      cluster.mStore.mLoseNextAnswers = 1;
+      cluster.AdvanceTime(Millis(25));
+    }
+    cluster.mStore.mLoseNextAnswers = 0;
+    cluster.AdvanceTime(Seconds(25));
+    mFailures.Add(std::to_string(onOwnersSide) +
+                    " runners on the owner's side, epoch " +
+                    std::to_string(cluster.Shard().mEpoch),
+                  cluster.Overlap());
+  }
+  mFailures.Check();
+}
+
 // Guards against a task of a new job that is started by two owners: one whose
 // renewals the store refuses, but which still learns of new jobs, and the next.
 TEST(TakeoverSimulation, ANewJobIsStartedByOneOwner)
