--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -315,6 +315,101 @@
   mFailures.Check();
 }
 
+// Guards against a next owner that uses no runner for 15 s because the stored
+// list is empty, of which no majority can be reached.
+TEST(TakeoverSimulation, AnEmptyListDelaysNoStart)
+{
+  for (const bool killed : { true, false }) {
+    ClusterSimulation cluster(4);
+    for (auto& [id, runner] : cluster.mRunners) {
+      runner.mListed = id == "r0";
+    }
+    for (const char* node : { "a", "b", "c" }) {
+      cluster.StartNode(node);
+    }
+    cluster.AdvanceTime(Seconds(12));
+    const std::string owner = cluster.Shard().mOwner;
+    const std::int64_t epoch = cluster.Shard().mEpoch;
+    // The only runner leaves, and is dropped from the list.
+    cluster.RemoveRunner("r0", Millis(0));
+    cluster.AdvanceTime(Seconds(12));
+    if (killed) {
+      cluster.KillNode(owner);
+    } else {
+      cluster.FreezeNode(owner);
+    }
+    for (const char* runner : { "r1", "r2", "r3" }) {
+      cluster.mRunners.at(runner).mListed = true;
+    }
+    const MonotonicTime changeAt = cluster.mNow;
+    const std::string next = cluster.AwaitOwner(epoch + 1, Seconds(30));
+    cluster.Submit(next, kJob, dispatch::StepKind::LongRunning, 1);
+    while (cluster.Running(TaskNamed(0)) == 0 &&
+           cluster.mNow < changeAt + Seconds(40)) {
+      cluster.AdvanceTime(Millis(25));
+    }
+    mFailures.Add(killed ? "killed" : "frozen",
+                  cluster.mNow - changeAt > Seconds(9)
+                    ? "ran " + Scenario::MsBetween(changeAt, cluster.mNow) +
+                        " ms after the change of owner"
+                    : "");
+  }
+  mFailures.Check();
+}
+
+// Guards against a next owner that removes the record of a silent runner from
+// the list when it begins to serve, so that the owner after it waits for any
+// task that the runner may run.
+TEST(TakeoverSimulation, ANextOwnerKeepsTheRecordOfASilentRunner)
+{
+  for (const int killedAfter : { 25, 50, 75, 100, 200, 300, 400, 600, 1000 }) {
+    Scenario scenario;
+    ClusterSimulation& cluster = scenario.mCluster;
+    cluster.AdvanceTime(Seconds(1));
+    const std::vector<std::string> lost = scenario.LoseRunner(Millis(4500));
+    const MonotonicTime lostAt = cluster.mNow;
+    cluster.AdvanceTime(Millis(3000));
+    cluster.KillNode(scenario.mOwner);
+    const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+    cluster.AdvanceTime(Millis(killedAfter));
+    cluster.KillNode(next);
+    cluster.AwaitOwner(scenario.mEpoch + 2, Seconds(30));
+    // The leases have ended by now, or do so within a second.
+    const MonotonicTime limit =
+      std::max(lostAt + Seconds(7), cluster.mNow + Seconds(1));
+    mFailures.Add("killed " + Text(Millis(killedAfter)) + " after the claim",
+                  scenario.CheckRunning(lost, lostAt, limit));
+  }
+  mFailures.Check();
+}
+
+// Guards against runs that lapse on a runner that answers its owner in time,
+// because no lease is granted while its record is stored.
+TEST(TakeoverSimulation, ARecordedRunnerThatAnswersKeepsItsTasks)
+{
+  for (const int dark : { 0, 3, 4, 5 }) {
+    Scenario scenario;
+    ClusterSimulation& cluster = scenario.mCluster;
+    cluster.AdvanceTime(Seconds(1));
+    cluster.SetPath(ClusterSimulation::kAll, scenario.mRunner, kCut);
+    cluster.AdvanceTime(Millis(1500));
+    cluster.KillNode(scenario.mOwner);
+    cluster.SetPath(ClusterSimulation::kAll, scenario.mRunner, kHealed);
+    int left = dark;
+    for (const auto& [id, runner] : cluster.mRunners) {
+      if (id != scenario.mRunner && left-- > 0) {
+        cluster.SetPath(ClusterSimulation::kAll, id, kCut);
+      }
+    }
+    cluster.AdvanceTime(Seconds(25));
+    const std::string& task = scenario.mTasks.front();
+    mFailures.Add(
+      std::to_string(dark) + " of 8 runners out of reach",
+      cluster.mHistory.at(task).size() == 1 ? "" : cluster.HistoryOf(task));
+  }
+  mFailures.Check();
+}
+
 // Guards against a next owner that waits for the leases of a runner that had
 // left with no task on it.
 TEST(TakeoverSimulation, ARunnerThatLeftIdleDelaysNoRecovery)
