LibNode: Keep an isolated owner's leases apart from its successor's in the row

A task could run twice: when the successor of an owner without the store restarted, or claimed again after a lost answer, before it had reached a majority of the runners, its next claim cut the time for which the first owner may go on to that of the successor's own leases, since the row held one time for both.

The row now states the end of the isolated leases of the owner and of earlier owners apart; only the owner's own end early with its process.

TakeoverSimulation.ARestartedSuccessorRemembersTheOwnerWithoutTheStore (45 of 90 variations) and AClaimMadeAgainRemembersTheOwnerWithoutTheStore (3 of 6) failed before and pass now.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -192,6 +192,8 @@
   value["pending"] = pending;
   value["leases_end_ms"] = Json::Int64(aRow.mLeasesEndMs);
   value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
+  value["earlier_isolated_leases_end_ms"] =
+    Json::Int64(aRow.mEarlierIsolatedLeasesEndMs);
   return WriteJson(value);
 }
 
@@ -219,6 +221,8 @@
   }
   row.mLeasesEndMs = (*value)["leases_end_ms"].asInt64();
   row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
+  row.mEarlierIsolatedLeasesEndMs =
+    (*value)["earlier_isolated_leases_end_ms"].asInt64();
   return row;
 }
 
@@ -325,6 +329,7 @@
       claim.mRowSeenAt = row.mVersionSeenAt;
       claim.mLeasesEndMs = row.mRow.mLeasesEndMs;
       claim.mIsolatedLeasesEndMs = row.mRow.mIsolatedLeasesEndMs;
+      claim.mEarlierIsolatedLeasesEndMs = row.mRow.mEarlierIsolatedLeasesEndMs;
       if (row.mRow.mOwner == aSelf.mName) {
         // Only one process of this name runs at a time, so the process that
         // owned the shard has certainly ended. If it is this process, it has
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -66,6 +66,8 @@
   /// does not answer, see NodeSettings::mMajorityContactAge. Another owner that
   /// has reached a majority of the runners ends them earlier.
   std::int64_t mIsolatedLeasesEndMs = 0;
+  /// The same for earlier owners; 0: their leases count in mLeasesEndMs.
+  std::int64_t mEarlierIsolatedLeasesEndMs = 0;
 };
 
 /// A row as this node last read it, with local times. Nodes compare only times
@@ -147,6 +149,7 @@
   /// The same members of the earlier owner's ShardRow.
   std::int64_t mLeasesEndMs = 0;
   std::int64_t mIsolatedLeasesEndMs = 0;
+  std::int64_t mEarlierIsolatedLeasesEndMs = 0;
   /// The earlier owner's ShardRow::mPending. The new owner publishes it until
   /// it has read the jobs itself.
   std::map<std::string, std::uint64_t> mPending;
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -48,14 +48,18 @@
     return;
   }
   mEarlierLeasesEnd = *end;
-  if (mClaim.mIsolatedLeasesEndMs > 0) {
-    mEarlierIsolatedLeasesEnd =
-      TimeReached(clock, mClaim.mIsolatedLeasesEndMs).value_or(*end);
-  }
+  const auto reached = [&](std::int64_t aStoreMs) {
+    return aStoreMs > 0 ? TimeReached(clock, aStoreMs).value_or(*end)
+                        : MonotonicTime{};
+  };
+  mEarlierIsolatedLeasesEnd = reached(mClaim.mIsolatedLeasesEndMs);
   if (mClaim.mEarlierOwner != EarlierOwner::MayAct) {
     mEarlierIsolatedLeasesEnd =
       std::min(mEarlierIsolatedLeasesEnd, aNow + IsolatedLease(settings));
   }
+  // Owners before that one may still act, whatever became of it.
+  mEarlierIsolatedLeasesEnd = std::max(
+    mEarlierIsolatedLeasesEnd, reached(mClaim.mEarlierIsolatedLeasesEndMs));
 }
 
 void
@@ -161,23 +165,32 @@
     std::max(aNow + OrdinaryLease(settings), mEarlierLeasesEnd);
   MonotonicTime isolatedEnd =
     aNow + settings.mShardLeaseDuration + IsolatedLease(settings);
+  MonotonicTime earlierIsolatedEnd = mEarlierIsolatedLeasesEnd;
   if (mMajorityFenced) {
     end = std::max(end, mEarlierIsolatedLeasesEnd);
-  } else {
-    isolatedEnd = std::max(isolatedEnd, mEarlierIsolatedLeasesEnd);
+    earlierIsolatedEnd = {};
   }
   if (mSteppingDown) {
     // No order is in flight or follows, so the leases that were granted count.
-    end = std::max(mEarlierLeasesEnd, mEarlierIsolatedLeasesEnd);
+    end = mMajorityFenced
+            ? std::max(mEarlierLeasesEnd, mEarlierIsolatedLeasesEnd)
+            : mEarlierLeasesEnd;
     for (const dispatch::Runner& runner : mDispatcher.mRunners) {
       end = std::max(end, runner.mLeasesExpireAt);
     }
     isolatedEnd = {};
   }
   aRow.mLeasesEndMs = LatestStoreTime(clock, end).value_or(0);
-  if (aRow.mLeasesEndMs > 0 && isolatedEnd > MonotonicTime{}) {
+  if (aRow.mLeasesEndMs == 0) {
+    return; // The store's clock was never read.
+  }
+  if (isolatedEnd > aNow) {
     aRow.mIsolatedLeasesEndMs = LatestStoreTime(clock, isolatedEnd).value_or(0);
   }
+  if (earlierIsolatedEnd > aNow) {
+    aRow.mEarlierIsolatedLeasesEndMs =
+      LatestStoreTime(clock, earlierIsolatedEnd).value_or(0);
+  }
 }
 
 } // namespace paddle
