LibDispatch: Give up a silent runner only after a later renewal is stored

A task could run twice: an owner without the store, with a majority of the runners on its side, took a runner on the other side for lost after 6.3 s and started its tasks, while its successor had adopted them there and went on renewing their leases. Majorities don't help, since the successor needs none for a task that it sees running.

Leases that had ended before the last stored renewal was sent can't have been extended by a successor, which claims later. The tasks of a silent runner are now given up only when a renewal is stored that was sent after their leases had ended: at most half a second later while the store answers, and not during an outage of the store.

--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -20,14 +20,17 @@
                     MonotonicTime aNow,
                     Actions& aActions)
 {
+  // Another owner that has claimed the shard since the last stored renewal may
+  // have extended the leases that had not ended by then.
+  const MonotonicTime uncontested = std::min(aNow, aDispatcher.mRenewedAt);
   for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
     Runner& runner = aDispatcher.mRunners[i];
     const bool silent =
       (runner.mPhase == RunnerPhase::Live && !runner.mTasks.empty() &&
-       runner.mLeasesExpireAt <= aNow) ||
+       runner.mLeasesExpireAt <= uncontested) ||
       (runner.mPhase == RunnerPhase::AwaitingReport &&
-       aNow > runner.mLeasesExpireAt &&
-       aNow > EarlierLeasesEnd(aDispatcher, i));
+       uncontested > runner.mLeasesExpireAt &&
+       uncontested > EarlierLeasesEnd(aDispatcher, i));
     if (!silent) {
       continue;
     }
@@ -128,7 +131,7 @@
 /// Completes the recovery after a takeover as soon as every inherited runner
 /// has answered, or the leases of earlier owners have ended.
 void
-CheckRecovered(Dispatcher& aDispatcher, MonotonicTime aNow)
+CheckRecovered(Dispatcher& aDispatcher)
 {
   if (aDispatcher.mRecovered) {
     return;
@@ -140,7 +143,7 @@
                     return aRunner.mPhase == RunnerPhase::AwaitingReport &&
                            aRunner.mInherited;
                   });
-  if (awaitingReport > 0 && aNow < aDispatcher.mEarlierLeasesUntil) {
+  if (awaitingReport > 0) {
     return;
   }
   aDispatcher.mRecovered = true;
@@ -171,7 +174,7 @@
 {
   ExpireSilentRunners(aDispatcher, aNow, aActions);
   RepeatStops(aDispatcher, aNow, aActions);
-  CheckRecovered(aDispatcher, aNow);
+  CheckRecovered(aDispatcher);
   for (const auto& [id, job] : aDispatcher.mJobs) {
     if (job->mSpec.mOccurrences > job->mOccurrencesBegun) {
       BeginOccurrences(aDispatcher, *job, aUnixMs, aNow);
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1029,9 +1029,6 @@
 
 namespace {
 
-/// Seed of a schedule that has a test of its own.
-constexpr std::uint64_t kLateOrderAtRestartedRunnerSeed = 153;
-
 /// A seeded schedule of 60 s of faults and 20 s of calm.
 class RandomSchedule
 {
@@ -1263,20 +1260,18 @@
 TEST(TakeoverSimulation, RandomFaultsNeitherDoubleNorLoseTasks)
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    if (seed != kLateOrderAtRestartedRunnerSeed) {
-      mFailures.Add("seed " + std::to_string(seed),
-                    RandomSchedule(seed).Play());
-    }
+    mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
   }
   mFailures.Check();
 }
 
-// Guards against a task that runs twice because a late order of a former owner
-// reaches a runner that has restarted since it was fenced.
+// Guards against a task that runs twice because a late start order, which the
+// former process of a runner would have rejected, reaches the new one.
 TEST(TakeoverSimulation, ALateOrderAtARestartedRunnerDoublesNoTask)
 {
-  mFailures.Add("seed " + std::to_string(kLateOrderAtRestartedRunnerSeed),
-                RandomSchedule(kLateOrderAtRestartedRunnerSeed).Play());
+  for (const std::uint64_t seed : { 1869, 2461, 2978, 3092 }) {
+    mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
+  }
   mFailures.Check();
 }
 
