LibDispatch: Start no job that was learned of while the shard may be claimed

A task could run twice: an owner whose renewals the store refused, but whose wait for new jobs it still answered, started a job that was accepted after its successor's claim, and so did the successor.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -92,6 +92,9 @@
   /// No task is started from this time on. Like mLeaseLimit it is a time, so
   /// that it also holds just after this process was suspended.
   MonotonicTime mStartsUntil = MonotonicTime::max();
+  /// Jobs of which this owner learned later are not started, because another
+  /// node may have claimed the shard before and may start them as well.
+  MonotonicTime mUncontestedUntil = MonotonicTime::max();
   /// When the last renewal of the shard's lease was sent that is stored.
   MonotonicTime mRenewedAt = MonotonicTime::max();
   /// Whether all runs of earlier owners are known or have ended. Tasks that an
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -131,6 +131,7 @@
   JobSpec mSpec;
   JobPhase mPhase = JobPhase::Active;
   MonotonicTime mAcceptedAt;
+  MonotonicTime mTakenAt; ///< When this owner learned of the job.
   /// Occurrences that have begun, by number. One that has ended is removed when
   /// none of its tasks runs any more.
   std::map<std::uint32_t, Occurrence> mOccurrences;
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -312,6 +312,7 @@
   Job& job = *owned;
   job.mSpec = std::move(aSpec);
   job.mAcceptedAt = aAcceptedAt;
+  job.mTakenAt = aNow;
   job.mArrivalNumber = aDispatcher.mNextArrivalNumber++;
   job.mInherited = aPriorRuns == PriorRuns::Possible && !aDispatcher.mRecovered;
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -544,7 +544,7 @@
     }
     Job& job = *entry.mJob;
     const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
-    if (queue == nullptr) {
+    if (queue == nullptr || job.mTakenAt > aDispatcher.mUncontestedUntil) {
       continue;
     }
     const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -137,6 +137,7 @@
   mDispatcher.mRenewedAt = mRenewedAt;
   mDispatcher.mLeaseLimit = mRenewedAt + OrdinaryLease(settings);
   mDispatcher.mStartsUntil = mRenewedAt + settings.mRenewalMaxAge;
+  mDispatcher.mUncontestedUntil = mDispatcher.mStartsUntil;
   if (age > settings.mRenewalMaxAge) {
     const MonotonicTime contactEnds =
       MajorityContact() + settings.mMajorityContactAge;
