LibDispatch: Keep an unanswered start past the first answer of a new process

The run of an unanswered start was given up 150 ms after the new process of its runner had answered for the first time, while the start could still arrive: that answer replaced the end of the former leases, and without a further grant, as while a record is stored, they counted as over.

Runs that were kept over the restart count with the longest lease from that answer on. Takeover.WaitsForAnUnansweredStartAfterAnAnswerOfTheNewProcess failed before and passes.

--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -587,9 +587,10 @@
   runner.mClockMs = aReport.mClockMs;
   runner.mClockReadAt = aNow;
   runner.mClockRequestedAt = aSentAt;
-  if (runner.mHighestLeaseMs == 0 && !aReport.mRunning.empty()) {
-    // An earlier owner has granted the leases of these runs, so they may last
-    // as long as any lease.
+  if (runner.mHighestLeaseMs == 0 &&
+      (!aReport.mRunning.empty() || !runner.mTasks.empty())) {
+    // An earlier owner, or an order to the runner's former process, has granted
+    // the leases of these runs, so they may last as long as any lease.
     runner.mHighestLeaseMs =
       aReport.mClockMs + aDispatcher.mSettings.mMaxLease.count();
   }
