LibNode: Count restarted runners that answer towards a new owner's majority

Tasks of lost runners waited 14.9 s instead of 9 s when three or more of eight runners had restarted around a change of owner: a runner that answered with a new incarnation did not count, so that no majority was reached.

The process that the list names has ended then, and the earlier owner counts only answers of that process; so such a runner can't support it any more.

TakeoverSimulation.RestartedRunnersDelayNoRecovery failed before (8 of 12 variations) and passes now.

--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -75,8 +75,10 @@
                                 std::int64_t aIncarnation,
                                 MonotonicTime aNow)
 {
+  // If the runner has restarted, the listed process can't answer the earlier
+  // owner any more, which counts only answers of that one.
   if (mMajorityFenced || aRunner >= mInheritedProcesses.size() ||
-      mInheritedProcesses[aRunner].mIncarnation != aIncarnation) {
+      mInheritedProcesses[aRunner].mIncarnation > aIncarnation) {
     return;
   }
   mFencedRunners.insert(aRunner);
