LibNode: Take an empty list of runners as fenced

New runners were not used for 15 s after a change of owner with an empty stored list: no majority of it can be reached, and the list is kept while an earlier owner may count on one.

With an empty list no earlier owner could use any runner or count on a majority. TakeoverSimulation.AnEmptyListDelaysNoStart failed before (2 of 2) and passes now.

--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -150,6 +150,11 @@
                     return aRunner.mPossibleRuns.has_value();
                   });
   mInheritedRunners.clear();
+  if (mInheritedProcesses.empty()) {
+    // No earlier owner could use any runner, nor count on a majority.
+    mMajorityFenced = true;
+    mEarlierIsolatedLeasesEnd = {};
+  }
   UpdateEarlierLeases();
   Log(
     LogLevel::Notice,
