LibDispatch: Keep the record of a silent runner in a new owner's first list

A next owner's first list lacked the records that it had just adopted, for 0.3 s; when it was lost in that time, tasks waited 12.3 s instead of 9 s.

An adopted runner counts as silent for long enough to be recorded. ANextOwnerKeepsTheRecordOfASilentRunner failed before (1 of 9 variations) and passes now.

--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -205,7 +205,9 @@
            " recorded=" + std::to_string(runs.size()) +
            " adopted=" + std::to_string(runner.mTasks.size()));
     runner.mSilent = true;
-    runner.mSilentSince = aNow;
+    // The next list keeps the record until the runner answers.
+    runner.mSilentSince = aNow - aDispatcher.mSettings.mSilenceBeforeRecord;
+    runner.mRecordedRunCount = runner.mTasks.size();
     runner.mPhase =
       runner.mTasks.empty() ? RunnerPhase::LeaseExpired : RunnerPhase::Live;
     // The earlier owner has granted no lease since it began to write the
