LibDispatch: Poll a recorded runner without delay

Runs lapsed on a runner that was reached again 1.5 s before its leases ended: it is granted no lease while its record is stored, and the request that shows it to be back, and the next one, waited 0.9 s each for news.

A runner with a record answers at once.

--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -396,7 +396,9 @@
   RenewalPlan plan;
   plan.mAcknowledgedEnd = runner.mHighestStoredEnd;
   const bool mayHaveRuns = !runner.mTasks.empty() || !runner.mOrphans.empty();
-  if (mayHaveRuns) {
+  // A runner with a record is granted no lease until the record is removed, so
+  // its answer is needed at once.
+  if (mayHaveRuns && !runner.mRecordStored) {
     plan.mLongPollTimeout =
       runner.mLongRunningTasks > 0 && runner.mBestEffortMilliCores > 0
         ? settings.mLongPollBesideServing
