LibNode: Count late renewals of restarted runners in the end of the leases

A task could run twice: a renewal for the former process of a runner that is carried out 4 s late by the new one extends its leases beyond the end that the shard's row states, so that a successor that can't reach the runner starts its tasks elsewhere too early.

While an owner has tasks on a runner that it saw restart, the row's end covers a late order (12 s) and a lease from the restart on.

--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -38,6 +38,9 @@
   /// runners often, so that it knows of the majority in time. Renewals are half
   /// a second apart.
   Millis mFrequentContactAge{ 800 };
+  /// An order without an answer may be carried out this much later; the
+  /// platform states 12 s.
+  Millis mLongestOrderDelay{ 12000 };
   /// Interval of requests to an idle runner during that.
   Millis mFrequentPollInterval{ 400 };
   /// Duration of an owner's lease on its shard, counted from the time at which
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -183,6 +183,15 @@
     }
     isolatedEnd = {};
   }
+  for (const dispatch::Runner& runner : mDispatcher.mRunners) {
+    // A late renewal for the former process of a runner may extend the leases
+    // of the new one.
+    if (runner.mRestartSeenAt > MonotonicTime{} && !runner.mTasks.empty()) {
+      end = std::max(end,
+                     runner.mRestartSeenAt + settings.mLongestOrderDelay +
+                       OrdinaryLease(settings));
+    }
+  }
   aRow.mLeasesEndMs = LatestStoreTime(clock, end).value_or(0);
   if (aRow.mLeasesEndMs == 0) {
     return; // The store's clock was never read.
