--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -60,7 +60,7 @@
 {
   aWorld.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
   aWorld.AdvanceTime(Millis(500));
-  const std::string silent = aWorld.RunnerOf("job.0.0.0");
+  std::string silent = aWorld.RunnerOf("job.0.0.0");
   aWorld.mRunners[silent].mAnswers = false;
   aWorld.AdvanceTime(Millis(500));
   const RunnerIndex index = aWorld.mDispatcher.mRunnerById.at(silent);
