LibNode: Say what isolated means, and log a release by its own reason

Names and comments that the reviewer stumbled over: HandleFenced() sounded like the loss of this owner; shard_lost reason=succeeded stood for a stored release as well, which misled a line of the timeline.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -179,10 +179,9 @@
                   RunnerIndex aRunner,
                   MonotonicTime aNow);
 
-/// @return whether the runner is no longer listed and certainly runs nothing,
-/// so
-///         that a later owner need not know of it. Until service discovery
-///         lists it again, no task is started on it.
+/// @return whether the runner is no longer listed and certainly runs nothing. A
+///         later owner need not know of it, since no task is started on it
+///         before it is listed again.
 bool
 HasLeft(const Dispatcher& aDispatcher, RunnerIndex aRunner);
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -132,7 +132,7 @@
 {
   None,     ///< The shard never had an owner.
   Released, ///< It has released the shard, and has no order in flight.
-  Ended,    ///< Its process has ended.
+  Ended,    ///< Its process has ended, or is this one and lost the shard.
   MayAct    ///< It may still send orders to runners until its lease ends.
 };
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -182,7 +182,7 @@
       if (shard != mShards.end()) {
         shard->second->HandleLeaseRenewed(aOutcome.mVersion, aSentAt);
         if (sent.mReleased) {
-          shard->second->HandleOwnerChanged();
+          shard->second->HandleReleased();
         }
       }
     }
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -71,9 +71,9 @@
 }
 
 void
-ShardOwner::State::HandleFenced(dispatch::RunnerIndex aRunner,
-                                std::int64_t aIncarnation,
-                                MonotonicTime aNow)
+ShardOwner::State::CountFencedRunner(dispatch::RunnerIndex aRunner,
+                                     std::int64_t aIncarnation,
+                                     MonotonicTime aNow)
 {
   // If the runner has restarted, the listed process can't answer the earlier
   // owner any more, which counts only answers of that one.
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -158,6 +158,12 @@
   mState->LoseOwnership("succeeded");
 }
 
+void
+ShardOwner::HandleReleased()
+{
+  mState->LoseOwnership("released");
+}
+
 void
 ShardOwner::SetConfiguration(const Configuration& aConfiguration)
 {
--- a/Libraries/LibNode/ShardOwner.h
+++ b/Libraries/LibNode/ShardOwner.h
@@ -47,9 +47,10 @@
   /// Takes over the row version that an earlier renewal has written although
   /// its answer was lost. The lease is not extended.
   void AdoptRowVersion(std::int64_t aRowVersion);
-  /// Ends the ownership: another node has claimed the shard, or this node has
-  /// released it.
+  /// Ends the ownership because another node has claimed the shard.
   void HandleOwnerChanged();
+  /// Ends the ownership because the row that releases the shard is stored.
+  void HandleReleased();
 
   void SetConfiguration(const Configuration& aConfiguration);
   void SetEvacuatedDataCentres(const std::vector<std::string>& aDataCentres);
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -108,7 +108,7 @@
   }
   renewal.mBackOff = Millis(0);
   renewal.mAnswered = true;
-  HandleFenced(aRunner, aOutcome.mReport.mIncarnation, now);
+  CountFencedRunner(aRunner, aOutcome.mReport.mIncarnation, now);
   if (mStage != ShardStage::Serving) {
     // By answering, the runner shows that it rejects the earlier owner's
     // orders from now on. Its report is read again once the jobs are known.
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -100,16 +100,18 @@
   /// Begins to start tasks and to follow the changes of the inbox.
   void BeginServing(MonotonicTime aNow);
 
-  // Leases of runners (ShardLeases.cpp).
+  // Leases of runners (ShardLeases.cpp). An owner is isolated while the store
+  // has not stored a renewal for some time: it may then grant short leases, on
+  // the strength of the answers of a majority of the runners.
   /// Derives from the claim until when leases of earlier owners may last.
   void AssumeEarlierLeases(MonotonicTime aNow);
   /// Passes on to the dispatcher how long it must wait for unreachable runners.
   void UpdateEarlierLeases();
-  /// Handles the first answer of a runner under this epoch, from which on it
-  /// rejects earlier owners.
-  void HandleFenced(dispatch::RunnerIndex aRunner,
-                    std::int64_t aIncarnation,
-                    MonotonicTime aNow);
+  /// Counts a runner that has answered under this epoch, so that it rejects
+  /// earlier owners, towards the majority.
+  void CountFencedRunner(dispatch::RunnerIndex aRunner,
+                         std::int64_t aIncarnation,
+                         MonotonicTime aNow);
   /// @return the time since which a majority of the runners has answered, see
   ///         dispatch::MajorityContactAt()
   [[nodiscard]] MonotonicTime MajorityContact() const;
@@ -201,7 +203,8 @@
   MonotonicTime mLeaseEndsAt;
   MonotonicTime mRenewedAt; ///< When the last stored renewal was sent.
   /// Time by which the leases of earlier owners have ended: those that they
-  /// granted on the strength of a renewal, and those beyond that.
+  /// granted on the strength of a renewal, and those of isolated owners, which
+  /// a majority of fenced runners brings forward.
   MonotonicTime mEarlierLeasesEnd;
   MonotonicTime mEarlierIsolatedLeasesEnd;
   /// The runners' processes in the list that the earlier owner stored last, by
