LibNode: Record leaving runners for good before a hand-over

Cause: a record may be stale, since an owner starts the tasks of a lapsed runner again before it replaces the list; so its tasks were held for any unheard runner. And the last list recorded only runners that had been silent for 0.3 s.

An owner that hands over starts nothing after its last list, so its records are final: the tasks in them run on no other runner, unless that owner itself did not know. The last list also records runners that are silent, unlisted or draining. If the row grows too long, it leaves out the ends of the leases of the others.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -185,6 +185,10 @@
 bool
 HasLeft(const Dispatcher& aDispatcher, RunnerIndex aRunner);
 
+/// @return whether the tasks of the runner are certainly on no other runner
+bool
+TasksAreOnlyHere(const Dispatcher& aDispatcher, RunnerIndex aRunner);
+
 /// A process of a runner.
 struct RunnerProcess
 {
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -47,6 +47,9 @@
   /// Time by which all leases of the runner have certainly ended, if the
   /// earlier owner has granted none since it stored that time.
   std::optional<MonotonicTime> mLeasesExpireAt;
+  /// Whether the earlier owner has started nothing since it wrote the record,
+  /// so that the tasks in it run on no other runner.
+  bool mRecordFinal = false;
 };
 
 /// How a run ended, as the runner reports it.
@@ -178,6 +181,7 @@
   bool mInherited = false;
   /// Runs in the record of an earlier owner, until they are adopted.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
+  bool mRecordFinal = false; ///< See InheritedRunner::mRecordFinal.
   /// Time by which all leases of earlier owners have ended, if one has stored
   /// it.
   std::optional<MonotonicTime> mRecordedLeasesExpireAt;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -177,6 +177,7 @@
     aDispatcher.mRunners[AddRunner(aDispatcher, aRunner.mSpec, aNow)];
   runner.mInherited = true;
   runner.mPossibleRuns = aRunner.mPossibleRuns;
+  runner.mRecordFinal = aRunner.mRecordFinal;
   runner.mRecordedLeasesExpireAt = aRunner.mLeasesExpireAt;
   runner.mRecordStored = aRunner.mPossibleRuns.has_value();
 }
@@ -194,8 +195,10 @@
     runner.mInherited = false;
     for (const PossibleRun& run : runs) {
       const TaskRef ref = FindTask(aDispatcher, run.mTask);
-      if (ref.mJob != nullptr) {
-        AdoptRun(aDispatcher, index, ref, run.mRun, aNow);
+      if (ref.mJob != nullptr &&
+          AdoptRun(aDispatcher, index, ref, run.mRun, aNow) &&
+          runner.mRecordFinal) {
+        MarkSeen(ref);
       }
     }
     Emit(aDispatcher,
@@ -252,6 +255,15 @@
          runner.mUnstoredEnds.empty();
 }
 
+bool
+TasksAreOnlyHere(const Dispatcher& aDispatcher, RunnerIndex aRunner)
+{
+  const std::vector<TaskRef>& tasks = aDispatcher.mRunners[aRunner].mTasks;
+  return std::none_of(tasks.begin(), tasks.end(), [&](const TaskRef& aTask) {
+    return MayRunUnseen(aDispatcher, TaskOf(aTask));
+  });
+}
+
 MonotonicTime
 MajorityContactAt(const Dispatcher& aDispatcher,
                   std::span<const RunnerProcess> aRunners)
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -16,6 +16,8 @@
 /// Position of the end of the leases in the entry of a runner. The member
 /// before it, the record of its runs, is null if there is none.
 constexpr Json::ArrayIndex kLeasesEndPosition = 6;
+/// Position of the flag that the record is final.
+constexpr Json::ArrayIndex kRecordFinalPosition = 7;
 
 // The Put functions leave out members that have their default value: rows are
 // read and written often, and traffic to and from the store costs money.
@@ -304,6 +306,9 @@
     if (leasesEndMs) {
       entry[kLeasesEndPosition] = Json::Int64(*leasesEndMs);
     }
+    if (runner.mRecordFinal) {
+      entry[kRecordFinalPosition] = true;
+    }
     value[runner.mSpec.mId] = entry;
   }
   return WriteJson(value);
@@ -345,6 +350,9 @@
       runner.mLeasesExpireAt =
         TimeReached(aClock, entry[kLeasesEndPosition].asInt64());
     }
+    runner.mRecordFinal = entry.size() > kRecordFinalPosition &&
+                          entry[kRecordFinalPosition].isBool() &&
+                          entry[kRecordFinalPosition].asBool();
     runners.push_back(std::move(runner));
   }
   return runners;
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -20,6 +20,8 @@
 /// flight when the jobs ended. Such a read takes a second at most, in which
 /// some hundred jobs of a shard end.
 constexpr std::size_t kMaxRememberedEndedJobs = 5000;
+/// The stored list is kept below this size. A row of the store has 64 KiB.
+constexpr std::size_t kMaxRunnersBytes = 60000;
 /// Shortest interval between two writes of the list of runners, which has up to
 /// 50 KB and is priced.
 constexpr Millis kRunnersInterval{ 250 };
@@ -282,8 +284,15 @@
       mRunnersBeingDropped.insert(runner.mSpec.mId);
       continue;
     }
-    dispatch::InheritedRunner entry{ runner.mSpec, {}, {} };
-    if (dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
+    dispatch::InheritedRunner entry;
+    entry.mSpec = runner.mSpec;
+    const bool restarted = runner.mRestartSeenAt > MonotonicTime{};
+    // The last list also records the runners that are about to leave. All
+    // records would make it too long.
+    const bool leaving =
+      mSteppingDown && runner.mPhase == dispatch::RunnerPhase::Live &&
+      (runner.mSilent || !runner.mListed || runner.mSpec.mDraining);
+    if (leaving || dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
       if (!runner.mRecordStored ||
           runner.mRecordedRunCount != runner.mTasks.size()) {
         Log(LogLevel::Info,
@@ -297,7 +306,9 @@
       runner.mRecordedRunCount = runner.mTasks.size();
       entry.mPossibleRuns = dispatch::PossibleRuns(mDispatcher, i);
       entry.mLeasesExpireAt = runner.mLeasesExpireAt;
-    } else if (mSteppingDown && runner.mRestartSeenAt == MonotonicTime{}) {
+      entry.mRecordFinal = mSteppingDown && !restarted &&
+                           dispatch::TasksAreOnlyHere(mDispatcher, i);
+    } else if (mSteppingDown && !restarted) {
       // A late order to the former process of a restarted runner may still be
       // carried out, so the end of its leases is not stated.
       entry.mLeasesExpireAt =
@@ -310,18 +321,27 @@
   }
   for (const dispatch::RunnerSpec& spec : mShardRunners) {
     if (!known.contains(spec.mId)) {
-      mRunnersBeingStored.push_back({ spec, {}, {} });
+      mRunnersBeingStored.emplace_back().mSpec = spec;
     }
   }
   mStoringRunners = true;
   mFinalListSent = mSteppingDown;
   mRunnersStoredAt = now;
+  std::string list = FormatRunners(mRunnersBeingStored, mContext.mStoreClock);
+  if (list.size() > kMaxRunnersBytes) {
+    // Without these times, a later owner waits for the end in the shard's row.
+    for (dispatch::InheritedRunner& entry : mRunnersBeingStored) {
+      if (!entry.mPossibleRuns) {
+        entry.mLeasesExpireAt.reset();
+      }
+    }
+    list = FormatRunners(mRunnersBeingStored, mContext.mStoreClock);
+  }
   StoreTransaction transaction;
-  transaction.mPuts.push_back(
-    { ProgressTable(mClaim.mShard),
-      mContext.mPartitions.OfProgress(mClaim.mShard),
-      kRunnersKey,
-      FormatRunners(mRunnersBeingStored, mContext.mStoreClock) });
+  transaction.mPuts.push_back({ ProgressTable(mClaim.mShard),
+                                mContext.mPartitions.OfProgress(mClaim.mShard),
+                                kRunnersKey,
+                                std::move(list) });
   mTransactions.push_back(std::move(transaction));
   SendNextTransaction();
 }
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -496,6 +496,42 @@
   mFailures.Check();
 }
 
+// Guards against tasks of a runner whose record is stored that wait, after a
+// planned hand-over, for the leases of another runner that left just before it.
+TEST(TakeoverSimulation, AHandOverLeavesFinalRecords)
+{
+  for (const int drainedAfter : { 4000, 5000, 6000 }) {
+    for (const int otherLostBefore : { 0, 500, 1500 }) {
+      Scenario scenario;
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.Submit(
+        "b", "fedcba9876543210", dispatch::StepKind::LongRunning, 16);
+      const MonotonicTime lostAt = cluster.mNow;
+      const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+      cluster.AdvanceTime(Millis(drainedAfter - otherLostBefore));
+      for (const auto& [id, runner] : cluster.mRunners) {
+        if (runner.mUp && !runner.mRunning.empty()) {
+          cluster.RemoveRunner(id, Millis(0));
+          break;
+        }
+      }
+      cluster.AdvanceTime(Millis(otherLostBefore));
+      cluster.mNodes.at(scenario.mOwner).mNode->Drain();
+      scenario.AwaitOwnerAfter(scenario.mEpoch);
+      std::string problem = scenario.CheckRunning(
+        tasks,
+        lostAt,
+        std::max(lostAt + Seconds(8), cluster.mNow + Seconds(1)));
+      problem += cluster.Overlap();
+      mFailures.Add("drained " + Text(Millis(drainedAfter)) +
+                      " after the loss, another runner lost " +
+                      Text(Millis(otherLostBefore)) + " before",
+                    problem);
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against hand-overs that each start the wait anew for a runner that
 // left before the first one and that no owner could record.
 TEST(TakeoverSimulation, HandOversInTurnDoNotProlongTheWait)
