--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -45,9 +45,8 @@
 MayRunUnseen(const Dispatcher& aDispatcher, const Task& aTask);
 
 /// Handles that a runner has shown a run of the task under this owner's epoch,
-/// or that a final record holds it.
-/// An earlier owner had then no other run of the task, and had not started any
-/// step that follows.
+/// or that a final record holds it. An earlier owner had then no other run of
+/// the task, and had not started any step that follows.
 void
 MarkSeen(const TaskRef& aTask);
 
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -261,6 +261,47 @@
   return !mMajorityFenced && aNow < mEarlierIsolatedLeasesEnd;
 }
 
+dispatch::InheritedRunner
+ShardOwner::State::MakeListEntry(dispatch::RunnerIndex aRunner,
+                                 MonotonicTime aNow)
+{
+  dispatch::Runner& runner = mDispatcher.mRunners[aRunner];
+  dispatch::InheritedRunner entry;
+  entry.mSpec = runner.mSpec;
+  const bool restarted = runner.mRestartSeenAt > MonotonicTime{};
+  // The last list also records the runners that are about to leave. All records
+  // would make it too long.
+  const bool leaving =
+    mSteppingDown && runner.mPhase == dispatch::RunnerPhase::Live &&
+    (runner.mSilent || !runner.mListed || runner.mSpec.mDraining);
+  if (leaving || dispatch::ShouldStoreRecord(mDispatcher, aRunner, aNow)) {
+    if (!runner.mRecordStored ||
+        runner.mRecordedRunCount != runner.mTasks.size()) {
+      Log(LogLevel::Info,
+          "runner_recorded",
+          "runner=" + runner.mSpec.mId +
+            " runs=" + std::to_string(runner.mTasks.size()));
+    }
+    // From now on the dispatcher starts no task there, so that the record stays
+    // complete.
+    runner.mRecordStored = true;
+    runner.mRecordedRunCount = runner.mTasks.size();
+    entry.mPossibleRuns = dispatch::PossibleRuns(mDispatcher, aRunner);
+    entry.mLeasesExpireAt = runner.mLeasesExpireAt;
+    entry.mRecordFinal = mSteppingDown && !restarted &&
+                         dispatch::TasksAreOnlyHere(mDispatcher, aRunner);
+  } else if (mSteppingDown && !restarted) {
+    // A late order to the former process of a restarted runner may still be
+    // carried out, so the end of its leases is not stated.
+    entry.mLeasesExpireAt =
+      runner.mPhase == dispatch::RunnerPhase::AwaitingReport
+        ? std::max(runner.mLeasesExpireAt,
+                   dispatch::EarlierLeasesEnd(mDispatcher, aRunner))
+        : runner.mLeasesExpireAt;
+  }
+  return entry;
+}
+
 void
 ShardOwner::State::StoreRunners()
 {
@@ -277,47 +318,14 @@
   }
   std::set<std::string_view> known;
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
-    dispatch::Runner& runner = mDispatcher.mRunners[i];
+    const dispatch::Runner& runner = mDispatcher.mRunners[i];
     known.insert(runner.mSpec.mId);
     if (dispatch::HasLeft(mDispatcher, i) &&
         !listed.contains(runner.mSpec.mId)) {
       mRunnersBeingDropped.insert(runner.mSpec.mId);
       continue;
     }
-    dispatch::InheritedRunner entry;
-    entry.mSpec = runner.mSpec;
-    const bool restarted = runner.mRestartSeenAt > MonotonicTime{};
-    // The last list also records the runners that are about to leave. All
-    // records would make it too long.
-    const bool leaving =
-      mSteppingDown && runner.mPhase == dispatch::RunnerPhase::Live &&
-      (runner.mSilent || !runner.mListed || runner.mSpec.mDraining);
-    if (leaving || dispatch::ShouldStoreRecord(mDispatcher, i, now)) {
-      if (!runner.mRecordStored ||
-          runner.mRecordedRunCount != runner.mTasks.size()) {
-        Log(LogLevel::Info,
-            "runner_recorded",
-            "runner=" + runner.mSpec.mId +
-              " runs=" + std::to_string(runner.mTasks.size()));
-      }
-      // From now on the dispatcher starts no task there, so that the record
-      // stays complete.
-      runner.mRecordStored = true;
-      runner.mRecordedRunCount = runner.mTasks.size();
-      entry.mPossibleRuns = dispatch::PossibleRuns(mDispatcher, i);
-      entry.mLeasesExpireAt = runner.mLeasesExpireAt;
-      entry.mRecordFinal = mSteppingDown && !restarted &&
-                           dispatch::TasksAreOnlyHere(mDispatcher, i);
-    } else if (mSteppingDown && !restarted) {
-      // A late order to the former process of a restarted runner may still be
-      // carried out, so the end of its leases is not stated.
-      entry.mLeasesExpireAt =
-        runner.mPhase == dispatch::RunnerPhase::AwaitingReport
-          ? std::max(runner.mLeasesExpireAt,
-                     dispatch::EarlierLeasesEnd(mDispatcher, i))
-          : runner.mLeasesExpireAt;
-    }
-    mRunnersBeingStored.push_back(std::move(entry));
+    mRunnersBeingStored.push_back(MakeListEntry(i, now));
   }
   for (const dispatch::RunnerSpec& spec : mShardRunners) {
     if (!known.contains(spec.mId)) {
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -172,6 +172,10 @@
   void HandleTransaction(const TransactionOutcome& aOutcome);
   /// Stores the list of runners that the shard's tasks may use.
   void StoreRunners();
+  /// @return the entry of a runner in the list; if it holds a record of the
+  ///         runner's runs, none is started there from now on
+  dispatch::InheritedRunner MakeListEntry(dispatch::RunnerIndex aRunner,
+                                          MonotonicTime aNow);
   /// @return whether the last list of this owner is still to be stored
   [[nodiscard]] bool FinalListDue() const;
   /// @return whether an earlier owner may still count on the answers of a
@@ -212,8 +216,8 @@
   std::vector<dispatch::RunnerProcess> mInheritedProcesses;
   std::set<dispatch::RunnerIndex> mFencedRunners;
   bool mMajorityFenced = false;
-  bool mMayStartLogged =
-    true; ///< Whether tasks may be started, as last logged.
+  /// Whether tasks may be started, as last logged.
+  bool mMayStartLogged = true;
   /// Time until which answers of runners are awaited in the stage Fencing.
   MonotonicTime mFencingEndsAt;
 
