LibDispatch: Grant no lease while the stored list states its end

A task could run twice, since last lists state when a runner's leases end: the next owner heard the runner, granted further leases, and was lost before it replaced the list, so that the owner after it took the earlier end for the last one and started a task 1 s too early.

A runner whose end is stated in the stored list gets neither a start nor a lease before the new owner's first list is stored, as for records.

--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -171,8 +171,9 @@
   /// end, and its tasks could never be started elsewhere.
   bool mSilent = false;
   MonotonicTime mSilentSince;
-  /// Whether the store holds a record of all runs that the runner may have. No
-  /// task is started on it until the record is removed.
+  /// Whether the store holds a record of all runs that the runner may have, or
+  /// the end of its leases. No task is started on it, and no lease granted,
+  /// until the list is replaced by one without them.
   bool mRecordStored = false;
   /// Number of runs in that record. It can only decrease.
   std::size_t mRecordedRunCount = 0;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -179,7 +179,9 @@
   runner.mPossibleRuns = aRunner.mPossibleRuns;
   runner.mRecordFinal = aRunner.mRecordFinal;
   runner.mRecordedLeasesExpireAt = aRunner.mLeasesExpireAt;
-  runner.mRecordStored = aRunner.mPossibleRuns.has_value();
+  // No lease is granted while the stored list states the end of the leases.
+  runner.mRecordStored =
+    aRunner.mPossibleRuns.has_value() || aRunner.mLeasesExpireAt.has_value();
 }
 
 void
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1301,11 +1301,30 @@
   mFailures.Check();
 }
 
+// Guards against a task that runs twice because the end of a runner's leases
+// that the last list of an earlier owner states outlives further leases: the
+// next owner grants them, and is lost before it replaces the list.
+TEST(TakeoverSimulation, AStatedEndOfLeasesOutlivesNoFurtherLease)
+{
+  for (const std::uint64_t seed : { 707, 1198 }) {
+    mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
+  }
+  mFailures.Check();
+}
+
+// Guards against a task that is not started again within 9 s of calm after a
+// mix of faults.
+TEST(TakeoverSimulation, ALongRunningTaskIsBackAfterAMixOfFaults)
+{
+  mFailures.Add("seed 701", RandomSchedule(701).Play());
+  mFailures.Check();
+}
+
 // Guards against a task that runs twice because a late start order, which the
 // former process of a runner would have rejected, reaches the new one.
 TEST(TakeoverSimulation, ALateOrderAtARestartedRunnerDoublesNoTask)
 {
-  for (const std::uint64_t seed : { 1869, 2461, 2978, 3092 }) {
+  for (const std::uint64_t seed : { 326, 433, 1869, 2461, 2978, 3092 }) {
     mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
   }
   mFailures.Check();
