LibNode: Log the version and age behind a refused request

Cause: HandleClientCall answered 404, 400, 405, and 503 without a configuration, without a line. Nothing tied a refused request to the version that refused it, nor said how old the node's copy of that version was, and a read of the operator's table that failed was not logged. A 404 by an older configuration could not be told from a right one.

Change: the node keeps the time at which the last read of the operator's table that was answered was sent. Answers are linearizable, so that the copy holds whatever was acknowledged before.

- request_refused (Info): status, cause, method, host, path, message, version, configuration_age_ms.
Texts of clients are shortened and made printable.
- operator_read_failed (Info): cause failed or history_gone, read_ms, version, configuration_age_ms.
DirectoryPort passes on the result of the read for it.
- configuration_stale, configuration_current (Notice), once each.
- configuration_applied also has since_confirmed_ms and read_ms.

/metrics has configuration_version and configuration_age_ms. EventLog::Pending() lets tests read the lines. No answer and no wait changes.

An age above 3 s alone does not mean that a read has failed: it counts from sending, so that two waits of 2 s without a change bring it to 4 s, and the longest delay after a large change to 5.5 s. configuration_stale therefore also requires that the last read has failed, or has had no answer for 3 s. With the age alone, a calm node logged it (IsNotStaleWhileAllReadsAreAnswered fails).

--- a/Libraries/LibBase/EventLog.cpp
+++ b/Libraries/LibBase/EventLog.cpp
@@ -113,6 +113,12 @@
   }
 }
 
+const std::string&
+EventLog::Pending() const
+{
+  return mBuffer;
+}
+
 std::uint64_t
 EventLog::Dropped() const
 {
--- a/Libraries/LibBase/EventLog.h
+++ b/Libraries/LibBase/EventLog.h
@@ -47,6 +47,9 @@
   /// Writes as much of the buffer as standard output accepts now.
   void Flush(MonotonicTime aNow);
 
+  /// @return the lines that Flush() has not written yet
+  [[nodiscard]] const std::string& Pending() const;
+
   /// @return number of lines dropped since the start
   [[nodiscard]] std::uint64_t Dropped() const;
 
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -8,6 +8,7 @@
 
 #include <LibDispatch/JobSpec.h>
 #include <LibDispatch/Runner.h>
+#include <LibNode/StorePort.h>
 #include <LibTime/Time.h>
 
 namespace paddle {
@@ -47,14 +48,17 @@
   std::size_t mChangedBytes = 0;
 };
 
-/// Reads what the operator and the runners publish. A handler gets no value if
-/// the read failed.
+/// Receives the operator's state, which is empty unless the result is Read.
+using OperatorStateHandler = std::function<void(ReadResult, OperatorState)>;
+
+/// Reads what the operator and the runners publish.
 struct DirectoryPort
 {
   /// Calls its handler at the next change, or after some time without a change.
-  std::function<void(std::function<void(std::optional<OperatorState>)>)>
-    mReadOperatorState;
-  /// Reads the list of all runners, of every shard, from service discovery.
+  /// After HistoryGone, the next call reads all rows.
+  std::function<void(OperatorStateHandler)> mReadOperatorState;
+  /// Reads the list of all runners, of every shard, from service discovery. The
+  /// handler gets no value if the read failed.
   std::function<void(
     std::function<void(std::optional<std::vector<dispatch::RunnerSpec>>)>)>
     mReadRunners;
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -21,6 +21,14 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
+/// A copy of the configuration that is older is called stale in the log, if the
+/// last read has failed or has no answer yet. The read waits 2 s for a change
+/// and its answer has a margin of 1 s, so that a read without an answer after
+/// this time has failed. The age alone does not tell: it counts from sending,
+/// so that it reaches 4 s before the second of two waits without a change is
+/// answered, and 5.5 s with the longest delay between them.
+constexpr Millis kMaxConfigurationAge{ 3000 };
+
 /// @param aBytes size of the change that was read
 /// @return the delay before the next read
 Millis
@@ -85,6 +93,7 @@
   if (!mOperatorReadInFlight && aNow >= mNextOperatorReadAt) {
     ReadOperator();
   }
+  CheckConfigurationAge(aNow);
   const bool ownsOrMayLayOut = !mShards.empty() || mView.mShardCount == 0;
   if (!mRunnerReadInFlight && aNow >= mNextRunnerReadAt && ownsOrMayLayOut) {
     ReadRunners();
@@ -351,46 +360,100 @@
 Node::ReadOperator()
 {
   mOperatorReadInFlight = true;
+  mOperatorReadSentAt = mContext.Now();
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadOperatorState(
-    [this, alive](std::optional<OperatorState> aState) {
-      if (alive.expired()) {
-        return;
-      }
-      mOperatorReadInFlight = false;
-      if (!aState) {
-        mNextOperatorReadAt = mContext.Now() + mContext.mSettings.mRetryPause;
-        return;
-      }
-      mNextOperatorReadAt =
-        mContext.Now() + OperatorReadDelay(aState->mChangedBytes);
-      std::optional<Configuration>& read = aState->mConfiguration;
-      const bool newer =
-        read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
-      if (newer) {
-        Log(LogLevel::Notice,
-            "configuration_applied",
-            "version=" + std::to_string(read->mVersion) +
-              " routes=" + std::to_string(read->mRoutes.size()));
-        mConfiguration = std::move(read);
-        for (auto& [number, shard] : mShards) {
-          shard->SetConfiguration(*mConfiguration);
-        }
-      }
-      if (aState->mEvacuatedDataCentres != mEvacuatedDataCentres) {
-        mEvacuatedDataCentres = aState->mEvacuatedDataCentres;
-        std::string names;
-        for (const std::string& name : mEvacuatedDataCentres) {
-          names += (names.empty() ? "" : ",") + name;
-        }
-        Log(LogLevel::Notice, "evacuated_data_centres", "names=" + names);
-        for (auto& [number, shard] : mShards) {
-          shard->SetEvacuatedDataCentres(mEvacuatedDataCentres);
-        }
+    [this, alive, sentAt = mOperatorReadSentAt](ReadResult aResult,
+                                                OperatorState aState) {
+      if (!alive.expired()) {
+        HandleOperatorRead(aResult, std::move(aState), sentAt);
       }
     });
 }
 
+void
+Node::HandleOperatorRead(ReadResult aResult,
+                         OperatorState aState,
+                         MonotonicTime aSentAt)
+{
+  mOperatorReadInFlight = false;
+  mOperatorReadFailed = aResult != ReadResult::Read;
+  const MonotonicTime now = mContext.Now();
+  const ConfigurationCopy before = ConfigurationInForce();
+  const std::string readTime =
+    std::to_string(std::chrono::duration_cast<Millis>(now - aSentAt).count());
+  if (mOperatorReadFailed) {
+    mNextOperatorReadAt = now + mContext.mSettings.mRetryPause;
+    Log(LogLevel::Info,
+        "operator_read_failed",
+        std::string("cause=") +
+          (aResult == ReadResult::HistoryGone ? "history_gone" : "failed") +
+          " read_ms=" + readTime + " " + FormatConfigurationCopy(before));
+    return;
+  }
+  mNextOperatorReadAt = now + OperatorReadDelay(aState.mChangedBytes);
+  mConfigurationConfirmedAt = aSentAt;
+  const std::string sinceConfirmed =
+    "since_confirmed_ms=" +
+    (before.mAge ? std::to_string(before.mAge->count()) : "none");
+  ApplyOperatorState(std::move(aState),
+                     sinceConfirmed + " read_ms=" + readTime);
+  if (mConfigurationStaleSince) {
+    const Millis stale =
+      std::chrono::duration_cast<Millis>(now - *mConfigurationStaleSince);
+    mConfigurationStaleSince.reset();
+    Log(LogLevel::Notice,
+        "configuration_current",
+        "stale_ms=" + std::to_string(stale.count()) + " " + sinceConfirmed +
+          " " + FormatConfigurationCopy(ConfigurationInForce()));
+  }
+}
+
+void
+Node::ApplyOperatorState(OperatorState aState, std::string_view aReadFields)
+{
+  std::optional<Configuration>& read = aState.mConfiguration;
+  const bool newer =
+    read && (!mConfiguration || read->mVersion > mConfiguration->mVersion);
+  if (newer) {
+    Log(LogLevel::Notice,
+        "configuration_applied",
+        "version=" + std::to_string(read->mVersion) +
+          " routes=" + std::to_string(read->mRoutes.size()) + " " +
+          std::string(aReadFields));
+    mConfiguration = std::move(read);
+    for (auto& [number, shard] : mShards) {
+      shard->SetConfiguration(*mConfiguration);
+    }
+  }
+  if (aState.mEvacuatedDataCentres != mEvacuatedDataCentres) {
+    mEvacuatedDataCentres = aState.mEvacuatedDataCentres;
+    std::string names;
+    for (const std::string& name : mEvacuatedDataCentres) {
+      names += (names.empty() ? "" : ",") + name;
+    }
+    Log(LogLevel::Notice, "evacuated_data_centres", "names=" + names);
+    for (auto& [number, shard] : mShards) {
+      shard->SetEvacuatedDataCentres(mEvacuatedDataCentres);
+    }
+  }
+}
+
+void
+Node::CheckConfigurationAge(MonotonicTime aNow)
+{
+  const ConfigurationCopy copy = ConfigurationInForce();
+  const bool unanswered =
+    mOperatorReadFailed || (mOperatorReadInFlight &&
+                            aNow - mOperatorReadSentAt > kMaxConfigurationAge);
+  if (mConfigurationStaleSince || !unanswered || !copy.mAge ||
+      *copy.mAge <= kMaxConfigurationAge) {
+    return;
+  }
+  mConfigurationStaleSince = aNow;
+  Log(LogLevel::Notice, "configuration_stale", FormatConfigurationCopy(copy));
+}
+
 void
 Node::ReadRunners()
 {
@@ -447,6 +510,26 @@
   return mConfiguration;
 }
 
+ConfigurationCopy
+Node::ConfigurationInForce() const
+{
+  ConfigurationCopy copy;
+  copy.mVersion = mConfiguration ? mConfiguration->mVersion : 0;
+  if (mConfigurationConfirmedAt) {
+    copy.mAge = std::chrono::duration_cast<Millis>(mContext.Now() -
+                                                   *mConfigurationConfirmedAt);
+  }
+  return copy;
+}
+
+void
+Node::LogRefusal(const RefusedRequest& aRequest)
+{
+  Log(LogLevel::Info,
+      "request_refused",
+      FormatRefusedRequest(aRequest, ConfigurationInForce()));
+}
+
 ClientFrontEnd&
 Node::FrontEnd()
 {
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -9,6 +9,7 @@
 #include <LibNode/ClientFrontEnd.h>
 #include <LibNode/Cluster.h>
 #include <LibNode/NodeContext.h>
+#include <LibNode/RefusedRequest.h>
 #include <LibNode/ShardOwner.h>
 
 namespace paddle {
@@ -38,8 +39,13 @@
   /// @return whether the load balancer should send clients to this node
   [[nodiscard]] bool Ready() const;
   [[nodiscard]] const std::optional<Configuration>& Config() const;
+  /// @return the version by which clients are served now, and its age
+  [[nodiscard]] ConfigurationCopy ConfigurationInForce() const;
   [[nodiscard]] ClientFrontEnd& FrontEnd();
 
+  /// Logs a refused request with the version that refused it.
+  void LogRefusal(const RefusedRequest& aRequest);
+
 private:
   /// A shard whose row a lease renewal contains.
   struct RenewedShard
@@ -64,6 +70,16 @@
   void ReadShards();
   /// Reads what the operator publishes, and passes it on to the owned shards.
   void ReadOperator();
+  /// Handles the result of the read that ReadOperator() has sent.
+  /// @param aSentAt when it was sent
+  void HandleOperatorRead(ReadResult aResult,
+                          OperatorState aState,
+                          MonotonicTime aSentAt);
+  /// Puts a newer configuration and changed evacuations into force.
+  /// @param aReadFields fields for the log that describe the read
+  void ApplyOperatorState(OperatorState aState, std::string_view aReadFields);
+  /// Logs when the copy of the configuration has become stale.
+  void CheckConfigurationAge(MonotonicTime aNow);
   /// Reads the list of runners, and passes it on to the owned shards.
   void ReadRunners();
   /// Chooses the number of shards and stores it, if no node has done so.
@@ -79,6 +95,10 @@
   ClientFrontEnd mClientFrontEnd;
   std::map<std::uint32_t, std::unique_ptr<ShardOwner>> mShards;
   std::optional<Configuration> mConfiguration;
+  /// When the last read of the operator's state that was answered was sent.
+  std::optional<MonotonicTime> mConfigurationConfirmedAt;
+  /// When the copy was found to be stale; nothing while it is current.
+  std::optional<MonotonicTime> mConfigurationStaleSince;
   std::vector<std::string> mEvacuatedDataCentres;
   std::vector<dispatch::RunnerSpec> mRunners;
   bool mDraining = false;
@@ -89,6 +109,7 @@
   bool mNodeReadInFlight = false;
   bool mShardReadInFlight = false;
   bool mOperatorReadInFlight = false;
+  bool mOperatorReadFailed = false; ///< The last one that has ended.
   bool mRunnerReadInFlight = false;
   bool mLayoutWriteInFlight = false;
   MonotonicTime mBeginAt;
@@ -99,6 +120,7 @@
   MonotonicTime mNextNodeReadAt;
   MonotonicTime mNextShardReadAt;
   MonotonicTime mNextOperatorReadAt;
+  MonotonicTime mOperatorReadSentAt; ///< The last one.
   MonotonicTime mNextRunnerReadAt;
   /// Expires with the node, so that handlers that are called later do nothing.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -158,7 +158,14 @@
     return;
   }
   if (aRequest.mTarget == "/metrics") {
-    aReply({ 200, "text/plain", mMetrics.Page(), {} });
+    const ConfigurationCopy copy = mNode->ConfigurationInForce();
+    std::string page = mMetrics.Page() + "configuration_version " +
+                       std::to_string(copy.mVersion) + "\n";
+    if (copy.mAge) {
+      page +=
+        "configuration_age_ms " + std::to_string(copy.mAge->count()) + "\n";
+    }
+    aReply({ 200, "text/plain", std::move(page), {} });
     return;
   }
   aReply({ 404, {}, {}, {} });
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -155,18 +155,17 @@
 ClusterSimulation::MakeDirectoryPort(const Caller& aCaller)
 {
   DirectoryPort port;
-  port.mReadOperatorState =
-    [](const std::function<void(std::optional<OperatorState>)>& aDone) {
-      OperatorState state;
-      Route route;
-      route.mHost = "host";
-      route.mPathPrefix = "/queue/";
-      route.mQueue.mName = "queue";
-      route.mQueue.mService = "service";
-      route.mQueue.mMaxAttempts = 3;
-      state.mConfiguration = Configuration{ 1, { route }, {} };
-      aDone(std::move(state));
-    };
+  port.mReadOperatorState = [](const OperatorStateHandler& aDone) {
+    OperatorState state;
+    Route route;
+    route.mHost = "host";
+    route.mPathPrefix = "/queue/";
+    route.mQueue.mName = "queue";
+    route.mQueue.mService = "service";
+    route.mQueue.mMaxAttempts = 3;
+    state.mConfiguration = Configuration{ 1, { route }, {} };
+    aDone(ReadResult::Read, std::move(state));
+  };
   port.mReadRunners =
     [this,
      aCaller](const std::function<void(
--- /dev/null
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -0,0 +1,240 @@
+#include <string>
+#include <utility>
+
+#include "ClusterSimulation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+/// @return how often the text occurs in the lines that @p aLog has collected
+std::size_t
+Count(const EventLog& aLog, const std::string& aText)
+{
+  std::size_t count = 0;
+  const std::string& lines = aLog.Pending();
+  for (std::size_t at = lines.find(aText); at != std::string::npos;
+       at = lines.find(aText, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigurationAge)
+{
+  EventLog mLog{ "test", {} };
+  OperatorStateHandler mHandler; ///< Of the read that waits for its answer.
+  MonotonicTime mSentAt;         ///< When that read was sent.
+  int mReads = 0;
+  ClusterSimulation mCluster;
+
+  /// Starts a node whose reads of the operator's state are answered by
+  /// Answer(), and lets it send the first one.
+  void Begin()
+  {
+    mCluster.StartNode("a");
+    NodeContext& context = mCluster.mNodes.at("a").mContext;
+    context.mLog = &mLog;
+    context.mDirectory.mReadOperatorState = [this](OperatorStateHandler aDone) {
+      mHandler = std::move(aDone);
+      mSentAt = mCluster.mNow;
+      ++mReads;
+    };
+    mCluster.AdvanceTime(Millis(25));
+  }
+
+  /// Answers the read that was sent last after @p aTime.
+  /// @param aVersion of the configuration that was read; 0: none
+  void Answer(Millis aTime, ReadResult aResult, std::int64_t aVersion = 0)
+  {
+    mCluster.AdvanceTime(aTime);
+    OperatorState state;
+    if (aVersion > 0) {
+      state.mConfiguration = Configuration{ aVersion, {}, {} };
+    }
+    std::exchange(mHandler, {})(aResult, std::move(state));
+  }
+
+  /// Lets the node send the next read, which it does at most 150 ms after the
+  /// one before has ended.
+  void AwaitRead()
+  {
+    const int reads = mReads;
+    for (int i = 0; i < 10 && mReads == reads; ++i) {
+      mCluster.AdvanceTime(Millis(25));
+    }
+    CHECK_TRUE(mReads > reads);
+  }
+
+  Node& TheNode()
+  {
+    return *mCluster.mNodes.at("a").mNode;
+  }
+
+  /// @return the age in milliseconds; -1 if there is none
+  std::int64_t Age()
+  {
+    const ConfigurationCopy copy = TheNode().ConfigurationInForce();
+    return copy.mAge ? copy.mAge->count() : -1;
+  }
+
+  /// @return the time since the read that was sent last, in milliseconds
+  std::int64_t SinceSending() const
+  {
+    return std::chrono::duration_cast<Millis>(mCluster.mNow - mSentAt).count();
+  }
+};
+
+// Guards against an age that counts from the answer: a version that was stored
+// while the answer was under way may be missing in the copy.
+TEST(ConfigurationAge, CountsFromTheSendingOfTheAnsweredRead)
+{
+  Begin();
+  LONGS_EQUAL(-1, Age());
+  Answer(Millis(2000), ReadResult::Read, 7);
+  LONGS_EQUAL(2000, SinceSending());
+  LONGS_EQUAL(2000, Age());
+  LONGS_EQUAL(7, TheNode().ConfigurationInForce().mVersion);
+}
+
+// Guards against a read without an answer that makes the copy look newer.
+TEST(ConfigurationAge, KeepsCountingWhenAReadFails)
+{
+  for (const ReadResult result :
+       { ReadResult::Failed, ReadResult::HistoryGone }) {
+    Begin();
+    Answer(Millis(0), ReadResult::Read, 7);
+    AwaitRead();
+    const std::int64_t before = Age();
+    Answer(Millis(3000), result);
+    LONGS_EQUAL(before + 3000, Age());
+    LONGS_EQUAL(7, TheNode().ConfigurationInForce().mVersion);
+  }
+}
+
+// Guards against a version in force whose line does not tell that the copy
+// before it was old, and whether the read was slow.
+TEST(ConfigurationAge, TellsTheAgeBeforeANewVersion)
+{
+  Begin();
+  Answer(Millis(100), ReadResult::Read, 7);
+  LONGS_EQUAL(
+    1, Count(mLog, "version=7 routes=0 since_confirmed_ms=none read_ms=100\n"));
+  AwaitRead();
+  Answer(Millis(3000), ReadResult::Failed);
+  AwaitRead();
+  const std::int64_t before = Age();
+  Answer(Millis(50), ReadResult::Read, 9);
+  LONGS_EQUAL(1,
+              Count(mLog,
+                    "version=9 routes=0 since_confirmed_ms=" +
+                      std::to_string(before + 50) + " read_ms=50\n"));
+}
+
+// Guards against failed reads that leave no line, or whose line confuses a
+// silent store with one that has dropped its history.
+TEST(ConfigurationAge, TellsWhyAReadFailed)
+{
+  Begin();
+  Answer(Millis(1200), ReadResult::Failed);
+  LONGS_EQUAL(1,
+              Count(mLog,
+                    "event=operator_read_failed cause=failed read_ms=1200 "
+                    "version=0 configuration_age_ms=none\n"));
+  AwaitRead();
+  Answer(Millis(0), ReadResult::Read, 7);
+  AwaitRead();
+  const std::int64_t before = Age();
+  Answer(Millis(25), ReadResult::HistoryGone);
+  LONGS_EQUAL(1,
+              Count(mLog,
+                    "event=operator_read_failed cause=history_gone read_ms=25 "
+                    "version=7 configuration_age_ms=" +
+                      std::to_string(before + 25) + "\n"));
+}
+
+// Guards against notices about a calm node. Without changes its copy is older
+// than 3 s before each answer, because each wait takes 2 s.
+TEST(ConfigurationAge, IsNotStaleWhileAllReadsAreAnswered)
+{
+  Begin();
+  Answer(Millis(0), ReadResult::Read, 7);
+  for (int i = 0; i < 5; ++i) {
+    AwaitRead();
+    Answer(Millis(2000), ReadResult::Read);
+  }
+  AwaitRead();
+  mCluster.AdvanceTime(Millis(1900));
+  CHECK_TRUE(Age() > 3000);
+  LONGS_EQUAL(0, Count(mLog, "event=configuration_stale"));
+  LONGS_EQUAL(0, Count(mLog, "event=configuration_current"));
+}
+
+// Guards against a stale copy without a notice, and against one at each tick or
+// at each further failure.
+TEST(ConfigurationAge, IsReportedOnceWhileReadsFail)
+{
+  Begin();
+  Answer(Millis(0), ReadResult::Read, 7);
+  AwaitRead();
+  for (int i = 0; i < 3; ++i) {
+    Answer(Millis(3000), ReadResult::Failed);
+    AwaitRead();
+  }
+  LONGS_EQUAL(1, Count(mLog, "event=configuration_stale version=7"));
+  LONGS_EQUAL(0, Count(mLog, "event=configuration_current"));
+  Answer(Millis(0), ReadResult::Read, 9);
+  LONGS_EQUAL(1, Count(mLog, "event=configuration_stale"));
+  LONGS_EQUAL(1, Count(mLog, "event=configuration_current stale_ms="));
+  AwaitRead();
+  LONGS_EQUAL(1, Count(mLog, "event=configuration_current"));
+}
+
+// Guards against a stale copy without a notice while a read neither succeeds
+// nor fails.
+TEST(ConfigurationAge, IsStaleWhileAReadHangs)
+{
+  Begin();
+  Answer(Millis(0), ReadResult::Read, 7);
+  AwaitRead();
+  mCluster.AdvanceTime(Millis(3000));
+  LONGS_EQUAL(0, Count(mLog, "event=configuration_stale"));
+  mCluster.AdvanceTime(Millis(1000));
+  LONGS_EQUAL(1, Count(mLog, "event=configuration_stale"));
+}
+
+// Guards against a client whose host or path adds fields or lines to the log,
+// or fills it.
+TEST(ConfigurationAge, KeepsTextsOfClientsInTheirFields)
+{
+  RefusedRequest request;
+  request.mStatus = 404;
+  request.mCause = RefusalCause::UnknownRoute;
+  request.mMethod = std::string_view("GET");
+  request.mHost = std::string_view("a\nevent=x \xff\"b");
+  const std::string path = "/" + std::string(5000, 'p');
+  request.mPath = path;
+  const std::string fields = FormatRefusedRequest(request, { 7, Millis(1234) });
+  STRCMP_EQUAL(("status=404 cause=unknown_route method=GET "
+                "host=\"a?event=x ?\\\"b\" path=/" +
+                std::string(119, 'p') +
+                "... version=7 configuration_age_ms=1234")
+                 .c_str(),
+               fields.c_str());
+}
+
+// Guards against a flood of refused requests that displaces all other lines:
+// the rate limit has to apply to them.
+TEST(ConfigurationAge, LimitsTheRateOfRefusals)
+{
+  Begin();
+  for (int i = 0; i < 2000; ++i) {
+    TheNode().LogRefusal({});
+  }
+  CHECK_TRUE(Count(mLog, "event=request_refused") <= 600);
+  CHECK_TRUE(mLog.Dropped() >= 1400);
+}
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -100,9 +100,15 @@
   DirectoryPort directory =
     platform::MakeDirectoryPort(counted, [](const std::string&) {});
   std::optional<OperatorState> state;
+  ReadResult result = ReadResult::Failed;
   const auto read = [&] {
-    directory.mReadOperatorState(
-      [&](std::optional<OperatorState> aState) { state = std::move(aState); });
+    directory.mReadOperatorState([&](ReadResult aResult, OperatorState aState) {
+      result = aResult;
+      state.reset();
+      if (aResult == ReadResult::Read) {
+        state = std::move(aState);
+      }
+    });
     store.Run();
   };
   read();
@@ -117,6 +123,7 @@
   store.mHistoryGone = true;
   read();
   CHECK_FALSE(state.has_value());
+  CHECK_TRUE(result == ReadResult::HistoryGone);
   read();
   CHECK_TRUE(state && state->mConfiguration);
   LONGS_EQUAL(1, state->mEvacuatedDataCentres.size());
