TestLibAsyncHttp: Show that a call is repeated on a silent connection

A new test program for LibAsyncHttp, with a server whose connections can fall silent. HttpPool.ConnectionsThatAnswerMeanwhileAreKept passes.

--- /dev/null
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -0,0 +1,231 @@
+// Boost 1.74's coroutine support needs <utility> before Asio.
+#include <utility>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <LibAsyncHttp/HttpPool.h>
+#include <LibTime/BootClock.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::string_view kAnswer =
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+/// Requests for it are never answered.
+constexpr const char* kUnanswered = "/unanswered";
+
+/// An HTTP server on the loopback address. Its connections can fall silent:
+/// they stay open, but what arrives on them is ignored.
+class Peer
+{
+public:
+  explicit Peer(boost::asio::io_context& aLoop)
+    : mLoop(aLoop)
+    , mAcceptor(aLoop,
+                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+  {
+    Accept();
+  }
+
+  [[nodiscard]] std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+  /// Holds answers back until so many requests have arrived.
+  void HoldUntil(std::size_t aRequests) { mHoldUntil = aRequests; }
+
+  /// Silences all connections that are open now.
+  void SilenceConnections()
+  {
+    for (const ConnectionPtr& connection : mConnections) {
+      connection->mSilent = true;
+    }
+  }
+
+  /// @return the number of connections accepted so far
+  [[nodiscard]] std::size_t Connections() const { return mConnections.size(); }
+  /// @return the number of requests received so far, answered or not
+  [[nodiscard]] std::size_t Requests() const { return mRequests; }
+  /// @return the number of requests received on silent connections
+  [[nodiscard]] std::size_t Ignored() const { return mIgnored; }
+
+private:
+  struct Connection
+  {
+    explicit Connection(boost::asio::io_context& aLoop)
+      : mSocket(aLoop)
+    {
+    }
+    tcp::socket mSocket;
+    std::array<char, 1024> mBuffer{};
+    std::string mIncoming;
+    bool mSilent = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Accept()
+  {
+    auto connection = std::make_shared<Connection>(mLoop);
+    mAcceptor.async_accept(connection->mSocket,
+                           [this, connection](error_code aError) {
+                             if (!aError) {
+                               mConnections.push_back(connection);
+                               Read(connection);
+                               Accept();
+                             }
+                           });
+  }
+
+  void Read(const ConnectionPtr& aConnection)
+  {
+    aConnection->mSocket.async_read_some(
+      boost::asio::buffer(aConnection->mBuffer),
+      [this, aConnection](error_code aError, std::size_t aCount) {
+        if (aError) {
+          return;
+        }
+        aConnection->mIncoming.append(aConnection->mBuffer.data(), aCount);
+        if (aConnection->mIncoming.ends_with("\r\n\r\n")) {
+          Handle(aConnection, std::exchange(aConnection->mIncoming, {}));
+        }
+        Read(aConnection);
+      });
+  }
+
+  void Handle(const ConnectionPtr& aConnection, const std::string& aRequest)
+  {
+    ++mRequests;
+    if (aConnection->mSilent) {
+      ++mIgnored;
+    } else if (aRequest.find(kUnanswered) == std::string::npos) {
+      mHeld.push_back(aConnection);
+    }
+    if (mRequests < mHoldUntil) {
+      return;
+    }
+    for (const ConnectionPtr& connection : std::exchange(mHeld, {})) {
+      boost::asio::write(connection->mSocket, boost::asio::buffer(kAnswer));
+    }
+  }
+
+  boost::asio::io_context& mLoop;
+  tcp::acceptor mAcceptor;
+  std::vector<ConnectionPtr> mConnections;
+  std::vector<ConnectionPtr> mHeld; ///< Connections that await an answer.
+  std::size_t mRequests = 0;
+  std::size_t mIgnored = 0;
+  std::size_t mHoldUntil = 0;
+};
+
+} // namespace
+
+TEST_GROUP(HttpPool)
+{
+  boost::asio::io_context mLoop{ 1 };
+  Deadlines mDeadlines;
+  Peer mPeer{ mLoop };
+  HttpPool mPool{ mLoop, mDeadlines, mPeer.Address(), 8 };
+
+  /// A call and its answer, once there is one.
+  using Answer = std::shared_ptr<std::optional<HttpAnswer>>;
+
+  Answer Send(const std::string& aTarget, Millis aTimeout)
+  {
+    auto answer = std::make_shared<std::optional<HttpAnswer>>();
+    mPool.Send({ "GET", aTarget, {}, {}, aTimeout },
+               [answer](HttpAnswer aAnswer) { *answer = std::move(aAnswer); });
+    return answer;
+  }
+
+  /// Runs the loop until the condition holds.
+  void RunUntil(const std::function<bool()>& aCondition)
+  {
+    while (!aCondition()) {
+      mLoop.restart();
+      mLoop.run_one_for(Millis(10));
+    }
+  }
+
+  void Await(const Answer& aAnswer)
+  {
+    RunUntil([&] { return aAnswer->has_value(); });
+  }
+
+  /// Opens connections by calls that are under way at the same time, and waits
+  /// until all of them are answered.
+  void OpenConnections(std::size_t aCount)
+  {
+    mPeer.HoldUntil(mPeer.Requests() + aCount);
+    std::vector<Answer> answers;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      answers.push_back(Send("/", Seconds(60)));
+    }
+    for (const Answer& answer : answers) {
+      Await(answer);
+    }
+    UNSIGNED_LONGS_EQUAL(aCount, mPeer.Connections());
+  }
+
+  /// Sends a call and waits until the peer has received it.
+  Answer SendUnanswered(const std::string& aTarget, Millis aTimeout)
+  {
+    const std::size_t received = mPeer.Requests();
+    Answer answer = Send(aTarget, aTimeout);
+    RunUntil([&] { return mPeer.Requests() > received; });
+    return answer;
+  }
+
+  /// Expires the calls whose time-outs end within the given time from now.
+  void Expire(Millis aWithin)
+  {
+    mDeadlines.Expire(BootTime() + aWithin);
+  }
+};
+
+// Guards against a call that is repeated on one silent connection after the
+// other, each time until its time-out. Nodes missed configurations for 6 s, and
+// refused requests as an older version says.
+TEST(HttpPool, ACallAfterASilentConnectionTakesANewOne)
+{
+  OpenConnections(3);
+  mPeer.SilenceConnections();
+  const Answer first = SendUnanswered("/first", Seconds(1));
+  Expire(Seconds(2));
+  CHECK_TRUE((*first)->mFailure == CallFailure::NoAnswer);
+  const Answer second = Send("/second", Seconds(1));
+  RunUntil([&] { return second->has_value() || mPeer.Ignored() == 2; });
+  CHECK_TRUE(second->has_value());
+  LONGS_EQUAL(200, (*second)->mStatus);
+  UNSIGNED_LONGS_EQUAL(4, mPeer.Connections());
+}
+
+// Guards against closing connections that work, because one call got no answer.
+// Each new connection to a runner has a cost.
+TEST(HttpPool, ConnectionsThatAnswerMeanwhileAreKept)
+{
+  OpenConnections(2);
+  const Answer unanswered = SendUnanswered(kUnanswered, Seconds(1));
+  Await(Send("/other", Seconds(60)));
+  Expire(Seconds(2));
+  CHECK_TRUE((*unanswered)->mFailure == CallFailure::NoAnswer);
+  const Answer next = Send("/next", Seconds(60));
+  Await(next);
+  LONGS_EQUAL(200, (*next)->mStatus);
+  UNSIGNED_LONGS_EQUAL(2, mPeer.Connections());
+}
