LibAsyncHttp: Close idle connections that may be silent too

Clients saw a route refused with 404 although a version with it had been acknowledged up to 4 s before: a node had missed all configurations for 6.5 s.

Cause: open connections can fall silent, without a reset, while new ones work. A call without an answer was repeated on the idle connection that was used last, which was silent as well, and so on, each time until its time-out. The call that waits for changes of the configuration has a time-out of 3 s.

When a call gets no answer in time, the pool now closes the idle connections to that peer that have not been heard since the call was sent; connections that have answered in the meantime are kept. Ruled out: the pause after large reads and refused reads (rows of 22 routes, no read of these nodes was refused in the silence), and sharing one connection for all calls, which would delay renewals behind reads.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -68,6 +68,7 @@
     HttpCall mCall;
     AnswerHandler mDone;
     MonotonicTime mExpiresAt;
+    MonotonicTime mSentAt;          ///< When a connection was told to send it.
     std::uint64_t mQueueNumber = 0; ///< Identifies the call in the queue.
   };
 
@@ -86,6 +87,7 @@
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
     bool mConnected = false;
     bool mClosed = false;
+    MonotonicTime mHeardAt; ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -119,6 +121,8 @@
   void Close(const ConnectionPtr& aConnection);
   /// Closes the connection and completes its current call, if any, as failed.
   void Fail(const ConnectionPtr& aConnection);
+  /// Fails the connection because its call has got no answer in time.
+  void Expire(const ConnectionPtr& aConnection);
 
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
@@ -173,7 +177,7 @@
   auto self = shared_from_this();
   connection->mDeadline =
     mDeadlines.Add(connection->mCurrent->mExpiresAt,
-                   [self, connection] { self->Fail(connection); });
+                   [self, connection] { self->Expire(connection); });
   const std::size_t colon = mAddress.rfind(':');
   error_code bad;
   const auto ip = boost::asio::ip::make_address(
@@ -195,6 +199,7 @@
         return;
       }
       connection->mConnected = true;
+      connection->mHeardAt = BootTime();
       error_code ignored;
       connection->mSocket.set_option(tcp::no_delay(true), ignored);
       connection->mSocket.non_blocking(true, ignored);
@@ -210,7 +215,7 @@
   auto self = shared_from_this();
   aConnection->mDeadline =
     mDeadlines.Add(aConnection->mCurrent->mExpiresAt,
-                   [self, aConnection] { self->Fail(aConnection); });
+                   [self, aConnection] { self->Expire(aConnection); });
   Write(aConnection);
 }
 
@@ -222,6 +227,7 @@
   aConnection->mParser->body_limit(kMaxAnswerBytes);
   aConnection->mParser->eager(true);
   aConnection->mMayBeSent = true;
+  aConnection->mCurrent->mSentAt = BootTime();
   auto self = shared_from_this();
   boost::asio::async_write(aConnection->mSocket,
                            boost::asio::buffer(aConnection->mOutgoing),
@@ -262,6 +268,7 @@
         return;
       }
       connection.mBufferedBytes += count;
+      connection.mHeardAt = BootTime();
       self->Consume(aConnection);
     });
 }
@@ -380,6 +387,24 @@
   }
 }
 
+void
+HttpPool::State::Expire(const ConnectionPtr& aConnection)
+{
+  // Connections to the same peer may have fallen silent at the same time. An
+  // idle one that has not been heard since the call was sent proves nothing to
+  // the contrary, and the next call on it could wait out its time-out too.
+  if (aConnection->mConnected && aConnection->mCurrent) {
+    const MonotonicTime sentAt = aConnection->mCurrent->mSentAt;
+    const std::vector<ConnectionPtr> idle = mIdle;
+    for (const ConnectionPtr& other : idle) {
+      if (other->mHeardAt < sentAt) {
+        Close(other);
+      }
+    }
+  }
+  Fail(aConnection);
+}
+
 HttpPool::HttpPool(boost::asio::io_context& aLoop,
                    Deadlines& aDeadlines,
                    std::string aAddress,
