LibAsyncHttp: Break off long polls on connections that may be silent

Callers saw jobs start up to 4 s late, and nodes missed configurations for 3.3 s, after open connections had fallen silent.

Cause: a call that waits for changes rightly hears nothing for seconds, so it noticed the silence only at its own time-out of 3 s (configuration) or 4 s (inbox), although a later short call to the same peer had got no answer after 1.2 s.

HttpCall says that a call is a long poll, which its caller repeats after any failure. When a call gets no answer in time, the long polls on connections that have not been heard since it was sent end at once. Orders and transactions are left to their senders, who alone know how long they wait. A long poll that was sent after the unanswered call goes on, so that a peer that is slow for one call doesn't lose them each time.

HttpPool.ALongPollEndsWhenALaterCallGetsNoAnswer failed before.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -123,6 +123,12 @@
   void Fail(const ConnectionPtr& aConnection);
   /// Fails the connection because its call has got no answer in time.
   void Expire(const ConnectionPtr& aConnection);
+  /// Closes the connections that may have fallen silent together with one on
+  /// which a call got no answer: those that are idle or carry a long poll from
+  /// before that call, and have not been heard since it was sent. Otherwise the
+  /// next call, or the long poll, could wait out its time-out as well.
+  /// @param aSentAt when the call without an answer was sent
+  void DropSuspects(MonotonicTime aSentAt);
 
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
@@ -390,21 +396,38 @@
 void
 HttpPool::State::Expire(const ConnectionPtr& aConnection)
 {
-  // Connections to the same peer may have fallen silent at the same time. An
-  // idle one that has not been heard since the call was sent proves nothing to
-  // the contrary, and the next call on it could wait out its time-out too.
   if (aConnection->mConnected && aConnection->mCurrent) {
-    const MonotonicTime sentAt = aConnection->mCurrent->mSentAt;
-    const std::vector<ConnectionPtr> idle = mIdle;
-    for (const ConnectionPtr& other : idle) {
-      if (other->mHeardAt < sentAt) {
-        Close(other);
-      }
-    }
+    DropSuspects(aConnection->mCurrent->mSentAt);
   }
   Fail(aConnection);
 }
 
+void
+HttpPool::State::DropSuspects(MonotonicTime aSentAt)
+{
+  std::vector<ConnectionPtr> idle;
+  std::vector<ConnectionPtr> longPolls;
+  for (const ConnectionPtr& connection : mConnections) {
+    if (!connection->mConnected || connection->mHeardAt >= aSentAt) {
+      continue;
+    }
+    if (!connection->mCurrent) {
+      idle.push_back(connection);
+    } else if (connection->mCurrent->mCall.mLongPoll &&
+               connection->mCurrent->mSentAt < aSentAt) {
+      longPolls.push_back(connection);
+    }
+  }
+  // The idle connections go first, because a long poll's handler may send the
+  // next call at once.
+  for (const ConnectionPtr& connection : idle) {
+    Close(connection);
+  }
+  for (const ConnectionPtr& connection : longPolls) {
+    Fail(connection);
+  }
+}
+
 HttpPool::HttpPool(boost::asio::io_context& aLoop,
                    Deadlines& aDeadlines,
                    std::string aAddress,
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -21,6 +21,9 @@
   HttpHeaders mHeaders;
   std::string mBody;
   Millis mTimeout{ 1000 };
+  /// The peer may delay its answer until something changes, and the caller
+  /// repeats the call after any failure.
+  bool mLongPoll = false;
 };
 
 /// Whether a call failed to bring a complete answer, and what is known then
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -145,14 +145,19 @@
   /// A call and its answer, once there is one.
   using Answer = std::shared_ptr<std::optional<HttpAnswer>>;
 
-  Answer Send(const std::string& aTarget, Millis aTimeout)
+  Answer Send(HttpCall aCall)
   {
     auto answer = std::make_shared<std::optional<HttpAnswer>>();
-    mPool.Send({ "GET", aTarget, {}, {}, aTimeout },
+    mPool.Send(std::move(aCall),
                [answer](HttpAnswer aAnswer) { *answer = std::move(aAnswer); });
     return answer;
   }
 
+  Answer Send(const std::string& aTarget, Millis aTimeout)
+  {
+    return Send({ "GET", aTarget, {}, {}, aTimeout });
+  }
+
   /// Runs the loop until the condition holds.
   void RunUntil(const std::function<bool()>& aCondition)
   {
@@ -183,10 +188,10 @@
   }
 
   /// Sends a call and waits until the peer has received it.
-  Answer SendUnanswered(const std::string& aTarget, Millis aTimeout)
+  Answer SendUnanswered(HttpCall aCall)
   {
     const std::size_t received = mPeer.Requests();
-    Answer answer = Send(aTarget, aTimeout);
+    Answer answer = Send(std::move(aCall));
     RunUntil([&] { return mPeer.Requests() > received; });
     return answer;
   }
@@ -205,7 +210,7 @@
 {
   OpenConnections(3);
   mPeer.SilenceConnections();
-  const Answer first = SendUnanswered("/first", Seconds(1));
+  const Answer first = SendUnanswered({ "GET", "/first", {}, {}, Seconds(1) });
   Expire(Seconds(2));
   CHECK_TRUE((*first)->mFailure == CallFailure::NoAnswer);
   const Answer second = Send("/second", Seconds(1));
@@ -215,12 +220,30 @@
   UNSIGNED_LONGS_EQUAL(4, mPeer.Connections());
 }
 
+// Guards against a repetition that is sent at once, by the handler of the call
+// without an answer, and still meets a silent connection.
+TEST(HttpPool, ARepetitionByTheHandlerTakesANewConnection)
+{
+  OpenConnections(3);
+  mPeer.SilenceConnections();
+  Answer repetition;
+  mPool.Send({ "GET", "/first", {}, {}, Seconds(1) }, [&](const HttpAnswer&) {
+    repetition = Send("/second", Seconds(60));
+  });
+  RunUntil([&] { return mPeer.Ignored() == 1; });
+  Expire(Seconds(2));
+  RunUntil([&] { return repetition->has_value() || mPeer.Ignored() == 2; });
+  CHECK_TRUE(repetition->has_value());
+  LONGS_EQUAL(200, (*repetition)->mStatus);
+}
+
 // Guards against closing connections that work, because one call got no answer.
 // Each new connection to a runner has a cost.
 TEST(HttpPool, ConnectionsThatAnswerMeanwhileAreKept)
 {
   OpenConnections(2);
-  const Answer unanswered = SendUnanswered(kUnanswered, Seconds(1));
+  const Answer unanswered =
+    SendUnanswered({ "GET", kUnanswered, {}, {}, Seconds(1) });
   Await(Send("/other", Seconds(60)));
   Expire(Seconds(2));
   CHECK_TRUE((*unanswered)->mFailure == CallFailure::NoAnswer);
@@ -229,3 +252,40 @@
   LONGS_EQUAL(200, (*next)->mStatus);
   UNSIGNED_LONGS_EQUAL(2, mPeer.Connections());
 }
+
+// Guards against a long poll that waits out its own time-out on a silent
+// connection, although a later call has already shown that the peer's
+// connections are silent. Accepted jobs waited for up to 4 s.
+TEST(HttpPool, ALongPollEndsWhenALaterCallGetsNoAnswer)
+{
+  OpenConnections(3);
+  mPeer.SilenceConnections();
+  HttpCall call{ "GET", "/changes", {}, {}, Seconds(60) };
+  call.mLongPoll = true;
+  const Answer longPoll = SendUnanswered(call);
+  const Answer order =
+    SendUnanswered({ "POST", "/order", {}, {}, Seconds(60) });
+  const Answer read = SendUnanswered({ "GET", "/read", {}, {}, Seconds(1) });
+  Expire(Seconds(2));
+  CHECK_TRUE((*read)->mFailure == CallFailure::NoAnswer);
+  CHECK_TRUE(longPoll->has_value());
+  CHECK_TRUE((*longPoll)->mFailure == CallFailure::NoAnswer);
+  // The sender of an order decides itself how long it waits.
+  CHECK_FALSE(order->has_value());
+}
+
+// Guards against a peer that is slow for one call, and whose long polls are
+// broken off and repeated each time: a long poll that is sent after that call
+// goes on.
+TEST(HttpPool, ALongPollSentAfterAnUnansweredCallGoesOn)
+{
+  OpenConnections(2);
+  const Answer unanswered =
+    SendUnanswered({ "GET", kUnanswered, {}, {}, Seconds(1) });
+  HttpCall call{ "GET", kUnanswered, {}, {}, Seconds(60) };
+  call.mLongPoll = true;
+  const Answer longPoll = SendUnanswered(call);
+  Expire(Seconds(2));
+  CHECK_TRUE(unanswered->has_value());
+  CHECK_FALSE(longPoll->has_value());
+}
