LibNode: Deny no route while the configuration is stale

A node answered 404 for a route that a newer configuration has, although it knew that its reads of the configuration had failed for seconds: nothing judged the copy by its age. A 404 is final for the client, while other nodes would have served the request.

While the copy is stale (its age is above 3 s and the last read has failed or is overdue), an unknown route is answered 503 with Retry-After, which is true: the request has not run, and may be sent again. Requests with a known route are served as before.

ClientCalls.AStaleNodeDeniesNoRoute failed before (404 instead of 503 after 4 s of refused reads).

--- a/Libraries/LibNode/ClientFrontEnd.h
+++ b/Libraries/LibNode/ClientFrontEnd.h
@@ -19,6 +19,7 @@
   Accepted, ///< The request is stored; also if it had been accepted before.
   /// The job certainly never runs; the client may submit it again.
   NotAccepted,
+  NoSuchRoute, ///< No queue serves the request's host and path.
   NoSuchJob,
   /// The job may be stored: the client must submit it again with the same id.
   Unknown,
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -522,6 +522,13 @@
   return copy;
 }
 
+ClientAnswer
+Node::AnswerUnknownRoute() const
+{
+  return mConfigurationStaleSince ? ClientAnswer::NotAccepted
+                                  : ClientAnswer::NoSuchRoute;
+}
+
 void
 Node::LogRefusal(const RefusedRequest& aRequest)
 {
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -43,6 +43,12 @@
   [[nodiscard]] ConfigurationCopy ConfigurationInForce() const;
   [[nodiscard]] ClientFrontEnd& FrontEnd();
 
+  /// Decides on a request for which the configuration in force has no route.
+  /// While the copy is stale, a newer version may have the route, and another
+  /// node may know it.
+  /// @return NoSuchRoute, or NotAccepted if the client should come back
+  [[nodiscard]] ClientAnswer AnswerUnknownRoute() const;
+
   /// Logs a refused request with the version that refused it.
   void LogRefusal(const RefusedRequest& aRequest);
 
--- a/Tests/Platform/TestClientCalls.cpp
+++ b/Tests/Platform/TestClientCalls.cpp
@@ -44,26 +44,43 @@
     mNode.reset();
   }
 
-  /// Stores a configuration with one route and lets the node read it.
-  void ReadConfiguration()
+  /// Stores a configuration with one route.
+  void StoreConfiguration(int aVersion)
   {
     StoreTransaction transaction;
-    transaction.mPuts.push_back(
-      { "op",
-        "",
-        "config",
-        R"({"version":7,"routes":[{"name":"q","host":"h",)"
-        R"("path_prefix":"/p/","service":"s"}]})",
-        0,
-        false });
+    transaction.mPuts.push_back({ "op",
+                                  "",
+                                  "config",
+                                  R"({"version":)" + std::to_string(aVersion) +
+                                    R"(,"routes":[{"name":"q","host":"h",)"
+                                    R"("path_prefix":"/p/","service":"s"}]})",
+                                  0,
+                                  false });
     mContext.mStore.mTransact(
       transaction, Millis(1000), [](const TransactionOutcome&) {});
     mStore.Run();
+  }
+
+  /// Stores a configuration and lets the node read it.
+  void ReadConfiguration()
+  {
+    StoreConfiguration(7);
     mNode->Tick(mNow);
     mStore.Run();
     CHECK_TRUE(mNode->Config().has_value());
   }
 
+  /// @return the status of the response
+  int StatusOf(const HttpIncomingRequest& aRequest)
+  {
+    int status = 0;
+    platform::HandleClientCall(
+      *mNode, mContext.mSettings, aRequest, [&](const HttpReply& aReply) {
+        status = aReply.mStatus;
+      });
+    return status;
+  }
+
   /// Checks the status of the response, and that the log has a line with these
   /// fields if it is not empty.
   void Expect(const HttpIncomingRequest& aRequest,
@@ -71,12 +88,7 @@
               const std::string& aFields)
   {
     const std::size_t before = mLog.Pending().size();
-    int status = 0;
-    platform::HandleClientCall(
-      *mNode, mContext.mSettings, aRequest, [&](const HttpReply& aReply) {
-        status = aReply.mStatus;
-      });
-    LONGS_EQUAL(aStatus, status);
+    LONGS_EQUAL(aStatus, StatusOf(aRequest));
     const std::string lines = mLog.Pending().substr(before);
     if (aFields.empty()) {
       CHECK_TRUE(lines.find("request_refused") == std::string::npos);
@@ -118,6 +130,32 @@
          "status=405 cause=method method=PATCH host=h path=" + kJobPath + copy);
 }
 
+// Guards against a node that denies a route which a newer version has: while
+// its reads of the configuration fail, it can't know, and another node may.
+TEST(ClientCalls, AStaleNodeDeniesNoRoute)
+{
+  ReadConfiguration();
+  const auto advance = [&](Millis aTime) {
+    for (const MonotonicTime end = mNow + aTime; mNow < end;
+         mNow += Millis(25)) {
+      mNode->Tick(mNow);
+      mStore.Run();
+    }
+  };
+  const HttpIncomingRequest request{ "GET", "/new/", "h", "", {} };
+  mStore.mRefuses = true;
+  advance(Seconds(2));
+  LONGS_EQUAL(404, StatusOf(request));
+  advance(Seconds(2));
+  LONGS_EQUAL(503, StatusOf(request));
+  STRCMP_CONTAINS("status=503 cause=unknown_route", mLog.Pending().c_str());
+  LONGS_EQUAL(200, StatusOf({ "GET", "/p/", "h", "", {} }));
+  mStore.mRefuses = false;
+  StoreConfiguration(8);
+  advance(Seconds(1));
+  LONGS_EQUAL(404, StatusOf(request));
+}
+
 // Guards against lines about requests that are served.
 TEST(ClientCalls, LogsNoRefusalOfAServedRequest)
 {
