--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -143,6 +143,10 @@
     const auto& [table, partition, key] = name;
     if (table == aTable && partition == aPartition && key >= aFrom &&
         (aTo.empty() || key < aTo)) {
+      if (outcome.mRows.size() == mRowsPerRead) {
+        outcome.mMore = true;
+        break;
+      }
       outcome.mRows.push_back(
         { table, partition, key, row.mValue, row.mVersion, false });
     }
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -44,6 +44,8 @@
   /// number is limited, because calls that are refused are repeated without
   /// end. With 1, a call that follows an answer is served by the next Run().
   int mMaxRounds = 50;
+  /// Most rows in the answer to a read; the others are on further pages.
+  std::size_t mRowsPerRead = SIZE_MAX;
   /// Run() does nothing while this is set.
   bool mPaused = false;
   /// The next call that waits for changes is answered with HistoryGone. Reset
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include "../LibNode/FakeStore.h"
 
@@ -129,3 +130,41 @@
   LONGS_EQUAL(1, state->mEvacuatedDataCentres.size());
   LONGS_EQUAL(2, reads);
 }
+
+// Guards against the loss of what is on further pages of the operator's table:
+// evacuations were not seen, and starts went on in an evacuated data centre.
+// The rows may change between two pages.
+TEST(Directory, ReadsAllPagesOfTheOperatorsTable)
+{
+  FakeStore store;
+  StorePort port = store.Port();
+  Put(port, store, "config", kConfiguration);
+  Put(port, store, "evacuate/a", "{}");
+  Put(port, store, "evacuate/b", "{}");
+  store.mRowsPerRead = 1;
+  store.mMaxRounds = 1;
+  DirectoryPort directory =
+    platform::MakeDirectoryPort(port, [](const std::string&) {});
+  std::vector<OperatorState> states;
+  const auto read = [&] {
+    directory.mReadOperatorState([&](ReadResult aResult, OperatorState aState) {
+      CHECK_TRUE(aResult == ReadResult::Read);
+      states.push_back(std::move(aState));
+    });
+  };
+  read();
+  store.Run();
+  // The first page is read already.
+  std::string changed = kConfiguration;
+  changed.replace(changed.find("7"), 1, "8");
+  Put(port, store, "config", changed);
+  store.Run();
+  store.Run();
+  LONGS_EQUAL(1, states.size());
+  LONGS_EQUAL(2, states[0].mEvacuatedDataCentres.size());
+  read();
+  store.Run();
+  LONGS_EQUAL(2, states.size());
+  CHECK_TRUE(states[1].mConfiguration.has_value());
+  LONGS_EQUAL(8, states[1].mConfiguration->mVersion);
+}
