--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -156,7 +156,7 @@
   store.Run();
   // The first page is read already.
   std::string changed = kConfiguration;
-  changed.replace(changed.find("7"), 1, "8");
+  changed.replace(changed.find('7'), 1, "8");
   Put(port, store, "config", changed);
   store.Run();
   store.Run();
