--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -95,11 +95,13 @@
   State(boost::asio::io_context& aLoop,
         Deadlines& aDeadlines,
         std::string aAddress,
-        std::size_t aMaxConnections)
+        std::size_t aMaxConnections,
+        Millis aMaxIdleTime)
     : mLoop(aLoop)
     , mDeadlines(aDeadlines)
     , mAddress(std::move(aAddress))
     , mMaxConnections(aMaxConnections)
+    , mMaxIdleTime(aMaxIdleTime)
   {
   }
 
@@ -134,6 +136,7 @@
   Deadlines& mDeadlines;
   std::string mAddress;
   std::size_t mMaxConnections;
+  Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
@@ -144,9 +147,15 @@
 void
 HttpPool::State::Start(PendingCall aPending)
 {
-  if (!mIdle.empty()) {
+  while (!mIdle.empty()) {
     const ConnectionPtr connection = mIdle.back();
     mIdle.pop_back();
+    const auto idleTime =
+      std::chrono::duration_cast<Millis>(BootTime() - connection->mHeardAt);
+    if (idleTime > mMaxIdleTime) {
+      Close(connection);
+      continue;
+    }
     Assign(connection, std::move(aPending));
     return;
   }
@@ -431,11 +440,13 @@
 HttpPool::HttpPool(boost::asio::io_context& aLoop,
                    Deadlines& aDeadlines,
                    std::string aAddress,
-                   std::size_t aMaxConnections)
+                   std::size_t aMaxConnections,
+                   Millis aMaxIdleTime)
   : mState(std::make_shared<State>(aLoop,
                                    aDeadlines,
                                    std::move(aAddress),
-                                   aMaxConnections))
+                                   aMaxConnections,
+                                   aMaxIdleTime))
 {
 }
 
--- a/Libraries/LibAsyncHttp/HttpPool.h
+++ b/Libraries/LibAsyncHttp/HttpPool.h
@@ -20,10 +20,13 @@
   /// @param aAddress IPv4 address and port, "10.0.0.1:80"
   /// @param aMaxConnections most connections at the same time; further calls
   ///                        wait for one of them
+  /// @param aMaxIdleTime    a connection that has not been heard for longer is
+  ///                        closed instead of used again
   HttpPool(boost::asio::io_context& aLoop,
            Deadlines& aDeadlines,
            std::string aAddress,
-           std::size_t aMaxConnections);
+           std::size_t aMaxConnections,
+           Millis aMaxIdleTime = Millis::max());
   ~HttpPool();
   HttpPool(const HttpPool&) = delete;
   HttpPool& operator=(const HttpPool&) = delete;
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -237,6 +237,27 @@
   LONGS_EQUAL(200, (*repetition)->mStatus);
 }
 
+// Guards against a call on a connection that fell silent while nobody used it.
+// A wait for changes on such a connection was noticed only after its time-out.
+TEST(HttpPool, AConnectionThatWasIdleForTooLongIsNotUsed)
+{
+  HttpPool pool(mLoop, mDeadlines, mPeer.Address(), 8, Millis(0));
+  const auto call = [&] {
+    auto answer = std::make_shared<std::optional<HttpAnswer>>();
+    pool.Send({ "GET", "/", {}, {}, Seconds(60) },
+              [answer](HttpAnswer aAnswer) { *answer = std::move(aAnswer); });
+    return answer;
+  };
+  Await(call());
+  mPeer.SilenceConnections();
+  const MonotonicTime idleSince = BootTime();
+  RunUntil([&] { return BootTime() - idleSince > Millis(2); });
+  const Answer next = call();
+  RunUntil([&] { return next->has_value() || mPeer.Ignored() == 1; });
+  CHECK_TRUE(next->has_value());
+  UNSIGNED_LONGS_EQUAL(2, mPeer.Connections());
+}
+
 // Guards against closing connections that work, because one call got no answer.
 // Each new connection to a runner has a cost.
 TEST(HttpPool, ConnectionsThatAnswerMeanwhileAreKept)
