TestLibNode: Show that a restarted runner delays the tasks of another

Cause: the shard's row states one end of leases for all runners, and the leases that a late renewal may extend on a restarted runner count in it, for up to 18.2 s. After a change of owner, tasks of any lost runner wait until then.

--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1024,6 +1024,62 @@
   mFailures.Check();
 }
 
+// Guards against tasks of a lost runner that wait, after a change of owner, for
+// leases that only another runner may have, on which late orders for its former
+// process may extend them.
+TEST(TakeoverSimulation, ARestartedRunnerDelaysNoTaskOfAnother)
+{
+  for (const bool killed : { true, false }) {
+    for (const int changes : { 1, 2 }) {
+      for (const int changedAfter : { 0, 1500, 4000 }) {
+        Scenario scenario;
+        ClusterSimulation& cluster = scenario.mCluster;
+        // These fill the first runner and come to a second, which restarts.
+        cluster.Submit(
+          "b", "fedcba9876543210", dispatch::StepKind::LongRunning, 16);
+        const std::string restarted =
+          cluster.RunnerOf("fedcba9876543210.0.0.15");
+        cluster.RestartRunner(restarted);
+        cluster.AdvanceTime(Seconds(2));
+        // With these, the restarted runner has tasks again.
+        cluster.Submit(
+          "b", "0123456789fedcba", dispatch::StepKind::LongRunning, 16);
+        std::string problem;
+        if (cluster.mRunners.at(restarted).mRunning.empty()) {
+          problem += "the restarted runner has no task\n";
+        }
+        cluster.AdvanceTime(Millis(changedAfter));
+        const auto change = [&](const std::string& aNode) {
+          if (killed) {
+            cluster.KillNode(aNode);
+          } else {
+            cluster.FreezeNode(aNode);
+          }
+        };
+        const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+        const MonotonicTime lostAt = cluster.mNow;
+        change(scenario.mOwner);
+        if (changes == 2) {
+          const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+          cluster.AdvanceTime(Millis(500));
+          change(next);
+          scenario.AwaitOwnerAfter(scenario.mEpoch + 1);
+        }
+        const MonotonicTime limit =
+          std::max(lostAt + Seconds(9), cluster.mNow + Seconds(7));
+        problem += scenario.CheckRunning(tasks, lostAt, limit);
+        problem += cluster.Overlap();
+        mFailures.Add(std::string(killed ? "killed " : "frozen ") +
+                        Text(Millis(changedAfter)) +
+                        " after tasks came to the restarted runner, " +
+                        std::to_string(changes) + " changes",
+                      problem);
+      }
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against an owner that gives up its tasks, or starts no more, while the
 // store is unavailable for nine seconds although all runners answer.
 TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
