--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -169,6 +169,7 @@
       finish(ClientAnswer::Accepted, "accepted_before");
       return;
     case StoreResult::NotApplied:
+    case StoreResult::Rejected:
       if (!aSubmission->mMayBeStored) {
         finish(ClientAnswer::NotAccepted, "store_refused");
         return;
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -52,6 +52,10 @@
   Stored,
   Conflict,   ///< A check failed and nothing was applied.
   NotApplied, ///< The store refused or was not reached; nothing was applied.
+              ///< The same transaction may succeed later.
+  /// The store rejected the transaction as such, and always will: it exceeds a
+  /// bound, for example. Nothing was applied.
+  Rejected,
   /// There was no answer. The transaction was applied, or it may still be
   /// applied later if its checks hold by then.
   Unknown
--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -48,6 +48,11 @@
         aDone({ StoreResult::NotApplied, 0, {} });
         return;
       }
+      if (FindLimitViolation(aTransaction, mLimits)) {
+        ++mRejected;
+        aDone({ StoreResult::Rejected, 0, {} });
+        return;
+      }
       if (mDelayNext > 0) {
         --mDelayNext;
         mDelayed.push_back(aTransaction);
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -9,6 +9,7 @@
 #include <tuple>
 #include <vector>
 
+#include <LibNode/StoreLimits.h>
 #include <LibNode/StorePort.h>
 
 namespace paddle {
@@ -40,6 +41,9 @@
   /// Refuses transactions with an entry in this partition, as a slow store does
   /// when the partition's queue is full.
   std::optional<std::string> mRefusedPartition;
+  /// Transactions beyond these bounds are rejected.
+  StoreLimits mLimits;
+  int mRejected = 0; ///< Number of transactions that were rejected.
   /// Answers lead to further calls, which Run() serves in further rounds. Their
   /// number is limited, because calls that are refused are repeated without
   /// end. With 1, a call that follows an answer is served by the next Run().
