LibDispatch: Restart lost long-running tasks before all other work

A lost long-running task has to run again within 9 s, however full the service is.

Steps with interrupted long-running tasks now come first. If such a task fits on no runner, the runner on which the least has to end before it fits is held: it gets no other task until the next full pass, which decides anew. At most one runner in eight is held. Tasks that have never run keep their priority.

PlacementOrder.RestartsLongRunningTasksBeforeBetterPriorities and PlacementOrder.KeepsFreedCoresForALostLongRunningTask failed before (the task did not run); the latter is back within 9 s of its runner's end now.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -115,6 +115,9 @@
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
   MonotonicTime mPlacementOrderAt;
+  /// Runners that get no other tasks, so that an interrupted long-running task
+  /// that fits on no runner finds room there, as of the latest full pass.
+  std::vector<RunnerIndex> mHeldRunners;
   std::uint64_t mNextArrivalNumber = 1;
   MonotonicTime mExplainedAt; ///< When waiting steps were last logged.
   MonotonicTime mPlacedAt;    ///< When a full placement pass was last ordered.
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -144,6 +144,9 @@
   /// Whether an earlier owner may have started tasks of the job. It is cleared
   /// when the recovery after the takeover is complete.
   bool mInherited = false;
+  /// Whether an earlier owner knew of the job, so that tasks that never ran
+  /// here may have run before.
+  bool mMayHaveRunBefore = false;
   bool mBegan = false; ///< Whether any task has ever been started.
   bool mDirty = false; ///< Whether there are changes that no commit carries.
   bool mTerminalCommitted = false; ///< Whether the final phase is stored.
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -315,6 +315,7 @@
   job.mTakenAt = aNow;
   job.mArrivalNumber = aDispatcher.mNextArrivalNumber++;
   job.mInherited = aPriorRuns == PriorRuns::Possible && !aDispatcher.mRecovered;
+  job.mMayHaveRunBefore = aPriorRuns == PriorRuns::Possible;
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
   if (aProgress != nullptr) {
     job.mPhase = aProgress->mPhase;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <compare>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -49,6 +49,9 @@
 /// Multiple of its time objective after which the end of a job is worth
 /// nothing.
 constexpr int kWorthlessAfterObjectives = 3;
+/// Largest share of the available runners that are kept free for interrupted
+/// long-running tasks at the same time: one in this many.
+constexpr std::size_t kRunnersPerHeldRunner = 8;
 /// Largest number of waiting steps that are explained in the log at a time.
 constexpr std::size_t kMaxExplainedSteps = 3;
 /// The log explains only steps that have waited for longer than this.
@@ -369,27 +372,55 @@
   return worthwhile ? DeadlineOutlook::Late : DeadlineOutlook::Worthless;
 }
 
+/// @return whether a task of a long-running step waits that has run before, and
+///         that may be started
+bool
+HasInterruptedTask(const Dispatcher& aDispatcher, const WaitingStep& aEntry)
+{
+  if (aEntry.mKind != StepKind::LongRunning) {
+    return false;
+  }
+  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+    return aTask.mPhase == TaskPhase::Waiting &&
+           (aTask.mRun > 0 || aEntry.mJob->mMayHaveRunBefore) &&
+           !MayRunUnseen(aDispatcher, aTask);
+  });
+}
+
+/// Place of a waiting step in the placement order; lower values come first.
+struct PlacementRank
+{
+  /// Interrupted long-running tasks go before all priorities: their users are
+  /// without service until they run again, and all of them together need no
+  /// more than they used before.
+  bool mNotInterrupted = true;
+  std::int32_t mPriority = 0;
+  DeadlineOutlook mOutlook = DeadlineOutlook::InTime;
+  std::size_t mIndex = 0; ///< In Dispatcher::mWaitingSteps.
+
+  auto operator<=>(const PlacementRank&) const = default;
+};
+
 /// @return the waiting steps in the order in which they are placed
 std::vector<WaitingStep>
 PlacementOrder(const Dispatcher& aDispatcher, MonotonicTime aNow)
 {
   std::vector<WaitingStep> waiting(aDispatcher.mWaitingSteps.begin(),
                                    aDispatcher.mWaitingSteps.end());
-  std::vector<std::pair<DeadlineOutlook, std::size_t>> order;
-  order.reserve(waiting.size());
+  std::vector<PlacementRank> ranks;
+  ranks.reserve(waiting.size());
   for (std::size_t i = 0; i < waiting.size(); ++i) {
-    order.emplace_back(OutlookOf(waiting[i], aNow), i);
+    ranks.push_back({ !HasInterruptedTask(aDispatcher, waiting[i]),
+                      waiting[i].mPriority,
+                      OutlookOf(waiting[i], aNow),
+                      i });
   }
-  std::sort(
-    order.begin(), order.end(), [&](const auto& aFirst, const auto& aSecond) {
-      const std::int32_t first = waiting[aFirst.second].mPriority;
-      const std::int32_t second = waiting[aSecond.second].mPriority;
-      return std::tie(first, aFirst) < std::tie(second, aSecond);
-    });
+  std::sort(ranks.begin(), ranks.end());
   std::vector<WaitingStep> ordered;
   ordered.reserve(waiting.size());
-  for (const auto& [outlook, index] : order) {
-    ordered.push_back(waiting[index]);
+  for (const PlacementRank& rank : ranks) {
+    ordered.push_back(waiting[rank.mIndex]);
   }
   return ordered;
 }
@@ -507,6 +538,81 @@
   std::vector<Entry> mEntries;
 };
 
+/// @return the runner on which the least has to end before a task fits that
+///         fits nowhere now, or kNoRunner if the task never will
+RunnerIndex
+ChooseRunnerToHold(const Dispatcher& aDispatcher,
+                   std::span<const RunnerIndex> aCandidates,
+                   const TaskRef& aTask,
+                   const std::string& aService,
+                   MonotonicTime aNow)
+{
+  const StepSpec& spec = SpecOf(aTask);
+  const auto suits = [&](const Runner& aRunner) {
+    // Only finite tasks end by themselves.
+    const std::int64_t reachable =
+      aRunner.mSpec.mCapacity.mMilliCores - aRunner.mLongRunningMilliCores;
+    return reachable >= spec.mDemand.mMilliCores &&
+           aRunner.mSpec.mService == aService &&
+           (spec.mRequiredLabel.empty() ||
+            HasLabel(aRunner, spec.mRequiredLabel)) &&
+           (spec.mMaxTasksPerRunner == 0 ||
+            CountOfStep(aRunner, aTask) < spec.mMaxTasksPerRunner);
+  };
+  RunnerIndex best = kNoRunner;
+  std::int64_t bestFree = 0;
+  for (const RunnerIndex index : aCandidates) {
+    const std::vector<RunnerIndex>& held = aDispatcher.mHeldRunners;
+    const Runner& runner = aDispatcher.mRunners[index];
+    const PlacementRating rating =
+      RateRunner(aDispatcher, index, aTask, aService, aNow);
+    const Obstacle* obstacle = std::get_if<Obstacle>(&rating);
+    const bool full = obstacle != nullptr && (*obstacle == Obstacle::Cores ||
+                                              *obstacle == Obstacle::Memory);
+    if (!full || !suits(runner) ||
+        std::find(held.begin(), held.end(), index) != held.end()) {
+      continue;
+    }
+    const std::int64_t free =
+      runner.mSpec.mCapacity.mMilliCores - runner.mReserved.mMilliCores;
+    if (best == kNoRunner || free > bestFree) {
+      best = index;
+      bestFree = free;
+    }
+  }
+  return best;
+}
+
+/// Holds a runner for each waiting task of an interrupted step that fits
+/// nowhere.
+void
+HoldRunnersFor(Dispatcher& aDispatcher,
+               std::span<const RunnerIndex> aCandidates,
+               const WaitingStep& aEntry,
+               const std::string& aService,
+               MonotonicTime aNow)
+{
+  const Step& step = StepOf(aEntry);
+  const std::size_t most =
+    std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
+  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+    if (aDispatcher.mHeldRunners.size() >= most) {
+      return;
+    }
+    const Task& task = step.mTasks[i];
+    if (task.mPhase != TaskPhase::Waiting || MayRunUnseen(aDispatcher, task)) {
+      continue;
+    }
+    const TaskRef ref{ aEntry.mJob, aEntry.mOccurrence, aEntry.mStep, i };
+    const RunnerIndex runner =
+      ChooseRunnerToHold(aDispatcher, aCandidates, ref, aService, aNow);
+    if (runner == kNoRunner) {
+      return;
+    }
+    aDispatcher.mHeldRunners.push_back(runner);
+  }
+}
+
 } // namespace
 
 void
@@ -534,6 +640,11 @@
   }
   std::uint32_t started = 0;
   UnplaceableRequests unplaceable;
+  if (full) {
+    aDispatcher.mHeldRunners.clear();
+  }
+  // The interrupted steps come first and may use the held runners.
+  bool heldExcluded = false;
   if (full || aNow - aDispatcher.mPlacementOrderAt >= kOrderInterval) {
     aDispatcher.mPlacementOrder = PlacementOrder(aDispatcher, aNow);
     aDispatcher.mPlacementOrderAt = aNow;
@@ -548,9 +659,21 @@
       continue;
     }
     const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
+    const bool interrupted = HasInterruptedTask(aDispatcher, entry);
+    const bool mayHold = full && interrupted && !spec.mGang &&
+                         spec.mReservation == Reservation::Reserved;
     if (unplaceable.Covers(spec, queue->mService)) {
+      if (mayHold) {
+        HoldRunnersFor(aDispatcher, candidates, entry, queue->mService, aNow);
+      }
       continue;
     }
+    if (!interrupted && !heldExcluded) {
+      heldExcluded = true;
+      for (const RunnerIndex held : aDispatcher.mHeldRunners) {
+        std::erase(candidates, held);
+      }
+    }
     Step& step = StepOf(entry);
     if (spec.mGang) {
       if (StartGang(
@@ -570,6 +693,10 @@
           ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
         if (runner == kNoRunner) {
           unplaceable.Add(spec, queue->mService);
+          if (mayHold) {
+            HoldRunnersFor(
+              aDispatcher, candidates, entry, queue->mService, aNow);
+          }
           break;
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -40,6 +40,73 @@
   CHECK_TRUE(world.IsRunning("long-running.0.0.0"));
 }
 
+// Guards against a long-running task that waits for its restart behind a
+// backlog of a queue with a better priority.
+TEST(PlacementOrder, RestartsLongRunningTasksBeforeBetterPriorities)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  QueueSpec background = world.mDispatcher.mQueues.at("queue");
+  QueueSpec urgent = background;
+  background.mPriority = 2;
+  urgent.mName = "urgent";
+  const QueueSpec queues[] = { background, urgent };
+  SetQueues(world.mDispatcher, queues);
+  world.AddJob(MakeJob("long-running", { LongRunningStep(1, 16000) }));
+  JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
+  finite.mQueue = "urgent";
+  world.AddJob(finite);
+  world.End("long-running.0.0.0", EndKind::Failed);
+  world.AdvanceTime(Millis(300));
+  CHECK_TRUE(world.IsRunning("long-running.0.0.0"));
+}
+
+// Guards against a long-running job that has never run and overtakes a queue
+// with a better priority.
+TEST(PlacementOrder, StartsNewLongRunningTasksByPriority)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  QueueSpec background = world.mDispatcher.mQueues.at("queue");
+  QueueSpec urgent = background;
+  background.mPriority = 2;
+  urgent.mName = "urgent";
+  const QueueSpec queues[] = { background, urgent };
+  SetQueues(world.mDispatcher, queues);
+  JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
+  finite.mQueue = "urgent";
+  world.AddJob(finite);
+  world.AddJob(MakeJob("long-running", { LongRunningStep(1, 16000) }));
+  world.End("finite.0.0.0", EndKind::Done);
+  world.AdvanceTime(Millis(300));
+  CHECK_TRUE(world.IsRunning("finite.0.0.1"));
+}
+
+// Guards against a lost long-running task that never starts again in a full
+// service, because each core that becomes free goes to a smaller task at once.
+TEST(PlacementOrder, KeepsFreedCoresForALostLongRunningTask)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("long-running", { LongRunningStep(1, 12000) }));
+  world.AddJob(MakeJob("finite", { FiniteStep(200, 4000) }));
+  const std::string first = world.RunnerOf("long-running.0.0.0");
+  world.AdvanceTime(Seconds(1));
+  world.Leave(first);
+  Millis away(0);
+  while (!world.IsRunning("long-running.0.0.0") && away < Seconds(12)) {
+    for (const auto& [id, runner] : world.mRunners) {
+      if (id != first && !runner.mRunning.empty()) {
+        world.End(std::string(runner.mRunning.front().mTask), EndKind::Done);
+      }
+    }
+    world.AdvanceTime(Millis(200));
+    away += Millis(200);
+  }
+  CHECK_TRUE(world.IsRunning("long-running.0.0.0"));
+  CHECK_TRUE(away <= Seconds(9));
+}
+
 // Guards against starting a step before all tasks of its predecessor are done.
 TEST(PlacementOrder, StartsAStepAfterItsPredecessors)
 {
