LibDispatch: Move long-running tasks off runners that say they leave

The owner started nothing new there, but left the long-running tasks until the runner was gone, and then waited for its leases: 6.33 s for every task on every leaving runner.

The owner now stops such a task as soon as the runner is listed as draining, if it has room for it elsewhere, and starts it there once its end is reported. Room that is kept for one task doesn't count for the next, tasks without room elsewhere work on, and finite tasks and gangs are left alone.

LeavingRunners.MovesLongRunningTasksBeforeTheRunnerLeaves, CountsTheRoomOfEachTaskThatMoves and StartsNoSecondRunWhileTheFirstMayRun are new; the first failed before (the tasks stayed on the leaving runner).

--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -138,6 +138,15 @@
                    RunOutcome aOutcome,
                    MonotonicTime aNow);
 
+/// Stops long-running tasks on runners that are about to leave, if there is
+/// room for them elsewhere, so that they start there before their runner is
+/// gone. Otherwise each of them would be away for a lease after the runner has
+/// left.
+void
+MoveFromLeavingRunners(Dispatcher& aDispatcher,
+                       MonotonicTime aNow,
+                       Actions& aActions);
+
 /// Logs for a few steps that have waited long how many runners can't take their
 /// tasks, and why.
 void
--- a/Libraries/LibDispatch/JobSpec.h
+++ b/Libraries/LibDispatch/JobSpec.h
@@ -16,6 +16,24 @@
   std::int64_t mAccelerators = 0;
 };
 
+inline Resources&
+operator+=(Resources& aTotal, const Resources& aAmount)
+{
+  aTotal.mMilliCores += aAmount.mMilliCores;
+  aTotal.mMemoryMb += aAmount.mMemoryMb;
+  aTotal.mAccelerators += aAmount.mAccelerators;
+  return aTotal;
+}
+
+inline Resources&
+operator-=(Resources& aTotal, const Resources& aAmount)
+{
+  aTotal.mMilliCores -= aAmount.mMilliCores;
+  aTotal.mMemoryMb -= aAmount.mMemoryMb;
+  aTotal.mAccelerators -= aAmount.mAccelerators;
+  return aTotal;
+}
+
 /// Whether the tasks of a step run to completion.
 enum class StepKind
 {
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -52,6 +52,10 @@
 /// Largest share of the available runners that are kept free for interrupted
 /// long-running tasks at the same time: one in this many.
 constexpr std::size_t kRunnersPerHeldRunner = 8;
+/// Largest number of long-running tasks that are being moved from leaving
+/// runners at the same time. A stop takes up to 900 ms and a runner leaves 2.5
+/// s to 4 s after its notice, so that three rounds fit.
+constexpr std::size_t kMaxMovesInFlight = 96;
 /// Largest number of waiting steps that are explained in the log at a time.
 constexpr std::size_t kMaxExplainedSteps = 3;
 /// The log explains only steps that have waited for longer than this.
@@ -712,6 +716,84 @@
   }
 }
 
+namespace {
+
+/// @return the tasks that run on leaving runners and could run elsewhere
+/// @param aMoving receives the number of tasks that are being moved already
+std::vector<TaskRef>
+TasksOnLeavingRunners(const Dispatcher& aDispatcher, std::size_t& aMoving)
+{
+  std::vector<TaskRef> tasks;
+  for (const Runner& runner : aDispatcher.mRunners) {
+    if (!runner.mSpec.mDraining || runner.mPhase != RunnerPhase::Live ||
+        runner.mSilent) {
+      continue;
+    }
+    for (const TaskRef& ref : runner.mTasks) {
+      const Task& task = TaskOf(ref);
+      const StepSpec& spec = SpecOf(ref);
+      if (task.mPhase == TaskPhase::Stopping &&
+          task.mStopCause == StopCause::Moved) {
+        ++aMoving;
+      }
+      // The end of one member of a gang would end all of them.
+      if (task.mPhase == TaskPhase::Running && task.mReported &&
+          spec.mKind == StepKind::LongRunning && !spec.mGang &&
+          spec.mReservation == Reservation::Reserved &&
+          ref.mJob->mPhase == JobPhase::Active) {
+        tasks.push_back(ref);
+      }
+    }
+  }
+  return tasks;
+}
+
+} // namespace
+
+void
+MoveFromLeavingRunners(Dispatcher& aDispatcher,
+                       MonotonicTime aNow,
+                       Actions& aActions)
+{
+  std::size_t moving = 0;
+  const std::vector<TaskRef> tasks = TasksOnLeavingRunners(aDispatcher, moving);
+  if (tasks.empty() || aNow >= aDispatcher.mStartsUntil) {
+    return;
+  }
+  const bool restartsWait =
+    std::any_of(aDispatcher.mWaitingSteps.begin(),
+                aDispatcher.mWaitingSteps.end(),
+                [&](const WaitingStep& aEntry) {
+                  return HasInterruptedTask(aDispatcher, aEntry);
+                });
+  if (restartsWait) {
+    return; // They need the room first.
+  }
+  const std::vector<RunnerIndex> candidates =
+    AvailableRunners(aDispatcher, aNow);
+  // What is kept for a task counts as used for those after it.
+  std::vector<std::pair<RunnerIndex, Resources>> kept;
+  for (const TaskRef& ref : tasks) {
+    const QueueSpec* queue = FindQueue(aDispatcher, ref.mJob->mSpec.mQueue);
+    if (moving == kMaxMovesInFlight || queue == nullptr) {
+      break;
+    }
+    const RunnerIndex target =
+      ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
+    if (target == kNoRunner) {
+      continue; // It works on until its runner leaves.
+    }
+    const Resources& demand = SpecOf(ref).mDemand;
+    aDispatcher.mRunners[target].mReserved += demand;
+    kept.emplace_back(target, demand);
+    ++moving;
+    BeginStop(aDispatcher, ref, StopCause::Moved, aNow, aActions);
+  }
+  for (const auto& [runner, demand] : kept) {
+    aDispatcher.mRunners[runner].mReserved -= demand;
+  }
+}
+
 void
 ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -32,9 +32,7 @@
   Runner& runner = aDispatcher.mRunners[task.mRunner];
   const StepSpec& spec = SpecOf(aTask);
   const Resources amount = ReservedResources(spec);
-  runner.mReserved.mMilliCores -= amount.mMilliCores;
-  runner.mReserved.mMemoryMb -= amount.mMemoryMb;
-  runner.mReserved.mAccelerators -= amount.mAccelerators;
+  runner.mReserved -= amount;
   if (spec.mReservation == Reservation::BestEffort) {
     runner.mBestEffortMilliCores -= spec.mDemand.mMilliCores;
     runner.mBestEffortEndedAt = aNow;
@@ -429,9 +427,7 @@
   Runner& runner = aDispatcher.mRunners[aRunner];
   const StepSpec& spec = SpecOf(aTask);
   const Resources amount = ReservedResources(spec);
-  runner.mReserved.mMilliCores += amount.mMilliCores;
-  runner.mReserved.mMemoryMb += amount.mMemoryMb;
-  runner.mReserved.mAccelerators += amount.mAccelerators;
+  runner.mReserved += amount;
   if (spec.mReservation == Reservation::BestEffort) {
     runner.mBestEffortMilliCores += spec.mDemand.mMilliCores;
   }
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -185,6 +185,7 @@
     // shows.
     aDispatcher.mPlacedAt = aNow;
     aDispatcher.mPlacementDue = true;
+    MoveFromLeavingRunners(aDispatcher, aNow, aActions);
   }
   PlaceWaiting(aDispatcher, aNow, aActions);
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
--- /dev/null
+++ b/Tests/LibDispatch/TestLeavingRunners.cpp
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <string>
+
+#include "DispatchWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+using namespace paddle::dispatch;
+
+namespace {
+
+/// Lets service discovery list the runner as draining.
+void
+Drain(DispatchWorld& aWorld, const std::string& aRunner)
+{
+  for (RunnerSpec& spec : aWorld.mListed) {
+    spec.mDraining = spec.mDraining || spec.mId == aRunner;
+  }
+  SetRunners(aWorld.mDispatcher, aWorld.mListed, aWorld.mNow, aWorld.mActions);
+}
+
+} // namespace
+
+TEST_GROUP(LeavingRunners){};
+
+// Guards against a long-running task that is away for a lease of 6 s although
+// its runner has said that it will leave.
+TEST(LeavingRunners, MovesLongRunningTasksBeforeTheRunnerLeaves)
+{
+  DispatchWorld world;
+  world.ListRunners(3);
+  world.AddJob(MakeJob("job", { LongRunningStep(3, 4000) }));
+  world.AdvanceTime(Seconds(1));
+  const std::string leaving = world.RunnerOf("job.0.0.0");
+  Drain(world, leaving);
+  world.AdvanceTime(Millis(500));
+  for (const char* task : { "job.0.0.0", "job.0.0.1", "job.0.0.2" }) {
+    CHECK_TRUE(world.IsRunning(task));
+    CHECK_TRUE(world.RunnerOf(task) != leaving);
+  }
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against stopping a task that has no place elsewhere: it would be away
+// for longer than if it worked until its runner leaves.
+TEST(LeavingRunners, LeavesTasksWithoutRoomElsewhere)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("job", { LongRunningStep(4, 8000) }));
+  world.AdvanceTime(Seconds(1));
+  Drain(world, "r0");
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(4, world.RunningTasks());
+  LONGS_EQUAL(4, world.mStarts);
+}
+
+// Guards against stopping more tasks than there is room for: the same room was
+// counted for each of them.
+TEST(LeavingRunners, CountsTheRoomOfEachTaskThatMoves)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("job", { LongRunningStep(3, 8000) }));
+  world.AdvanceTime(Seconds(1));
+  const std::size_t onFirst = world.mRunners["r0"].mRunning.size();
+  Drain(world, onFirst == 2 ? "r0" : "r1");
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(3, world.RunningTasks());
+  LONGS_EQUAL(4, world.mStarts);
+}
+
+// Guards against a second run of a task on a leaving runner that gets the stop
+// order, or does not get it, and works on.
+TEST(LeavingRunners, StartsNoSecondRunWhileTheFirstMayRun)
+{
+  DispatchWorld world;
+  for (const char* runner : { "r0", "r1", "r2" }) {
+    world.mRunners[runner].mClockRate = 0.98;
+  }
+  world.ListRunners(3);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 4000) }));
+  world.AdvanceTime(Seconds(1));
+  const std::string leaving = world.RunnerOf("job.0.0.0");
+  Drain(world, leaving);
+  world.mRunners[leaving].mAnswers = false;
+  world.AdvanceTime(Seconds(12));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(world.RunnerOf("job.0.0.0") != leaving);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against finite tasks and gangs that lose their work because their
+// runner leaves later than they end.
+TEST(LeavingRunners, LeavesFiniteTasksAndGangsAlone)
+{
+  DispatchWorld world;
+  world.ListRunners(3);
+  StepSpec gang = LongRunningStep(2, 1000);
+  gang.mGang = true;
+  world.AddJob(MakeJob("finite", { FiniteStep(2, 1000) }));
+  world.AddJob(MakeJob("gang", { gang }));
+  world.AdvanceTime(Seconds(1));
+  const std::uint32_t starts = world.mStarts;
+  Drain(world, world.RunnerOf("finite.0.0.0"));
+  Drain(world, world.RunnerOf("gang.0.0.0"));
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(starts, world.mStarts);
+}
