LibDispatch: Prefer data centres that answer start orders

Results of start orders are counted by data centre with a half-life of 1 s. While most got no answer, its runners cost more than all others that could take the task. They are still used if no other has room, and the count decays, so that the data centre is tried again within seconds.

PlacementOrder.PrefersDataCentresThatAnswerStartOrders failed before (not running after 2 s).

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -67,6 +67,15 @@
   std::uint64_t mQuarantines = 0;
 };
 
+/// How start orders to the runners of a data centre fare. The numbers decay, so
+/// that they describe the last seconds.
+struct StartContact
+{
+  double mAnswered = 0;
+  double mUnanswered = 0; ///< Orders without an answer, or not even sent.
+  MonotonicTime mUpdatedAt;
+};
+
 /// Receives the events to log: the name, the job concerned or null, and fields
 /// of the form key=value.
 using EventSink = std::function<
@@ -110,7 +119,9 @@
   TextMap<std::unique_ptr<Job>> mJobs;
   TextMap<QueueSpec> mQueues;
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
-  std::set<WaitingStep> mWaitingSteps; ///< Ready steps with waiting tasks.
+  TextMap<StartContact> mStartContacts; ///< By data centre.
+  bool mAnyHardToReach = false;         ///< Whether any runner is marked so.
+  std::set<WaitingStep> mWaitingSteps;  ///< Ready steps with waiting tasks.
   /// Waiting steps in the order in which they are placed, as of
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
@@ -267,6 +278,7 @@
   Started,
   Refused,   ///< The runner lacks capacity, the order was late, or its run
              ///< number was outdated. The task does not run.
+  NotSent,   ///< The order did not leave this process. The task does not run.
   Unhealthy, ///< The runner refuses all tasks for now. The task does not run.
   Unknown    ///< There was no answer, so the task may run.
 };
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -147,6 +147,20 @@
                        MonotonicTime aNow,
                        Actions& aActions);
 
+/// Counts the result of a start order for the data centre of its runner.
+void
+CountStartContact(Dispatcher& aDispatcher,
+                  const Runner& aRunner,
+                  StartResult aResult,
+                  MonotonicTime aNow);
+
+/// @return whether most of the latest start orders to the data centre got no
+///         answer, so that another one is likely to be lost as well
+bool
+IsHardToReach(const Dispatcher& aDispatcher,
+              std::string_view aDataCentre,
+              MonotonicTime aNow);
+
 /// Logs for a few steps that have waited long how many runners can't take their
 /// tasks, and why.
 void
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -35,6 +35,11 @@
 /// them.
 constexpr double kMinShareWithoutLongRunning = 0.2;
 constexpr double kLastFreeRunnerCost = 300;
+/// Cost of a runner in a data centre to which most start orders get no answer.
+/// It exceeds the costs above that only decide between suitable runners: there
+/// a task waits 0.9 s for nothing, and the next attempt is likely to fail as
+/// well. Such runners look free, because nothing starts there.
+constexpr double kHardToReachCost = 800;
 /// Costs for best-effort tasks: of a rise of utilization by 1; of a runner that
 /// tolerates any image, which is kept for images that interfere elsewhere; and
 /// the amount by which each unused core lowers the cost.
@@ -290,6 +295,9 @@
   if (TaskOf(aTask).mFailedOn == aRunner) {
     cost += kSlowRunnerCost;
   }
+  if (runner.mHardToReach) {
+    cost += kHardToReachCost;
+  }
   // A runner with recent failures is a last resort until a run succeeds there.
   return cost + kFailureCost * runner.mConsecutiveFailures;
 }
@@ -500,6 +508,27 @@
   return available;
 }
 
+/// Marks the runners of data centres that are hard to reach.
+void
+UpdateHardToReach(Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::vector<std::string_view> names;
+  for (const auto& [name, contact] : aDispatcher.mStartContacts) {
+    if (IsHardToReach(aDispatcher, name, aNow)) {
+      names.emplace_back(name);
+    }
+  }
+  if (names.empty() && !aDispatcher.mAnyHardToReach) {
+    return;
+  }
+  aDispatcher.mAnyHardToReach = !names.empty();
+  for (Runner& runner : aDispatcher.mRunners) {
+    runner.mHardToReach =
+      std::find(names.begin(), names.end(), runner.mSpec.mDataCentre) !=
+      names.end();
+  }
+}
+
 /// Steps whose tasks fit on no runner in this pass. Capacity only shrinks
 /// during a pass, so a step of the same kind with a larger demand does not fit
 /// either.
@@ -639,6 +668,7 @@
   }
   aDispatcher.mPlacementDue = false;
   aDispatcher.mFreedRunners.clear();
+  UpdateHardToReach(aDispatcher, aNow);
   for (const RunnerIndex index : candidates) {
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
   }
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -629,6 +629,8 @@
                   MonotonicTime aNow,
                   Actions& aActions)
 {
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  CountStartContact(aDispatcher, runner, aResult, aNow);
   const TaskRef ref = FindTask(aDispatcher, aTask);
   if (ref.mJob == nullptr) {
     return;
@@ -637,7 +639,6 @@
   if (task.mRunner != aRunner || task.mRun != aRun) {
     return;
   }
-  Runner& runner = aDispatcher.mRunners[aRunner];
   const bool stopping = task.mPhase == TaskPhase::Stopping;
   switch (aResult) {
     case StartResult::Started:
@@ -658,6 +659,7 @@
         runner.mAvoidUntil, aNow + aDispatcher.mSettings.mUnhealthyBackOff);
       break;
     case StartResult::Refused:
+    case StartResult::NotSent:
       runner.mAvoidUntil = std::max(
         runner.mAvoidUntil, aNow + aDispatcher.mSettings.mRefusalBackOff);
       break;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -152,6 +152,9 @@
   std::vector<ServingStepLoad> mServingSteps;
   /// Whether best-effort tasks get much less CPU time here than they demand.
   bool mBestEffortStarved = false;
+  /// Whether most start orders to its data centre get no answer, as of the
+  /// latest placement pass.
+  bool mHardToReach = false;
   /// Whether a serving task here has not reported its tail latency yet.
   bool mTailLatencyUnknown = false;
   /// Tasks in the phases Starting, Running and Stopping on this runner.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/Internal.h>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace paddle::dispatch {
@@ -13,6 +14,23 @@
 /// longer have left.
 constexpr Millis kUnlistedGrace{ 2500 };
 
+/// Time after which a start order counts half as much for the contact with a
+/// data centre. It is about that of one attempt without an answer (0.9 s).
+constexpr Millis kContactHalfLife{ 1000 };
+/// Number of unanswered start orders from which on a data centre counts as hard
+/// to reach: a single one counts for a second, unless others are answered.
+constexpr double kMinUnansweredStarts = 0.5;
+
+/// @return the numbers as they count at @p aNow
+StartContact
+DecayedContact(const StartContact& aContact, MonotonicTime aNow)
+{
+  const std::chrono::duration<double> age = aNow - aContact.mUpdatedAt;
+  const std::chrono::duration<double> halfLife = kContactHalfLife;
+  const double weight = std::exp2(-std::max(0.0, age / halfLife));
+  return { aContact.mAnswered * weight, aContact.mUnanswered * weight, aNow };
+}
+
 /// Adds a runner that is not listed yet.
 /// @return its index
 RunnerIndex
@@ -32,6 +50,33 @@
 
 } // namespace
 
+void
+CountStartContact(Dispatcher& aDispatcher,
+                  const Runner& aRunner,
+                  StartResult aResult,
+                  MonotonicTime aNow)
+{
+  StartContact& contact = aDispatcher.mStartContacts[aRunner.mSpec.mDataCentre];
+  contact = DecayedContact(contact, aNow);
+  const bool unanswered =
+    aResult == StartResult::NotSent || aResult == StartResult::Unknown;
+  (unanswered ? contact.mUnanswered : contact.mAnswered) += 1;
+}
+
+bool
+IsHardToReach(const Dispatcher& aDispatcher,
+              std::string_view aDataCentre,
+              MonotonicTime aNow)
+{
+  const auto found = aDispatcher.mStartContacts.find(aDataCentre);
+  if (found == aDispatcher.mStartContacts.end()) {
+    return false;
+  }
+  const StartContact contact = DecayedContact(found->second, aNow);
+  return contact.mUnanswered >= kMinUnansweredStarts &&
+         contact.mUnanswered > contact.mAnswered;
+}
+
 std::int64_t
 UnusedMilliCores(const Runner& aRunner)
 {
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -227,6 +227,8 @@
         result = dispatch::StartResult::Unhealthy;
       } else if (aResult == RunnerResult::Unknown) {
         result = dispatch::StartResult::Unknown;
+      } else if (aResult == RunnerResult::NotSent) {
+        result = dispatch::StartResult::NotSent;
       }
       const MonotonicTime now = self->mContext.Now();
       if (result != dispatch::StartResult::Started) {
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -9,6 +9,9 @@
 /// Step of virtual time.
 constexpr Millis kTimeStep{ 50 };
 
+/// Time after which the sender gives up an order that it can't send.
+constexpr Millis kUnsentAfter{ 900 };
+
 std::size_t
 RunsOf(const std::map<std::string, DispatchWorld::FakeRunner>& aRunners,
        const std::string& aTask)
@@ -156,6 +159,11 @@
         FakeRunner& runner =
           mRunners[mDispatcher.mRunners[start->mRunner].mSpec.mId];
         ++mStarts;
+        if (mStartsNotSentTo.contains(
+              mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre)) {
+          mUnsentStarts.push_back({ *start, mNow + kUnsentAfter });
+          continue;
+        }
         if (mDropStarts || !runner.mAnswers) {
           mLostStarts.push_back(*start);
           HandleStartResult(mDispatcher,
@@ -279,6 +287,7 @@
 {
   for (Millis passed(0); passed < aTime; passed += kTimeStep) {
     mNow += kTimeStep;
+    GiveUpUnsentStarts();
     ExpireLeases();
     Report();
     Tick();
@@ -286,6 +295,23 @@
   }
 }
 
+void
+DispatchWorld::GiveUpUnsentStarts()
+{
+  while (!mUnsentStarts.empty() && mUnsentStarts.front().second <= mNow) {
+    const StartTask start = mUnsentStarts.front().first;
+    mUnsentStarts.erase(mUnsentStarts.begin());
+    HandleStartResult(mDispatcher,
+                      start.mRunner,
+                      NameOf(start.mTask),
+                      start.mRun,
+                      StartResult::NotSent,
+                      mNow,
+                      mActions);
+    PerformOrders();
+  }
+}
+
 Millis
 DispatchWorld::TimeUntilRunning(const std::string& aTask, Millis aLimit)
 {
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -2,7 +2,9 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <LibDispatch/Dispatcher.h>
@@ -65,6 +67,8 @@
   void Commit(); ///< Stores the changed jobs.
   /// Ends the runs of all runners whose leases are over.
   void ExpireLeases();
+  /// Reports the start orders that could not be sent in time.
+  void GiveUpUnsentStarts();
 
   /// Ends the run of a task on its runner, which reports it with its next
   /// answer.
@@ -91,6 +95,11 @@
   MonotonicTime mNow{ Seconds(1000) };
   /// Whether start orders are lost, so that they get no answer.
   bool mDropStarts = false;
+  /// Data centres to which no start order can be sent, although their runners
+  /// answer renewals.
+  std::set<std::string> mStartsNotSentTo;
+  /// Such orders, and when their sender gives them up.
+  std::vector<std::pair<StartTask, MonotonicTime>> mUnsentStarts;
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0; ///< Number of start orders, lost ones included.
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -107,6 +107,24 @@
   CHECK_TRUE(away <= Seconds(9));
 }
 
+// Guards against a lost task that is ordered from one runner beyond a full link
+// after the other: they look free because nothing starts there.
+TEST(PlacementOrder, PrefersDataCentresThatAnswerStartOrders)
+{
+  DispatchWorld world;
+  world.ListRunners(12);
+  // Among equal runners the first is chosen.
+  for (std::size_t i = 0; i < world.mListed.size(); ++i) {
+    world.mListed[i].mDataCentre = i < 8 ? "far" : "near";
+  }
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  world.AdvanceTime(Seconds(1));
+  world.mStartsNotSentTo = { "far" };
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 8000) }));
+  world.AdvanceTime(Seconds(2));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+}
+
 // Guards against starting a step before all tasks of its predecessor are done.
 TEST(PlacementOrder, StartsAStepAfterItsPredecessors)
 {
