LibDispatch: Log when an interrupted long-running task runs again

The log showed when a run was lost but not when the task ran again, so that the cause of a long absence had to be inferred. task_restarted states the run, the runner and the time since the owner learned of the interruption.

--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -72,6 +72,8 @@
   MonotonicTime mStartAnsweredAt; ///< When that order was acknowledged.
   MonotonicTime mProgressChangedAt;
   MonotonicTime mStopSentAt;
+  /// When this owner learned that the latest run of a long-running task ended.
+  std::optional<MonotonicTime> mInterruptedAt;
   /// When the runner answered a stop order for this run. Only set while the
   /// task is in phase Stopping.
   std::optional<MonotonicTime> mStopAnsweredAt;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -213,6 +213,18 @@
   --aDispatcher.mRunners[task.mRunner].mUnansweredStarts;
   task.mPhase = TaskPhase::Running;
   aTask.mJob->mBegan = true;
+  if (task.mInterruptedAt) {
+    Emit(aDispatcher,
+         "task_restarted",
+         aTask.mJob,
+         "task=" + FormatTaskName(NameOf(aTask)) +
+           " run=" + std::to_string(task.mRun) + " runner=" +
+           aDispatcher.mRunners[task.mRunner].mSpec.mId + " waited_ms=" +
+           std::to_string(
+             std::chrono::duration_cast<Millis>(aNow - *task.mInterruptedAt)
+               .count()));
+    task.mInterruptedAt.reset();
+  }
   task.mStartAnsweredAt = aNow;
   task.mProgressChangedAt = aNow;
 }
@@ -497,6 +509,10 @@
     }
   } else {
     ++aDispatcher.mCounters.mStopped;
+    // A start that failed does not restart the count.
+    if (!finite && !task.mInterruptedAt) {
+      task.mInterruptedAt = aNow;
+    }
     task.mFailedOn = aOutcome == RunOutcome::Failed ? runner : kNoRunner;
   }
   if (progressChanged) {
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -43,6 +43,26 @@
   LONGS_EQUAL(2, world.mStarts);
 }
 
+// Guards against a log that does not say when a lost task runs again and where.
+TEST(Runners, LogsTheRestartOfALostTask)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  std::string logged;
+  world.mDispatcher.mSink =
+    [&](std::string_view aEvent, const Job*, const std::string& aDetails) {
+      if (aEvent == "task_restarted") {
+        logged += aDetails;
+      }
+    };
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.AdvanceTime(Seconds(1));
+  world.Leave(world.RunnerOf("job.0.0.0"));
+  world.AdvanceTime(Seconds(8));
+  CHECK_TRUE(logged.starts_with("task=job.0.0.0 run=2 runner=" +
+                                world.RunnerOf("job.0.0.0") + " waited_ms="));
+}
+
 // Guards against starting a second run of a task whose start order got no
 // answer but is carried out seconds later.
 TEST(Runners, StopsAnUnansweredRunBeforeTheNext)
