LibAsyncHttp: Let a large answer take its time while it arrives

A read had 1.2 s and a wait for changes 3 s for its whole answer, whatever its size.

Until the first byte, the time-outs stay. Transactions, orders and renewals keep their bound on the whole call, since their answers are small and their senders count on a result in time.

A stalled answer tells as much about silent connections as a missing one, but from its last bytes on. An answer that ends at the bound on the whole tells nothing about other connections.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -113,6 +113,9 @@
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
   void Write(const ConnectionPtr& aConnection);
   void Read(const ConnectionPtr& aConnection);
+  /// Replaces the time-out of a call whose answer has begun to arrive, if the
+  /// call has time-outs for that.
+  void ExtendDeadline(const ConnectionPtr& aConnection);
   /// Parses the buffered bytes; finishes the call once its answer is complete.
   void Consume(const ConnectionPtr& aConnection);
   /// Completes the current call and reuses or closes the connection.
@@ -123,14 +126,16 @@
   void Close(const ConnectionPtr& aConnection);
   /// Closes the connection and completes its current call, if any, as failed.
   void Fail(const ConnectionPtr& aConnection);
-  /// Fails the connection because its call has got no answer in time.
+  /// Fails the connection because its call has got no answer, or no further
+  /// bytes of it, in time.
   void Expire(const ConnectionPtr& aConnection);
   /// Closes the connections that may have fallen silent together with one on
   /// which a call got no answer: those that are idle or carry a long poll from
-  /// before that call, and have not been heard since it was sent. Otherwise the
+  /// before that call, and have not been heard since either. Otherwise the
   /// next call, or the long poll, could wait out its time-out as well.
-  /// @param aSentAt when the call without an answer was sent
-  void DropSuspects(MonotonicTime aSentAt);
+  /// @param aSilentSince when the call without an answer was sent, or when
+  ///                     bytes of its answer last arrived
+  void DropSuspects(MonotonicTime aSilentSince);
 
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
@@ -288,6 +293,33 @@
     });
 }
 
+void
+HttpPool::State::ExtendDeadline(const ConnectionPtr& aConnection)
+{
+  Connection& connection = *aConnection;
+  const std::optional<TransferTimeouts>& timeouts =
+    connection.mCurrent->mCall.mTransferTimeouts;
+  if (!timeouts) {
+    return;
+  }
+  if (connection.mDeadline) {
+    mDeadlines.Cancel(*connection.mDeadline);
+  }
+  const MonotonicTime stallEnd = connection.mHeardAt + timeouts->mStall;
+  const MonotonicTime totalEnd =
+    connection.mCurrent->mSentAt + timeouts->mTotal;
+  auto self = shared_from_this();
+  if (stallEnd < totalEnd) {
+    connection.mDeadline = mDeadlines.Add(
+      stallEnd, [self, aConnection] { self->Expire(aConnection); });
+  } else {
+    // An answer that takes too long but still arrives is no sign that other
+    // connections are silent.
+    connection.mDeadline = mDeadlines.Add(
+      totalEnd, [self, aConnection] { self->Fail(aConnection); });
+  }
+}
+
 void
 HttpPool::State::Consume(const ConnectionPtr& aConnection)
 {
@@ -327,6 +359,7 @@
       Fail(aConnection);
       return;
     }
+    ExtendDeadline(aConnection);
     Read(aConnection);
     return;
   }
@@ -406,24 +439,25 @@
 HttpPool::State::Expire(const ConnectionPtr& aConnection)
 {
   if (aConnection->mConnected && aConnection->mCurrent) {
-    DropSuspects(aConnection->mCurrent->mSentAt);
+    DropSuspects(
+      std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt));
   }
   Fail(aConnection);
 }
 
 void
-HttpPool::State::DropSuspects(MonotonicTime aSentAt)
+HttpPool::State::DropSuspects(MonotonicTime aSilentSince)
 {
   std::vector<ConnectionPtr> idle;
   std::vector<ConnectionPtr> longPolls;
   for (const ConnectionPtr& connection : mConnections) {
-    if (!connection->mConnected || connection->mHeardAt >= aSentAt) {
+    if (!connection->mConnected || connection->mHeardAt >= aSilentSince) {
       continue;
     }
     if (!connection->mCurrent) {
       idle.push_back(connection);
     } else if (connection->mCurrent->mCall.mLongPoll &&
-               connection->mCurrent->mSentAt < aSentAt) {
+               connection->mCurrent->mSentAt < aSilentSince) {
       longPolls.push_back(connection);
     }
   }
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,16 @@
 /// Names and values of header fields, in order.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// Time-outs of an answer whose first bytes have arrived.
+struct TransferTimeouts
+{
+  Millis mStall; ///< Longest pause without further bytes.
+  /// Longest time from sending the request to the end of the answer. Without
+  /// it, a peer that sends a byte now and then would hold the connection for
+  /// ever.
+  Millis mTotal;
+};
+
 /// A request that this process sends to a peer.
 struct HttpCall
 {
@@ -24,6 +35,10 @@
   /// The peer may delay its answer until something changes, and the caller
   /// repeats the call after any failure.
   bool mLongPoll = false;
+  /// For calls whose answer may be large: from the answer's first bytes on,
+  /// these time-outs replace mTimeout. A bound on the whole call would break
+  /// off each large answer over a slow link, and its repetition as well.
+  std::optional<TransferTimeouts> mTransferTimeouts = std::nullopt;
 };
 
 /// Whether a call failed to bring a complete answer, and what is known then
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -28,6 +28,10 @@
   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 /// Requests for it are never answered.
 constexpr const char* kUnanswered = "/unanswered";
+/// Requests for it are answered in parts, by Peer::SendPart().
+constexpr const char* kInParts = "/in-parts";
+constexpr std::string_view kPartsHeader =
+  "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
 
 /// An HTTP server on the loopback address. Its connections can fall silent:
 /// they stay open, but what arrives on them is ignored.
@@ -58,6 +62,13 @@
     }
   }
 
+  /// Sends a part of the answer to the last request for kInParts.
+  void SendPart(std::string_view aPart)
+  {
+    error_code ignored; // The client may have closed the connection.
+    boost::asio::write(mInParts->mSocket, boost::asio::buffer(aPart), ignored);
+  }
+
   /// @return the number of connections accepted so far
   [[nodiscard]] std::size_t Connections() const { return mConnections.size(); }
   /// @return the number of requests received so far, answered or not
@@ -113,6 +124,8 @@
     ++mRequests;
     if (aConnection->mSilent) {
       ++mIgnored;
+    } else if (aRequest.find(kInParts) != std::string::npos) {
+      mInParts = aConnection;
     } else if (aRequest.find(kUnanswered) == std::string::npos) {
       mHeld.push_back(aConnection);
     }
@@ -128,6 +141,7 @@
   tcp::acceptor mAcceptor;
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mHeld; ///< Connections that await an answer.
+  ConnectionPtr mInParts;           ///< Of the last request for kInParts.
   std::size_t mRequests = 0;
   std::size_t mIgnored = 0;
   std::size_t mHoldUntil = 0;
@@ -196,6 +210,22 @@
     return answer;
   }
 
+  /// Sends a call whose answer arrives in parts.
+  Answer SendForParts(Millis aTimeout, const TransferTimeouts& aTransfer)
+  {
+    HttpCall call{ "GET", kInParts, {}, {}, aTimeout };
+    call.mTransferTimeouts = aTransfer;
+    return SendUnanswered(std::move(call));
+  }
+
+  /// Sends a part of the answer, and waits until the pool has read it: another
+  /// call is answered after it.
+  void SendPart(std::string_view aPart)
+  {
+    mPeer.SendPart(aPart);
+    Await(Send("/", Seconds(60)));
+  }
+
   /// Expires the calls whose time-outs end within the given time from now.
   void Expire(Millis aWithin)
   {
@@ -310,3 +340,76 @@
   CHECK_TRUE(unanswered->has_value());
   CHECK_FALSE(longPoll->has_value());
 }
+
+// Guards against a large answer over a slow link that is broken off while it
+// arrives. Each repetition was broken off as well, and 18 nodes kept a link
+// between regions full for 40 s without getting the configuration.
+TEST(HttpPool, AnAnswerThatMakesProgressIsNotBrokenOff)
+{
+  const Answer answer = SendForParts(Seconds(1), { Seconds(10), Seconds(60) });
+  SendPart(kPartsHeader);
+  const std::string part(25000, 'x');
+  for (int i = 0; i < 4; ++i) {
+    Expire(Seconds(9));
+    CHECK_FALSE(answer->has_value());
+    SendPart(part);
+  }
+  Await(answer);
+  LONGS_EQUAL(200, (*answer)->mStatus);
+  UNSIGNED_LONGS_EQUAL(100000, (*answer)->mBody.size());
+}
+
+// Guards against a time-out for the transfer that also delays the end of a call
+// whose answer never begins.
+TEST(HttpPool, ACallWithoutAFirstByteEndsAtItsTimeout)
+{
+  const Answer answer = SendForParts(Seconds(1), { Seconds(10), Seconds(60) });
+  Expire(Seconds(2));
+  CHECK_TRUE(answer->has_value());
+  CHECK_TRUE((*answer)->mFailure == CallFailure::NoAnswer);
+}
+
+// Guards against a connection that falls silent in the middle of an answer and
+// is noticed only at the end of the whole time for the transfer, and against
+// the next call on a connection that is silent too.
+TEST(HttpPool, AnAnswerThatStallsInTheMiddleIsBrokenOff)
+{
+  const Answer answer = SendForParts(Seconds(60), { Seconds(10), Seconds(60) });
+  // Two more connections are heard after that call was sent.
+  mPeer.HoldUntil(mPeer.Requests() + 2);
+  const Answer first = Send("/", Seconds(60));
+  Await(Send("/", Seconds(60)));
+  Await(first);
+  // One of them is heard after the last part, and is busy from then on.
+  SendPart(kPartsHeader);
+  SendPart("begin");
+  SendUnanswered({ "GET", kUnanswered, {}, {}, Seconds(60) });
+  mPeer.SilenceConnections();
+  UNSIGNED_LONGS_EQUAL(3, mPeer.Connections());
+  Expire(Seconds(11));
+  CHECK_TRUE(answer->has_value());
+  CHECK_TRUE((*answer)->mFailure == CallFailure::NoAnswer);
+  const Answer next = Send("/next", Seconds(60));
+  RunUntil([&] { return next->has_value() || mPeer.Ignored() == 1; });
+  CHECK_TRUE(next->has_value());
+}
+
+// Guards against a peer that holds a connection for ever by sending a byte now
+// and then, and against taking this as a sign of silent connections.
+TEST(HttpPool, AnAnswerThatTricklesIsBrokenOff)
+{
+  OpenConnections(2);
+  const Answer answer = SendForParts(Seconds(60), { Seconds(60), Millis(100) });
+  mPeer.SendPart(kPartsHeader);
+  // The answer has 100,000 bytes, of which one arrives each millisecond.
+  for (int i = 0; i < 2000 && !answer->has_value(); ++i) {
+    mPeer.SendPart("x");
+    mLoop.restart();
+    mLoop.run_for(Millis(1));
+    Expire(Millis(0));
+  }
+  CHECK_TRUE(answer->has_value());
+  CHECK_TRUE((*answer)->mFailure == CallFailure::NoAnswer);
+  Await(Send("/next", Seconds(60)));
+  UNSIGNED_LONGS_EQUAL(2, mPeer.Connections());
+}
