LibNode: Repeat a failed read of the operator's table less often each time

A read that failed was repeated after 150 ms, whatever came before.

The delay now doubles from 150 ms to 900 ms, plus up to half of it by a hash of the node's name; a read that succeeds resets it. After one failure it is 150 ms to 225 ms, so that a silent connection is noticed as before.

AwaitRead() of the test waits for 250 ms as before, and for the longest delay only where several reads have failed in a row; it returns the delay now.

Before: RepeatsAFailedReadLessOftenEachTime: CHECK_TRUE(sum >= Millis(150 + 300 + 600 + 3 * 900)) failed NodesRepeatFailedReadsAtDifferentTimes: CHECK_TRUE(delays.size() >= 4) failed

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/Node.h>
 
 #include <algorithm>
+#include <functional>
 
 #include <LibTime/BootClock.h>
 
@@ -21,6 +22,11 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
+/// Bound of the delay before a failed read of the operator's table is repeated,
+/// without the part that differs between nodes. After an outage, a node reads
+/// 1.35 s late at most, where a configuration has to be in force after 2.5 s.
+constexpr Millis kLongestOperatorRetryDelay{ 900 };
+
 /// A copy of the configuration that is older is called stale in the log, if the
 /// last read has failed or has no answer yet. The read waits 2 s for a change
 /// and its answer has a margin of 1 s, so that a read without an answer after
@@ -43,6 +49,29 @@
       Millis(static_cast<Millis::rep>(aBytes / kBytesPerMillisecond)));
 }
 
+/// @param aFirst    delay after the first failure
+/// @param aFailures number of reads that have failed in a row, 1 at least
+/// @param aNodeName adds up to half of the delay, so that nodes whose reads
+///                  failed together don't repeat them together
+/// @return the delay before the next read
+Millis
+OperatorRetryDelay(Millis aFirst,
+                   std::uint32_t aFailures,
+                   std::string_view aNodeName)
+{
+  Millis delay = aFirst;
+  for (std::uint32_t i = 1; i < aFailures && delay < kLongestOperatorRetryDelay;
+       ++i) {
+    delay *= 2;
+  }
+  delay = std::min(delay, kLongestOperatorRetryDelay);
+  constexpr std::size_t kShares = 1000;
+  const std::size_t share =
+    std::hash<std::string_view>{}(aNodeName) % (kShares + 1);
+  return delay + delay * static_cast<Millis::rep>(share) /
+                   static_cast<Millis::rep>(2 * kShares);
+}
+
 } // namespace
 
 Node::Node(NodeContext& aContext)
@@ -377,13 +406,17 @@
                          MonotonicTime aSentAt)
 {
   mOperatorReadInFlight = false;
-  mOperatorReadFailed = aResult != ReadResult::Read;
+  const bool failed = aResult != ReadResult::Read;
+  mOperatorReadFailures = failed ? mOperatorReadFailures + 1 : 0;
   const MonotonicTime now = mContext.Now();
   const ConfigurationCopy before = ConfigurationInForce();
   const std::string readTime =
     std::to_string(std::chrono::duration_cast<Millis>(now - aSentAt).count());
-  if (mOperatorReadFailed) {
-    mNextOperatorReadAt = now + mContext.mSettings.mRetryPause;
+  if (failed) {
+    mNextOperatorReadAt =
+      now + OperatorRetryDelay(mContext.mSettings.mRetryPause,
+                               mOperatorReadFailures,
+                               mContext.mSelf.mName);
     Log(LogLevel::Info,
         "operator_read_failed",
         std::string("cause=") +
@@ -443,9 +476,9 @@
 Node::CheckConfigurationAge(MonotonicTime aNow)
 {
   const ConfigurationCopy copy = ConfigurationInForce();
-  const bool unanswered =
-    mOperatorReadFailed || (mOperatorReadInFlight &&
-                            aNow - mOperatorReadSentAt > kMaxConfigurationAge);
+  const bool unanswered = mOperatorReadFailures > 0 ||
+                          (mOperatorReadInFlight &&
+                           aNow - mOperatorReadSentAt > kMaxConfigurationAge);
   if (mConfigurationStaleSince || !unanswered || !copy.mAge ||
       *copy.mAge <= kMaxConfigurationAge) {
     return;
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -115,7 +115,7 @@
   bool mNodeReadInFlight = false;
   bool mShardReadInFlight = false;
   bool mOperatorReadInFlight = false;
-  bool mOperatorReadFailed = false; ///< The last one that has ended.
+  std::uint32_t mOperatorReadFailures = 0; ///< Since the last success.
   bool mRunnerReadInFlight = false;
   bool mLayoutWriteInFlight = false;
   MonotonicTime mBeginAt;
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -1,3 +1,4 @@
+#include <set>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,9 @@
 
 namespace {
 
+/// Longest delay before a read that has failed several times, and a tick.
+constexpr Millis kLongestDelay{ 1375 };
+
 /// @return how often the text occurs in the lines that @p aLog has collected
 std::size_t
 Count(const EventLog& aLog, const std::string& aText)
@@ -30,14 +34,16 @@
   OperatorStateHandler mHandler; ///< Of the read that waits for its answer.
   MonotonicTime mSentAt;         ///< When that read was sent.
   int mReads = 0;
+  std::string mName; ///< Of the node.
   ClusterSimulation mCluster;
 
   /// Starts a node whose reads of the operator's state are answered by
   /// Answer(), and lets it send the first one.
-  void Begin()
+  void Begin(const std::string& aName = "a")
   {
-    mCluster.StartNode("a");
-    NodeContext& context = mCluster.mNodes.at("a").mContext;
+    mName = aName;
+    mCluster.StartNode(mName);
+    NodeContext& context = mCluster.mNodes.at(mName).mContext;
     context.mLog = &mLog;
     context.mDirectory.mReadOperatorState = [this](OperatorStateHandler aDone) {
       mHandler = std::move(aDone);
@@ -59,20 +65,24 @@
     std::exchange(mHandler, {})(aResult, std::move(state));
   }
 
-  /// Lets the node send the next read, which it does at most 150 ms after the
-  /// one before has ended.
-  void AwaitRead()
+  /// Lets the node send the next read.
+  /// @param aAtMost time within which it does so; 225 ms and a tick are the
+  ///                longest delay after a success or after one failure
+  /// @return the time until it was sent
+  Millis AwaitRead(Millis aAtMost = Millis(250))
   {
     const int reads = mReads;
-    for (int i = 0; i < 10 && mReads == reads; ++i) {
+    const MonotonicTime from = mCluster.mNow;
+    while (mReads == reads && mCluster.mNow - from < aAtMost) {
       mCluster.AdvanceTime(Millis(25));
     }
     CHECK_TRUE(mReads > reads);
+    return std::chrono::duration_cast<Millis>(mCluster.mNow - from);
   }
 
   Node& TheNode()
   {
-    return *mCluster.mNodes.at("a").mNode;
+    return *mCluster.mNodes.at(mName).mNode;
   }
 
   /// @return the age in milliseconds; -1 if there is none
@@ -183,7 +193,7 @@
   AwaitRead();
   for (int i = 0; i < 3; ++i) {
     Answer(Millis(3000), ReadResult::Failed);
-    AwaitRead();
+    AwaitRead(kLongestDelay);
   }
   LONGS_EQUAL(1, Count(mLog, "event=configuration_stale version=7"));
   LONGS_EQUAL(0, Count(mLog, "event=configuration_current"));
@@ -207,6 +217,47 @@
   LONGS_EQUAL(1, Count(mLog, "event=configuration_stale"));
 }
 
+// Guards against a large read that fails at all nodes and is repeated by them
+// each 150 ms, so that it fills the link for ever, and against a delay that
+// stays long when reads succeed again.
+TEST(ConfigurationAge, RepeatsAFailedReadLessOftenEachTime)
+{
+  Begin();
+  Millis before{ 0 };
+  Millis sum{ 0 };
+  for (int i = 0; i < 6; ++i) {
+    Answer(Millis(0), ReadResult::Failed);
+    const Millis delay = AwaitRead(i == 0 ? Millis(250) : kLongestDelay);
+    CHECK_TRUE(delay >= before);
+    before = delay;
+    sum += delay;
+  }
+  CHECK_TRUE(sum >= Millis(150 + 300 + 600 + 3 * 900));
+  Answer(Millis(0), ReadResult::Read, 7);
+  AwaitRead();
+  Answer(Millis(0), ReadResult::Failed);
+  AwaitRead(Millis(250));
+}
+
+// Guards against nodes that repeat a large read in step after it has failed at
+// all of them: each would get its share of the link only, and fail again.
+TEST(ConfigurationAge, NodesRepeatFailedReadsAtDifferentTimes)
+{
+  std::set<Millis> delays;
+  for (const char* name : { "a-1", "a-2", "b-1", "b-2", "c-1", "c-2" }) {
+    Begin(name);
+    for (int i = 0; i < 3; ++i) {
+      Answer(Millis(0), ReadResult::Failed);
+      AwaitRead(kLongestDelay);
+    }
+    Answer(Millis(0), ReadResult::Failed);
+    delays.insert(AwaitRead(kLongestDelay));
+    mCluster.KillNode(name);
+  }
+  // Of the steps of 25 ms between 900 ms and 1350 ms.
+  CHECK_TRUE(delays.size() >= 4);
+}
+
 // Guards against a client whose host or path adds fields or lines to the log,
 // or fills it.
 TEST(ConfigurationAge, KeepsTextsOfClientsInTheirFields)
