--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -84,6 +84,7 @@
     std::optional<http::response_parser<http::string_body>> mParser;
     std::string mOutgoing;
     std::optional<PendingCall> mCurrent; ///< Empty while idle.
+    std::size_t mReceivedBytes = 0;      ///< Of the current call's answer.
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
     bool mConnected = false;
     bool mClosed = false;
@@ -246,6 +247,7 @@
   aConnection->mParser.emplace();
   aConnection->mParser->body_limit(kMaxAnswerBytes);
   aConnection->mParser->eager(true);
+  aConnection->mReceivedBytes = 0;
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
   auto self = shared_from_this();
@@ -288,6 +290,7 @@
         return;
       }
       connection.mBufferedBytes += count;
+      connection.mReceivedBytes += count;
       connection.mHeardAt = BootTime();
       self->Consume(aConnection);
     });
@@ -366,6 +369,7 @@
   HttpAnswer answer;
   answer.mStatus = static_cast<int>(connection.mParser->get().result_int());
   answer.mBody = std::move(connection.mParser->get().body());
+  answer.mReceivedBytes = connection.mReceivedBytes;
   Finish(aConnection, std::move(answer), connection.mParser->keep_alive());
 }
 
@@ -431,6 +435,7 @@
   if (current) {
     HttpAnswer answer;
     answer.mFailure = sent ? CallFailure::NoAnswer : CallFailure::NotSent;
+    answer.mReceivedBytes = aConnection->mReceivedBytes;
     current->mDone(std::move(answer));
   }
 }
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -56,6 +57,8 @@
   CallFailure mFailure = CallFailure::None;
   int mStatus = 0; ///< HTTP status code; 0 after a failure.
   std::string mBody;
+  /// Bytes of the answer that have arrived, its header included.
+  std::size_t mReceivedBytes = 0;
 };
 
 /// Receives the outcome of a call.
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -46,9 +46,12 @@
   std::vector<std::string> mEvacuatedDataCentres;
   /// Size of what has changed since the read before; 0: nothing changed.
   std::size_t mChangedBytes = 0;
+  /// Bytes of the answers that have arrived, also if the read failed.
+  std::size_t mReceivedBytes = 0;
 };
 
-/// Receives the operator's state, which is empty unless the result is Read.
+/// Receives the operator's state, which is empty but for mReceivedBytes unless
+/// the result is Read.
 using OperatorStateHandler = std::function<void(ReadResult, OperatorState)>;
 
 /// Reads what the operator and the runners publish.
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -421,7 +421,9 @@
         "operator_read_failed",
         std::string("cause=") +
           (aResult == ReadResult::HistoryGone ? "history_gone" : "failed") +
-          " read_ms=" + readTime + " " + FormatConfigurationCopy(before));
+          " read_ms=" + readTime +
+          " received_bytes=" + std::to_string(aState.mReceivedBytes) + " " +
+          FormatConfigurationCopy(before));
     return;
   }
   mNextOperatorReadAt = now + OperatorReadDelay(aState.mChangedBytes);
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -88,6 +89,8 @@
   std::int64_t mVersion = 0; ///< Newest version in the store at the read.
   /// Reading of the store's clock in milliseconds; 0: the answer had none.
   std::int64_t mClockMs = 0;
+  /// Bytes of the answer that have arrived, also of one that was broken off.
+  std::size_t mReceivedBytes = 0;
 };
 
 using TransactionHandler = std::function<void(TransactionOutcome)>;
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -357,6 +357,7 @@
   Await(answer);
   LONGS_EQUAL(200, (*answer)->mStatus);
   UNSIGNED_LONGS_EQUAL(100000, (*answer)->mBody.size());
+  UNSIGNED_LONGS_EQUAL(kPartsHeader.size() + 100000, (*answer)->mReceivedBytes);
 }
 
 // Guards against a time-out for the transfer that also delays the end of a call
@@ -389,6 +390,8 @@
   Expire(Seconds(11));
   CHECK_TRUE(answer->has_value());
   CHECK_TRUE((*answer)->mFailure == CallFailure::NoAnswer);
+  // The log tells a broken-off answer from one that never began.
+  UNSIGNED_LONGS_EQUAL(kPartsHeader.size() + 5, (*answer)->mReceivedBytes);
   const Answer next = Send("/next", Seconds(60));
   RunUntil([&] { return next->has_value() || mPeer.Ignored() == 1; });
   CHECK_TRUE(next->has_value());
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -54,11 +54,16 @@
   }
 
   /// Answers the read that was sent last after @p aTime.
-  /// @param aVersion of the configuration that was read; 0: none
-  void Answer(Millis aTime, ReadResult aResult, std::int64_t aVersion = 0)
+  /// @param aVersion  of the configuration that was read; 0: none
+  /// @param aReceived bytes of the answer that have arrived
+  void Answer(Millis aTime,
+              ReadResult aResult,
+              std::int64_t aVersion = 0,
+              std::size_t aReceived = 0)
   {
     mCluster.AdvanceTime(aTime);
     OperatorState state;
+    state.mReceivedBytes = aReceived;
     if (aVersion > 0) {
       state.mConfiguration = Configuration{ aVersion, {}, {} };
     }
@@ -146,15 +151,17 @@
 }
 
 // Guards against failed reads that leave no line, or whose line confuses a
-// silent store with one that has dropped its history.
+// silent store with one that has dropped its history, or with a large answer
+// that was broken off.
 TEST(ConfigurationAge, TellsWhyAReadFailed)
 {
   Begin();
-  Answer(Millis(1200), ReadResult::Failed);
-  LONGS_EQUAL(1,
-              Count(mLog,
-                    "event=operator_read_failed cause=failed read_ms=1200 "
-                    "version=0 configuration_age_ms=none\n"));
+  Answer(Millis(1200), ReadResult::Failed, 0, 654321);
+  LONGS_EQUAL(
+    1,
+    Count(mLog,
+          "event=operator_read_failed cause=failed read_ms=1200 "
+          "received_bytes=654321 version=0 configuration_age_ms=none\n"));
   AwaitRead();
   Answer(Millis(0), ReadResult::Read, 7);
   AwaitRead();
@@ -163,7 +170,7 @@
   LONGS_EQUAL(1,
               Count(mLog,
                     "event=operator_read_failed cause=history_gone read_ms=25 "
-                    "version=7 configuration_age_ms=" +
+                    "received_bytes=0 version=7 configuration_age_ms=" +
                       std::to_string(before + 25) + "\n"));
 }
 
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -168,3 +168,38 @@
   CHECK_TRUE(states[1].mConfiguration.has_value());
   LONGS_EQUAL(8, states[1].mConfiguration->mVersion);
 }
+
+// Guards against a failed read whose line in the log doesn't tell how much had
+// arrived, also of the pages before: a slow link looked like a silent one.
+TEST(Directory, CountsWhatHadArrivedOfAFailedRead)
+{
+  int pages = 0;
+  StorePort port;
+  port.mRead = [&](const std::string&,
+                   const std::string&,
+                   const std::string&,
+                   const std::string&,
+                   const ReadHandler& aDone) {
+    ReadOutcome page;
+    if (++pages == 1) {
+      page.mResult = ReadResult::Read;
+      page.mRows.push_back({ "op", "", "config", kConfiguration, 1, false });
+      page.mMore = true;
+      page.mReceivedBytes = 1000;
+    } else {
+      page.mReceivedBytes = 234;
+    }
+    aDone(page);
+  };
+  DirectoryPort directory =
+    platform::MakeDirectoryPort(port, [](const std::string&) {});
+  ReadResult result = ReadResult::Read;
+  std::size_t received = 0;
+  directory.mReadOperatorState(
+    [&](ReadResult aResult, const OperatorState& aState) {
+      result = aResult;
+      received = aState.mReceivedBytes;
+    });
+  CHECK_TRUE(result == ReadResult::Failed);
+  UNSIGNED_LONGS_EQUAL(1234, received);
+}
