LibAsyncHttp: Keep long polls when an older connection has answered since

They go on now if a connection that was open before that call has been heard since it was sent. Answers on newer connections don't count, because new connections work while all open ones are silent.

When only some of the open connections are silent, a long poll on one of these now ends at its own time-out more often.

Before: ALongPollGoesOnIfAnOlderConnectionAnswersMeanwhile: CHECK_FALSE(longPoll->has_value()) failed ALongPollEndsAlthoughANewConnectionAnswers passed before and guards the change.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -88,7 +88,8 @@
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
     bool mConnected = false;
     bool mClosed = false;
-    MonotonicTime mHeardAt; ///< When it was opened, or bytes last arrived.
+    MonotonicTime mOpenedAt; ///< When it was established.
+    MonotonicTime mHeardAt;  ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -133,10 +134,14 @@
   /// Closes the connections that may have fallen silent together with one on
   /// which a call got no answer: those that are idle or carry a long poll from
   /// before that call, and have not been heard since either. Otherwise the
-  /// next call, or the long poll, could wait out its time-out as well.
+  /// next call, or the long poll, could wait out its time-out as well. Long
+  /// polls go on if a connection from before that call has been heard since:
+  /// then the peer may just have been slow with that call. A newer connection
+  /// says nothing about the older ones.
   /// @param aSilentSince when the call without an answer was sent, or when
   ///                     bytes of its answer last arrived
-  void DropSuspects(MonotonicTime aSilentSince);
+  /// @param aSilent      the connection of that call
+  void DropSuspects(MonotonicTime aSilentSince, const ConnectionPtr& aSilent);
 
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
@@ -220,7 +225,8 @@
         return;
       }
       connection->mConnected = true;
-      connection->mHeardAt = BootTime();
+      connection->mOpenedAt = BootTime();
+      connection->mHeardAt = connection->mOpenedAt;
       error_code ignored;
       connection->mSocket.set_option(tcp::no_delay(true), ignored);
       connection->mSocket.non_blocking(true, ignored);
@@ -445,18 +451,24 @@
 {
   if (aConnection->mConnected && aConnection->mCurrent) {
     DropSuspects(
-      std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt));
+      std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt),
+      aConnection);
   }
   Fail(aConnection);
 }
 
 void
-HttpPool::State::DropSuspects(MonotonicTime aSilentSince)
+HttpPool::State::DropSuspects(MonotonicTime aSilentSince,
+                              const ConnectionPtr& aSilent)
 {
   std::vector<ConnectionPtr> idle;
   std::vector<ConnectionPtr> longPolls;
+  bool heard = false;
   for (const ConnectionPtr& connection : mConnections) {
     if (!connection->mConnected || connection->mHeardAt >= aSilentSince) {
+      heard = heard ||
+              (connection->mConnected && connection->mOpenedAt < aSilentSince &&
+               connection != aSilent);
       continue;
     }
     if (!connection->mCurrent) {
@@ -471,6 +483,9 @@
   for (const ConnectionPtr& connection : idle) {
     Close(connection);
   }
+  if (heard) {
+    return;
+  }
   for (const ConnectionPtr& connection : longPolls) {
     Fail(connection);
   }
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -341,6 +341,41 @@
   CHECK_FALSE(longPoll->has_value());
 }
 
+// Guards against one call that is slow on a connection that works, and that
+// ends the long polls on all others. A store that answers reads after their
+// time-out could keep a node from learning of changes.
+TEST(HttpPool, ALongPollGoesOnIfAnOlderConnectionAnswersMeanwhile)
+{
+  OpenConnections(3);
+  HttpCall call{ "GET", kUnanswered, {}, {}, Seconds(60) };
+  call.mLongPoll = true;
+  const Answer longPoll = SendUnanswered(call);
+  const Answer slow =
+    SendUnanswered({ "GET", kUnanswered, {}, {}, Seconds(1) });
+  Await(Send("/other", Seconds(60)));
+  UNSIGNED_LONGS_EQUAL(3, mPeer.Connections());
+  Expire(Seconds(2));
+  CHECK_TRUE(slow->has_value());
+  CHECK_FALSE(longPoll->has_value());
+}
+
+// Guards against taking an answer on a new connection as a sign that the older
+// ones work: when all open connections fall silent, new ones still answer.
+TEST(HttpPool, ALongPollEndsAlthoughANewConnectionAnswers)
+{
+  OpenConnections(2);
+  mPeer.SilenceConnections();
+  HttpCall call{ "GET", "/changes", {}, {}, Seconds(60) };
+  call.mLongPoll = true;
+  const Answer longPoll = SendUnanswered(call);
+  const Answer read = SendUnanswered({ "GET", "/read", {}, {}, Seconds(1) });
+  Await(Send("/other", Seconds(60)));
+  UNSIGNED_LONGS_EQUAL(3, mPeer.Connections());
+  Expire(Seconds(2));
+  CHECK_TRUE(read->has_value());
+  CHECK_TRUE(longPoll->has_value());
+}
+
 // Guards against a large answer over a slow link that is broken off while it
 // arrives. Each repetition was broken off as well, and 18 nodes kept a link
 // between regions full for 40 s without getting the configuration.
