--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -69,6 +69,9 @@
     }
   }
 
+  /// Sends only the first half of the next answer.
+  void CutNextAnswer() { mCutNext = true; }
+
   /// Stores a newer configuration.
   void Change()
   {
@@ -82,8 +85,8 @@
 
   /// @return the number of requests received so far, answered or not
   [[nodiscard]] std::size_t Requests() const { return mRequests; }
-  /// @return the number of requests that were ignored, or that wait for a
-  ///         change
+  /// @return the number of requests that got no answer or half of one, or that
+  ///         wait for a change
   [[nodiscard]] std::size_t Unanswered() const
   {
     return mIgnored + mWaiting.size();
@@ -158,10 +161,15 @@
       R"({"rows":[{"table":"op","part":"","key":"config","ver":1,"value":")" +
       std::string(mChanged ? kNewValue : kOldValue) + R"("}],"ver":)" +
       (mChanged ? "2" : "1") + R"(,"now_ms":1})";
-    boost::asio::write(
-      aConnection->mSocket,
-      boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
-                          std::to_string(body.size()) + "\r\n\r\n" + body));
+    std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+    if (mCutNext) {
+      mCutNext = false;
+      ++mIgnored;
+      answer.resize(answer.size() / 2);
+    }
+    boost::asio::write(aConnection->mSocket, boost::asio::buffer(answer));
   }
 
   boost::asio::io_context& mLoop;
@@ -171,9 +179,11 @@
   std::vector<ConnectionPtr> mWaiting; ///< Connections that await a change.
   ConnectionPtr mLastUsed;             ///< Of the last request.
   std::size_t mRequests = 0;
-  std::size_t mIgnored = 0; ///< Requests on silent connections.
+  /// Requests on silent connections, or with half an answer.
+  std::size_t mIgnored = 0;
   std::size_t mHoldUntil = 0;
   bool mChanged = false;
+  bool mCutNext = false;
 };
 
 } // namespace
@@ -331,3 +341,31 @@
   const Millis time = TimeToRead(Send(send), send);
   CHECK_TRUE(time <= kBound);
 }
+
+// Guards against reads and waits for changes that are bound as a whole: a large
+// answer over a slow link never arrived. Once an answer has begun, they have to
+// end after a pause of a second only, not at their time-outs (1.2 s and 1.9 s).
+TEST(SilentConnections, ReadsEndWhenTheirAnswersStall)
+{
+  const auto send = [this] { return ReadOperator(); };
+  const auto otherRead = [this] {
+    bool answered = false;
+    mPort.mRead("op", "", "", "", [&](const ReadOutcome&) { answered = true; });
+    RunUntil([&] { return answered; });
+  };
+  mStore.CutNextAnswer();
+  const std::shared_ptr<Read> read = Send(send);
+  otherRead(); // The first half is read before this.
+  mDeadlines.Expire(BootTime() + Millis(1100));
+  CHECK_TRUE(read->mSucceeded.has_value());
+  CHECK_FALSE(*read->mSucceeded);
+  CHECK_TRUE(*Send(send)->mSucceeded);
+  const std::shared_ptr<Read> wait = Send(send);
+  CHECK_FALSE(wait->mSucceeded.has_value());
+  mStore.CutNextAnswer();
+  mStore.Change();
+  otherRead();
+  mDeadlines.Expire(BootTime() + Millis(1100));
+  CHECK_TRUE(wait->mSucceeded.has_value());
+  CHECK_FALSE(*wait->mSucceeded);
+}
