--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -84,10 +84,12 @@
     std::optional<http::response_parser<http::string_body>> mParser;
     std::string mOutgoing;
     std::optional<PendingCall> mCurrent; ///< Empty while idle.
+    std::size_t mReceivedBytes = 0;      ///< Of the current call's answer.
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
     bool mConnected = false;
     bool mClosed = false;
-    MonotonicTime mHeardAt; ///< When it was opened, or bytes last arrived.
+    MonotonicTime mOpenedAt; ///< When it was established.
+    MonotonicTime mHeardAt;  ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -113,6 +115,9 @@
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
   void Write(const ConnectionPtr& aConnection);
   void Read(const ConnectionPtr& aConnection);
+  /// Replaces the time-out of a call whose answer has begun to arrive, if the
+  /// call has time-outs for that.
+  void ExtendDeadline(const ConnectionPtr& aConnection);
   /// Parses the buffered bytes; finishes the call once its answer is complete.
   void Consume(const ConnectionPtr& aConnection);
   /// Completes the current call and reuses or closes the connection.
@@ -123,14 +128,20 @@
   void Close(const ConnectionPtr& aConnection);
   /// Closes the connection and completes its current call, if any, as failed.
   void Fail(const ConnectionPtr& aConnection);
-  /// Fails the connection because its call has got no answer in time.
+  /// Fails the connection because its call has got no answer, or no further
+  /// bytes of it, in time.
   void Expire(const ConnectionPtr& aConnection);
   /// Closes the connections that may have fallen silent together with one on
   /// which a call got no answer: those that are idle or carry a long poll from
-  /// before that call, and have not been heard since it was sent. Otherwise the
-  /// next call, or the long poll, could wait out its time-out as well.
-  /// @param aSentAt when the call without an answer was sent
-  void DropSuspects(MonotonicTime aSentAt);
+  /// before that call, and have not been heard since either. Otherwise the
+  /// next call, or the long poll, could wait out its time-out as well. Long
+  /// polls go on if a connection from before that call has been heard since:
+  /// then the peer may just have been slow with that call. A newer connection
+  /// says nothing about the older ones.
+  /// @param aSilentSince when the call without an answer was sent, or when
+  ///                     bytes of its answer last arrived
+  /// @param aSilent      the connection of that call
+  void DropSuspects(MonotonicTime aSilentSince, const ConnectionPtr& aSilent);
 
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
@@ -214,7 +225,8 @@
         return;
       }
       connection->mConnected = true;
-      connection->mHeardAt = BootTime();
+      connection->mOpenedAt = BootTime();
+      connection->mHeardAt = connection->mOpenedAt;
       error_code ignored;
       connection->mSocket.set_option(tcp::no_delay(true), ignored);
       connection->mSocket.non_blocking(true, ignored);
@@ -241,6 +253,7 @@
   aConnection->mParser.emplace();
   aConnection->mParser->body_limit(kMaxAnswerBytes);
   aConnection->mParser->eager(true);
+  aConnection->mReceivedBytes = 0;
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
   auto self = shared_from_this();
@@ -283,11 +296,39 @@
         return;
       }
       connection.mBufferedBytes += count;
+      connection.mReceivedBytes += count;
       connection.mHeardAt = BootTime();
       self->Consume(aConnection);
     });
 }
 
+void
+HttpPool::State::ExtendDeadline(const ConnectionPtr& aConnection)
+{
+  Connection& connection = *aConnection;
+  const std::optional<TransferTimeouts>& timeouts =
+    connection.mCurrent->mCall.mTransferTimeouts;
+  if (!timeouts) {
+    return;
+  }
+  if (connection.mDeadline) {
+    mDeadlines.Cancel(*connection.mDeadline);
+  }
+  const MonotonicTime stallEnd = connection.mHeardAt + timeouts->mStall;
+  const MonotonicTime totalEnd =
+    connection.mCurrent->mSentAt + timeouts->mTotal;
+  auto self = shared_from_this();
+  if (stallEnd < totalEnd) {
+    connection.mDeadline = mDeadlines.Add(
+      stallEnd, [self, aConnection] { self->Expire(aConnection); });
+  } else {
+    // An answer that takes too long but still arrives is no sign that other
+    // connections are silent.
+    connection.mDeadline = mDeadlines.Add(
+      totalEnd, [self, aConnection] { self->Fail(aConnection); });
+  }
+}
+
 void
 HttpPool::State::Consume(const ConnectionPtr& aConnection)
 {
@@ -327,12 +368,14 @@
       Fail(aConnection);
       return;
     }
+    ExtendDeadline(aConnection);
     Read(aConnection);
     return;
   }
   HttpAnswer answer;
   answer.mStatus = static_cast<int>(connection.mParser->get().result_int());
   answer.mBody = std::move(connection.mParser->get().body());
+  answer.mReceivedBytes = connection.mReceivedBytes;
   Finish(aConnection, std::move(answer), connection.mParser->keep_alive());
 }
 
@@ -398,6 +441,7 @@
   if (current) {
     HttpAnswer answer;
     answer.mFailure = sent ? CallFailure::NoAnswer : CallFailure::NotSent;
+    answer.mReceivedBytes = aConnection->mReceivedBytes;
     current->mDone(std::move(answer));
   }
 }
@@ -406,24 +450,31 @@
 HttpPool::State::Expire(const ConnectionPtr& aConnection)
 {
   if (aConnection->mConnected && aConnection->mCurrent) {
-    DropSuspects(aConnection->mCurrent->mSentAt);
+    DropSuspects(
+      std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt),
+      aConnection);
   }
   Fail(aConnection);
 }
 
 void
-HttpPool::State::DropSuspects(MonotonicTime aSentAt)
+HttpPool::State::DropSuspects(MonotonicTime aSilentSince,
+                              const ConnectionPtr& aSilent)
 {
   std::vector<ConnectionPtr> idle;
   std::vector<ConnectionPtr> longPolls;
+  bool heard = false;
   for (const ConnectionPtr& connection : mConnections) {
-    if (!connection->mConnected || connection->mHeardAt >= aSentAt) {
+    if (!connection->mConnected || connection->mHeardAt >= aSilentSince) {
+      heard = heard ||
+              (connection->mConnected && connection->mOpenedAt < aSilentSince &&
+               connection != aSilent);
       continue;
     }
     if (!connection->mCurrent) {
       idle.push_back(connection);
     } else if (connection->mCurrent->mCall.mLongPoll &&
-               connection->mCurrent->mSentAt < aSentAt) {
+               connection->mCurrent->mSentAt < aSilentSince) {
       longPolls.push_back(connection);
     }
   }
@@ -432,6 +483,9 @@
   for (const ConnectionPtr& connection : idle) {
     Close(connection);
   }
+  if (heard) {
+    return;
+  }
   for (const ConnectionPtr& connection : longPolls) {
     Fail(connection);
   }
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +15,16 @@
 /// Names and values of header fields, in order.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// Time-outs of an answer whose first bytes have arrived.
+struct TransferTimeouts
+{
+  Millis mStall; ///< Longest pause without further bytes.
+  /// Longest time from sending the request to the end of the answer. Without
+  /// it, a peer that sends a byte now and then would hold the connection for
+  /// ever.
+  Millis mTotal;
+};
+
 /// A request that this process sends to a peer.
 struct HttpCall
 {
@@ -24,6 +36,10 @@
   /// The peer may delay its answer until something changes, and the caller
   /// repeats the call after any failure.
   bool mLongPoll = false;
+  /// For calls whose answer may be large: from the answer's first bytes on,
+  /// these time-outs replace mTimeout. A bound on the whole call would break
+  /// off each large answer over a slow link, and its repetition as well.
+  std::optional<TransferTimeouts> mTransferTimeouts = std::nullopt;
 };
 
 /// Whether a call failed to bring a complete answer, and what is known then
@@ -41,6 +57,8 @@
   CallFailure mFailure = CallFailure::None;
   int mStatus = 0; ///< HTTP status code; 0 after a failure.
   std::string mBody;
+  /// Bytes of the answer that have arrived, its header included.
+  std::size_t mReceivedBytes = 0;
 };
 
 /// Receives the outcome of a call.
