Tests: Show that one rejected row stops all progress of a shard

Once the list of runners outgrows its row, or the store rejects any other row, the same transaction is sent again for ever and nothing behind it is stored.

--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -186,6 +186,7 @@
         spec.mAddress = id;
         spec.mService = "service";
         spec.mDataCentre = "zone";
+        spec.mRack = runner.mRack;
         spec.mCapacity = { 16000, 64000, 0 };
         spec.mIncarnation = runner.mIncarnation;
         spec.mDraining = runner.mDraining;
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -44,6 +44,7 @@
     bool mUp = true;
     bool mListed = true; ///< In the list of runners that nodes read.
     bool mDraining = false;
+    std::string mRack; ///< A long name makes the stored list long.
   };
   /// State of the way from a node to a runner.
   struct Path
--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -48,7 +48,13 @@
         aDone({ StoreResult::NotApplied, 0, {} });
         return;
       }
-      if (FindLimitViolation(aTransaction, mLimits)) {
+      const bool rejected =
+        mRejectsKey && std::any_of(aTransaction.mPuts.begin(),
+                                   aTransaction.mPuts.end(),
+                                   [&](const StoreRow& aRow) {
+                                     return mRejectsKey(aRow.mKey);
+                                   });
+      if (rejected || FindLimitViolation(aTransaction, mLimits)) {
         ++mRejected;
         aDone({ StoreResult::Rejected, 0, {} });
         return;
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -43,6 +43,9 @@
   std::optional<std::string> mRefusedPartition;
   /// Transactions beyond these bounds are rejected.
   StoreLimits mLimits;
+  /// Transactions that write a row for whose key this returns true are
+  /// rejected.
+  std::function<bool(const std::string&)> mRejectsKey;
   int mRejected = 0; ///< Number of transactions that were rejected.
   /// Answers lead to further calls, which Run() serves in further rounds. Their
   /// number is limited, because calls that are refused are repeated without
