LibNode: Let no rejected row hold up what is behind it

A transaction that the store rejects was sent again for ever. Now a rejected list of runners is given up for two seconds, and a rejected commit is split until the row is found. A job whose progress can't be stored goes on; the ends of its runs are not acknowledged until a later commit with it is stored, so that a later owner learns of them from the runners. Its end is a small row, which is stored as usual.

The log names the row, its size and the bound at level Error.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -6,8 +6,11 @@
 AcknowledgeStored(const Dispatcher& aDispatcher, Runner& aRunner)
 {
   while (!aRunner.mUnstoredEnds.empty() &&
-         aRunner.mUnstoredEnds.front().second <= aDispatcher.mStoredThrough) {
-    aRunner.mHighestStoredEnd = aRunner.mUnstoredEnds.front().first;
+         aRunner.mUnstoredEnds.front().mCommitSequence <=
+           aDispatcher.mStoredThrough &&
+         !aDispatcher.mRejectedJobs.contains(
+           aRunner.mUnstoredEnds.front().mJobArrivalNumber)) {
+    aRunner.mHighestStoredEnd = aRunner.mUnstoredEnds.front().mNumber;
     aRunner.mUnstoredEnds.pop_front();
   }
 }
@@ -35,6 +38,9 @@
                 std::span<const JobPhase> aPhases)
 {
   aDispatcher.mStoredThrough = aCommit.mSequence;
+  for (const Job* job : aCommit.mJobs) {
+    aDispatcher.mRejectedJobs.erase(job->mArrivalNumber);
+  }
   for (Runner& runner : aDispatcher.mRunners) {
     AcknowledgeStored(aDispatcher, runner);
   }
@@ -51,6 +57,20 @@
   }
 }
 
+void
+HandleJobRejected(Dispatcher& aDispatcher, Job& aJob)
+{
+  aDispatcher.mRejectedJobs.emplace(aJob.mArrivalNumber, &aJob);
+}
+
+void
+RetryRejectedJobs(Dispatcher& aDispatcher)
+{
+  for (const auto& [number, job] : aDispatcher.mRejectedJobs) {
+    MarkDirty(aDispatcher, *job);
+  }
+}
+
 JobProgress
 ProgressOf(const Job& aJob)
 {
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -128,6 +129,10 @@
   std::uint64_t mCommitSequence = 1;
   /// Sequence number of the latest commit that is stored.
   std::uint64_t mStoredThrough = 0;
+  /// Jobs whose latest commit the store has rejected, by Job::mArrivalNumber.
+  /// The ends of their runs are not acknowledged: a later owner would run the
+  /// tasks again.
+  std::map<std::uint64_t, Job*> mRejectedJobs;
   /// Whether a job or occurrence has ended, so that the commit should not wait
   /// for further changes.
   bool mCommitUrgent = false;
@@ -330,6 +335,16 @@
                 const Commit& aCommit,
                 std::span<const JobPhase> aPhases);
 
+/// Handles a job of a commit whose row the store rejects, however often it is
+/// sent. The job goes on, but the ends of its runs are not acknowledged before
+/// a later commit with it is stored.
+void
+HandleJobRejected(Dispatcher& aDispatcher, Job& aJob);
+
+/// Adds the jobs that were rejected to the next commit.
+void
+RetryRejectedJobs(Dispatcher& aDispatcher);
+
 /// @return the progress of a job to store
 JobProgress
 ProgressOf(const Job& aJob);
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -603,8 +603,11 @@
     const bool progressChanged =
       ApplyEnd(aDispatcher, aRunner, end, aNow, aActions);
     runner.mHighestAppliedEnd = end.mNumber;
-    runner.mUnstoredEnds.emplace_back(
-      end.mNumber, progressChanged ? aDispatcher.mCommitSequence : 0);
+    const auto job = aDispatcher.mJobs.find(end.mTask.mJob);
+    runner.mUnstoredEnds.push_back(
+      { end.mNumber,
+        progressChanged ? aDispatcher.mCommitSequence : 0,
+        job != aDispatcher.mJobs.end() ? job->second->mArrivalNumber : 0 });
   }
   AcknowledgeStored(aDispatcher, runner);
 
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <LibDispatch/Job.h>
@@ -63,6 +62,15 @@
   GangIncomplete   ///< Some members of the gang did not start in time.
 };
 
+/// An end that has been applied to its task but is not stored.
+struct UnstoredEnd
+{
+  std::int64_t mNumber = 0; ///< See EndEntry::mNumber.
+  /// Sequence number of the commit that stores it.
+  std::uint64_t mCommitSequence = 0;
+  std::uint64_t mJobArrivalNumber = 0; ///< See Job::mArrivalNumber.
+};
+
 /// A run that a runner reports as running.
 struct RunningEntry
 {
@@ -192,9 +200,7 @@
   /// Highest number of an end whose commit is stored. The next renewal
   /// acknowledges the ends up to it.
   std::int64_t mHighestStoredEnd = 0;
-  /// Ends that have been applied but not stored: the number of the end, and the
-  /// sequence number of the commit that stores it.
-  std::deque<std::pair<std::int64_t, std::uint64_t>> mUnstoredEnds;
+  std::deque<UnstoredEnd> mUnstoredEnds; ///< In the order of their numbers.
 
   std::vector<OrphanRun> mOrphans;
 
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -12,6 +12,7 @@
 #include <LibNode/RowPartitions.h>
 #include <LibNode/RunnerPort.h>
 #include <LibNode/StoreClock.h>
+#include <LibNode/StoreLimits.h>
 #include <LibNode/StorePort.h>
 #include <LibTime/BootClock.h>
 
@@ -21,6 +22,7 @@
 /// states replace the defaults.
 struct NodeSettings
 {
+  StoreLimits mStoreLimits;
   ClaimSettings mClaims;
   dispatch::DispatchSettings mDispatch;
   /// Interval at which a node writes its own row.
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -25,6 +25,28 @@
 /// Shortest interval between two writes of the list of runners, which has up to
 /// 50 KB and is priced.
 constexpr Millis kRunnersInterval{ 250 };
+/// Pause after the store has rejected a list of runners.
+constexpr Seconds kListRetryPause{ 2 };
+/// Interval at which a job whose row the store has rejected is sent again, even
+/// if it has not changed.
+constexpr Seconds kRejectedJobRetryInterval{ 5 };
+/// Shortest interval between two log lines about rejected rows of jobs.
+constexpr Seconds kRejectionLogInterval{ 1 };
+
+StoreTransaction
+Merge(const PendingTransaction& aTransaction)
+{
+  StoreTransaction merged;
+  for (const PendingTransaction::Part& part : aTransaction.mParts) {
+    const StoreTransaction& entries = part.mEntries;
+    merged.mPuts.insert(
+      merged.mPuts.end(), entries.mPuts.begin(), entries.mPuts.end());
+    merged.mRemovals.insert(merged.mRemovals.end(),
+                            entries.mRemovals.begin(),
+                            entries.mRemovals.end());
+  }
+  return merged;
+}
 
 } // namespace
 
@@ -51,67 +73,92 @@
     return;
   }
   mUncommittedSince = {};
+  if (aNow >= mRejectedJobsRetryAt) {
+    mRejectedJobsRetryAt = aNow + kRejectedJobRetryInterval;
+    dispatch::RetryRejectedJobs(mDispatcher);
+  }
   mCommit = dispatch::TakeCommit(mDispatcher);
   mCommitPhases.clear();
-  const std::string progress = ProgressTable(mClaim.mShard);
-  const std::string progressPartition =
-    mContext.mPartitions.OfProgress(mClaim.mShard);
-  const std::string inbox = InboxTable(mClaim.mShard);
-  StoreTransaction transaction;
-  std::size_t jobs = 0;
-  for (const dispatch::Job* job : mCommit->mJobs) {
-    const std::string& id = job->mSpec.mId;
-    mCommitPhases.push_back(job->mPhase);
-    if (job->mPhase == dispatch::JobPhase::Active) {
-      transaction.mPuts.push_back(
-        { progress,
-          progressPartition,
-          kJobPrefix + id,
-          FormatProgress(dispatch::ProgressOf(*job)) });
-    } else {
-      const JobStatus status{
-        mClaim.mShard, job->mSpec.mQueue, job->mPhase, job->mBegan
-      };
-      const std::string partition = mContext.mPartitions.OfJob(id);
-      transaction.mPuts.push_back(
-        { kStatusTable, partition, id, FormatStatus(status) });
-      transaction.mRemovals.push_back(
-        { progress, progressPartition, kJobPrefix + id });
-      transaction.mRemovals.push_back(
-        { inbox, partition, kAcceptedPrefix + id });
-      transaction.mRemovals.push_back({ inbox, partition, kCancelPrefix + id });
-      Log(LogLevel::Info,
-          "job_ended",
-          "job=" + id + " phase=" +
-            (job->mPhase == dispatch::JobPhase::Completed   ? "completed"
-             : job->mPhase == dispatch::JobPhase::Cancelled ? "cancelled"
-                                                            : "failed") +
-            " age_ms=" +
-            std::to_string(
-              std::chrono::duration_cast<Millis>(aNow - job->mAcceptedAt)
-                .count()));
+  mRejectedInCommit.clear();
+  PendingTransaction transaction;
+  // What was rejected before gets a transaction of its own.
+  std::vector<PendingTransaction::Part> rejectedBefore;
+  for (std::size_t i = 0; i < mCommit->mJobs.size(); ++i) {
+    const dispatch::Job& job = *mCommit->mJobs[i];
+    mCommitPhases.push_back(job.mPhase);
+    PendingTransaction::Part part = MakeJobPart(i, aNow);
+    if (mDispatcher.mRejectedJobs.contains(job.mArrivalNumber)) {
+      rejectedBefore.push_back(std::move(part));
+      continue;
     }
-    if (++jobs == kJobsPerTransaction) {
+    transaction.mParts.push_back(std::move(part));
+    if (transaction.mParts.size() == kJobsPerTransaction) {
       mTransactions.push_back(std::move(transaction));
       transaction = {};
-      jobs = 0;
     }
   }
   if (aNow - mInterferenceStoredAt >= kInterferenceInterval) {
     mInterferenceStoredAt = aNow;
-    transaction.mPuts.push_back({ progress,
-                                  progressPartition,
-                                  kInterferenceKey,
-                                  FormatInterference(dispatch::RecordOf(
-                                    mDispatcher.mInterference, aNow)) });
-    ++jobs;
-  }
-  if (jobs > 0) {
+    PendingTransaction::Part part;
+    part.mEntries.mPuts.push_back(
+      { ProgressTable(mClaim.mShard),
+        mContext.mPartitions.OfProgress(mClaim.mShard),
+        kInterferenceKey,
+        FormatInterference(
+          dispatch::RecordOf(mDispatcher.mInterference, aNow)) });
+    (mInterferenceRejected ? rejectedBefore : transaction.mParts)
+      .push_back(std::move(part));
+  }
+  if (!transaction.mParts.empty()) {
     mTransactions.push_back(std::move(transaction));
   }
+  for (PendingTransaction::Part& part : rejectedBefore) {
+    mTransactions.emplace_back().mParts.push_back(std::move(part));
+  }
   SendNextTransaction();
 }
 
+PendingTransaction::Part
+ShardOwner::State::MakeJobPart(std::size_t aJob, MonotonicTime aNow)
+{
+  const dispatch::Job& job = *mCommit->mJobs[aJob];
+  const std::string& id = job.mSpec.mId;
+  const std::string progress = ProgressTable(mClaim.mShard);
+  const std::string progressPartition =
+    mContext.mPartitions.OfProgress(mClaim.mShard);
+  PendingTransaction::Part part;
+  part.mJob = aJob;
+  if (job.mPhase == dispatch::JobPhase::Active) {
+    part.mEntries.mPuts.push_back(
+      { progress,
+        progressPartition,
+        kJobPrefix + id,
+        FormatProgress(dispatch::ProgressOf(job)) });
+    return part;
+  }
+  const JobStatus status{
+    mClaim.mShard, job.mSpec.mQueue, job.mPhase, job.mBegan
+  };
+  const std::string inbox = InboxTable(mClaim.mShard);
+  const std::string partition = mContext.mPartitions.OfJob(id);
+  part.mEntries.mPuts.push_back(
+    { kStatusTable, partition, id, FormatStatus(status) });
+  part.mEntries.mRemovals.push_back(
+    { progress, progressPartition, kJobPrefix + id });
+  part.mEntries.mRemovals.push_back({ inbox, partition, kAcceptedPrefix + id });
+  part.mEntries.mRemovals.push_back({ inbox, partition, kCancelPrefix + id });
+  Log(LogLevel::Info,
+      "job_ended",
+      "job=" + id + " phase=" +
+        (job.mPhase == dispatch::JobPhase::Completed   ? "completed"
+         : job.mPhase == dispatch::JobPhase::Cancelled ? "cancelled"
+                                                       : "failed") +
+        " age_ms=" +
+        std::to_string(
+          std::chrono::duration_cast<Millis>(aNow - job.mAcceptedAt).count()));
+  return part;
+}
+
 std::string
 ShardOwner::State::NextSequenceValue() const
 {
@@ -127,7 +174,7 @@
     // transaction before it wrote, so they can't be sent at the same time.
     return;
   }
-  StoreTransaction transaction = mTransactions.front();
+  StoreTransaction transaction = Merge(mTransactions.front());
   const std::string progress = ProgressTable(mClaim.mShard);
   const std::string partition = mContext.mPartitions.OfProgress(mClaim.mShard);
   transaction.mChecks.push_back(
@@ -171,7 +218,8 @@
       return;
     }
   }
-  if (stored == 0) {
+  const bool rejected = aOutcome.mResult == StoreResult::Rejected;
+  if (stored == 0 && !rejected) {
     Log(LogLevel::Warning,
         "commit_retry",
         aOutcome.mResult == StoreResult::Unknown ? "cause=no_answer"
@@ -179,21 +227,20 @@
     mRetryAt = mContext.Now() + mContext.mSettings.mRetryPause;
     return;
   }
-  mSequenceRowVersion = stored;
+  // What follows a rejected transaction differs from it, so it gets another
+  // number.
   ++mLastTransactionNumber;
-  mTransactions.pop_front();
-  if (mStoringRunners && mTransactions.empty() && !mCommit) {
-    HandleRunnersStored();
-  } else if (mTransactions.empty() && mCommit) {
-    const dispatch::Commit commit = std::move(*mCommit);
-    mCommit.reset();
-    for (std::size_t i = 0; i < commit.mJobs.size(); ++i) {
-      if (mCommitPhases[i] != dispatch::JobPhase::Active) {
-        RememberEnded(commit.mJobs[i]->mSpec.mId);
-      }
+  if (rejected) {
+    HandleRejection();
+  } else {
+    mSequenceRowVersion = stored;
+    mTransactions.pop_front();
+    if (mStoringRunners && mTransactions.empty()) {
+      HandleRunnersStored();
     }
-    dispatch::HandleCommitted(mDispatcher, commit, mCommitPhases);
-    RenewAfterCommit(mContext.Now());
+  }
+  if (mTransactions.empty() && mCommit) {
+    HandleCommitStored();
   }
   // The list of runners goes before the next commit. A busy shard always has
   // one, so that the list would not be stored otherwise.
@@ -207,6 +254,68 @@
   }
 }
 
+void
+ShardOwner::State::HandleCommitStored()
+{
+  dispatch::Commit stored;
+  stored.mSequence = mCommit->mSequence;
+  std::vector<dispatch::JobPhase> phases;
+  for (std::size_t i = 0; i < mCommit->mJobs.size(); ++i) {
+    if (mRejectedInCommit.contains(i)) {
+      continue;
+    }
+    stored.mJobs.push_back(mCommit->mJobs[i]);
+    phases.push_back(mCommitPhases[i]);
+    if (mCommitPhases[i] != dispatch::JobPhase::Active) {
+      RememberEnded(mCommit->mJobs[i]->mSpec.mId);
+    }
+  }
+  mCommit.reset();
+  dispatch::HandleCommitted(mDispatcher, stored, phases);
+  RenewAfterCommit(mContext.Now());
+}
+
+void
+ShardOwner::State::HandleRejection()
+{
+  const MonotonicTime now = mContext.Now();
+  const PendingTransaction transaction = std::move(mTransactions.front());
+  mTransactions.pop_front();
+  if (!mStoringRunners && transaction.mParts.size() > 1) {
+    for (auto part = transaction.mParts.rbegin();
+         part != transaction.mParts.rend();
+         ++part) {
+      mTransactions.emplace_front().mParts.push_back(*part);
+    }
+    return;
+  }
+  const std::optional<LimitViolation> violation =
+    FindLimitViolation(Merge(transaction), mContext.mSettings.mStoreLimits);
+  const std::string bound =
+    violation ? FormatLimitViolation(*violation) : "bound=unknown";
+  if (mStoringRunners) {
+    Log(LogLevel::Error, "runners_rejected", bound);
+    mTransactions.clear();
+    mStoringRunners = false;
+    mRunnersBeingDropped.clear();
+    mListRetryAt = now + kListRetryPause;
+    return;
+  }
+  std::string row = "row=interference";
+  const std::optional<std::size_t> job = transaction.mParts.front().mJob;
+  if (job) {
+    row = "job=" + mCommit->mJobs[*job]->mSpec.mId;
+    mRejectedInCommit.insert(*job);
+    dispatch::HandleJobRejected(mDispatcher, *mCommit->mJobs[*job]);
+  } else {
+    mInterferenceRejected = true;
+  }
+  if (now - mRejectionLoggedAt >= kRejectionLogInterval) {
+    mRejectionLoggedAt = now;
+    Log(LogLevel::Error, "progress_rejected", row + " " + bound);
+  }
+}
+
 void
 ShardOwner::State::RememberEnded(const std::string& aJob)
 {
@@ -224,7 +333,7 @@
   if (mSteppingDown) {
     return FinalListDue();
   }
-  if (aNow - mRunnersStoredAt < kRunnersInterval) {
+  if (aNow - mRunnersStoredAt < kRunnersInterval || aNow < mListRetryAt) {
     return false;
   }
   if (mAnyListedNotStored) {
@@ -307,7 +416,8 @@
 {
   const MonotonicTime now = mContext.Now();
   if (mTransactionInFlight || !mTransactions.empty() || mCommit ||
-      (mSteppingDown && !FinalListDue()) || ListPinned(now)) {
+      (mSteppingDown && !FinalListDue()) || ListPinned(now) ||
+      now < mListRetryAt) {
     return; // The next tick tries again.
   }
   mRunnersBeingStored.clear();
@@ -345,12 +455,13 @@
     }
     list = FormatRunners(mRunnersBeingStored, mContext.mStoreClock);
   }
-  StoreTransaction transaction;
-  transaction.mPuts.push_back({ ProgressTable(mClaim.mShard),
-                                mContext.mPartitions.OfProgress(mClaim.mShard),
-                                kRunnersKey,
-                                std::move(list) });
-  mTransactions.push_back(std::move(transaction));
+  PendingTransaction::Part part;
+  part.mEntries.mPuts.push_back(
+    { ProgressTable(mClaim.mShard),
+      mContext.mPartitions.OfProgress(mClaim.mShard),
+      kRunnersKey,
+      std::move(list) });
+  mTransactions.emplace_back().mParts.push_back(std::move(part));
   SendNextTransaction();
 }
 
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -72,6 +72,20 @@
   Millis mBackOff{ 0 };  ///< Delay after the last failure; 0: none failed.
 };
 
+/// A transaction of a commit or list that is still to be stored. It can be
+/// split into its parts if the store rejects it.
+struct PendingTransaction
+{
+  struct Part
+  {
+    StoreTransaction mEntries;
+    /// Index in Commit::mJobs of the job whose rows these are, if they are rows
+    /// of a job.
+    std::optional<std::size_t> mJob;
+  };
+  std::vector<Part> mParts;
+};
+
 /// State of a shard's owner. The handlers of its calls share it, so that it
 /// lives until the last of them was called.
 struct ShardOwner::State : std::enable_shared_from_this<State>
@@ -170,6 +184,14 @@
   [[nodiscard]] std::string NextSequenceValue() const;
   /// Handles the result of the transaction in flight.
   void HandleTransaction(const TransactionOutcome& aOutcome);
+  /// @return the entries that store a job's progress or end
+  PendingTransaction::Part MakeJobPart(std::size_t aJob, MonotonicTime aNow);
+  /// Handles the rejection of the first of mTransactions, so that what is
+  /// behind it goes on: a list is given up, a commit is split, and a single
+  /// part of a commit is left out of it.
+  void HandleRejection();
+  /// Handles a commit of which all transactions were stored or rejected.
+  void HandleCommitStored();
   /// Stores the list of runners that the shard's tasks may use.
   void StoreRunners();
   /// @return the entry of a runner in the list; if it holds a record of the
@@ -228,6 +250,8 @@
   bool mShardRunnersRead = false;
   bool mAnyListedNotStored = false; ///< One of them is not in mStoredRunners.
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
+  /// No list is sent before this time, because one was rejected.
+  MonotonicTime mListRetryAt;
   /// Whether the list that is being stored, or has been stored, is the last one
   /// of this owner, which states when the leases of every runner end.
   bool mFinalListSent = false;
@@ -253,11 +277,18 @@
   std::uint64_t mLastTransactionNumber = 0;
   /// Transactions still to be stored for the present commit; one is sent at a
   /// time.
-  std::deque<StoreTransaction> mTransactions;
+  std::deque<PendingTransaction> mTransactions;
   /// Changes of progress that are being stored.
   std::optional<dispatch::Commit> mCommit;
   /// Phases of the jobs in mCommit when it was begun, in the same order.
   std::vector<dispatch::JobPhase> mCommitPhases;
+  /// Indices of the jobs in mCommit that the store has rejected.
+  std::set<std::size_t> mRejectedInCommit;
+  /// Whether the interference estimates were rejected. From then on they get a
+  /// transaction of their own.
+  bool mInterferenceRejected = false;
+  MonotonicTime mRejectedJobsRetryAt; ///< When rejected jobs are sent again.
+  MonotonicTime mRejectionLoggedAt;
   bool mTransactionInFlight = false;
   bool mStoringRunners = false;
   /// Jobs whose end is stored. A read of the inbox that was in flight at the
--- a/Tests/LibNode/TestRunnerList.cpp
+++ b/Tests/LibNode/TestRunnerList.cpp
@@ -188,7 +188,9 @@
       problem += "the wide job did not end\n";
     }
     problem += cluster.Overlap();
-    problems += problem.empty() ? problem : key + ":\n" + problem;
+    if (!problem.empty()) {
+      problems.append(key).append(":\n").append(problem);
+    }
   }
   STRCMP_EQUAL("", problems.c_str());
 }
