LibNode: Spread a long list of runners over several rows

The list of runners with the records of silent runners outgrew its row of 64 KiB as soon as many runners of a large shard were recorded. While all of it fits into one row, it is written as before. Otherwise records get rows of their own, which are written only when they change, and the entries are spread over further rows. A list takes several transactions if it has to; what is stored after each of them is safe for a later owner, and the dispatcher uses the list only when all are stored.

Owners of earlier versions read the first row only. While there are further rows, it has an entry that never answers, so that such an owner waits for the earlier leases. They don't maintain the records in rows of their own, so the shard's row states since which epoch all owners have; older ones don't count. An isolated owner counts a majority of the whole list and of the first row.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -194,6 +194,7 @@
   value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
   value["earlier_isolated_leases_end_ms"] =
     Json::Int64(aRow.mEarlierIsolatedLeasesEndMs);
+  value["records_since"] = Json::Int64(aRow.mRecordsSince);
   return WriteJson(value);
 }
 
@@ -223,6 +224,7 @@
   row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
   row.mEarlierIsolatedLeasesEndMs =
     (*value)["earlier_isolated_leases_end_ms"].asInt64();
+  row.mRecordsSince = (*value)["records_since"].asInt64();
   return row;
 }
 
@@ -330,6 +332,7 @@
       claim.mLeasesEndMs = row.mRow.mLeasesEndMs;
       claim.mIsolatedLeasesEndMs = row.mRow.mIsolatedLeasesEndMs;
       claim.mEarlierIsolatedLeasesEndMs = row.mRow.mEarlierIsolatedLeasesEndMs;
+      claim.mRecordsSince = row.mRow.mRecordsSince;
       if (row.mRow.mOwner == aSelf.mName) {
         // Only one process of this name runs at a time, so the process that
         // owned the shard has certainly ended. If it is this process, it has
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -68,6 +68,10 @@
   std::int64_t mIsolatedLeasesEndMs = 0;
   /// The same for earlier owners; 0: their leases count in mLeasesEndMs.
   std::int64_t mEarlierIsolatedLeasesEndMs = 0;
+  /// Lowest epoch since which every owner has kept the records of runners up to
+  /// date that are in rows of their own. Owners of earlier versions don't know
+  /// these rows, and write this row without the member; 0: it was missing.
+  std::int64_t mRecordsSince = 0;
 };
 
 /// A row as this node last read it, with local times. Nodes compare only times
@@ -150,6 +154,7 @@
   std::int64_t mLeasesEndMs = 0;
   std::int64_t mIsolatedLeasesEndMs = 0;
   std::int64_t mEarlierIsolatedLeasesEndMs = 0;
+  std::int64_t mRecordsSince = 0;
   /// The earlier owner's ShardRow::mPending. The new owner publishes it until
   /// it has read the jobs itself.
   std::map<std::string, std::uint64_t> mPending;
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -135,6 +135,31 @@
   return JobPhase::Active;
 }
 
+/// @return the entry of a runner in the list
+Json::Value
+EntryToJson(const dispatch::InheritedRunner& aRunner, const StoreClock& aClock)
+{
+  Json::Value entry(Json::arrayValue);
+  entry.append(aRunner.mSpec.mAddress);
+  entry.append(aRunner.mSpec.mService);
+  entry.append(aRunner.mSpec.mDataCentre);
+  entry.append(aRunner.mSpec.mRack);
+  entry.append(Json::Int64(aRunner.mSpec.mIncarnation));
+  if (aRunner.mPossibleRuns) {
+    entry.append(RunsToJson(*aRunner.mPossibleRuns));
+  }
+  const std::optional<std::int64_t> leasesEndMs =
+    aRunner.mLeasesExpireAt ? LatestStoreTime(aClock, *aRunner.mLeasesExpireAt)
+                            : std::nullopt;
+  if (leasesEndMs) {
+    entry[kLeasesEndPosition] = Json::Int64(*leasesEndMs);
+  }
+  if (aRunner.mRecordFinal) {
+    entry[kRecordFinalPosition] = true;
+  }
+  return entry;
+}
+
 } // namespace
 
 std::string
@@ -280,36 +305,48 @@
   return progress;
 }
 
+Json::Value
+RunsToJson(std::span<const dispatch::PossibleRun> aRuns)
+{
+  Json::Value runs(Json::arrayValue);
+  for (const dispatch::PossibleRun& run : aRuns) {
+    runs.append(dispatch::FormatTaskName(run.mTask));
+    runs.append(Json::Int64(run.mRun));
+  }
+  return runs;
+}
+
+std::vector<dispatch::PossibleRun>
+RunsFromJson(const Json::Value& aRuns)
+{
+  std::vector<dispatch::PossibleRun> runs;
+  for (Json::ArrayIndex i = 0; i + 1 < aRuns.size(); i += 2) {
+    const std::optional<dispatch::TaskName> task =
+      dispatch::ParseTaskName(aRuns[i].asString());
+    if (task) {
+      runs.push_back({ *task, aRuns[i + 1].asInt64() });
+    }
+  }
+  return runs;
+}
+
+std::string
+FormatRunnerEntry(const dispatch::InheritedRunner& aRunner,
+                  const StoreClock& aClock)
+{
+  Json::Value value(Json::objectValue);
+  value[aRunner.mSpec.mId] = EntryToJson(aRunner, aClock);
+  const std::string text = WriteJson(value);
+  return text.substr(1, text.size() - 2);
+}
+
 std::string
 FormatRunners(std::span<const dispatch::InheritedRunner> aRunners,
               const StoreClock& aClock)
 {
   Json::Value value(Json::objectValue);
   for (const dispatch::InheritedRunner& runner : aRunners) {
-    Json::Value entry(Json::arrayValue);
-    entry.append(runner.mSpec.mAddress);
-    entry.append(runner.mSpec.mService);
-    entry.append(runner.mSpec.mDataCentre);
-    entry.append(runner.mSpec.mRack);
-    entry.append(Json::Int64(runner.mSpec.mIncarnation));
-    if (runner.mPossibleRuns) {
-      Json::Value runs(Json::arrayValue);
-      for (const dispatch::PossibleRun& run : *runner.mPossibleRuns) {
-        runs.append(dispatch::FormatTaskName(run.mTask));
-        runs.append(Json::Int64(run.mRun));
-      }
-      entry.append(runs);
-    }
-    const std::optional<std::int64_t> leasesEndMs =
-      runner.mLeasesExpireAt ? LatestStoreTime(aClock, *runner.mLeasesExpireAt)
-                             : std::nullopt;
-    if (leasesEndMs) {
-      entry[kLeasesEndPosition] = Json::Int64(*leasesEndMs);
-    }
-    if (runner.mRecordFinal) {
-      entry[kRecordFinalPosition] = true;
-    }
-    value[runner.mSpec.mId] = entry;
+    value[runner.mSpec.mId] = EntryToJson(runner, aClock);
   }
   return WriteJson(value);
 }
@@ -335,14 +372,7 @@
     runner.mSpec.mRack = entry[3].asString();
     runner.mSpec.mIncarnation = entry[4].asInt64();
     if (entry.size() > 5 && entry[5].isArray()) {
-      runner.mPossibleRuns.emplace();
-      for (Json::ArrayIndex i = 0; i + 1 < entry[5].size(); i += 2) {
-        const std::optional<dispatch::TaskName> task =
-          dispatch::ParseTaskName(entry[5][i].asString());
-        if (task) {
-          runner.mPossibleRuns->push_back({ *task, entry[5][i + 1].asInt64() });
-        }
-      }
+      runner.mPossibleRuns = RunsFromJson(entry[5]);
     }
     // Rows of earlier versions have no lease end.
     if (entry.size() > kLeasesEndPosition &&
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <json/value.h>
 #include <optional>
 #include <span>
 #include <string>
@@ -53,7 +54,17 @@
 std::string
 FormatRunners(std::span<const dispatch::InheritedRunner> aRunners,
               const StoreClock& aClock);
+/// @return the entry of one runner in that row, without the braces around it
+std::string
+FormatRunnerEntry(const dispatch::InheritedRunner& aRunner,
+                  const StoreClock& aClock);
 std::vector<dispatch::InheritedRunner>
 ParseRunners(std::string_view aText, const StoreClock& aClock);
 
+/// Formats the runs of a record: names and numbers in turn.
+Json::Value
+RunsToJson(std::span<const dispatch::PossibleRun> aRuns);
+std::vector<dispatch::PossibleRun>
+RunsFromJson(const Json::Value& aRuns);
+
 } // namespace paddle
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -20,8 +20,6 @@
 /// flight when the jobs ended. Such a read takes a second at most, in which
 /// some hundred jobs of a shard end.
 constexpr std::size_t kMaxRememberedEndedJobs = 5000;
-/// The stored list is kept below this size. A row of the store has 64 KiB.
-constexpr std::size_t kMaxRunnersBytes = 60000;
 /// Shortest interval between two writes of the list of runners, which has up to
 /// 50 KB and is priced.
 constexpr Millis kRunnersInterval{ 250 };
@@ -234,6 +232,7 @@
     HandleRejection();
   } else {
     mSequenceRowVersion = stored;
+    ApplyChanges(mRunnerRows, mTransactions.front().mListChanges);
     mTransactions.pop_front();
     if (mStoringRunners && mTransactions.empty()) {
       HandleRunnersStored();
@@ -295,10 +294,7 @@
     violation ? FormatLimitViolation(*violation) : "bound=unknown";
   if (mStoringRunners) {
     Log(LogLevel::Error, "runners_rejected", bound);
-    mTransactions.clear();
-    mStoringRunners = false;
-    mRunnersBeingDropped.clear();
-    mListRetryAt = now + kListRetryPause;
+    HandleRunnersRejected();
     return;
   }
   std::string row = "row=interference";
@@ -445,34 +441,92 @@
   mStoringRunners = true;
   mFinalListSent = mSteppingDown;
   mRunnersStoredAt = now;
-  std::string list = FormatRunners(mRunnersBeingStored, mContext.mStoreClock);
-  if (list.size() > kMaxRunnersBytes) {
-    // Without these times, a later owner waits for the end in the shard's row.
+  if (mListRejected) {
+    // Without the records, a later owner waits for the end in the shard's row.
     for (dispatch::InheritedRunner& entry : mRunnersBeingStored) {
-      if (!entry.mPossibleRuns) {
-        entry.mLeasesExpireAt.reset();
-      }
+      entry.mPossibleRuns.reset();
+      entry.mLeasesExpireAt.reset();
+      entry.mRecordFinal = false;
     }
-    list = FormatRunners(mRunnersBeingStored, mContext.mStoreClock);
   }
-  PendingTransaction::Part part;
-  part.mEntries.mPuts.push_back(
-    { ProgressTable(mClaim.mShard),
-      mContext.mPartitions.OfProgress(mClaim.mShard),
-      kRunnersKey,
-      std::move(list) });
-  mTransactions.emplace_back().mParts.push_back(std::move(part));
+  const StoreKey name = RunnerRowName();
+  RunnerListPlan plan = PlanRunnerList(mRunnerRows,
+                                       mRunnersBeingStored,
+                                       mClaim.mEpoch,
+                                       mContext.mStoreClock,
+                                       name,
+                                       mContext.mSettings.mStoreLimits);
+  if (!plan.mEntriesLeftOut.empty() || plan.mRecordsLeftOut > 0) {
+    Log(LogLevel::Error,
+        "runners_left_out",
+        "entries=" + std::to_string(plan.mEntriesLeftOut.size()) +
+          " records=" + std::to_string(plan.mRecordsLeftOut) + " first=" +
+          (plan.mEntriesLeftOut.empty() ? "" : plan.mEntriesLeftOut.front()) +
+          " bound=row_bytes limit=" +
+          std::to_string(mContext.mSettings.mStoreLimits.mRowBytes));
+  }
+  for (const std::string& id : plan.mEntriesLeftOut) {
+    std::erase_if(mRunnersBeingStored,
+                  [&](const dispatch::InheritedRunner& aEntry) {
+                    return aEntry.mSpec.mId == id;
+                  });
+  }
+  if (!plan.mEntriesLeftOut.empty()) {
+    mListRetryAt = now + kListRetryPause;
+  }
+  for (std::vector<RunnerRowChange>& step : plan.mSteps) {
+    PendingTransaction& transaction = mTransactions.emplace_back();
+    transaction.mParts.push_back({ MakeTransaction(step, name), std::nullopt });
+    transaction.mListChanges = std::move(step);
+  }
+  if (mTransactions.empty()) {
+    HandleRunnersStored();
+    return;
+  }
   SendNextTransaction();
 }
 
+StoreKey
+ShardOwner::State::RunnerRowName() const
+{
+  return { ProgressTable(mClaim.mShard),
+           mContext.mPartitions.OfProgress(mClaim.mShard),
+           {} };
+}
+
+void
+ShardOwner::State::HandleRunnersRejected()
+{
+  mTransactions.clear();
+  mStoringRunners = false;
+  mRunnersBeingDropped.clear();
+  mListRejected = !mListRejected;
+  mListRetryAt = mContext.Now() + kListRetryPause;
+  // Some rows of the list may be stored. Only the runners of the list before
+  // that are still in it are used.
+  const RunnerIncarnations stored = IncarnationsOf(mRunnerRows);
+  std::erase_if(mStoredRunners, [&](const auto& aEntry) {
+    return !stored.contains(aEntry.first);
+  });
+  ApplyRunners();
+}
+
 void
 ShardOwner::State::HandleRunnersStored()
 {
   mStoringRunners = false;
+  mListRejected = false;
   mRunnersBeingDropped.clear();
+  const auto rows = [&](std::string_view aPrefix) {
+    return std::to_string(std::count_if(
+      mRunnerRows.begin(), mRunnerRows.end(), [&](const auto& aEntry) {
+        return aEntry.first.starts_with(aPrefix);
+      }));
+  };
   Log(LogLevel::Info,
       "runners_stored",
-      "runners=" + std::to_string(mRunnersBeingStored.size()));
+      "runners=" + std::to_string(mRunnersBeingStored.size()) +
+        " rows=" + rows(kRunnersKey) + " records=" + rows(kRecordPrefix));
   mStoredRunners.clear();
   for (const dispatch::InheritedRunner& entry : mRunnersBeingStored) {
     mStoredRunners.emplace(entry.mSpec.mId, entry.mSpec.mIncarnation);
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -82,7 +82,15 @@
     return;
   }
   mFencedRunners.insert(aRunner);
-  if (mFencedRunners.size() <= mInheritedProcesses.size() / 2) {
+  const std::set<dispatch::RunnerIndex>& first = mInheritedInFirstRow;
+  const auto fencedInFirst = static_cast<std::size_t>(std::count_if(
+    mFencedRunners.begin(),
+    mFencedRunners.end(),
+    [&](dispatch::RunnerIndex aIndex) { return first.contains(aIndex); }));
+  // An earlier owner of an earlier version has counted those in the first row
+  // only.
+  if (mFencedRunners.size() <= mInheritedProcesses.size() / 2 ||
+      (!first.empty() && fencedInFirst <= first.size() / 2)) {
     return;
   }
   mMajorityFenced = true;
@@ -103,23 +111,24 @@
 MonotonicTime
 ShardOwner::State::MajorityContact() const
 {
-  const auto contactAt =
-    [&](const std::map<std::string, std::int64_t>& aRunners) {
-      std::vector<dispatch::RunnerProcess> processes;
-      processes.reserve(aRunners.size());
-      for (const auto& [id, incarnation] : aRunners) {
-        processes.push_back({ id, incarnation });
-      }
-      return dispatch::MajorityContactAt(mDispatcher, processes);
-    };
-  MonotonicTime contact = contactAt(mStoredRunners);
-  if (mStoringRunners) {
-    // A later owner may read either list.
-    std::map<std::string, std::int64_t> next;
-    for (const dispatch::InheritedRunner& runner : mRunnersBeingStored) {
-      next.emplace(runner.mSpec.mId, runner.mSpec.mIncarnation);
+  const auto contactAt = [&](const RunnerIncarnations& aRunners) {
+    std::vector<dispatch::RunnerProcess> processes;
+    processes.reserve(aRunners.size());
+    for (const auto& [id, incarnation] : aRunners) {
+      processes.push_back({ id, incarnation });
     }
-    contact = std::min(contact, contactAt(next));
+    return dispatch::MajorityContactAt(mDispatcher, processes);
+  };
+  const auto contactOf = [&](const RunnerRows& aRows) {
+    return std::min(contactAt(IncarnationsOf(aRows)),
+                    contactAt(IncarnationsInFirstRow(aRows)));
+  };
+  MonotonicTime contact = contactOf(mRunnerRows);
+  if (mStoringRunners && !mTransactions.empty()) {
+    // A later owner may read the rows before or after the next transaction.
+    RunnerRows next = mRunnerRows;
+    ApplyChanges(next, mTransactions.front().mListChanges);
+    contact = std::min(contact, contactOf(next));
   }
   return contact;
 }
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -25,6 +25,9 @@
 {
   mDispatcher.mSettings = aContext.mSettings.mDispatch;
   mDispatcher.mEpoch = aClaim.mEpoch;
+  if (mClaim.mRecordsSince == 0) {
+    mClaim.mRecordsSince = aClaim.mEpoch;
+  }
   // Run numbers start from the epoch, so that those of a new owner are higher
   // than those of all earlier owners without a counter in the store.
   constexpr int kRunsPerEpochBits = 20;
@@ -110,6 +113,7 @@
   row.mOwnerIncarnation = state.mContext.mSelf.mIncarnation;
   row.mEpoch = state.mClaim.mEpoch;
   row.mHeartbeatCount = ++state.mHeartbeatCount;
+  row.mRecordsSince = state.mClaim.mRecordsSince;
   state.SetLeaseEnds(row, aNow);
   const dispatch::ShardCapacity capacity =
     dispatch::AvailableCapacity(state.mDispatcher, aNow);
@@ -275,8 +279,9 @@
 ShardOwner::AllStored() const
 {
   return mState->mOwnershipLost ||
-         (!mState->mTransactionInFlight && !mState->mCommit &&
-          mState->mDispatcher.mDirtyJobs.empty() && !mState->FinalListDue());
+         (!mState->mTransactionInFlight && mState->mTransactions.empty() &&
+          !mState->mCommit && mState->mDispatcher.mDirtyJobs.empty() &&
+          !mState->FinalListDue());
 }
 
 std::uint32_t
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -12,6 +12,7 @@
 
 #include <LibDispatch/Dispatcher.h>
 #include <LibNode/NodeContext.h>
+#include <LibNode/RunnerRows.h>
 #include <LibNode/ShardOwner.h>
 
 namespace paddle {
@@ -20,9 +21,6 @@
 /// it, and every later transaction of the owner checks its version and replaces
 /// it (see ShardOwner::State::mSequenceRowVersion).
 inline constexpr const char* kCommitSequenceKey = "chain";
-/// Key in a shard's progress table of the list of runners that the shard's
-/// tasks may use.
-inline constexpr const char* kRunnersKey = "runners";
 /// Key in a shard's progress table of the interference estimates.
 inline constexpr const char* kInterferenceKey = "interference";
 /// Prefix of the keys in a shard's progress table under which the progress of
@@ -84,6 +82,8 @@
     std::optional<std::size_t> mJob;
   };
   std::vector<Part> mParts;
+  /// The same changes as rows of the list of runners, if it is a part of one.
+  std::vector<RunnerRowChange> mListChanges;
 };
 
 /// State of a shard's owner. The handlers of its calls share it, so that it
@@ -127,7 +127,9 @@
                          std::int64_t aIncarnation,
                          MonotonicTime aNow);
   /// @return the time since which a majority of the runners has answered, see
-  ///         dispatch::MajorityContactAt()
+  ///         dispatch::MajorityContactAt(): both of all runners of the list and
+  ///         of those in its first row, since a later owner of an earlier
+  ///         version reads only that row
   [[nodiscard]] MonotonicTime MajorityContact() const;
   /// Sets until when the dispatcher may grant leases and whether it may start
   /// tasks, according to the age of the last stored renewal.
@@ -205,6 +207,10 @@
   [[nodiscard]] bool ListPinned(MonotonicTime aNow) const;
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
+  /// Gives up the list that is being stored, after a rejection.
+  void HandleRunnersRejected();
+  /// @return table and partition of the rows of the list
+  [[nodiscard]] StoreKey RunnerRowName() const;
   /// @return whether the stored list of runners must be replaced now: a runner
   ///         has come, left or restarted, or the record of what a silent runner
   ///         may run has to be added, removed or changed
@@ -237,6 +243,9 @@
   /// RunnerIndex, and those of them that reject it by now.
   std::vector<dispatch::RunnerProcess> mInheritedProcesses;
   std::set<dispatch::RunnerIndex> mFencedRunners;
+  /// Those of them in the first row of that list, of which an earlier owner
+  /// needed a majority as well, see MajorityContact().
+  std::set<dispatch::RunnerIndex> mInheritedInFirstRow;
   bool mMajorityFenced = false;
   /// Whether tasks may be started, as last logged.
   bool mMayStartLogged = true;
@@ -252,6 +261,8 @@
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
   /// No list is sent before this time, because one was rejected.
   MonotonicTime mListRetryAt;
+  /// Whether the last list was rejected, so that the next one has no records.
+  bool mListRejected = false;
   /// Whether the list that is being stored, or has been stored, is the last one
   /// of this owner, which states when the leases of every runner end.
   bool mFinalListSent = false;
@@ -260,8 +271,8 @@
   std::map<std::string, std::int64_t> mStoredRunners;
   /// Progress by job id, as the earlier owner stored it.
   std::unordered_map<std::string, std::string> mStoredProgress;
-  /// Runners that the earlier owner used.
-  std::vector<dispatch::InheritedRunner> mInheritedRunners;
+  /// The rows of the list of runners, as they are stored.
+  RunnerRows mRunnerRows;
   std::vector<StoreRow> mInboxRows; ///< Rows of the present full read.
   /// Partitions that the present full read of the inbox has not finished.
   std::uint32_t mInboxPartitionsLeft = 0;
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -46,6 +46,7 @@
   row.mOwnerIncarnation = mContext.mSelf.mIncarnation;
   row.mEpoch = mClaim.mEpoch;
   row.mPending = mClaim.mPending;
+  row.mRecordsSince = mClaim.mRecordsSince;
   const MonotonicTime sentAt = mContext.Now();
   AssumeEarlierLeases(sentAt);
   SetLeaseEnds(row, sentAt);
@@ -112,9 +113,9 @@
         aRead.mRows.empty() ? std::string() : aRead.mRows.back().mKey;
       for (StoreRow& row : aRead.mRows) {
         const std::string_view key = row.mKey;
-        if (key == kRunnersKey) {
-          self->mInheritedRunners =
-            ParseRunners(row.mValue, self->mContext.mStoreClock);
+        if (IsRunnerRow(key)) {
+          self->mRunnerRows.emplace(row.mKey,
+                                    ParseRunnerRow(key, std::move(row.mValue)));
         } else if (key == kInterferenceKey) {
           dispatch::Adopt(self->mDispatcher.mInterference,
                           ParseInterference(row.mValue),
@@ -137,19 +138,25 @@
 ShardOwner::State::BeginFencing(MonotonicTime aNow)
 {
   const NodeSettings& settings = mContext.mSettings;
-  for (const dispatch::InheritedRunner& runner : mInheritedRunners) {
+  const std::vector<dispatch::InheritedRunner> inherited =
+    InheritedRunners(mRunnerRows, mClaim.mRecordsSince, mContext.mStoreClock);
+  const RunnerIncarnations first = IncarnationsInFirstRow(mRunnerRows);
+  for (const dispatch::InheritedRunner& runner : inherited) {
     dispatch::AddInheritedRunner(mDispatcher, runner, aNow);
+    if (first.contains(runner.mSpec.mId)) {
+      mInheritedInFirstRow.insert(
+        static_cast<dispatch::RunnerIndex>(mInheritedProcesses.size()));
+    }
     mStoredRunners.emplace(runner.mSpec.mId, runner.mSpec.mIncarnation);
     mInheritedProcesses.push_back(
       { runner.mSpec.mId, runner.mSpec.mIncarnation });
   }
   const auto recorded =
-    std::count_if(mInheritedRunners.begin(),
-                  mInheritedRunners.end(),
+    std::count_if(inherited.begin(),
+                  inherited.end(),
                   [](const dispatch::InheritedRunner& aRunner) {
                     return aRunner.mPossibleRuns.has_value();
                   });
-  mInheritedRunners.clear();
   if (mInheritedProcesses.empty()) {
     // No earlier owner could use any runner, nor count on a majority.
     mMajorityFenced = true;
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -517,6 +517,7 @@
   node.mContext.mSelf.mIncarnation = mNextIncarnation++;
   node.mContext.mSelf.mMilliCores = 100;
   node.mContext.mPartitions = mPartitions;
+  node.mContext.mSettings.mStoreLimits = mStore.mLimits;
   node.mContext.mStore = MakeStorePort(caller);
   node.mContext.mRunners = MakeRunnerPort(caller);
   node.mContext.mDirectory = MakeDirectoryPort(caller);
--- a/Tests/LibNode/TestRunnerList.cpp
+++ b/Tests/LibNode/TestRunnerList.cpp
@@ -25,21 +25,16 @@
 {
   /// @param aRackBytes length of the name of each runner's rack, which is in
   ///                   the stored list
-  Shard(std::size_t aRunners, std::uint32_t aTasks, std::size_t aRackBytes)
-    : mCluster(aRunners)
-  {
-    for (auto& [id, runner] : mCluster.mRunners) {
-      runner.mRack = std::string(aRackBytes, 'r');
-    }
-    Begin(aTasks);
-  }
-
   Shard(std::size_t aRunners,
         std::uint32_t aTasks,
+        std::size_t aRackBytes,
         const StoreLimits& aLimits = {})
     : mCluster(aRunners)
   {
     mCluster.mStore.mLimits = aLimits;
+    for (auto& [id, runner] : mCluster.mRunners) {
+      runner.mRack = std::string(aRackBytes, 'r');
+    }
     Begin(aTasks);
   }
 
@@ -131,7 +126,7 @@
 TEST(RunnerList, MoreRecordsThanARowHoldsStopNothing)
 {
   // The list fits into its row without the records, but not with them.
-  Shard shard(40, 300, std::size_t{ 1430 });
+  Shard shard(40, 300, 1430);
   ClusterSimulation& cluster = shard.mCluster;
   LONGS_EQUAL(0, cluster.mStore.mRejected);
   shard.LoseRunners(18);
@@ -151,7 +146,7 @@
   std::string problems;
   for (const std::string& key :
        { std::string("runners"), std::string("interference"), "job/" + wide }) {
-    Shard shard(6, 20);
+    Shard shard(6, 20, 0);
     ClusterSimulation& cluster = shard.mCluster;
     cluster.Submit("a", wide, dispatch::StepKind::Finite, 4);
     cluster.mStore.mRejectsKey = [key](const std::string& aKey) {
@@ -194,3 +189,153 @@
   }
   STRCMP_EQUAL("", problems.c_str());
 }
+
+namespace {
+
+/// Bounds that spread the list of eight runners over two rows, and that let a
+/// transaction change two of them.
+StoreLimits
+NarrowLimits()
+{
+  StoreLimits limits;
+  limits.mRowBytes = 1500;
+  limits.mEntries = 4;
+  return limits;
+}
+
+constexpr std::size_t kLongRack = 200;
+
+} // namespace
+
+// Guards against a task that runs twice, or is not started again, because a
+// later owner reads a list of which only a part is stored.
+TEST(RunnerList, AHalfStoredListDoublesAndForgetsNoTask)
+{
+  enum class Change
+  {
+    Kill,
+    Freeze,
+    DrainAndKill
+  };
+  std::string problems;
+  bool several = false;
+  for (const bool gone : { true, false }) {
+    for (const Change change :
+         { Change::Kill, Change::Freeze, Change::DrainAndKill }) {
+      for (Millis after(900); after <= Millis(1900); after += Millis(25)) {
+        Shard shard(8, 60, kLongRack, NarrowLimits());
+        ClusterSimulation& cluster = shard.mCluster;
+        several =
+          several || !cluster.mStore.Value("progress-0", "runners/1").empty();
+        cluster.mStore.mMaxRounds = 1;
+        const MonotonicTime lostAt = cluster.mNow;
+        std::vector<std::string> away;
+        for (const auto& [id, runner] : cluster.mRunners) {
+          if (away.size() < 2 && !runner.mRunning.empty()) {
+            away.push_back(id);
+          }
+        }
+        for (const std::string& id : away) {
+          if (gone) {
+            cluster.RemoveRunner(id, Millis(4500));
+          } else {
+            cluster.SetPath(ClusterSimulation::kAll, id, { true, Millis(0) });
+          }
+        }
+        if (change == Change::DrainAndKill) {
+          cluster.AdvanceTime(Millis(900));
+          cluster.mNodes.at(shard.mOwner).mNode->Drain();
+          cluster.AdvanceTime(after - Millis(900));
+        } else {
+          cluster.AdvanceTime(after);
+        }
+        if (change == Change::Freeze) {
+          cluster.FreezeNode(shard.mOwner);
+        } else {
+          cluster.KillNode(shard.mOwner);
+        }
+        cluster.AwaitOwner(shard.mEpoch + 1, Seconds(30));
+        const MonotonicTime limit =
+          std::max(lostAt + Seconds(10), cluster.mNow + Seconds(8));
+        std::string problem = shard.NotRunningAt(limit);
+        problem += cluster.Overlap();
+        if (cluster.mStore.mRejected > 0) {
+          problem += "a transaction was rejected\n";
+        }
+        if (!problem.empty()) {
+          problems += (gone ? "gone, " : "cut off, ") +
+                      std::to_string(after.count()) + " ms, change " +
+                      std::to_string(static_cast<int>(change)) + ": " + problem;
+        }
+      }
+    }
+  }
+  CHECK_TRUE(several);
+  STRCMP_EQUAL("", problems.c_str());
+}
+
+// Guards against a task that runs twice because a later owner believes a record
+// in a row of its own although an owner of an earlier version, which does not
+// know these rows, has used the runner since.
+TEST(RunnerList, ARecordBeforeAnEarlierVersionIsNotBelieved)
+{
+  for (const bool earlierVersion : { false, true }) {
+    Shard shard(8, 60, kLongRack, NarrowLimits());
+    ClusterSimulation& cluster = shard.mCluster;
+    FakeStore& store = cluster.mStore;
+    const std::string recorded = cluster.RunnerOf(TaskNamed(kJob, 0));
+    std::string other;
+    std::string moved;
+    for (const auto& [id, runner] : cluster.mRunners) {
+      if (id != recorded && !runner.mRunning.empty()) {
+        other = id;
+        moved = runner.mRunning.front().mTask;
+      }
+    }
+    cluster.SetPath(ClusterSimulation::kAll, recorded, { true, Millis(0) });
+    cluster.AdvanceTime(Seconds(2));
+    CHECK_FALSE(store.Value("progress-0", "record/" + recorded).empty());
+    cluster.KillNode(shard.mOwner);
+    cluster.KillNode("a");
+    cluster.KillNode("b");
+    cluster.KillNode("c");
+    // The owner in between has written the shard's row as earlier versions do,
+    // and has started a task on the runner with the record.
+    ShardRow row = cluster.Shard();
+    row.mOwner.clear();
+    row.mEpoch += 1;
+    row.mLeasesEndMs += 6000;
+    std::string text = FormatShardRow(row);
+    if (earlierVersion) {
+      const std::string member =
+        "\"records_since\":" + std::to_string(row.mRecordsSince);
+      const std::size_t at = text.find("," + member);
+      CHECK_TRUE(at != std::string::npos);
+      text.erase(at, member.size() + 1);
+      ClusterSimulation::FakeRunner& runner = cluster.mRunners.at(recorded);
+      const std::int64_t run = row.mEpoch << 20;
+      cluster.EndRun(moved, dispatch::EndKind::Stopped);
+      runner.mRunning.push_back({ moved, run });
+      runner.mLeaseEndMs += 6000;
+      cluster.mHistory[moved].push_back({ recorded, run, cluster.mNow, {} });
+    }
+    StoreTransaction transaction;
+    transaction.mPuts.push_back({ kClusterTable,
+                                  cluster.mPartitions.OfShards(),
+                                  ShardKey(0),
+                                  text,
+                                  0,
+                                  false });
+    store.Port().mTransact(
+      transaction, Millis(0), [](const TransactionOutcome&) {});
+    const MonotonicTime changeAt = cluster.mNow;
+    for (const char* node : { "a", "b", "c" }) {
+      cluster.StartNode(node);
+    }
+    cluster.AwaitOwner(row.mEpoch + 1, Seconds(30));
+    LONGS_EQUAL(earlierVersion ? row.mEpoch + 1 : row.mRecordsSince,
+                cluster.Shard().mRecordsSince);
+    STRCMP_EQUAL("", shard.NotRunningAt(changeAt + Seconds(20)).c_str());
+    STRCMP_EQUAL("", cluster.Overlap().c_str());
+  }
+}
