--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -12,6 +12,7 @@
 
 #include <LibDispatch/Dispatcher.h>
 #include <LibNode/NodeContext.h>
+#include <LibNode/RunnerRows.h>
 #include <LibNode/ShardOwner.h>
 
 namespace paddle {
@@ -20,9 +21,6 @@
 /// it, and every later transaction of the owner checks its version and replaces
 /// it (see ShardOwner::State::mSequenceRowVersion).
 inline constexpr const char* kCommitSequenceKey = "chain";
-/// Key in a shard's progress table of the list of runners that the shard's
-/// tasks may use.
-inline constexpr const char* kRunnersKey = "runners";
 /// Key in a shard's progress table of the interference estimates.
 inline constexpr const char* kInterferenceKey = "interference";
 /// Prefix of the keys in a shard's progress table under which the progress of
@@ -72,6 +70,22 @@
   Millis mBackOff{ 0 };  ///< Delay after the last failure; 0: none failed.
 };
 
+/// A transaction of a commit or list that is still to be stored. It can be
+/// split into its parts if the store rejects it.
+struct PendingTransaction
+{
+  struct Part
+  {
+    StoreTransaction mEntries;
+    /// Index in Commit::mJobs of the job whose rows these are, if they are rows
+    /// of a job.
+    std::optional<std::size_t> mJob;
+  };
+  std::vector<Part> mParts;
+  /// The same changes as rows of the list of runners, if it is a part of one.
+  std::vector<RunnerRowChange> mListChanges;
+};
+
 /// State of a shard's owner. The handlers of its calls share it, so that it
 /// lives until the last of them was called.
 struct ShardOwner::State : std::enable_shared_from_this<State>
@@ -113,7 +127,9 @@
                          std::int64_t aIncarnation,
                          MonotonicTime aNow);
   /// @return the time since which a majority of the runners has answered, see
-  ///         dispatch::MajorityContactAt()
+  ///         dispatch::MajorityContactAt(): both of all runners of the list and
+  ///         of those in its first row, since a later owner of an earlier
+  ///         version reads only that row
   [[nodiscard]] MonotonicTime MajorityContact() const;
   /// Sets until when the dispatcher may grant leases and whether it may start
   /// tasks, according to the age of the last stored renewal.
@@ -170,6 +186,14 @@
   [[nodiscard]] std::string NextSequenceValue() const;
   /// Handles the result of the transaction in flight.
   void HandleTransaction(const TransactionOutcome& aOutcome);
+  /// @return the entries that store a job's progress or end
+  PendingTransaction::Part MakeJobPart(std::size_t aJob, MonotonicTime aNow);
+  /// Handles the rejection of the first of mTransactions, so that what is
+  /// behind it goes on: a list is given up, a commit is split, and a single
+  /// part of a commit is left out of it.
+  void HandleRejection();
+  /// Handles a commit of which all transactions were stored or rejected.
+  void HandleCommitStored();
   /// Stores the list of runners that the shard's tasks may use.
   void StoreRunners();
   /// @return the entry of a runner in the list; if it holds a record of the
@@ -183,6 +207,10 @@
   [[nodiscard]] bool ListPinned(MonotonicTime aNow) const;
   /// Lets the dispatcher use the runners of the list that has been stored.
   void HandleRunnersStored();
+  /// Gives up the list that is being stored, after a rejection.
+  void HandleRunnersRejected();
+  /// @return table and partition of the rows of the list
+  [[nodiscard]] StoreKey RunnerRowName() const;
   /// @return whether the stored list of runners must be replaced now: a runner
   ///         has come, left or restarted, or the record of what a silent runner
   ///         may run has to be added, removed or changed
@@ -215,6 +243,9 @@
   /// RunnerIndex, and those of them that reject it by now.
   std::vector<dispatch::RunnerProcess> mInheritedProcesses;
   std::set<dispatch::RunnerIndex> mFencedRunners;
+  /// Those of them in the first row of that list, of which an earlier owner
+  /// needed a majority as well, see MajorityContact().
+  std::set<dispatch::RunnerIndex> mInheritedInFirstRow;
   bool mMajorityFenced = false;
   /// Whether tasks may be started, as last logged.
   bool mMayStartLogged = true;
@@ -228,6 +259,10 @@
   bool mShardRunnersRead = false;
   bool mAnyListedNotStored = false; ///< One of them is not in mStoredRunners.
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
+  /// No list is sent before this time, because one was rejected.
+  MonotonicTime mListRetryAt;
+  /// Whether the last list was rejected, so that the next one has no records.
+  bool mListRejected = false;
   /// Whether the list that is being stored, or has been stored, is the last one
   /// of this owner, which states when the leases of every runner end.
   bool mFinalListSent = false;
@@ -236,8 +271,8 @@
   std::map<std::string, std::int64_t> mStoredRunners;
   /// Progress by job id, as the earlier owner stored it.
   std::unordered_map<std::string, std::string> mStoredProgress;
-  /// Runners that the earlier owner used.
-  std::vector<dispatch::InheritedRunner> mInheritedRunners;
+  /// The rows of the list of runners, as they are stored.
+  RunnerRows mRunnerRows;
   std::vector<StoreRow> mInboxRows; ///< Rows of the present full read.
   /// Partitions that the present full read of the inbox has not finished.
   std::uint32_t mInboxPartitionsLeft = 0;
@@ -253,11 +288,18 @@
   std::uint64_t mLastTransactionNumber = 0;
   /// Transactions still to be stored for the present commit; one is sent at a
   /// time.
-  std::deque<StoreTransaction> mTransactions;
+  std::deque<PendingTransaction> mTransactions;
   /// Changes of progress that are being stored.
   std::optional<dispatch::Commit> mCommit;
   /// Phases of the jobs in mCommit when it was begun, in the same order.
   std::vector<dispatch::JobPhase> mCommitPhases;
+  /// Indices of the jobs in mCommit that the store has rejected.
+  std::set<std::size_t> mRejectedInCommit;
+  /// Whether the interference estimates were rejected. From then on they get a
+  /// transaction of their own.
+  bool mInterferenceRejected = false;
+  MonotonicTime mRejectedJobsRetryAt; ///< When rejected jobs are sent again.
+  MonotonicTime mRejectionLoggedAt;
   bool mTransactionInFlight = false;
   bool mStoringRunners = false;
   /// Jobs whose end is stored. A read of the inbox that was in flight at the
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -186,6 +186,7 @@
         spec.mAddress = id;
         spec.mService = "service";
         spec.mDataCentre = "zone";
+        spec.mRack = runner.mRack;
         spec.mCapacity = { 16000, 64000, 0 };
         spec.mIncarnation = runner.mIncarnation;
         spec.mDraining = runner.mDraining;
@@ -516,6 +517,7 @@
   node.mContext.mSelf.mIncarnation = mNextIncarnation++;
   node.mContext.mSelf.mMilliCores = 100;
   node.mContext.mPartitions = mPartitions;
+  node.mContext.mSettings.mStoreLimits = mStore.mLimits;
   node.mContext.mStore = MakeStorePort(caller);
   node.mContext.mRunners = MakeRunnerPort(caller);
   node.mContext.mDirectory = MakeDirectoryPort(caller);
