Tests: Let entries of a list move, and start tasks while records are removed

Without these, a first row that is written before the others, and a list that is used after the first of its transactions, were not noticed.

--- a/Tests/LibNode/TestRunnerList.cpp
+++ b/Tests/LibNode/TestRunnerList.cpp
@@ -339,3 +339,65 @@
     STRCMP_EQUAL("", cluster.Overlap().c_str());
   }
 }
+
+// Guards against a task that runs twice because it was started on a recorded
+// runner that answers again before all transactions are stored that remove the
+// records: a later owner believes the record and starts the task elsewhere.
+TEST(RunnerList, NoTaskStartsBeforeAllRecordsAreRemoved)
+{
+  std::string problems;
+  std::size_t started = 0;
+  for (const std::string unreached : { "r0", "r1", "r2", "r3", "r4" }) {
+    for (Millis after(0); after <= Millis(800); after += Millis(50)) {
+      Shard shard(8, 40, kLongRack, NarrowLimits());
+      ClusterSimulation& cluster = shard.mCluster;
+      const std::vector<std::string> silent{ "r0", "r1", "r2", "r3", "r4" };
+      for (const std::string& id : silent) {
+        cluster.SetPath(shard.mOwner, id, { true, Millis(0) });
+      }
+      for (const char* id : { "r5", "r6", "r7" }) {
+        cluster.mRunners.at(id).mDraining = true;
+      }
+      // The tasks of this job wait for the silent runners.
+      cluster.Submit("b", kOtherJob, dispatch::StepKind::LongRunning, 24);
+      CHECK_FALSE(cluster.mStore.Value("progress-0", "record/r4").empty() &&
+                  cluster.mStore.Value("progress-0", "record/r0").empty());
+      cluster.mStore.mMaxRounds = 1;
+      for (const std::string& id : silent) {
+        cluster.SetPath(shard.mOwner, id, { false, Millis(0) });
+      }
+      for (const auto& [name, node] : cluster.mNodes) {
+        if (name != shard.mOwner) {
+          cluster.SetPath(name, unreached, { true, Millis(0) });
+        }
+      }
+      // The store serves a transaction each 100 ms.
+      for (Millis passed(0); passed < after; passed += Millis(25)) {
+        cluster.mStore.mPaused = passed % Millis(100) != Millis(0);
+        cluster.AdvanceTime(Millis(25));
+      }
+      cluster.KillNode(shard.mOwner);
+      // The transaction that is under way does not reach the store.
+      cluster.mStore.mPaused = false;
+      cluster.mStore.mRefuses = true;
+      cluster.mStore.Run();
+      cluster.mStore.mRefuses = false;
+      started += cluster.Running(TaskNamed(kOtherJob, 0));
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = false;
+      }
+      cluster.AdvanceTime(Seconds(20));
+      const std::string overlap = cluster.Overlap();
+      if (!overlap.empty()) {
+        problems.append(unreached)
+          .append(" unreached, ")
+          .append(std::to_string(after.count()))
+          .append(" ms: ")
+          .append(overlap)
+          .append("\n");
+      }
+    }
+  }
+  CHECK_TRUE(started > 0);
+  STRCMP_EQUAL("", problems.c_str());
+}
--- a/Tests/LibNode/TestRunnerRows.cpp
+++ b/Tests/LibNode/TestRunnerRows.cpp
@@ -261,7 +261,8 @@
         }
         if (random() % 8 == 0) {
           ++runner.mSpec.mIncarnation;
-          runner.mSpec.mAddress += "0";
+          // A longer entry may have to move to another row.
+          runner.mSpec.mAddress.resize(18 + random() % 150, '0');
         }
         after.erase(runner.mSpec.mId);
         if (random() % 60 < count) {
