LibNode: Refuse a job whose row the store never takes, with the reason

A job of up to 1,000 steps of 250 bytes and more, with texts of any length, was stored without a look at its size. The store rejected the row with 400, the client was told 503 and to come back later, and did so again and again.

A job that the store rejects nevertheless is answered with 400 too, without repeating the transaction; with 504 if an earlier transaction of the request got no answer, since that one may have been stored.

--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -168,8 +168,14 @@
     case StoreResult::Conflict:
       finish(ClientAnswer::Accepted, "accepted_before");
       return;
-    case StoreResult::NotApplied:
     case StoreResult::Rejected:
+      // The transaction is not repeated, because it can't succeed. An earlier
+      // one without an answer may nevertheless have been stored.
+      finish(aSubmission->mMayBeStored ? ClientAnswer::Unknown
+                                       : ClientAnswer::Rejected,
+             "store_rejected");
+      return;
+    case StoreResult::NotApplied:
       if (!aSubmission->mMayBeStored) {
         finish(ClientAnswer::NotAccepted, "store_refused");
         return;
--- a/Libraries/LibNode/ClientFrontEnd.h
+++ b/Libraries/LibNode/ClientFrontEnd.h
@@ -19,6 +19,9 @@
   Accepted, ///< The request is stored; also if it had been accepted before.
   /// The job certainly never runs; the client may submit it again.
   NotAccepted,
+  /// The job is not stored, and the store does not take it however often the
+  /// client submits it.
+  Rejected,
   NoSuchRoute, ///< No queue serves the request's host and path.
   NoSuchJob,
   /// The job may be stored: the client must submit it again with the same id.
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -1,5 +1,6 @@
 #include <LibNode/JobRows.h>
 
+#include <cstdint>
 #include <json/value.h>
 #include <memory>
 
@@ -177,6 +178,18 @@
   return job;
 }
 
+std::optional<LimitViolation>
+FindJobViolation(const dispatch::JobSpec& aJob, const StoreLimits& aLimits)
+{
+  const std::size_t bytes = FormatAcceptedJob({ aJob, INT64_MAX }).size();
+  if (bytes > aLimits.mRowBytes) {
+    return LimitViolation{
+      "row_bytes", "accepted/" + aJob.mId, bytes, aLimits.mRowBytes
+    };
+  }
+  return {};
+}
+
 std::string
 FormatStatus(const JobStatus& aStatus)
 {
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -10,6 +10,7 @@
 #include <LibDispatch/Job.h>
 #include <LibDispatch/Runner.h>
 #include <LibNode/StoreClock.h>
+#include <LibNode/StoreLimits.h>
 
 namespace paddle {
 
@@ -36,6 +37,13 @@
 std::optional<AcceptedJob>
 ParseAcceptedJob(std::string_view aText);
 
+/// Finds out before a job is accepted whether the store takes its rows. The row
+/// in the inbox is the largest of them that doesn't change; the status row has
+/// only texts that it has too.
+/// @return the bound that the job exceeds, if any
+std::optional<LimitViolation>
+FindJobViolation(const dispatch::JobSpec& aJob, const StoreLimits& aLimits);
+
 /// Formats the row of a job in the status table.
 std::string
 FormatStatus(const JobStatus& aStatus);
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -153,6 +153,40 @@
   LONGS_EQUAL(1, mCluster.mStarts);
 }
 
+// Guards against the answer "try again later" for a job that the store never
+// takes: the client would submit it again and again.
+TEST(Node, RejectsAJobThatTheStoreNeverTakes)
+{
+  Begin();
+  mCluster.mStore.mLimits.mNameBytes = 15;
+  CHECK_TRUE(mCluster.Submit("a", kJob) == ClientAnswer::Rejected);
+  mCluster.mStore.mLimits = {};
+  CHECK_TRUE(mCluster.Status("a", kJob).mAnswer == ClientAnswer::NoSuchJob);
+}
+
+// Guards against the claim that a job was not stored after an earlier
+// transaction that got no answer and may have been stored.
+TEST(Node, DoesNotDenyAJobThatMayBeStoredWhenTheStoreRejectsIt)
+{
+  Begin();
+  ClientAnswer answer = ClientAnswer::Unavailable;
+  dispatch::JobSpec spec;
+  spec.mId = kJob;
+  spec.mQueue = "q";
+  spec.mPayload = std::string(4000, 'x');
+  spec.mSteps.emplace_back().mTaskCount = 1;
+  mCluster.mStore.mLoseNextAnswers = 1;
+  mCluster.mNodes.at("a").mNode->FrontEnd().Submit(
+    spec, [&](ClientAnswer aAnswer) { answer = aAnswer; });
+  mCluster.mStore.Run();
+  LONGS_EQUAL(0, mCluster.mStore.mLoseNextAnswers);
+  mCluster.mStore.mLimits.mRowBytes = 3000;
+  mCluster.AdvanceTime(Seconds(3));
+  CHECK_TRUE(answer == ClientAnswer::Unknown);
+  CHECK_TRUE(mCluster.mStore.mRejected > 0);
+  LONGS_EQUAL(1, mCluster.mStore.Rows("jobs"));
+}
+
 // Guards against a delayed transaction of the same owner that replaces newer
 // progress with older: a later owner would run a finished task again.
 TEST(Node, FencesItsOwnLateTransactions)
