LibNode: Keep the progress row of every accepted job within 65,536 bytes

The row has a digit for each task, the numbers of all failed runs and the checkpoints, which may have any length. A wide job, or one with many occurrences, outgrew the row; the store rejected it, and nothing behind it was stored.

Where the row is too large, checkpoints are left out first, then the numbers of all failed runs of a task but the last: a compact text has the count and the last run of each task, in nine bytes at most. A run before the last one that was stored counts as counted. The flags keep their format, so that the version before reads them; it does not read the compact text, and the usual row is unchanged byte for byte.

At 34 bytes and more for a step and its tasks, 6,500 tasks of one step fit, or 1,000 steps of four tasks. The next occurrence of a repeated job waits while the unfinished ones and it could not be stored together; "occurrence_held" tells so.

Before the change (the new bounds disabled, formats as before): TestJobRows.cpp:184: Failure in TEST(JobRows, TheProgressOfEachAcceptedJobFits) CHECK_TRUE(text.size() <= kRowBytes) failed TestJobRows.cpp:138: Failure in TEST(JobRows, KeepsFlagsAndCountsOfFailedRunsOfAWideJob): the same check TestJobRows.cpp:127: Failure in TEST(JobRows, LeavesOutOnlyTheCheckpointThatIsTooLarge) CHECK_FALSE(checkpoints.contains(1)) failed TestJobRows.cpp:107: Failure in TEST(JobRows, LeavesOutCheckpointsThatDoNotFit) CHECK_TRUE(text.size() <= kRowBytes) failed TestJobLimits.cpp:80: Failure in TEST(JobLimits, RefusesAJobWithTooManyTasks) TestTakeover.cpp:642: Failure in TEST(Takeover, HoldsAnOccurrenceWhoseProgressDoesNotFit) expected <2> but was <4> TestTakeover.cpp:614: Failure in TEST(Takeover, CountsEachFailureOnceWithoutTheNumbersOfAllRuns) expected <2> but was <3>

The steps of TestJobLimits have 20 tasks now instead of 9999, so that the bound of the inbox row still applies first.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -51,6 +51,16 @@
   }
 }
 
+std::size_t
+ProgressBytesBound(const JobSpec& aJob, std::size_t aOccurrences)
+{
+  std::size_t bytes = kProgressBytesPerOccurrence;
+  for (const StepSpec& step : aJob.mSteps) {
+    bytes += kProgressBytesPerStep + kProgressBytesPerTask * step.mTaskCount;
+  }
+  return kProgressBytes + aOccurrences * bytes;
+}
+
 JobProgress
 ProgressOf(const Job& aJob)
 {
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -352,6 +352,12 @@
 RenewalPlan
 PlanRenewal(Dispatcher& aDispatcher, RunnerIndex aRunner, MonotonicTime aNow);
 
+/// @param aOccurrences number of occurrences that have begun and not ended
+/// @return the bytes that the stored progress of a job takes at most when all
+///         of its tasks have failed and none is done
+std::size_t
+ProgressBytesBound(const JobSpec& aJob, std::size_t aOccurrences);
+
 /// Processors of a shard, summed up over its runners.
 struct ShardCapacity
 {
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -28,6 +29,21 @@
   Done
 };
 
+/// Stands for a failed run of which only the count is stored, because the
+/// numbers of all runs would make the progress too large.
+inline constexpr std::int64_t kUnlistedRun = 0;
+
+/// Bounds of the stored progress of a job, which LibNode formats: 65,536 bytes
+/// are the largest row of the store. A step takes 24 bytes and up to 10 for
+/// each task, if checkpoints and the numbers of earlier failed runs are left
+/// out: one for the flag that it is done, and nine for the number of its failed
+/// runs and the last one.
+inline constexpr std::size_t kMaxProgressBytes = 65536;
+inline constexpr std::size_t kProgressBytes = 256; ///< Beside occurrences.
+inline constexpr std::size_t kProgressBytesPerOccurrence = 20;
+inline constexpr std::size_t kProgressBytesPerStep = 24;
+inline constexpr std::size_t kProgressBytesPerTask = 10;
+
 /// Why a task is being stopped.
 enum class StopCause : std::uint8_t
 {
@@ -55,7 +71,8 @@
   MonotonicTime mPaceSentAt;
   /// Numbers of the runs that failed. They are kept so that no failure is
   /// counted twice: a runner reports an end that was stored but not
-  /// acknowledged again to a later owner.
+  /// acknowledged again to a later owner. kUnlistedRun stands for a failed run
+  /// before the next one in the list.
   std::vector<std::int64_t> mFailedRuns;
   std::int64_t mRun = 0;              ///< Number of the latest run.
   RunnerIndex mRunner = kNoRunner;    ///< Runner that may run the task now.
@@ -145,6 +162,9 @@
   /// when the recovery after the takeover is complete.
   bool mInherited = false;
   bool mBegan = false; ///< Whether any task has ever been started.
+  /// Whether an occurrence that is due waits for earlier ones to end, because
+  /// the progress of all of them would be too large.
+  bool mOccurrenceHeld = false;
   bool mDirty = false; ///< Whether there are changes that no commit carries.
   bool mTerminalCommitted = false; ///< Whether the final phase is stored.
 };
@@ -172,7 +192,7 @@
 struct StepProgress
 {
   std::vector<bool> mDone; ///< By task index.
-  /// Numbers of the failed runs, by task index.
+  /// Numbers of the failed runs, by task index, see Task::mFailedRuns.
   std::map<std::uint32_t, std::vector<std::int64_t>> mFailedRuns;
   std::map<std::uint32_t, std::string> mCheckpoints; ///< By task index.
 };
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -284,6 +284,20 @@
     if (aJob.mSpec.mOccurrences > 0 && due > aUnixMs) {
       return;
     }
+    if (!aJob.mOccurrences.empty() &&
+        ProgressBytesBound(aJob.mSpec, aJob.mOccurrences.size() + 1) >
+          kMaxProgressBytes) {
+      if (!aJob.mOccurrenceHeld) {
+        Emit(aDispatcher,
+             "occurrence_held",
+             &aJob,
+             "unfinished=" + std::to_string(aJob.mOccurrences.size()) +
+               " cause=progress_bytes");
+      }
+      aJob.mOccurrenceHeld = true;
+      return;
+    }
+    aJob.mOccurrenceHeld = false;
     const std::uint32_t number = aJob.mOccurrencesBegun++;
     Occurrence occurrence = MakeOccurrence(aDispatcher, aJob);
     const bool timed = aJob.mSpec.mOccurrences > 0;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -66,6 +66,21 @@
   aDispatcher.mCommitUrgent = true;
 }
 
+/// @param aFailed the failed runs of a task that have been counted
+/// @return whether this one is among them
+bool
+WasCounted(const std::vector<std::int64_t>& aFailed, std::int64_t aRun)
+{
+  const auto listed =
+    std::find_if(aFailed.begin(), aFailed.end(), [](std::int64_t aOther) {
+      return aOther != kUnlistedRun;
+    });
+  if (listed != aFailed.begin() && listed != aFailed.end() && aRun <= *listed) {
+    return true;
+  }
+  return std::find(listed, aFailed.end(), aRun) != aFailed.end();
+}
+
 /// Counts a failed run, unless it has been counted before. The job fails if the
 /// task may not be tried again.
 /// @return whether the run was counted
@@ -85,7 +100,7 @@
   // The failures of a gang are counted for its first member.
   std::vector<std::int64_t>& failed =
     step.mTasks[spec.mGang ? 0 : aTask.mIndex].mFailedRuns;
-  if (std::find(failed.begin(), failed.end(), aRun) != failed.end()) {
+  if (WasCounted(failed, aRun)) {
     return false;
   }
   failed.push_back(aRun);
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -1,11 +1,13 @@
 #include <LibNode/JobRows.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <json/value.h>
 #include <memory>
 
 #include <LibBase/JsonReader.h>
 #include <LibDispatch/Dispatcher.h>
+#include <LibNode/ShardState.h>
 
 namespace paddle {
 
@@ -136,6 +138,186 @@
   return JobPhase::Active;
 }
 
+/// Digits of the compact form of failed runs. None of them is escaped in JSON.
+constexpr std::string_view kDigits =
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+/// A digit holds five bits of a number; the sixth tells that more follow.
+constexpr int kBitsPerDigit = 5;
+constexpr std::uint64_t kDigitMask = (1U << kBitsPerDigit) - 1;
+/// Largest values in the compact form, which take 2 and 6 digits. 2^30 runs
+/// are those of 1,024 epochs.
+constexpr std::uint64_t kMaxFailureCount = (1U << 10) - 1;
+constexpr std::uint64_t kMaxRunDistance = (1U << 30) - 1;
+
+/// How the failed runs of a job are stored.
+enum class FailedRuns
+{
+  Listed, ///< All numbers. Versions before the compact form read only this.
+  Compact ///< For each task, the number of failed runs and the last one.
+};
+
+void
+AppendNumber(std::string& aText, std::uint64_t aNumber)
+{
+  for (; aNumber > kDigitMask; aNumber >>= kBitsPerDigit) {
+    aText += kDigits[(aNumber & kDigitMask) + kDigitMask + 1];
+  }
+  aText += kDigits[aNumber];
+}
+
+/// Takes a number that AppendNumber() wrote from the beginning of a text.
+/// @return nothing if there is none
+std::optional<std::uint64_t>
+TakeNumber(std::string_view& aText)
+{
+  std::uint64_t number = 0;
+  for (int shift = 0; !aText.empty() && shift < 60; shift += kBitsPerDigit) {
+    const std::size_t digit = kDigits.find(aText.front());
+    if (digit == std::string_view::npos) {
+      return {};
+    }
+    aText.remove_prefix(1);
+    number |= (digit & kDigitMask) << shift;
+    if (digit <= kDigitMask) {
+      return number;
+    }
+  }
+  return {};
+}
+
+std::int64_t
+LastOf(const std::vector<std::int64_t>& aRuns)
+{
+  return *std::max_element(aRuns.begin(), aRuns.end());
+}
+
+/// @return the highest number of a failed run, or 0 if none has failed
+std::int64_t
+LastFailedRun(const dispatch::JobProgress& aProgress)
+{
+  std::int64_t last = 0;
+  for (const auto& [number, steps] : aProgress.mOccurrences) {
+    for (const dispatch::StepProgress& step : steps) {
+      for (const auto& [index, runs] : step.mFailedRuns) {
+        last = std::max(last, LastOf(runs));
+      }
+    }
+  }
+  return last;
+}
+
+/// @param aLastRun the highest number of a failed run of the job
+/// @return three numbers for each task with failed runs: the distance from the
+///         index of the task before, the number of failed runs, and the
+///         distance of the last one from aLastRun
+std::string
+FormatCompactRuns(const dispatch::StepProgress& aStep, std::int64_t aLastRun)
+{
+  std::string text;
+  std::uint32_t next = 0;
+  for (const auto& [index, runs] : aStep.mFailedRuns) {
+    AppendNumber(text, index - next);
+    AppendNumber(text, std::min<std::uint64_t>(runs.size(), kMaxFailureCount));
+    AppendNumber(text,
+                 std::min(static_cast<std::uint64_t>(aLastRun - LastOf(runs)),
+                          kMaxRunDistance));
+    next = index + 1;
+  }
+  return text;
+}
+
+/// Adds the failed runs that FormatCompactRuns() wrote to those of the step. A
+/// malformed text ends early.
+void
+ReadCompactRuns(std::string_view aText,
+                std::int64_t aLastRun,
+                dispatch::StepProgress& aStep)
+{
+  std::uint64_t next = 0;
+  while (!aText.empty()) {
+    const std::optional<std::uint64_t> skipped = TakeNumber(aText);
+    const std::optional<std::uint64_t> count = TakeNumber(aText);
+    const std::optional<std::uint64_t> distance = TakeNumber(aText);
+    if (!skipped || !count || !distance || *count == 0 ||
+        *count > kMaxFailureCount || *distance > kMaxRunDistance ||
+        next + *skipped >= aStep.mDone.size()) {
+      return;
+    }
+    std::vector<std::int64_t>& runs =
+      aStep.mFailedRuns[static_cast<std::uint32_t>(next + *skipped)];
+    runs.assign(*count, dispatch::kUnlistedRun);
+    runs.back() = aLastRun - static_cast<std::int64_t>(*distance);
+    next += *skipped + 1;
+  }
+}
+
+/// @return the progress without the checkpoints
+Json::Value
+ProgressToJson(const dispatch::JobProgress& aProgress, FailedRuns aForm)
+{
+  Json::Value value(Json::objectValue);
+  value["phase"] = NameOf(aProgress.mPhase);
+  PutFlag(value, "began", aProgress.mBegan);
+  PutNumber(value, "occurrences_begun", aProgress.mOccurrencesBegun);
+  PutNumber(value, "occurrences_done", aProgress.mOccurrencesDone);
+  const std::int64_t lastRun =
+    aForm == FailedRuns::Compact ? LastFailedRun(aProgress) : 0;
+  PutNumber(value, "last_failed_run", lastRun);
+  for (const auto& [number, steps] : aProgress.mOccurrences) {
+    Json::Value list(Json::arrayValue);
+    for (const dispatch::StepProgress& step : steps) {
+      Json::Value entry(Json::objectValue);
+      std::string done;
+      for (const bool taskDone : step.mDone) {
+        done += taskDone ? '1' : '0';
+      }
+      entry["done"] = done;
+      if (aForm == FailedRuns::Compact) {
+        PutText(entry, "failed", FormatCompactRuns(step, lastRun));
+      } else {
+        for (const auto& [index, runs] : step.mFailedRuns) {
+          Json::Value& listed = entry["failed_runs"][std::to_string(index)];
+          for (const std::int64_t run : runs) {
+            listed.append(Json::Int64(run));
+          }
+        }
+      }
+      list.append(entry);
+    }
+    value["occurrences"][std::to_string(number)] = list;
+  }
+  return value;
+}
+
+/// Adds the checkpoints, in the order of the tasks, that fit into a number of
+/// bytes.
+/// @param aValue what ProgressToJson() has returned
+void
+AddCheckpoints(Json::Value& aValue,
+               const dispatch::JobProgress& aProgress,
+               std::size_t aBytes)
+{
+  constexpr std::size_t kMemberBytes = 11; // Of ,"saved":{}
+  constexpr std::size_t kEntryBytes = 4;   // Of "": and the comma
+  for (const auto& [number, steps] : aProgress.mOccurrences) {
+    Json::Value& list = aValue["occurrences"][std::to_string(number)];
+    for (Json::ArrayIndex i = 0; i < steps.size(); ++i) {
+      std::size_t memberBytes = kMemberBytes;
+      for (const auto& [index, checkpoint] : steps[i].mCheckpoints) {
+        const std::string name = std::to_string(index);
+        const std::size_t bytes =
+          memberBytes + kEntryBytes + name.size() +
+          (aBytes == SIZE_MAX ? 0 : WriteJson(checkpoint).size());
+        if (bytes <= aBytes) {
+          list[i]["saved"][name] = checkpoint;
+          memberBytes = 0;
+          aBytes -= aBytes == SIZE_MAX ? 0 : bytes;
+        }
+      }
+    }
+  }
+}
+
 } // namespace
 
 std::string
@@ -184,7 +366,13 @@
   const std::size_t bytes = FormatAcceptedJob({ aJob, INT64_MAX }).size();
   if (bytes > aLimits.mRowBytes) {
     return LimitViolation{
-      "row_bytes", "accepted/" + aJob.mId, bytes, aLimits.mRowBytes
+      "row_bytes", kAcceptedPrefix + aJob.mId, bytes, aLimits.mRowBytes
+    };
+  }
+  const std::size_t progress = dispatch::ProgressBytesBound(aJob, 1);
+  if (progress > aLimits.mRowBytes) {
+    return LimitViolation{
+      "row_bytes", kJobPrefix + aJob.mId, progress, aLimits.mRowBytes
     };
   }
   return {};
@@ -215,35 +403,23 @@
 }
 
 std::string
-FormatProgress(const dispatch::JobProgress& aProgress)
+FormatProgress(const dispatch::JobProgress& aProgress, std::size_t aMaxBytes)
 {
-  Json::Value value(Json::objectValue);
-  value["phase"] = NameOf(aProgress.mPhase);
-  PutFlag(value, "began", aProgress.mBegan);
-  PutNumber(value, "occurrences_begun", aProgress.mOccurrencesBegun);
-  PutNumber(value, "occurrences_done", aProgress.mOccurrencesDone);
-  for (const auto& [number, steps] : aProgress.mOccurrences) {
-    Json::Value list(Json::arrayValue);
-    for (const dispatch::StepProgress& step : steps) {
-      Json::Value entry(Json::objectValue);
-      std::string done;
-      for (const bool taskDone : step.mDone) {
-        done += taskDone ? '1' : '0';
-      }
-      entry["done"] = done;
-      for (const auto& [index, runs] : step.mFailedRuns) {
-        for (const std::int64_t run : runs) {
-          entry["failed_runs"][std::to_string(index)].append(Json::Int64(run));
-        }
-      }
-      for (const auto& [index, saved] : step.mCheckpoints) {
-        entry["saved"][std::to_string(index)] = saved;
-      }
-      list.append(entry);
+  Json::Value value = ProgressToJson(aProgress, FailedRuns::Listed);
+  AddCheckpoints(value, aProgress, SIZE_MAX);
+  std::string text = WriteJson(value);
+  if (text.size() <= aMaxBytes) {
+    return text;
+  }
+  for (const FailedRuns form : { FailedRuns::Listed, FailedRuns::Compact }) {
+    value = ProgressToJson(aProgress, form);
+    text = WriteJson(value);
+    if (text.size() <= aMaxBytes) {
+      AddCheckpoints(value, aProgress, aMaxBytes - text.size());
+      return WriteJson(value);
     }
-    value["occurrences"][std::to_string(number)] = list;
   }
-  return WriteJson(value);
+  return text;
 }
 
 std::optional<dispatch::JobProgress>
@@ -262,6 +438,7 @@
   if (!occurrences.isObject()) {
     return progress;
   }
+  const std::int64_t lastRun = (*value)["last_failed_run"].asInt64();
   const auto indexOf = [](const std::string& aName) {
     return static_cast<std::uint32_t>(std::strtoul(aName.c_str(), nullptr, 10));
   };
@@ -281,6 +458,7 @@
           }
         }
       }
+      ReadCompactRuns(entry["failed"].asString(), lastRun, step);
       const Json::Value& saved = entry["saved"];
       if (saved.isObject()) {
         for (const std::string& index : saved.getMemberNames()) {
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -37,9 +37,9 @@
 std::optional<AcceptedJob>
 ParseAcceptedJob(std::string_view aText);
 
-/// Finds out before a job is accepted whether the store takes its rows. The row
-/// in the inbox is the largest of them that doesn't change; the status row has
-/// only texts that it has too.
+/// Finds out before a job is accepted whether the store takes its rows: the row
+/// in the inbox, and the progress row at its largest with one occurrence. The
+/// status row has only texts that the row in the inbox has too.
 /// @return the bound that the job exceeds, if any
 std::optional<LimitViolation>
 FindJobViolation(const dispatch::JobSpec& aJob, const StoreLimits& aLimits);
@@ -50,9 +50,15 @@
 std::optional<JobStatus>
 ParseStatus(std::string_view aText);
 
-/// Formats the progress row of a job, which the shard's owner writes.
+/// Formats the progress row of a job, which the shard's owner writes. Where it
+/// would be too large, checkpoints are left out, so that their tasks start from
+/// the beginning, and then the numbers of all failed runs of a task but the
+/// last one. What remains is at most dispatch::ProgressBytesBound(), which
+/// FindJobViolation() checks for each job that is accepted.
+/// @param aMaxBytes largest size of the row
 std::string
-FormatProgress(const dispatch::JobProgress& aProgress);
+FormatProgress(const dispatch::JobProgress& aProgress,
+               std::size_t aMaxBytes = StoreLimits{}.mRowBytes);
 std::optional<dispatch::JobProgress>
 ParseProgress(std::string_view aText);
 
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -580,3 +580,69 @@
   LONGS_EQUAL(1, world.mMostRunsOfATask);
   LONGS_EQUAL(starts, world.mStarts);
 }
+
+// Guards against counting a failed run again whose number was left out of the
+// stored progress, and against not counting one that is new.
+TEST(Takeover, CountsEachFailureOnceWithoutTheNumbersOfAllRuns)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 8000) }));
+  world.AdvanceTime(Millis(500));
+  std::vector<std::int64_t> runs;
+  for (int i = 0; i < 2; ++i) {
+    const std::string runner = world.RunnerOf("job.0.0.0");
+    runs.push_back(world.mRunners[runner].mRunning[0].mRun);
+    world.End("job.0.0.0", EndKind::Failed);
+    world.AdvanceTime(Seconds(3));
+  }
+  std::vector<std::int64_t>& stored =
+    world.mStored.at("job").mOccurrences.at(0)[0].mFailedRuns.at(0);
+  CHECK_TRUE(stored == runs);
+  stored[0] = kUnlistedRun;
+  // The ends are reported again to the later owner.
+  for (const std::int64_t run : runs) {
+    DispatchWorld::FakeRunner& runner = world.mRunners["r3"];
+    runner.mEnds.push_back({ runner.mNextEnd++,
+                             *ParseTaskName("job.0.0.0"),
+                             run,
+                             EndKind::Failed,
+                             {} });
+  }
+  world.TakeOver(2);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2,
+              world.mDispatcher.mJobs.find("job")
+                ->second->mOccurrences.at(0)
+                .mSteps[0]
+                .mTasks[0]
+                .mFailedRuns.size());
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  world.End("job.0.0.0", EndKind::Failed);
+  world.AdvanceTime(Seconds(3));
+  LONGS_EQUAL(3,
+              world.mDispatcher.mJobs.find("job")
+                ->second->mOccurrences.at(0)
+                .mSteps[0]
+                .mTasks[0]
+                .mFailedRuns.size());
+}
+
+// Guards against progress that the store rejects because too many occurrences
+// of a wide job have begun, and against holding one back for good.
+TEST(Takeover, HoldsAnOccurrenceWhoseProgressDoesNotFit)
+{
+  DispatchWorld world;
+  JobSpec job = MakeJob("job", { FiniteStep(3000, 1000) });
+  job.mOccurrences = 4;
+  job.mIntervalMs = 1;
+  world.AddJob(job);
+  world.Tick();
+  Job& held = *world.mDispatcher.mJobs.find("job")->second;
+  LONGS_EQUAL(2, held.mOccurrences.size());
+  LONGS_EQUAL(2, held.mOccurrencesBegun);
+  CHECK_TRUE(ProgressBytesBound(job, 2) <= kMaxProgressBytes);
+  held.mOccurrences.erase(0);
+  world.Tick();
+  LONGS_EQUAL(3, held.mOccurrencesBegun);
+}
--- a/Tests/Platform/TestJobLimits.cpp
+++ b/Tests/Platform/TestJobLimits.cpp
@@ -15,7 +15,7 @@
 
 /// A step with a value in most fields and a long text in each text field.
 const std::string kLongStep =
-  R"({"count":9999,"cpu":1000000000,"mem_mb":1000000000,"gpu":1000000000,)"
+  R"({"count":20,"cpu":1000000000,"mem_mb":1000000000,"gpu":1000000000,)"
   R"("estimate_ms":1000000000,"checkpoints":true,"speculative":true,)"
   R"("anti_affinity":10000,"requires":")" +
   std::string(60, 'l') + R"(","data_rack":")" + std::string(60, 'r') +
@@ -61,7 +61,8 @@
 TEST(JobLimits, RefusesAJobWhoseRowIsTooLarge)
 {
   STRCMP_EQUAL("", ErrorFor(BodyOf("x", kLongStep, 100)).c_str());
-  STRCMP_CONTAINS("bytes in the store; allowed are 65536",
+  STRCMP_CONTAINS("bytes in the row accepted/0123456789abcdef of the "
+                  "store; allowed are 65536",
                   ErrorFor(BodyOf("x", kLongStep, 1000)).c_str());
   STRCMP_CONTAINS(
     "allowed are 65536",
@@ -71,6 +72,16 @@
       .c_str());
 }
 
+// Guards against accepting a job whose progress the store does not take once
+// enough of its tasks have failed.
+TEST(JobLimits, RefusesAJobWithTooManyTasks)
+{
+  STRCMP_EQUAL("", ErrorFor(BodyOf("x", R"({"count":6500})", 1)).c_str());
+  STRCMP_CONTAINS("in the row job/0123456789abcdef of the store; allowed are",
+                  ErrorFor(BodyOf("x", R"({"count":6600})", 1)).c_str());
+  STRCMP_EQUAL("", ErrorFor(BodyOf("x", R"({"count":1})", 1000)).c_str());
+}
+
 // Guards against refusing a payload that the platform allows only because it
 // takes more space in the store.
 TEST(JobLimits, AcceptsTheLongestPayload)
