LibNode: Split a commit by the bytes of its transactions, too

A transaction took 24 jobs whatever their rows held: with rows of 64 KB, which take 87 KB in base64, 2 MB instead of the 1 MB that the store takes. It rejected the transaction, and nothing behind it was stored.

AppendPart() starts another transaction at 98 entries or 998,000 bytes, which leaves two entries and 2,000 bytes for the commit sequence row. The row with the interference estimates counts like a job. Small rows of running jobs take one entry each, so that one transaction holds 98 of them instead of 24.

--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/InterferenceRow.h>
 #include <LibNode/JobRows.h>
 #include <LibNode/ShardState.h>
+#include <LibNode/StoreLimits.h>
 #include <LibTime/BootClock.h>
 
 #include <algorithm>
@@ -9,9 +10,9 @@
 
 namespace {
 
-/// A transaction has at most 100 entries. A job takes up to four of them, and
-/// the commit sequence row takes two.
-constexpr std::size_t kJobsPerTransaction = 24;
+/// Bounds of a transaction without the commit sequence row, which takes two
+/// entries with names and a value of a few hundred bytes.
+constexpr StoreLimits kCommitLimits{ .mEntries = 98, .mMessageBytes = 998000 };
 /// A commit includes the interference estimates if they were last stored this
 /// long ago. After a takeover, the new owner has to learn again what changed in
 /// between.
@@ -57,9 +58,8 @@
   const std::string progressPartition =
     mContext.mPartitions.OfProgress(mClaim.mShard);
   const std::string inbox = InboxTable(mClaim.mShard);
-  StoreTransaction transaction;
-  std::size_t jobs = 0;
   for (const dispatch::Job* job : mCommit->mJobs) {
+    StoreTransaction transaction;
     const std::string& id = job->mSpec.mId;
     mCommitPhases.push_back(job->mPhase);
     if (job->mPhase == dispatch::JobPhase::Active) {
@@ -91,23 +91,17 @@
               std::chrono::duration_cast<Millis>(aNow - job->mAcceptedAt)
                 .count()));
     }
-    if (++jobs == kJobsPerTransaction) {
-      mTransactions.push_back(std::move(transaction));
-      transaction = {};
-      jobs = 0;
-    }
+    AppendPart(mTransactions, std::move(transaction), kCommitLimits);
   }
   if (aNow - mInterferenceStoredAt >= kInterferenceInterval) {
     mInterferenceStoredAt = aNow;
+    StoreTransaction transaction;
     transaction.mPuts.push_back({ progress,
                                   progressPartition,
                                   kInterferenceKey,
                                   FormatInterference(dispatch::RecordOf(
                                     mDispatcher.mInterference, aNow)) });
-    ++jobs;
-  }
-  if (jobs > 0) {
-    mTransactions.push_back(std::move(transaction));
+    AppendPart(mTransactions, std::move(transaction), kCommitLimits);
   }
   SendNextTransaction();
 }
--- a/Libraries/LibNode/StoreLimits.cpp
+++ b/Libraries/LibNode/StoreLimits.cpp
@@ -1,6 +1,8 @@
 #include <LibNode/StoreLimits.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace paddle {
 
@@ -26,6 +28,13 @@
   return (aValue.size() + 2) / 3 * 4;
 }
 
+std::size_t
+EntriesOf(const StoreTransaction& aTransaction)
+{
+  return aTransaction.mChecks.size() + aTransaction.mPuts.size() +
+         aTransaction.mRemovals.size();
+}
+
 template<typename Entry>
 std::optional<LimitViolation>
 FindLongName(const std::vector<Entry>& aEntries, const StoreLimits& aLimits)
@@ -81,9 +90,7 @@
       return longName;
     }
   }
-  const std::size_t entries = aTransaction.mChecks.size() +
-                              aTransaction.mPuts.size() +
-                              aTransaction.mRemovals.size();
+  const std::size_t entries = EntriesOf(aTransaction);
   if (entries > aLimits.mEntries) {
     return LimitViolation{ "entries", {}, entries, aLimits.mEntries };
   }
@@ -94,6 +101,26 @@
   return {};
 }
 
+void
+AppendPart(std::deque<StoreTransaction>& aTransactions,
+           StoreTransaction aPart,
+           const StoreLimits& aLimits)
+{
+  if (aTransactions.empty() ||
+      EntriesOf(aTransactions.back()) + EntriesOf(aPart) > aLimits.mEntries ||
+      MessageBytes(aTransactions.back()) + MessageBytes(aPart) >
+        aLimits.mMessageBytes) {
+    aTransactions.push_back(std::move(aPart));
+    return;
+  }
+  StoreTransaction& last = aTransactions.back();
+  std::move(
+    aPart.mPuts.begin(), aPart.mPuts.end(), std::back_inserter(last.mPuts));
+  std::move(aPart.mRemovals.begin(),
+            aPart.mRemovals.end(),
+            std::back_inserter(last.mRemovals));
+}
+
 std::string
 FormatLimitViolation(const LimitViolation& aViolation)
 {
--- a/Libraries/LibNode/StoreLimits.h
+++ b/Libraries/LibNode/StoreLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -38,6 +39,14 @@
 FindLimitViolation(const StoreTransaction& aTransaction,
                    const StoreLimits& aLimits);
 
+/// Appends puts and removals to the last of several transactions, or to a new
+/// one if the last one would then exceed the bounds.
+/// @param aPart is stored together and exceeds no bound itself
+void
+AppendPart(std::deque<StoreTransaction>& aTransactions,
+           StoreTransaction aPart,
+           const StoreLimits& aLimits);
+
 /// @return fields of the form key=value for the log
 std::string
 FormatLimitViolation(const LimitViolation& aViolation);
--- a/Tests/LibNode/TestStoreLimits.cpp
+++ b/Tests/LibNode/TestStoreLimits.cpp
@@ -52,3 +52,35 @@
   STRCMP_EQUAL("", ViolationOf(RowsOf(12, 60000)).c_str());
   CHECK_TRUE(ViolationOf(RowsOf(13, 60000)).starts_with("bound=message_bytes"));
 }
+
+// Guards against a commit of many jobs with large rows that exceeds the bytes
+// or the entries of a transaction: the store rejected it each time.
+TEST(StoreLimits, SplitsACommitByBytesAndEntries)
+{
+  for (const std::size_t bytes : { 65536, 30000, 100, 0 }) {
+    std::deque<StoreTransaction> commit;
+    for (std::size_t job = 0; job < 60; ++job) {
+      StoreTransaction part = RowsOf(1, bytes);
+      part.mPuts[0].mKey += "/" + std::to_string(job);
+      if (bytes == 0) {
+        part.mRemovals.resize(3); // As at the end of a job.
+      }
+      AppendPart(commit, part, { .mEntries = 98, .mMessageBytes = 998000 });
+    }
+    std::size_t jobs = 0;
+    for (StoreTransaction& transaction : commit) {
+      jobs += transaction.mPuts.size();
+      transaction.mChecks.push_back({ "progress-0", "shard-0", "chain", 17 });
+      transaction.mPuts.push_back(
+        { "progress-0", "shard-0", "chain", std::string(300, 'x'), 0, false });
+      STRCMP_EQUAL("", ViolationOf(transaction).c_str());
+    }
+    LONGS_EQUAL(60, jobs);
+    // 24 ends, 98 small rows, 24 rows of 40,000 and 11 of 87,384 bytes each.
+    LONGS_EQUAL(bytes == 0       ? 3
+                : bytes == 100   ? 1
+                : bytes == 30000 ? 3
+                                 : 6,
+                commit.size());
+  }
+}
