LibNode: Keep the row of interference estimates within 65,536 bytes

The row grew with the number of images, which any job may add to, and with the length of their names. Now RecordOf() puts the latest estimates first, and those of the same time by name, and FormatInterference() leaves out what does not fit; tail latencies take half of the row at most. The next owner learns again what was left out. A row that fits is formatted as before.

--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace paddle::dispatch {
 
@@ -171,6 +173,7 @@
   if (serving.mMinTailMs == 0 || tail < serving.mMinTailMs) {
     serving.mMinTailMs = tail;
   }
+  serving.mLearnedAt = aNow;
   step.mUtilizationFilter = Predicted(step.mUtilizationFilter, aNow);
   double expected = step.mUtilizationFilter.mUtilization;
   double interferenceRise = 0;
@@ -237,26 +240,58 @@
 InterferenceRecord
 RecordOf(const Interference& aInterference, MonotonicTime aNow)
 {
-  InterferenceRecord record;
   std::vector<std::string_view> names(aInterference.mImageIndexes.size());
+  std::vector<std::pair<MonotonicTime, std::uint32_t>> images;
   for (const auto& [name, index] : aInterference.mImageIndexes) {
     names[index] = name;
-    const double tail = aInterference.mServingImages[index].mMinTailMs;
-    if (tail > 0) {
-      record.mImages.push_back({ name, tail });
+    const ServingImage& image = aInterference.mServingImages[index];
+    if (image.mMinTailMs > 0) {
+      images.emplace_back(image.mLearnedAt, index);
     }
   }
+  struct Pair
+  {
+    MonotonicTime mLearnedAt;
+    std::uint32_t mInterfering = 0;
+    std::uint32_t mServing = 0;
+  };
+  std::vector<Pair> pairs;
   for (std::uint32_t i = 0; i < aInterference.mPairs.size(); ++i) {
     for (std::uint32_t j = 0; j < aInterference.mPairs[i].size(); ++j) {
-      if (aInterference.mPairs[i][j].mLearnedAt != MonotonicTime{}) {
-        const PairEffect pair = CurrentEffect(aInterference, i, j, aNow);
-        record.mEffects.push_back({ std::string(names[i]),
-                                    std::string(names[j]),
-                                    pair.mMean,
-                                    pair.mVariance });
+      const MonotonicTime learnedAt = aInterference.mPairs[i][j].mLearnedAt;
+      if (learnedAt != MonotonicTime{}) {
+        pairs.push_back({ learnedAt, i, j });
       }
     }
   }
+  std::sort(
+    images.begin(), images.end(), [&](const auto& aFirst, const auto& aSecond) {
+      return std::tie(aSecond.first, names[aFirst.second]) <
+             std::tie(aFirst.first, names[aSecond.second]);
+    });
+  std::sort(
+    pairs.begin(), pairs.end(), [&](const Pair& aFirst, const Pair& aSecond) {
+      return std::tie(aSecond.mLearnedAt,
+                      names[aFirst.mInterfering],
+                      names[aFirst.mServing]) <
+             std::tie(aFirst.mLearnedAt,
+                      names[aSecond.mInterfering],
+                      names[aSecond.mServing]);
+    });
+  InterferenceRecord record;
+  for (const auto& [learnedAt, index] : images) {
+    record.mImages.push_back(
+      { std::string(names[index]),
+        aInterference.mServingImages[index].mMinTailMs });
+  }
+  for (const Pair& pair : pairs) {
+    const PairEffect effect =
+      CurrentEffect(aInterference, pair.mInterfering, pair.mServing, aNow);
+    record.mEffects.push_back({ std::string(names[pair.mInterfering]),
+                                std::string(names[pair.mServing]),
+                                effect.mMean,
+                                effect.mVariance });
+  }
   return record;
 }
 
@@ -268,6 +303,7 @@
   for (const InterferenceRecord::Image& image : aRecord.mImages) {
     const std::uint32_t index = ImageIndex(aInterference, image.mName);
     aInterference.mServingImages[index].mMinTailMs = image.mMinTailMs;
+    aInterference.mServingImages[index].mLearnedAt = aNow;
   }
   for (const InterferenceRecord::Effect& effect : aRecord.mEffects) {
     const std::uint32_t interfering =
--- a/Libraries/LibDispatch/Interference.h
+++ b/Libraries/LibDispatch/Interference.h
@@ -28,6 +28,7 @@
   /// Shortest tail latency observed; 0: none. It stands for the latency without
   /// queueing.
   double mMinTailMs = 0;
+  MonotonicTime mLearnedAt; ///< Time of the latest tail latency; 0: none.
   /// Mean effect of all best-effort images on this image. Runners that serve
   /// only images with a low value are kept for interfering tasks.
   double mSensitivity = 1;
@@ -57,6 +58,8 @@
     double mMean = 0;
     double mVariance = 0;
   };
+  // The latest observed first, and those of the same time by name: a record
+  // that is too long for its row is cut off.
   std::vector<Image> mImages; ///< Images with a known shortest tail latency.
   std::vector<Effect> mEffects;
 };
--- a/Libraries/LibNode/InterferenceRow.cpp
+++ b/Libraries/LibNode/InterferenceRow.cpp
@@ -1,5 +1,6 @@
 #include <LibNode/InterferenceRow.h>
 
+#include <algorithm>
 #include <cmath>
 #include <json/value.h>
 #include <optional>
@@ -14,6 +15,11 @@
 /// larger.
 constexpr double kThousandthsPerUnit = 1000;
 
+/// Bytes of the row beside its entries: {"effects":{},"tails":{}}.
+constexpr std::size_t kRowOverhead = 30;
+/// Bytes of a pair of separators, such as a colon and a comma, or brackets.
+constexpr std::size_t kSeparatorBytes = 2;
+
 Json::Int64
 ToThousandths(double aValue)
 {
@@ -36,16 +42,40 @@
 } // namespace
 
 std::string
-FormatInterference(const dispatch::InterferenceRecord& aRecord)
+FormatInterference(const dispatch::InterferenceRecord& aRecord,
+                   std::size_t aMaxBytes)
 {
   Json::Value value(Json::objectValue);
+  // The estimates of effects are of no use without the tail latencies, and the
+  // other way round, so that each kind has half of the space.
+  const std::size_t half = (aMaxBytes - std::min(aMaxBytes, kRowOverhead)) / 2;
+  std::size_t left = half;
   for (const auto& image : aRecord.mImages) {
-    value["tails"][image.mName] = ToThousandths(image.mMinTailMs);
+    const Json::Int64 tail = ToThousandths(image.mMinTailMs);
+    const std::size_t bytes = WriteJson(image.mName).size() +
+                              std::to_string(tail).size() + kSeparatorBytes;
+    if (bytes <= left) {
+      left -= bytes;
+      value["tails"][image.mName] = tail;
+    }
   }
+  left += half;
   for (const auto& effect : aRecord.mEffects) {
-    Json::Value& entry = value["effects"][effect.mInterfering][effect.mServing];
-    entry.append(ToThousandths(effect.mMean));
-    entry.append(ToThousandths(effect.mVariance));
+    const Json::Int64 mean = ToThousandths(effect.mMean);
+    const Json::Int64 variance = ToThousandths(effect.mVariance);
+    const bool first = !value["effects"].isMember(effect.mInterfering);
+    const std::size_t bytes =
+      (first ? WriteJson(effect.mInterfering).size() + 2 * kSeparatorBytes
+             : 0) +
+      WriteJson(effect.mServing).size() + std::to_string(mean).size() +
+      std::to_string(variance).size() + 3 * kSeparatorBytes;
+    if (bytes <= left) {
+      left -= bytes;
+      Json::Value& entry =
+        value["effects"][effect.mInterfering][effect.mServing];
+      entry.append(mean);
+      entry.append(variance);
+    }
   }
   return WriteJson(value);
 }
--- a/Tests/LibDispatch/TestInterference.cpp
+++ b/Tests/LibDispatch/TestInterference.cpp
@@ -276,3 +276,25 @@
                  mWorld.RunnerOf(job + ".0.0.0").c_str());
   }
 }
+
+// Guards against dropping the latest estimates of a record that is too long for
+// its row, and against an order that differs from owner to owner.
+TEST(Interference, RecordsTheLatestEstimatesFirst)
+{
+  const MonotonicTime now{ Seconds(1000) };
+  Interference interference;
+  Adopt(
+    interference, { { { "b", 1 }, { "a", 1 } }, { { "x", "a", 1, 1 } } }, now);
+  Adopt(interference,
+        { { { "c", 1 } }, { { "y", "b", 1, 1 }, { "w", "b", 1, 1 } } },
+        now + Seconds(1));
+  const InterferenceRecord record = RecordOf(interference, now + Seconds(2));
+  std::string order;
+  for (const auto& image : record.mImages) {
+    order += image.mName;
+  }
+  for (const auto& effect : record.mEffects) {
+    order += effect.mInterfering;
+  }
+  STRCMP_EQUAL("cabwyx", order.c_str());
+}
