--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/InterferenceRow.h>
 #include <LibNode/JobRows.h>
 #include <LibNode/ShardState.h>
+#include <LibNode/StoreLimits.h>
 #include <LibTime/BootClock.h>
 
 #include <algorithm>
@@ -9,9 +10,9 @@
 
 namespace {
 
-/// A transaction has at most 100 entries. A job takes up to four of them, and
-/// the commit sequence row takes two.
-constexpr std::size_t kJobsPerTransaction = 24;
+/// Bounds of a transaction without the commit sequence row, which takes two
+/// entries with names and a value of a few hundred bytes.
+constexpr StoreLimits kCommitLimits{ .mEntries = 98, .mMessageBytes = 998000 };
 /// A commit includes the interference estimates if they were last stored this
 /// long ago. After a takeover, the new owner has to learn again what changed in
 /// between.
@@ -78,21 +79,26 @@
   mCommit = dispatch::TakeCommit(mDispatcher);
   mCommitPhases.clear();
   mRejectedInCommit.clear();
-  PendingTransaction transaction;
   // What was rejected before gets a transaction of its own.
   std::vector<PendingTransaction::Part> rejectedBefore;
+  TransactionSize size;
+  const auto append = [&](PendingTransaction::Part aPart) {
+    if (mTransactions.empty() ||
+        !CountPart(size, aPart.mEntries, kCommitLimits)) {
+      size = {};
+      CountPart(size, aPart.mEntries, kCommitLimits);
+      mTransactions.emplace_back();
+    }
+    mTransactions.back().mParts.push_back(std::move(aPart));
+  };
   for (std::size_t i = 0; i < mCommit->mJobs.size(); ++i) {
     const dispatch::Job& job = *mCommit->mJobs[i];
     mCommitPhases.push_back(job.mPhase);
     PendingTransaction::Part part = MakeJobPart(i, aNow);
     if (mDispatcher.mRejectedJobs.contains(job.mArrivalNumber)) {
       rejectedBefore.push_back(std::move(part));
-      continue;
-    }
-    transaction.mParts.push_back(std::move(part));
-    if (transaction.mParts.size() == kJobsPerTransaction) {
-      mTransactions.push_back(std::move(transaction));
-      transaction = {};
+    } else {
+      append(std::move(part));
     }
   }
   if (aNow - mInterferenceStoredAt >= kInterferenceInterval) {
@@ -104,11 +110,11 @@
         kInterferenceKey,
         FormatInterference(
           dispatch::RecordOf(mDispatcher.mInterference, aNow)) });
-    (mInterferenceRejected ? rejectedBefore : transaction.mParts)
-      .push_back(std::move(part));
-  }
-  if (!transaction.mParts.empty()) {
-    mTransactions.push_back(std::move(transaction));
+    if (mInterferenceRejected) {
+      rejectedBefore.push_back(std::move(part));
+    } else {
+      append(std::move(part));
+    }
   }
   for (PendingTransaction::Part& part : rejectedBefore) {
     mTransactions.emplace_back().mParts.push_back(std::move(part));
--- a/Libraries/LibNode/StoreLimits.cpp
+++ b/Libraries/LibNode/StoreLimits.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/StoreLimits.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace paddle {
 
@@ -26,6 +27,13 @@
   return (aValue.size() + 2) / 3 * 4;
 }
 
+std::size_t
+EntriesOf(const StoreTransaction& aTransaction)
+{
+  return aTransaction.mChecks.size() + aTransaction.mPuts.size() +
+         aTransaction.mRemovals.size();
+}
+
 template<typename Entry>
 std::optional<LimitViolation>
 FindLongName(const std::vector<Entry>& aEntries, const StoreLimits& aLimits)
@@ -81,9 +89,7 @@
       return longName;
     }
   }
-  const std::size_t entries = aTransaction.mChecks.size() +
-                              aTransaction.mPuts.size() +
-                              aTransaction.mRemovals.size();
+  const std::size_t entries = EntriesOf(aTransaction);
   if (entries > aLimits.mEntries) {
     return LimitViolation{ "entries", {}, entries, aLimits.mEntries };
   }
@@ -94,6 +100,21 @@
   return {};
 }
 
+bool
+CountPart(TransactionSize& aSize,
+          const StoreTransaction& aPart,
+          const StoreLimits& aLimits)
+{
+  const std::size_t entries = aSize.mEntries + EntriesOf(aPart);
+  const std::size_t bytes = aSize.mMessageBytes + MessageBytes(aPart);
+  const bool first = aSize.mEntries == 0;
+  if (!first && (entries > aLimits.mEntries || bytes > aLimits.mMessageBytes)) {
+    return false;
+  }
+  aSize = { entries, bytes };
+  return true;
+}
+
 std::string
 FormatLimitViolation(const LimitViolation& aViolation)
 {
--- a/Libraries/LibNode/StoreLimits.h
+++ b/Libraries/LibNode/StoreLimits.h
@@ -38,6 +38,21 @@
 FindLimitViolation(const StoreTransaction& aTransaction,
                    const StoreLimits& aLimits);
 
+/// What the parts of a transaction take together.
+struct TransactionSize
+{
+  std::size_t mEntries = 0;
+  std::size_t mMessageBytes = 0;
+};
+
+/// Counts a part of a transaction, unless the whole would then exceed a bound.
+/// @param aPart exceeds no bound itself; the first part is always counted
+/// @return whether it was counted
+bool
+CountPart(TransactionSize& aSize,
+          const StoreTransaction& aPart,
+          const StoreLimits& aLimits);
+
 /// @return fields of the form key=value for the log
 std::string
 FormatLimitViolation(const LimitViolation& aViolation);
