LibAsyncHttp: Keep long polls whose answers are arriving

A wait for changes counts as a long poll, which ends when a later call gets no answer. Once an answer has begun, only its own time-outs for the transfer apply.

Before: ALongPollWhoseAnswerArrivesGoesOn: CHECK_FALSE(longPoll->has_value()) failed

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -107,6 +107,14 @@
   {
   }
 
+  /// @return whether the answer to the current call has begun to arrive, so
+  ///         that only its time-outs for the transfer apply
+  static bool InTransfer(const Connection& aConnection)
+  {
+    return aConnection.mReceivedBytes > 0 && aConnection.mCurrent &&
+           aConnection.mCurrent->mCall.mTransferTimeouts;
+  }
+
   /// Sends the call on an idle or a new connection, or queues it.
   void Start(PendingCall aPending);
   /// Opens a connection and sends the call on it.
@@ -137,7 +145,8 @@
   /// next call, or the long poll, could wait out its time-out as well. Long
   /// polls go on if a connection from before that call has been heard since:
   /// then the peer may just have been slow with that call. A newer connection
-  /// says nothing about the older ones.
+  /// says nothing about the older ones. An answer that has begun to arrive also
+  /// goes on, until its own time-out for a stall.
   /// @param aSilentSince when the call without an answer was sent, or when
   ///                     bytes of its answer last arrived
   /// @param aSilent      the connection of that call
@@ -474,7 +483,8 @@
     if (!connection->mCurrent) {
       idle.push_back(connection);
     } else if (connection->mCurrent->mCall.mLongPoll &&
-               connection->mCurrent->mSentAt < aSilentSince) {
+               connection->mCurrent->mSentAt < aSilentSince &&
+               !InTransfer(*connection)) {
       longPolls.push_back(connection);
     }
   }
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -432,6 +432,26 @@
   CHECK_TRUE(next->has_value());
 }
 
+// Guards against a wait for changes whose large answer is broken off when a
+// small call gets no answer over the same full link: the node reads all of it
+// again. Its own time-out for a stall applies.
+TEST(HttpPool, ALongPollWhoseAnswerArrivesGoesOn)
+{
+  HttpCall call{ "GET", kInParts, {}, {}, Seconds(60) };
+  call.mLongPoll = true;
+  call.mTransferTimeouts = { Seconds(10), Seconds(60) };
+  const Answer longPoll = SendUnanswered(call);
+  SendPart(kPartsHeader);
+  const Answer small =
+    SendUnanswered({ "GET", kUnanswered, {}, {}, Seconds(1) });
+  UNSIGNED_LONGS_EQUAL(2, mPeer.Connections());
+  Expire(Seconds(2));
+  CHECK_TRUE(small->has_value());
+  CHECK_FALSE(longPoll->has_value());
+  Expire(Seconds(11));
+  CHECK_TRUE(longPoll->has_value());
+}
+
 // Guards against a peer that holds a connection for ever by sending a byte now
 // and then, and against taking this as a sign of silent connections.
 TEST(HttpPool, AnAnswerThatTricklesIsBrokenOff)
