LibNode: Read all pages of the rows of nodes and shards

An answer has at most 500 rows or 1 MB. The reads of the nodes' and shards' rows took the first page for all: beyond it, nodes counted as gone and shards as unknown, so that no job could go to them. A row on an early page counts as seen when the last page has arrived, which delays a takeover and never hastens it.

The other reads: progress and inbox follow their pages, a status is a single row, the changes of a table are resumed from the version of the answer, and the lists of partitions are not used.

Before the change: TestNode.cpp: Failure in TEST(Node, ReadsAllPagesOfTheNodesAndShards) CHECK_TRUE(mCluster.Submit("b", kJob) == ClientAnswer::Accepted) failed

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -227,7 +227,8 @@
 {
   mNodeReadInFlight = true;
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mRead(
+  ReadAllPages(
+    mContext.mStore,
     kClusterTable,
     mContext.mPartitions.OfNodes(),
     kNodePrefix,
@@ -254,33 +255,34 @@
   mShardReadInFlight = true;
   const MonotonicTime begin = mContext.Now();
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mRead(
-    kClusterTable,
-    mContext.mPartitions.OfShards(),
-    {},
-    {},
-    [this, alive, begin](const ReadOutcome& aRead) {
-      if (alive.expired()) {
-        return;
-      }
-      mShardReadInFlight = false;
-      const MonotonicTime now = mContext.Now();
-      if (aRead.mResult != ReadResult::Read) {
-        mNextShardReadAt = now + mContext.mSettings.mRetryPause;
-        return;
-      }
-      mNextShardReadAt = now + mContext.mSettings.mShardPollInterval;
-      RecordReading(mContext.mStoreClock, aRead.mClockMs, begin, now);
-      UpdateShards(mView, aRead.mRows, now);
-      mView.mShardReadDuration =
-        std::chrono::duration_cast<Millis>(now - begin);
-      if (mView.mShardCount == 0) {
-        CreateLayout();
-      } else {
-        ClaimShards(now);
-        HandOverShards(now);
-      }
-    });
+  ReadAllPages(mContext.mStore,
+               kClusterTable,
+               mContext.mPartitions.OfShards(),
+               {},
+               {},
+               [this, alive, begin](const ReadOutcome& aRead) {
+                 if (alive.expired()) {
+                   return;
+                 }
+                 mShardReadInFlight = false;
+                 const MonotonicTime now = mContext.Now();
+                 if (aRead.mResult != ReadResult::Read) {
+                   mNextShardReadAt = now + mContext.mSettings.mRetryPause;
+                   return;
+                 }
+                 mNextShardReadAt = now + mContext.mSettings.mShardPollInterval;
+                 RecordReading(
+                   mContext.mStoreClock, aRead.mClockMs, begin, now);
+                 UpdateShards(mView, aRead.mRows, now);
+                 mView.mShardReadDuration =
+                   std::chrono::duration_cast<Millis>(now - begin);
+                 if (mView.mShardCount == 0) {
+                   CreateLayout();
+                 } else {
+                   ClaimShards(now);
+                   HandOverShards(now);
+                 }
+               });
 }
 
 void
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -114,4 +114,20 @@
     mWaitForChanges;
 };
 
+/// Reads the rows in one partition of a table page by page; the store returns
+/// at most 500 rows or 1 MB at once.
+/// @param aFrom first key; empty: no bound
+/// @param aTo   first key that is not read; empty: no bound
+/// @param aDone called with the rows of all pages, the lowest version of a
+/// page,
+///              from which on no change is missed, and the clock of the last
+///              page; or with a failed read if any page fails
+void
+ReadAllPages(const StorePort& aStore,
+             const std::string& aTable,
+             const std::string& aPartition,
+             const std::string& aFrom,
+             const std::string& aTo,
+             ReadHandler aDone);
+
 } // namespace paddle
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -359,3 +359,54 @@
     LONGS_EQUAL(jobs.size(), cluster.mStarts);
   }
 }
+
+// Guards against a node that knows only the nodes and shards on the first page
+// of an answer: the store returns at most 500 rows.
+TEST(Node, ReadsAllPagesOfTheNodesAndShards)
+{
+  mCluster.mStore.mRowsPerRead = 1;
+  Begin();
+  mCluster.StartNode("b");
+  mCluster.AdvanceTime(Seconds(3));
+  CHECK_TRUE(mCluster.Submit("b", kJob) == ClientAnswer::Accepted);
+  mCluster.KillNode("a");
+  mCluster.AdvanceTime(Seconds(6));
+  STRCMP_EQUAL("b", mCluster.Shard().mOwner.c_str());
+}
+
+// Guards against a partial list of rows in place of a read of which a page
+// failed, and against changes that are missed between two pages.
+TEST(Node, ReadsAllPagesOrFails)
+{
+  StorePort port;
+  std::vector<ReadHandler> reads;
+  std::vector<std::string> from;
+  port.mRead = [&](const std::string&,
+                   const std::string&,
+                   const std::string& aFrom,
+                   const std::string&,
+                   const ReadHandler& aDone) {
+    from.push_back(aFrom);
+    reads.push_back(aDone);
+  };
+  std::vector<ReadOutcome> outcomes;
+  const auto read = [&] {
+    ReadAllPages(port, "t", "p", "a", "z", [&](ReadOutcome aRead) {
+      outcomes.push_back(std::move(aRead));
+    });
+  };
+  const StoreRow row{ "t", "p", "k", "v", 3, false };
+  read();
+  reads[0]({ ReadResult::Read, { row }, true, 9, 100 });
+  reads[1]({ ReadResult::Read, { row }, false, 12, 200 });
+  LONGS_EQUAL(1, outcomes.size());
+  LONGS_EQUAL(2, outcomes[0].mRows.size());
+  LONGS_EQUAL(9, outcomes[0].mVersion);
+  LONGS_EQUAL(200, outcomes[0].mClockMs);
+  CHECK_TRUE(from[1] == std::string("k\0", 2));
+  read();
+  reads[2]({ ReadResult::Read, { row }, true, 9, 100 });
+  reads[3]({});
+  CHECK_TRUE(outcomes[1].mResult == ReadResult::Failed);
+  CHECK_TRUE(outcomes[1].mRows.empty());
+}
