LibNode: Keep a shard's row within what the store takes

The row has the number of pending jobs of each queue that has any, and no bound on queues or their names. When the store rejects the row, the owner loses its shard after 12 s. Numbers that don't fit are left out now, the lowest first and equal ones by name; a client that asks for them is told 0. The rows of all shards of a node go into one transaction and share 700,000 bytes, which take 933,000 in base64. Its 100 entries suffice for 50 shards of a node.

Before the change: TestCluster.cpp:192: Failure in TEST(Cluster, KeepsTheShardRowWithinItsBound) CHECK_TRUE(text.size() <= StoreLimits{}.mRowBytes) failed The share of each shard has no test of its own.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 #include <tuple>
+#include <utility>
+#include <vector>
 #include <xxhash.h>
 
 #include <LibBase/JsonReader.h>
@@ -146,6 +148,32 @@
   return names;
 }
 
+/// @return the numbers of pending jobs, by queue, that fit into a number of
+///         bytes: the highest, and equal ones by name
+Json::Value
+LargestPending(const std::map<std::string, std::uint64_t>& aPending,
+               std::size_t aBytes)
+{
+  constexpr std::size_t kSeparatorBytes = 2;
+  std::vector<std::pair<std::string_view, std::uint64_t>> sorted(
+    aPending.begin(), aPending.end());
+  std::stable_sort(
+    sorted.begin(), sorted.end(), [](const auto& aFirst, const auto& aSecond) {
+      return aFirst.second > aSecond.second;
+    });
+  Json::Value pending(Json::objectValue);
+  for (const auto& [queue, count] : sorted) {
+    const std::string name(queue);
+    const std::size_t bytes =
+      WriteJson(name).size() + std::to_string(count).size() + kSeparatorBytes;
+    if (bytes <= aBytes) {
+      aBytes -= bytes;
+      pending[name] = Json::UInt64(count);
+    }
+  }
+  return pending;
+}
+
 } // namespace
 
 std::string
@@ -174,7 +202,7 @@
 }
 
 std::string
-FormatShardRow(const ShardRow& aRow)
+FormatShardRow(const ShardRow& aRow, std::size_t aMaxBytes)
 {
   Json::Value value(Json::objectValue);
   value["shard"] = aRow.mShard;
@@ -194,6 +222,14 @@
   value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
   value["earlier_isolated_leases_end_ms"] =
     Json::Int64(aRow.mEarlierIsolatedLeasesEndMs);
+  std::string text = WriteJson(value);
+  if (text.size() <= aMaxBytes) {
+    return text;
+  }
+  value["pending"] = Json::Value(Json::objectValue);
+  const std::size_t others = WriteJson(value).size();
+  value["pending"] =
+    LargestPending(aRow.mPending, aMaxBytes - std::min(aMaxBytes, others));
   return WriteJson(value);
 }
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include <LibNode/StoreLimits.h>
 #include <LibNode/StorePort.h>
 #include <LibTime/Time.h>
 
@@ -196,8 +197,13 @@
 ShardKey(std::uint32_t aShard);
 std::string
 FormatNodeRow(const NodeRow& aRow);
+/// Formats a shard's row. The numbers of pending jobs are left out where they
+/// would make it too large, the lowest first, so that they count as 0: without
+/// the row, the owner would lose its shard.
+/// @param aMaxBytes largest size of the row
 std::string
-FormatShardRow(const ShardRow& aRow);
+FormatShardRow(const ShardRow& aRow,
+               std::size_t aMaxBytes = StoreLimits{}.mRowBytes);
 std::optional<ShardRow>
 ParseShardRow(std::string_view aText);
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -21,6 +21,10 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
+/// Bytes of the rows of all shards that a node renews in one transaction, which
+/// takes 1 MB with the rows in base64 and 100 entries, two for each shard.
+constexpr std::size_t kMaxRenewalBytes = 700000;
+
 /// A copy of the configuration that is older is called stale in the log, if the
 /// last read has failed or has no answer yet. The read waits 2 s for a change
 /// and its answer has a margin of 1 s, so that a read without an answer after
@@ -148,6 +152,9 @@
   const std::string partition = mContext.mPartitions.OfShards();
   StoreTransaction transaction;
   std::vector<RenewedShard> shards;
+  const std::size_t rowBytes =
+    std::min(StoreLimits{}.mRowBytes,
+             kMaxRenewalBytes / std::max<std::size_t>(1, mShards.size()));
   for (auto& [number, shard] : mShards) {
     if (!shard->ClaimStored() ||
         (shard->SteppingDown() && !shard->AllStored())) {
@@ -159,7 +166,7 @@
     transaction.mPuts.push_back({ kClusterTable,
                                   partition,
                                   ShardKey(number),
-                                  FormatShardRow(shard->Row(aNow)) });
+                                  FormatShardRow(shard->Row(aNow), rowBytes) });
   }
   if (shards.empty()) {
     return;
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -176,3 +176,27 @@
   AdvanceTime(Seconds(4), { NodeKey("small") }, mSmall);
   LONGS_EQUAL(1, Claims(mSmall));
 }
+
+// Guards against an owner that loses its shard because thousands of queues with
+// pending jobs make its row larger than the store takes.
+TEST(Cluster, KeepsTheShardRowWithinItsBound)
+{
+  ShardRow row;
+  row.mOwner = "a";
+  row.mEpoch = 7;
+  row.mLeasesEndMs = 5;
+  for (int i = 0; i < 42000; ++i) {
+    row.mPending.emplace("queue \"" + std::to_string(i) + "\"", 1 + i % 5);
+  }
+  const std::string text = FormatShardRow(row);
+  CHECK_TRUE(text.size() <= StoreLimits{}.mRowBytes);
+  CHECK_TRUE(text.size() > 65000);
+  const std::optional<ShardRow> read = ParseShardRow(text);
+  LONGS_EQUAL(7, read->mEpoch);
+  LONGS_EQUAL(5, read->mLeasesEndMs);
+  CHECK_TRUE(read->mPending.size() > 2000);
+  for (const auto& [queue, count] : read->mPending) {
+    LONGS_EQUAL(5, count);
+    LONGS_EQUAL(count, row.mPending.at(queue));
+  }
+}
