LibDispatch: Count the pending jobs of all queues in one pass

The owner counted them for each queue, and each count walked over all jobs, with every renewal of the shard's row: queues times jobs, twice a second. The new test compares the result with such a count.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -370,9 +371,10 @@
 ShardCapacity
 AvailableCapacity(const Dispatcher& aDispatcher, MonotonicTime aNow);
 
-/// @return the number of active jobs of the queue of which no task has started
-std::uint64_t
-PendingJobs(const Dispatcher& aDispatcher, std::string_view aQueue);
+/// @return the number of active jobs of which no task has started, by queue;
+///         only queues of the configuration that have any
+std::map<std::string, std::uint64_t>
+PendingJobs(const Dispatcher& aDispatcher);
 
 TaskName
 NameOf(const TaskRef& aTask);
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -410,14 +410,14 @@
   aDispatcher.mDirtyJobs.push_back(&aJob);
 }
 
-std::uint64_t
-PendingJobs(const Dispatcher& aDispatcher, std::string_view aQueue)
+std::map<std::string, std::uint64_t>
+PendingJobs(const Dispatcher& aDispatcher)
 {
-  std::uint64_t pending = 0;
+  std::map<std::string, std::uint64_t> pending;
   for (const auto& [id, job] : aDispatcher.mJobs) {
-    if (job->mSpec.mQueue == aQueue && !job->mBegan &&
-        job->mPhase == JobPhase::Active) {
-      ++pending;
+    if (!job->mBegan && job->mPhase == JobPhase::Active &&
+        FindQueue(aDispatcher, job->mSpec.mQueue) != nullptr) {
+      ++pending[job->mSpec.mQueue];
     }
   }
   return pending;
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -120,13 +120,7 @@
     row.mPending = state.mClaim.mPending;
     return row;
   }
-  for (const auto& [name, queue] : state.mDispatcher.mQueues) {
-    const std::uint64_t pending =
-      dispatch::PendingJobs(state.mDispatcher, name);
-    if (pending > 0) {
-      row.mPending.emplace(name, pending);
-    }
-  }
+  row.mPending = dispatch::PendingJobs(state.mDispatcher);
   return row;
 }
 
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -89,3 +89,35 @@
   world.AdvanceTime(Millis(300));
   LONGS_EQUAL(2, world.RunningTasks());
 }
+
+// Guards against numbers of pending jobs that differ from a count of each
+// queue's jobs. Counting for each queue took the owner tens of milliseconds
+// with thousands of queues.
+TEST(PlacementOrder, CountsThePendingJobsOfEachQueue)
+{
+  DispatchWorld world;
+  std::vector<QueueSpec> queues;
+  for (int i = 0; i < 50; ++i) {
+    queues.emplace_back().mName = "q" + std::to_string(i);
+  }
+  SetQueues(world.mDispatcher, queues);
+  for (int i = 0; i < 600; ++i) {
+    JobSpec job = MakeJob("job" + std::to_string(i), { FiniteStep(1, 1000) });
+    job.mQueue = "q" + std::to_string(i * i % 53);
+    world.AddJob(job);
+    Job& added = *world.mDispatcher.mJobs.find(job.mId)->second;
+    added.mBegan = i % 5 == 0;
+    added.mPhase = i % 7 == 0 ? JobPhase::Cancelled : JobPhase::Active;
+  }
+  std::map<std::string, std::uint64_t> expected;
+  for (const QueueSpec& queue : queues) {
+    for (const auto& [id, job] : world.mDispatcher.mJobs) {
+      if (job->mSpec.mQueue == queue.mName && !job->mBegan &&
+          job->mPhase == JobPhase::Active) {
+        ++expected[queue.mName];
+      }
+    }
+  }
+  CHECK_TRUE(expected.size() > 10);
+  CHECK_TRUE(PendingJobs(world.mDispatcher) == expected);
+}
