--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -1,6 +1,7 @@
 #include <string>
 
 #include <LibNode/Cluster.h>
+#include <LibNode/JobRows.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -200,3 +201,36 @@
     LONGS_EQUAL(count, row.mPending.at(queue));
   }
 }
+
+// Guards against rows that outgrow the figures in the table of
+// docs/platform.md, which hold for names of 60 bytes and the largest numbers.
+TEST(Cluster, RowsHaveTheDocumentedSizes)
+{
+  const std::string name(60, 'n');
+  const NodeRow node{ name, name, name, INT64_MAX, INT64_MAX, UINT64_MAX };
+  LONGS_EQUAL(316, FormatNodeRow(node).size());
+  const JobStatus status{
+    UINT32_MAX, name, dispatch::JobPhase::Cancelled, true
+  };
+  LONGS_EQUAL(124, FormatStatus(status).size());
+  ShardRow shard;
+  shard.mShard = UINT32_MAX;
+  shard.mOwner = name;
+  shard.mOwnerIncarnation = shard.mEpoch = INT64_MAX;
+  shard.mHeartbeatCount = UINT64_MAX;
+  shard.mFreeMilliCores = shard.mBestEffortMilliCores = INT64_MAX;
+  shard.mTotalMilliCores = shard.mLeasesEndMs = INT64_MAX;
+  shard.mIsolatedLeasesEndMs = shard.mEarlierIsolatedLeasesEndMs = INT64_MAX;
+  LONGS_EQUAL(414, FormatShardRow(shard).size());
+}
+
+// Guards against leaving out numbers of pending jobs that fit, see the table of
+// docs/platform.md.
+TEST(Cluster, TheShardRowHasThePendingJobsOfThousandsOfQueues)
+{
+  ShardRow shard;
+  for (int i = 0; i < 20000; ++i) {
+    shard.mPending.emplace("queue-" + std::to_string(10000 + i), 12);
+  }
+  LONGS_EQUAL(3844, ParseShardRow(FormatShardRow(shard))->mPending.size());
+}
