--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -27,6 +27,10 @@
 /// 1.35 s late at most, where a configuration has to be in force after 2.5 s.
 constexpr Millis kLongestOperatorRetryDelay{ 900 };
 
+/// Bytes of the rows of all shards that a node renews in one transaction, which
+/// takes 1 MB with the rows in base64 and 100 entries, two for each shard.
+constexpr std::size_t kMaxRenewalBytes = 700000;
+
 /// A copy of the configuration that is older is called stale in the log, if the
 /// last read has failed or has no answer yet. The read waits 1.2 s for a
 /// change, so that a read without an answer after this time has failed, or its
@@ -177,6 +181,9 @@
   const std::string partition = mContext.mPartitions.OfShards();
   StoreTransaction transaction;
   std::vector<RenewedShard> shards;
+  const std::size_t rowBytes =
+    std::min(StoreLimits{}.mRowBytes,
+             kMaxRenewalBytes / std::max<std::size_t>(1, mShards.size()));
   for (auto& [number, shard] : mShards) {
     if (!shard->ClaimStored() ||
         (shard->SteppingDown() && !shard->AllStored())) {
@@ -188,7 +195,7 @@
     transaction.mPuts.push_back({ kClusterTable,
                                   partition,
                                   ShardKey(number),
-                                  FormatShardRow(shard->Row(aNow)) });
+                                  FormatShardRow(shard->Row(aNow), rowBytes) });
   }
   if (shards.empty()) {
     return;
@@ -256,7 +263,8 @@
 {
   mNodeReadInFlight = true;
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mRead(
+  ReadAllPages(
+    mContext.mStore,
     kClusterTable,
     mContext.mPartitions.OfNodes(),
     kNodePrefix,
@@ -283,33 +291,34 @@
   mShardReadInFlight = true;
   const MonotonicTime begin = mContext.Now();
   std::weak_ptr<bool> alive = mAlive;
-  mContext.mStore.mRead(
-    kClusterTable,
-    mContext.mPartitions.OfShards(),
-    {},
-    {},
-    [this, alive, begin](const ReadOutcome& aRead) {
-      if (alive.expired()) {
-        return;
-      }
-      mShardReadInFlight = false;
-      const MonotonicTime now = mContext.Now();
-      if (aRead.mResult != ReadResult::Read) {
-        mNextShardReadAt = now + mContext.mSettings.mRetryPause;
-        return;
-      }
-      mNextShardReadAt = now + mContext.mSettings.mShardPollInterval;
-      RecordReading(mContext.mStoreClock, aRead.mClockMs, begin, now);
-      UpdateShards(mView, aRead.mRows, now);
-      mView.mShardReadDuration =
-        std::chrono::duration_cast<Millis>(now - begin);
-      if (mView.mShardCount == 0) {
-        CreateLayout();
-      } else {
-        ClaimShards(now);
-        HandOverShards(now);
-      }
-    });
+  ReadAllPages(mContext.mStore,
+               kClusterTable,
+               mContext.mPartitions.OfShards(),
+               {},
+               {},
+               [this, alive, begin](const ReadOutcome& aRead) {
+                 if (alive.expired()) {
+                   return;
+                 }
+                 mShardReadInFlight = false;
+                 const MonotonicTime now = mContext.Now();
+                 if (aRead.mResult != ReadResult::Read) {
+                   mNextShardReadAt = now + mContext.mSettings.mRetryPause;
+                   return;
+                 }
+                 mNextShardReadAt = now + mContext.mSettings.mShardPollInterval;
+                 RecordReading(
+                   mContext.mStoreClock, aRead.mClockMs, begin, now);
+                 UpdateShards(mView, aRead.mRows, now);
+                 mView.mShardReadDuration =
+                   std::chrono::duration_cast<Millis>(now - begin);
+                 if (mView.mShardCount == 0) {
+                   CreateLayout();
+                 } else {
+                   ClaimShards(now);
+                   HandOverShards(now);
+                 }
+               });
 }
 
 void
