LibNode: Pass a large configuration on within a region

Once a node's copy of the operator's rows is larger than 100 KB, two nodes of each region go on reading from the store, and the others ask one of them by a long poll. A node that learns of no confirmation by the store that is younger than 1.4 s to 1.8 s reads from the store itself. Small configurations are read as before.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -29,6 +29,7 @@
   row.mIncarnation = (*value)["incarnation"].asInt64();
   row.mMilliCores = (*value)["milli_cores"].asInt64();
   row.mHeartbeatCount = (*value)["beat"].asUInt64();
+  row.mPeerAddress = (*value)["peer_address"].asString();
   return row;
 }
 
@@ -170,6 +171,9 @@
   value["incarnation"] = Json::Int64(aRow.mIncarnation);
   value["milli_cores"] = Json::Int64(aRow.mMilliCores);
   value["beat"] = Json::UInt64(aRow.mHeartbeatCount);
+  if (!aRow.mPeerAddress.empty()) {
+    value["peer_address"] = aRow.mPeerAddress;
+  }
   return WriteJson(value);
 }
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -33,6 +33,9 @@
   std::int64_t mMilliCores = 0;
   /// Rises with each heartbeat, so that each one changes the row.
   std::uint64_t mHeartbeatCount = 0;
+  /// Address at which other nodes ask this one for the operator's rows. Empty:
+  /// it can't be asked; an earlier version of this program may run there.
+  std::string mPeerAddress;
 };
 
 /// A shard's row in the cluster table. The shard's owner renews its lease by
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -8,6 +8,7 @@
 
 #include <LibDispatch/JobSpec.h>
 #include <LibDispatch/Runner.h>
+#include <LibNode/OperatorRelay.h>
 #include <LibNode/StorePort.h>
 #include <LibTime/Time.h>
 
@@ -46,6 +47,7 @@
   std::vector<std::string> mEvacuatedDataCentres;
   /// Size of what has changed since the read before; 0: nothing changed.
   std::size_t mChangedBytes = 0;
+  std::size_t mCopyBytes = 0; ///< Size of all rows of this node's copy.
 };
 
 /// Receives the operator's state, which is empty unless the result is Read.
@@ -54,9 +56,18 @@
 /// Reads what the operator and the runners publish.
 struct DirectoryPort
 {
-  /// Calls its handler at the next change, or after some time without a change.
-  /// After HistoryGone, the next call reads all rows.
-  std::function<void(OperatorStateHandler)> mReadOperatorState;
+  /// Reads from the store. Calls its handler at the next change, or after
+  /// @p aWait without a change. After HistoryGone, the next call reads all
+  /// rows.
+  std::function<void(Millis aWait, OperatorStateHandler)> mReadOperatorState;
+  /// @return the rows of this node's copy that have changed after a store
+  ///         version, or the whole copy if that is not known. Only the version
+  ///         if the copy is not newer.
+  std::function<OperatorRows(std::int64_t aAfter)> mOperatorRowsAfter;
+  /// Updates this node's copy with rows of a peer; does nothing if they are not
+  /// newer.
+  /// @return the operator's state after that
+  std::function<OperatorState(const OperatorRows&)> mApplyOperatorRows;
   /// Reads the list of all runners, of every shard, from service discovery. The
   /// handler gets no value if the read failed.
   std::function<void(
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
+/// How long a read of the operator's state waits for a change.
+constexpr Millis kOperatorChangeWait{ 2000 };
+
 /// A copy of the configuration that is older is called stale in the log, if the
 /// last read has failed or has no answer yet. The read waits 2 s for a change
 /// and its answer has a margin of 1 s, so that a read without an answer after
@@ -90,9 +93,14 @@
   if (!mShardReadInFlight && aNow >= mNextShardReadAt) {
     ReadShards();
   }
-  if (!mOperatorReadInFlight && aNow >= mNextOperatorReadAt) {
+  UpdateSource(aNow);
+  if (mSource.mStore && !mOperatorReadInFlight && aNow >= mNextOperatorReadAt) {
     ReadOperator();
   }
+  if (!mSource.mPeer.empty() && mPeerCall == 0) {
+    ReadFromPeer(mContext.mSettings.mRelay.mHoldTime);
+  }
+  AnswerHeldRequests(aNow, false);
   CheckConfigurationAge(aNow);
   const bool ownsOrMayLayOut = !mShards.empty() || mView.mShardCount == 0;
   if (!mRunnerReadInFlight && aNow >= mNextRunnerReadAt && ownsOrMayLayOut) {
@@ -361,8 +369,11 @@
 {
   mOperatorReadInFlight = true;
   mOperatorReadSentAt = mContext.Now();
+  const bool othersRely = mSource.mCause == SourceCause::Reader ||
+                          mSource.mCause == SourceCause::Stale;
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadOperatorState(
+    othersRely ? mContext.mSettings.mRelay.mReaderWait : kOperatorChangeWait,
     [this, alive, sentAt = mOperatorReadSentAt](ReadResult aResult,
                                                 OperatorState aState) {
       if (!alive.expired()) {
@@ -391,13 +402,35 @@
           " read_ms=" + readTime + " " + FormatConfigurationCopy(before));
     return;
   }
-  mNextOperatorReadAt = now + OperatorReadDelay(aState.mChangedBytes);
-  mConfigurationConfirmedAt = aSentAt;
+  const Millis delay = OperatorReadDelay(aState.mChangedBytes);
+  mNextOperatorReadAt = now + delay;
+  FinishOperatorRead(
+    std::move(aState), aSentAt, "store", "read_ms=" + readTime);
+  // What was read may make this node a reader.
+  UpdateSource(now);
+  if (mSource.mCause == SourceCause::Reader) {
+    mNextOperatorReadAt =
+      now + std::min(delay, mContext.mSettings.mRelay.mLongestReaderDelay);
+  }
+}
+
+void
+Node::FinishOperatorRead(OperatorState aState,
+                         MonotonicTime aConfirmedAt,
+                         std::string_view aSource,
+                         std::string_view aReadFields)
+{
+  const MonotonicTime now = mContext.Now();
+  const ConfigurationCopy before = ConfigurationInForce();
+  mConfigurationConfirmedAt =
+    std::max(aConfirmedAt, mConfigurationConfirmedAt.value_or(aConfirmedAt));
+  mRelay.mCopyBytes = aState.mCopyBytes;
   const std::string sinceConfirmed =
     "since_confirmed_ms=" +
     (before.mAge ? std::to_string(before.mAge->count()) : "none");
   ApplyOperatorState(std::move(aState),
-                     sinceConfirmed + " read_ms=" + readTime);
+                     aSource,
+                     sinceConfirmed + " " + std::string(aReadFields));
   if (mConfigurationStaleSince) {
     const Millis stale =
       std::chrono::duration_cast<Millis>(now - *mConfigurationStaleSince);
@@ -407,10 +440,13 @@
         "stale_ms=" + std::to_string(stale.count()) + " " + sinceConfirmed +
           " " + FormatConfigurationCopy(ConfigurationInForce()));
   }
+  AnswerHeldRequests(now, true);
 }
 
 void
-Node::ApplyOperatorState(OperatorState aState, std::string_view aReadFields)
+Node::ApplyOperatorState(OperatorState aState,
+                         std::string_view aSource,
+                         std::string_view aReadFields)
 {
   std::optional<Configuration>& read = aState.mConfiguration;
   const bool newer =
@@ -418,7 +454,8 @@
   if (newer) {
     Log(LogLevel::Notice,
         "configuration_applied",
-        "version=" + std::to_string(read->mVersion) +
+        "source=" + std::string(aSource) +
+          " version=" + std::to_string(read->mVersion) +
           " routes=" + std::to_string(read->mRoutes.size()) + " " +
           std::string(aReadFields));
     mConfiguration = std::move(read);
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -5,6 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <LibNode/ClientFrontEnd.h>
 #include <LibNode/Cluster.h>
@@ -49,6 +52,12 @@
   /// @return NoSuchRoute, or NotAccepted if the client should come back
   [[nodiscard]] ClientAnswer AnswerUnknownRoute() const;
 
+  /// Answers a peer's request for the operator's rows: at once if any have
+  /// changed, otherwise when the store confirms the copy or the wait is over.
+  /// @param aReply gets the body of the answer; may be called later
+  void ServeOperatorRows(const RelayRequest& aRequest,
+                         std::function<void(std::string)> aReply);
+
   /// Logs a refused request with the version that refused it.
   void LogRefusal(const RefusedRequest& aRequest);
 
@@ -81,9 +90,51 @@
   void HandleOperatorRead(ReadResult aResult,
                           OperatorState aState,
                           MonotonicTime aSentAt);
+  /// Handles the operator's state after a read from the store or a peer.
+  /// @param aConfirmedAt a time not later than the store's confirmation
+  /// @param aSource      "store" or "peer", for the log
+  /// @param aReadFields  fields for the log that describe the read
+  void FinishOperatorRead(OperatorState aState,
+                          MonotonicTime aConfirmedAt,
+                          std::string_view aSource,
+                          std::string_view aReadFields);
   /// Puts a newer configuration and changed evacuations into force.
-  /// @param aReadFields fields for the log that describe the read
-  void ApplyOperatorState(OperatorState aState, std::string_view aReadFields);
+  /// @param aSource     see FinishOperatorRead()
+  /// @param aReadFields see FinishOperatorRead()
+  void ApplyOperatorState(OperatorState aState,
+                          std::string_view aSource,
+                          std::string_view aReadFields);
+
+  // Passing the operator's rows on between nodes, see NodeRelay.cpp.
+
+  /// A request of a peer that waits for its answer.
+  struct HeldRequest
+  {
+    RelayRequest mRequest;
+    MonotonicTime mReceivedAt;
+    std::function<void(std::string)> mReply;
+  };
+  /// Chooses where to read the operator's rows; gives up a silent peer.
+  void UpdateSource(MonotonicTime aNow);
+  /// Asks the present peer for rows, without large ones.
+  /// @param aWait longest time that the peer may wait for a change
+  void ReadFromPeer(Millis aWait);
+  /// Asks the present peer for rows that it has announced.
+  void ReadLargeRows(std::size_t aBytes);
+  void CallPeer(const RelayRequest& aRequest, Millis aTimeout);
+  /// Handles the answer of the present peer.
+  /// @param aSentAt when the request was sent
+  void HandlePeerAnswer(const RelayRequest& aRequest,
+                        const std::optional<std::string>& aBody,
+                        MonotonicTime aSentAt);
+  /// Stops asking the present peer for a while.
+  void GiveUpPeer(std::string_view aCause);
+  /// @return the body of the answer to a peer
+  [[nodiscard]] std::string RelayAnswerTo(const HeldRequest& aRequest,
+                                          MonotonicTime aNow) const;
+  /// Answers the requests whose wait is over, or all.
+  void AnswerHeldRequests(MonotonicTime aNow, bool aAll);
+
   /// Logs when the copy of the configuration has become stale.
   void CheckConfigurationAge(MonotonicTime aNow);
   /// Reads the list of runners, and passes it on to the owned shards.
@@ -106,6 +157,11 @@
   /// When the copy was found to be stale; nothing while it is current.
   std::optional<MonotonicTime> mConfigurationStaleSince;
   std::vector<std::string> mEvacuatedDataCentres;
+  RelayState mRelay;
+  OperatorSource mSource;          ///< As last chosen and logged.
+  std::uint64_t mPeerCall = 0;     ///< The call that is awaited; 0: none.
+  std::uint64_t mLastPeerCall = 0; ///< Number of the last one sent.
+  std::vector<HeldRequest> mHeldRequests;
   std::vector<dispatch::RunnerSpec> mRunners;
   bool mDraining = false;
   bool mStoreReachable = false; ///< As last logged.
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -9,6 +9,7 @@
 #include <LibDispatch/DispatchSettings.h>
 #include <LibNode/Cluster.h>
 #include <LibNode/DirectoryPort.h>
+#include <LibNode/OperatorRelay.h>
 #include <LibNode/RowPartitions.h>
 #include <LibNode/RunnerPort.h>
 #include <LibNode/StoreClock.h>
@@ -22,6 +23,7 @@
 struct NodeSettings
 {
   ClaimSettings mClaims;
+  RelaySettings mRelay;
   dispatch::DispatchSettings mDispatch;
   /// Interval at which a node writes its own row.
   Millis mHeartbeatInterval{ 1000 };
@@ -91,6 +93,7 @@
   StorePort mStore;
   RunnerPort mRunners;
   DirectoryPort mDirectory;
+  PeerPort mPeers; ///< Without functions, nodes don't pass rows on.
   Deadlines* mDeadlines = nullptr;
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -18,6 +18,7 @@
 #include "../../platform/Process.h"
 #include "../../platform/RunnerClient.h"
 #include "../../platform/StoreClient.h"
+#include "PeerCalls.h"
 
 namespace paddle {
 
@@ -66,6 +67,8 @@
   NodeContext mContext;
   platform::StoreClient mStore;
   platform::RunnerClient mRunners;
+  PeerClient mPeers;
+  AsyncHttpServer mPeerCalls; ///< Serves the calls of other nodes.
   AsyncHttpServer mClients;   ///< Serves the requests of clients.
   AsyncHttpServer mReadiness; ///< Serves readiness checks and metrics.
   std::unique_ptr<Node> mNode;
@@ -96,6 +99,14 @@
                           aProblem,
                           BootTime());
              })
+  , mPeers(mLoop, mDeadlines)
+  , mPeerCalls(
+      mLoop,
+      mDeadlines,
+      {},
+      [this](const HttpIncomingRequest& aRequest, ReplyHandler aReply) {
+        HandlePeerCall(*mNode, aRequest, std::move(aReply));
+      })
   , mClients(mLoop,
              mDeadlines,
              {},
@@ -125,6 +136,7 @@
       mLog.Write(
         LogLevel::Warning, "directory_entry_unusable", aProblem, BootTime());
     });
+  mContext.mPeers = mPeers.Port();
   mContext.mDeadlines = &mDeadlines;
   mContext.mLog = &mLog;
   mContext.mMetrics = &mMetrics;
@@ -186,6 +198,7 @@
   http.mRequestTimeout = limits.mRequestTimeout;
   http.mIdleTimeout = limits.mIdleTimeout;
   mClients.SetLimits(http);
+  mPeerCalls.SetLimits(http);
 }
 
 bool
@@ -280,6 +293,19 @@
       return 1;
     }
   }
+  if (!mSettings.mControlAddress.empty()) {
+    const Outcome<Done> listening =
+      mPeerCalls.Listen(mSettings.mControlAddress);
+    if (Succeeded(listening)) {
+      mContext.mSelf.mPeerAddress = mSettings.mControlAddress;
+    } else {
+      // Without it, the node only serves no rows to its peers.
+      mLog.Write(LogLevel::Error,
+                 "peer_calls_not_served",
+                 FormatFields({ { "error", ErrorOf(listening).mMessage } }),
+                 now);
+    }
+  }
   mLog.Write(LogLevel::Notice,
              "started",
              "node=" + mSettings.mNodeName +
--- /dev/null
+++ b/Services/Node/PeerCalls.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include <LibAsyncHttp/HttpPool.h>
+#include <LibAsyncHttp/HttpTypes.h>
+#include <LibNode/Node.h>
+
+namespace paddle {
+
+/// Sends calls to other nodes over HTTP.
+class PeerClient
+{
+public:
+  PeerClient(boost::asio::io_context& aLoop, Deadlines& aDeadlines);
+
+  /// @return functions that send the calls; this object must outlive them
+  [[nodiscard]] PeerPort Port();
+
+private:
+  boost::asio::io_context& mLoop;
+  Deadlines& mDeadlines;
+  std::map<std::string, std::unique_ptr<HttpPool>> mPools; ///< By address.
+};
+
+/// Answers a call of another node.
+void
+HandlePeerCall(Node& aNode,
+               const HttpIncomingRequest& aRequest,
+               ReplyHandler aReply);
+
+} // namespace paddle
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -155,7 +155,7 @@
 ClusterSimulation::MakeDirectoryPort(const Caller& aCaller)
 {
   DirectoryPort port;
-  port.mReadOperatorState = [](const OperatorStateHandler& aDone) {
+  port.mReadOperatorState = [](Millis, const OperatorStateHandler& aDone) {
     OperatorState state;
     Route route;
     route.mHost = "host";
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -39,7 +39,8 @@
     mCluster.StartNode("a");
     NodeContext& context = mCluster.mNodes.at("a").mContext;
     context.mLog = &mLog;
-    context.mDirectory.mReadOperatorState = [this](OperatorStateHandler aDone) {
+    context.mDirectory.mReadOperatorState = [this](Millis,
+                                                   OperatorStateHandler aDone) {
       mHandler = std::move(aDone);
       mSentAt = mCluster.mNow;
       ++mReads;
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -103,13 +103,14 @@
   std::optional<OperatorState> state;
   ReadResult result = ReadResult::Failed;
   const auto read = [&] {
-    directory.mReadOperatorState([&](ReadResult aResult, OperatorState aState) {
-      result = aResult;
-      state.reset();
-      if (aResult == ReadResult::Read) {
-        state = std::move(aState);
-      }
-    });
+    directory.mReadOperatorState(Millis(2000),
+                                 [&](ReadResult aResult, OperatorState aState) {
+                                   result = aResult;
+                                   state.reset();
+                                   if (aResult == ReadResult::Read) {
+                                     state = std::move(aState);
+                                   }
+                                 });
     store.Run();
   };
   read();
@@ -147,10 +148,11 @@
     platform::MakeDirectoryPort(port, [](const std::string&) {});
   std::vector<OperatorState> states;
   const auto read = [&] {
-    directory.mReadOperatorState([&](ReadResult aResult, OperatorState aState) {
-      CHECK_TRUE(aResult == ReadResult::Read);
-      states.push_back(std::move(aState));
-    });
+    directory.mReadOperatorState(Millis(2000),
+                                 [&](ReadResult aResult, OperatorState aState) {
+                                   CHECK_TRUE(aResult == ReadResult::Read);
+                                   states.push_back(std::move(aState));
+                                 });
   };
   read();
   store.Run();
@@ -168,3 +170,133 @@
   CHECK_TRUE(states[1].mConfiguration.has_value());
   LONGS_EQUAL(8, states[1].mConfiguration->mVersion);
 }
+
+namespace {
+
+/// Reads the operator's state once.
+OperatorState
+ReadOnce(DirectoryPort& aDirectory, FakeStore& aStore)
+{
+  OperatorState state;
+  aDirectory.mReadOperatorState(
+    Millis(2000),
+    [&state](ReadResult, OperatorState aState) { state = std::move(aState); });
+  aStore.Run();
+  return state;
+}
+
+void
+Remove(StorePort& aPort, FakeStore& aStore, const std::string& aKey)
+{
+  StoreTransaction transaction;
+  transaction.mRemovals.push_back({ "op", "", aKey });
+  aPort.mTransact(transaction, Millis(1000), [](const TransactionOutcome&) {});
+  aStore.Run();
+}
+
+} // namespace
+
+// Guards against a node that passes its whole copy on at each change, and
+// against a change that does not arrive: a version, an evacuation or its end.
+TEST(Directory, PassesChangesOn)
+{
+  FakeStore store;
+  StorePort port = store.Port();
+  const auto report = [](const std::string&) {};
+  DirectoryPort reader = platform::MakeDirectoryPort(port, report);
+  DirectoryPort follower = platform::MakeDirectoryPort(port, report);
+  Put(port, store, "config", kConfiguration);
+  LONGS_EQUAL(7, ReadOnce(follower, store).mConfiguration->mVersion);
+  ReadOnce(reader, store);
+  const auto passOn = [&] {
+    const std::int64_t version =
+      follower.mOperatorRowsAfter(INT64_MAX).mVersion;
+    const OperatorRows rows = reader.mOperatorRowsAfter(version);
+    LONGS_EQUAL(1, rows.mRows.size());
+    OperatorState state = follower.mApplyOperatorRows(rows);
+    CHECK_TRUE(
+      reader.mOperatorRowsAfter(follower.mOperatorRowsAfter(INT64_MAX).mVersion)
+        .mRows.empty());
+    return state;
+  };
+  Put(port, store, "evacuate/z", "{}");
+  ReadOnce(reader, store);
+  OperatorState state = passOn();
+  CHECK_FALSE(state.mConfiguration.has_value());
+  LONGS_EQUAL(1, state.mEvacuatedDataCentres.size());
+  Remove(port, store, "evacuate/z");
+  ReadOnce(reader, store);
+  LONGS_EQUAL(0, passOn().mEvacuatedDataCentres.size());
+  std::string changed = kConfiguration;
+  changed.replace(changed.find('7'), 1, "8");
+  Put(port, store, "config", changed);
+  ReadOnce(reader, store);
+  state = passOn();
+  LONGS_EQUAL(8, state.mConfiguration->mVersion);
+  CHECK_TRUE(state.mCopyBytes >= changed.size());
+  CHECK_TRUE(state.mChangedBytes >= changed.size());
+}
+
+// Guards against an evacuation that goes on at a node because its peer has read
+// the table in full after the removal, and against large rows that are sent
+// again because of that.
+TEST(Directory, PassesRemovalsOnThatItDidNotSee)
+{
+  FakeStore store;
+  StorePort port = store.Port();
+  const auto report = [](const std::string&) {};
+  DirectoryPort follower = platform::MakeDirectoryPort(port, report);
+  Put(port, store, "config", kConfiguration);
+  Put(port, store, "evacuate/z", "{}");
+  LONGS_EQUAL(1, ReadOnce(follower, store).mEvacuatedDataCentres.size());
+  Remove(port, store, "evacuate/z");
+  DirectoryPort reader = platform::MakeDirectoryPort(port, report);
+  ReadOnce(reader, store);
+  const OperatorRows rows =
+    reader.mOperatorRowsAfter(follower.mOperatorRowsAfter(INT64_MAX).mVersion);
+  CHECK_TRUE(rows.mListsKeys && rows.mRows.empty());
+  LONGS_EQUAL(0,
+              follower.mApplyOperatorRows(rows).mEvacuatedDataCentres.size());
+}
+
+// Guards against rows of a peer that replace newer ones: a read from the store
+// was answered while the peer's answer was under way, or the other way round.
+TEST(Directory, KeepsNewerRowsThanThoseOfAPeer)
+{
+  FakeStore store;
+  StorePort port = store.Port();
+  const auto report = [](const std::string&) {};
+  DirectoryPort reader = platform::MakeDirectoryPort(port, report);
+  DirectoryPort follower = platform::MakeDirectoryPort(port, report);
+  Put(port, store, "config", kConfiguration);
+  ReadOnce(reader, store);
+  ReadOnce(follower, store);
+  const OperatorRows old = reader.mOperatorRowsAfter(0);
+  std::string changed = kConfiguration;
+  changed.replace(changed.find('7'), 1, "8");
+  Put(port, store, "config", changed);
+  Put(port, store, "evacuate/z", "{}");
+  ReadOnce(reader, store);
+  // The follower's read is answered after it has the rows of its peer.
+  std::optional<OperatorState> late;
+  store.mPaused = true;
+  follower.mReadOperatorState(
+    Millis(2000),
+    [&late](ReadResult, OperatorState aState) { late = std::move(aState); });
+  OperatorState state =
+    follower.mApplyOperatorRows(reader.mOperatorRowsAfter(0));
+  LONGS_EQUAL(8, state.mConfiguration->mVersion);
+  LONGS_EQUAL(1, state.mEvacuatedDataCentres.size());
+  state = follower.mApplyOperatorRows(old);
+  CHECK_FALSE(state.mConfiguration.has_value());
+  LONGS_EQUAL(1, state.mEvacuatedDataCentres.size());
+  store.mPaused = false;
+  store.Run();
+  CHECK_TRUE(late.has_value());
+  LONGS_EQUAL(1, late->mEvacuatedDataCentres.size());
+  bool newest = false;
+  for (const StoreRow& row : follower.mOperatorRowsAfter(0).mRows) {
+    newest = newest || row.mValue == changed;
+  }
+  CHECK_TRUE(newest);
+}
--- /dev/null
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -0,0 +1,486 @@
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../LibNode/ClusterSimulation.h"
+
+#include "../../platform/Directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+/// Shortest time within which a change must be in force.
+constexpr Millis kBound{ 2500 };
+constexpr Millis kStep{ 25 };
+constexpr Millis kLatency{ 5 };
+/// Beyond the wait for a change, after which a read without an answer fails.
+constexpr Millis kReadMargin{ 1000 };
+/// Size of a large configuration.
+constexpr std::size_t kLarge = 300'000;
+/// Bytes that a node's link carries in a millisecond.
+constexpr std::int64_t kLinkBytesPerMs = 1250;
+
+} // namespace
+
+/// Two regions of six nodes that use the platform's directory over a fake store
+/// and call each other.
+TEST_GROUP(OperatorRelaySimulation)
+{
+  ClusterSimulation mCluster;
+  std::map<std::string, std::unique_ptr<EventLog>> mLogs;
+  std::map<std::string, std::size_t> mReadBytes; ///< From the store, by node.
+  std::vector<std::string> mNames;
+  std::map<std::int64_t, MonotonicTime> mAcknowledgedAt; ///< By version.
+  std::int64_t mVersion = 0;
+  bool mPeersCorrupt = false; ///< Answers of peers are damaged on the way.
+  std::int64_t mPeerCalls = 0;
+
+  void setup() override
+  {
+    Put(1000);
+    for (const char* region : { "north", "south" }) {
+      for (int i = 0; i < 6; ++i) {
+        mNames.push_back(region + std::to_string(i));
+        Start(mNames.back());
+      }
+    }
+    Advance(Seconds(4));
+  }
+
+  static std::string RegionOf(const std::string& aName)
+  {
+    return aName.substr(0, 5);
+  }
+
+  void Start(const std::string& aName)
+  {
+    mCluster.StartNode(aName);
+    NodeContext& context = mCluster.mNodes.at(aName).mContext;
+    context.mSelf.mRegion = RegionOf(aName);
+    context.mSelf.mMilliCores = aName.back() < '2' ? 500 : 120;
+    context.mSelf.mPeerAddress = aName;
+    auto& log = mLogs[aName];
+    log = std::make_unique<EventLog>("test",
+                                     EventLogLimits{ 1000, 1000, 1UL << 20 });
+    context.mLog = log.get();
+    context.mDirectory =
+      platform::MakeDirectoryPort(TimedStore(aName), [](const std::string&) {});
+    context.mDirectory.mReadRunners =
+      [](const std::function<void(
+           std::optional<std::vector<dispatch::RunnerSpec>>)>& aDone) {
+        aDone(std::vector<dispatch::RunnerSpec>{});
+      };
+    context.mPeers = Peers(aName);
+  }
+
+  /// Calls a handler of a node's process, if that is still there.
+  void Deliver(const std::string& aName,
+               std::uint64_t aProcess,
+               std::function<void()> aHandler)
+  {
+    ClusterSimulation::SimulatedNode& node = mCluster.mNodes.at(aName);
+    if (!node.mNode || node.mProcess != aProcess) {
+      return;
+    }
+    if (node.mFrozen) {
+      node.mPendingAnswers.push_back(std::move(aHandler));
+    } else {
+      aHandler();
+    }
+  }
+
+  /// @return the node's store port; waits for changes end in time, and what the
+  ///         node reads is counted
+  StorePort TimedStore(const std::string& aName)
+  {
+    const StorePort base = mCluster.mNodes.at(aName).mContext.mStore;
+    const std::uint64_t process = mCluster.mNodes.at(aName).mProcess;
+    StorePort port = base;
+    const auto counted = [this, aName](const ReadHandler& aDone) {
+      return [this, aName, aDone](const ReadOutcome& aRead) {
+        for (const StoreRow& row : aRead.mRows) {
+          mReadBytes[aName] += row.mValue.size();
+        }
+        aDone(aRead);
+      };
+    };
+    port.mRead = [base, counted](const std::string& aTable,
+                                 const std::string& aPartition,
+                                 const std::string& aFrom,
+                                 const std::string& aTo,
+                                 const ReadHandler& aDone) {
+      base.mRead(aTable, aPartition, aFrom, aTo, counted(aDone));
+    };
+    port.mWaitForChanges =
+      [this, base, counted, aName, process](const std::string& aTable,
+                                            std::int64_t aAfter,
+                                            Millis aWait,
+                                            const ReadHandler& aDone) {
+        auto answered = std::make_shared<bool>(false);
+        const auto once = [answered,
+                           done = counted(aDone)](const ReadOutcome& aRead) {
+          if (!std::exchange(*answered, true)) {
+            done(aRead);
+          }
+        };
+        base.mWaitForChanges(aTable, aAfter, aWait, once);
+        mCluster.mDeadlines.Add(
+          mCluster.mNow + aWait, [this, once, aName, process, aAfter] {
+            if (mCluster.mNodes.at(aName).mCutFromStore) {
+              mCluster.mDeadlines.Add(
+                mCluster.mNow + kReadMargin, [this, once, aName, process] {
+                  Deliver(aName, process, [once] { once({}); });
+                });
+              return;
+            }
+            ReadOutcome nothing;
+            nothing.mResult = ReadResult::Read;
+            nothing.mVersion = aAfter;
+            Deliver(aName, process, [once, nothing] { once(nothing); });
+          });
+      };
+    return port;
+  }
+
+  PeerPort Peers(const std::string& aName)
+  {
+    PeerPort port;
+    const std::uint64_t process = mCluster.mNodes.at(aName).mProcess;
+    port.mReadOperatorRows =
+      [this, aName, process](
+        const std::string& aAddress,
+        const RelayRequest& aRequest,
+        Millis aTimeout,
+        const std::function<void(std::optional<std::string>)>& aDone) {
+        ++mPeerCalls;
+        CHECK_TRUE(RegionOf(aName) == RegionOf(aAddress));
+        auto answered = std::make_shared<bool>(false);
+        const auto answer = [this, aName, process, aDone, answered](
+                              std::optional<std::string> aBody) {
+          Deliver(aName, process, [aDone, answered, aBody] {
+            if (!std::exchange(*answered, true)) {
+              aDone(aBody);
+            }
+          });
+        };
+        mCluster.mDeadlines.Add(mCluster.mNow + aTimeout,
+                                [answer] { answer({}); });
+        const std::uint64_t peer = mCluster.mNodes.at(aAddress).mProcess;
+        mCluster.mDeadlines.Add(
+          mCluster.mNow + kLatency, [this, aAddress, peer, aRequest, answer] {
+            Deliver(aAddress, peer, [this, aAddress, aRequest, answer] {
+              mCluster.mNodes.at(aAddress).mNode->ServeOperatorRows(
+                aRequest, [this, answer](std::string aBody) {
+                  if (mPeersCorrupt) {
+                    aBody += "x";
+                  }
+                  const Millis transfer(
+                    static_cast<std::int64_t>(aBody.size()) / kLinkBytesPerMs);
+                  mCluster.mDeadlines.Add(mCluster.mNow + kLatency + transfer,
+                                          [answer, aBody] { answer(aBody); });
+                });
+            });
+          });
+      };
+    return port;
+  }
+
+  /// Writes rows as the operator does; they are acknowledged at once. The
+  /// bounds on the size of rows are those of nodes.
+  void Write(StoreTransaction aTransaction)
+  {
+    const StoreLimits limits = std::exchange(
+      mCluster.mStore.mLimits, { SIZE_MAX, SIZE_MAX, SIZE_MAX, SIZE_MAX });
+    bool stored = false;
+    mCluster.mStore.Port().mTransact(
+      std::move(aTransaction),
+      Millis(1000),
+      [&stored](const TransactionOutcome& aOutcome) {
+        stored = aOutcome.mResult == StoreResult::Stored;
+      });
+    mCluster.mStore.Run();
+    mCluster.mStore.mLimits = limits;
+    CHECK_TRUE(stored);
+  }
+
+  /// Publishes the next version of the configuration.
+  void Put(std::size_t aBytes)
+  {
+    ++mVersion;
+    StoreTransaction transaction;
+    transaction.mPuts.push_back({ "op",
+                                  "",
+                                  "config",
+                                  "{\"version\":" + std::to_string(mVersion) +
+                                    ",\"routes\":[],\"services\":\"" +
+                                    std::string(aBytes, 's') + "\"}",
+                                  0,
+                                  false });
+    Write(std::move(transaction));
+    mAcknowledgedAt[mVersion] = mCluster.mNow;
+  }
+
+  /// Begins or ends the evacuation of a data centre.
+  void Evacuate(bool aBegin)
+  {
+    StoreTransaction transaction;
+    if (aBegin) {
+      transaction.mPuts.push_back({ "op", "", "evacuate/z", "{}", 0, false });
+    } else {
+      transaction.mRemovals.push_back({ "op", "", "evacuate/z" });
+    }
+    Write(std::move(transaction));
+  }
+
+  const Node* NodeOf(const std::string& aName)
+  {
+    return mCluster.mNodes.at(aName).mNode.get();
+  }
+
+  /// Advances the clock. Checks all the time that no node takes its copy for
+  /// confirmed at a time at which a newer version was acknowledged, and that no
+  /// node goes back to an older version.
+  void Advance(Millis aTime)
+  {
+    std::map<std::string, std::int64_t> versions;
+    for (Millis passed(0); passed < aTime; passed += kStep) {
+      mCluster.AdvanceTime(kStep);
+      for (const std::string& name : mNames) {
+        const Node* node = NodeOf(name);
+        if (node == nullptr || mCluster.mNodes.at(name).mFrozen) {
+          continue;
+        }
+        const ConfigurationCopy copy = node->ConfigurationInForce();
+        CHECK_TRUE(copy.mVersion >= versions[name]);
+        versions[name] = copy.mVersion;
+        const auto newer = mAcknowledgedAt.upper_bound(copy.mVersion);
+        if (copy.mAge && newer != mAcknowledgedAt.end()) {
+          CHECK_TRUE(mCluster.mNow - *copy.mAge <= newer->second);
+        }
+      }
+    }
+  }
+
+  /// Publishes large configurations until all nodes know that they are large
+  /// and have a source.
+  void BecomeLarge()
+  {
+    Put(kLarge);
+    Advance(Seconds(5));
+    mReadBytes.clear();
+  }
+
+  /// @return the names of the nodes that have read large rows from the store
+  std::vector<std::string> StoreReaders() const
+  {
+    std::vector<std::string> names;
+    for (const auto& [name, bytes] : mReadBytes) {
+      if (bytes >= kLarge) {
+        names.push_back(name);
+      }
+    }
+    return names;
+  }
+
+  /// @return the names of the nodes that have not the newest version, each
+  ///         followed by a space
+  std::string Behind(const std::vector<std::string>& aExcept = {})
+  {
+    std::string text;
+    for (const std::string& name : mNames) {
+      const bool excepted =
+        std::find(aExcept.begin(), aExcept.end(), name) != aExcept.end();
+      if (!excepted &&
+          NodeOf(name)->ConfigurationInForce().mVersion != mVersion) {
+        text += name + " ";
+      }
+    }
+    return text;
+  }
+
+  /// @return how many nodes have logged this text
+  std::size_t Logged(const std::string& aText)
+  {
+    std::size_t count = 0;
+    for (const auto& [name, log] : mLogs) {
+      count += log->Pending().find(aText) != std::string::npos ? 1 : 0;
+    }
+    return count;
+  }
+
+  /// Publishes a route and an evacuation while some nodes have a fault, and
+  /// checks that both are in force in time at all others.
+  void CheckChangesInTime(const std::vector<std::string>& aFaulty)
+  {
+    Put(kLarge);
+    Advance(kBound);
+    STRCMP_EQUAL("", Behind(aFaulty).c_str());
+  }
+
+  const std::vector<std::string> kReaders{
+    "north0", "north1", "south0", "south1"
+  };
+};
+
+// Guards against large configurations that each node reads across the link
+// between the regions. With 18 nodes in the region without the store, the link
+// was full for 40 s. A small configuration is read by every node.
+TEST(OperatorRelaySimulation, OnlyTwoNodesOfARegionReadALargeConfiguration)
+{
+  LONGS_EQUAL(0, mPeerCalls);
+  LONGS_EQUAL(mNames.size(), mReadBytes.size());
+  BecomeLarge();
+  for (int i = 0; i < 3; ++i) {
+    mReadBytes.clear();
+    Put(kLarge);
+    Advance(kBound);
+    STRCMP_EQUAL("", Behind().c_str());
+    CHECK_TRUE(StoreReaders() == kReaders);
+    LONGS_EQUAL(8, Logged("source=peer version=" + std::to_string(mVersion)));
+    Advance(Seconds(3));
+  }
+  LONGS_EQUAL(0, Logged("event=peer_given_up"));
+  // Once it is small again, every node reads it from the store.
+  Put(1000);
+  Advance(Seconds(4));
+  const std::int64_t calls = mPeerCalls;
+  Advance(Seconds(4));
+  LONGS_EQUAL(calls, mPeerCalls);
+}
+
+// Guards against changes that are late while a reader does not answer, in each
+// phase of the calls between it and its followers.
+TEST(OperatorRelaySimulation, AChangeIsInTimeWhenAReaderIsLost)
+{
+  for (int phase = 0; phase < 500; phase += 75) {
+    for (const char* fault : { "kill", "freeze", "cut" }) {
+      BecomeLarge();
+      Advance(Millis(phase));
+      const std::string reader = "north0";
+      if (fault == std::string("kill")) {
+        mCluster.KillNode(reader);
+      } else if (fault == std::string("freeze")) {
+        mCluster.FreezeNode(reader);
+      } else {
+        mCluster.CutFromStore(reader, true);
+      }
+      CheckChangesInTime({ reader });
+      CHECK_TRUE(StoreReaders().size() <= kReaders.size());
+      mCluster.CutFromStore(reader, false);
+      mCluster.WakeNode(reader, ClusterSimulation::OnWaking::TickFirst);
+      Start(reader);
+      Advance(Seconds(12));
+    }
+  }
+}
+
+// Guards against changes that are late while both readers of a region don't
+// answer.
+TEST(OperatorRelaySimulation, AChangeIsInTimeWhenBothReadersAreLost)
+{
+  for (int phase = 0; phase < 500; phase += 75) {
+    for (const char* fault : { "kill", "freeze", "cut" }) {
+      BecomeLarge();
+      Advance(Millis(phase));
+      for (const char* reader : { "north0", "north1" }) {
+        if (fault == std::string("kill")) {
+          mCluster.KillNode(reader);
+        } else if (fault == std::string("freeze")) {
+          mCluster.FreezeNode(reader);
+        } else {
+          mCluster.CutFromStore(reader, true);
+        }
+      }
+      CheckChangesInTime({ "north0", "north1" });
+      for (const char* reader : { "north0", "north1" }) {
+        mCluster.CutFromStore(reader, false);
+        mCluster.WakeNode(reader, ClusterSimulation::OnWaking::TickFirst);
+        Start(reader);
+      }
+      Advance(Seconds(12));
+    }
+  }
+}
+
+// Guards against evacuations that wait for a lost reader, and against ones that
+// are not passed on: their rows are in the same table.
+TEST(OperatorRelaySimulation, AnEvacuationIsInTimeWhenAReaderIsLost)
+{
+  BecomeLarge();
+  Evacuate(true);
+  Advance(Millis(500));
+  LONGS_EQUAL(12, Logged("event=evacuated_data_centres names=z\n"));
+  mCluster.FreezeNode("north0");
+  mCluster.FreezeNode("north1");
+  Evacuate(false);
+  Advance(kBound);
+  LONGS_EQUAL(10, Logged("event=evacuated_data_centres names=\n"));
+  // Nobody has read the large row again.
+  LONGS_EQUAL(0, StoreReaders().size());
+}
+
+// Guards against a reader that wakes and hands out its old copy as fresh: the
+// checks in Advance() compare each confirmation with the acknowledgements.
+TEST(OperatorRelaySimulation, AWokenReaderConfirmsNothingOld)
+{
+  for (const auto order : { ClusterSimulation::OnWaking::TickFirst,
+                            ClusterSimulation::OnWaking::AnswersFirst }) {
+    for (const int frozen : { 300, 600, 1000, 3000 }) {
+      BecomeLarge();
+      mCluster.FreezeNode("north0");
+      mCluster.FreezeNode("north1");
+      Put(kLarge);
+      Advance(Millis(frozen));
+      mCluster.WakeNode("north0", order);
+      mCluster.WakeNode("north1", order);
+      Advance(kBound);
+      STRCMP_EQUAL("", Behind().c_str());
+      Advance(Seconds(12));
+    }
+  }
+}
+
+// Guards against a damaged answer that is applied or that delays a change, and
+// against one without a line in the log.
+TEST(OperatorRelaySimulation, DamagedAnswersAreRefused)
+{
+  BecomeLarge();
+  mPeersCorrupt = true;
+  Put(kLarge);
+  Advance(kBound);
+  STRCMP_EQUAL("", Behind().c_str());
+  LONGS_EQUAL(8, Logged("event=peer_answer_refused"));
+  mPeersCorrupt = false;
+  Advance(Seconds(12));
+  mReadBytes.clear();
+  Put(kLarge);
+  Advance(kBound);
+  CHECK_TRUE(StoreReaders() == kReaders);
+}
+
+// Guards against followers of nodes that run an earlier version of this
+// program, and of a restarted reader that has read nothing yet.
+TEST(OperatorRelaySimulation, NodesWithoutAPeerReadFromTheStore)
+{
+  BecomeLarge();
+  Start("north0");
+  Put(kLarge);
+  Advance(kBound);
+  STRCMP_EQUAL("", Behind().c_str());
+  for (const std::string& name : mNames) {
+    mCluster.mNodes.at(name).mContext.mSelf.mPeerAddress.clear();
+  }
+  Advance(Seconds(4));
+  const std::int64_t calls = mPeerCalls;
+  mReadBytes.clear();
+  Put(kLarge);
+  Advance(kBound);
+  STRCMP_EQUAL("", Behind().c_str());
+  LONGS_EQUAL(calls, mPeerCalls);
+  LONGS_EQUAL(12, StoreReaders().size());
+}
