--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,7 @@
   std::vector<std::string> mNames;
   std::map<std::int64_t, MonotonicTime> mAcknowledgedAt; ///< By version.
   std::int64_t mVersion = 0;
+  std::map<std::string, int> mWaits; ///< For changes of the operator's table.
   bool mPeersCorrupt = false; ///< Answers of peers are damaged on the way.
   std::int64_t mPeerCalls = 0;
   Millis mTransferTime{ 0 }; ///< Of large rows from the store to a node.
@@ -142,6 +144,7 @@
                                             std::int64_t aAfter,
                                             Millis aWait,
                                             const ReadHandler& aDone) {
+        mWaits[aName] += aTable == "op" ? 1 : 0;
         auto answered = std::make_shared<bool>(false);
         const auto once = [answered,
                            done = counted(aDone)](const ReadOutcome& aRead) {
@@ -356,9 +359,10 @@
   LONGS_EQUAL(0, mPeerCalls);
   LONGS_EQUAL(mNames.size(), mReadBytes.size());
   BecomeLarge();
+  mWaits.clear();
   for (int i = 0; i < 3; ++i) {
     mReadBytes.clear();
-    Put(kLarge);
+    Put(2 * kLarge);
     Advance(kBound);
     STRCMP_EQUAL("", Behind().c_str());
     CHECK_TRUE(StoreReaders() == kReaders);
@@ -366,6 +370,12 @@
     Advance(Seconds(3));
   }
   LONGS_EQUAL(0, Logged("event=peer_given_up"));
+  // The others have not asked the store at all.
+  for (const std::string& name : mNames) {
+    const bool reads =
+      std::find(kReaders.begin(), kReaders.end(), name) != kReaders.end();
+    CHECK_EQUAL(reads, mWaits[name] > 0);
+  }
   // Once it is small again, every node reads it from the store.
   Put(1000);
   Advance(Seconds(4));
