--- a/Tests/LibNode/TestOperatorRelay.cpp
+++ b/Tests/LibNode/TestOperatorRelay.cpp
@@ -259,14 +259,14 @@
   CHECK_TRUE(request->mAfter == 9'000'000'000'000);
   CHECK_TRUE(request->mLargeRows);
   CHECK_TRUE(request->mWait == Millis(400));
-  for (const char* text : { "/",
-                            "/operator-rows?after=1",
-                            "/operator-rows?after=-1&large=0&wait_ms=0",
-                            "/operator-rows?after=1&large=2&wait_ms=0",
-                            "/operator-rows?after=1&large=0&wait_ms=",
-                            "/operator-rows?after=1&large=0&wait_ms=0x",
-                            "/operator-rows?after=99999999999999999999&large=0"
-                            "&wait_ms=0" }) {
+  for (const char* text :
+       { "/",
+         "/operator-rows?after=1",
+         "/operator-rows?after=-1&large=0&wait_ms=0",
+         "/operator-rows?after=1&large=2&wait_ms=0",
+         "/operator-rows?after=1&large=0&wait_ms=",
+         "/operator-rows?after=1&large=0&wait_ms=0x",
+         "/operator-rows?after=99999999999999999999&large=0&wait_ms=0" }) {
     CHECK_FALSE(ParseRelayRequest(text).has_value());
   }
 }
--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -185,7 +185,7 @@
         CHECK_TRUE(RegionOf(aName) == RegionOf(aAddress));
         auto answered = std::make_shared<bool>(false);
         const auto answer = [this, aName, process, aDone, answered](
-                              std::optional<std::string> aBody) {
+                              const std::optional<std::string>& aBody) {
           Deliver(aName, process, [aDone, answered, aBody] {
             if (!std::exchange(*answered, true)) {
               aDone(aBody);
@@ -346,7 +346,7 @@
     STRCMP_EQUAL("", Behind(aFaulty).c_str());
   }
 
-  const std::vector<std::string> kReaders{
+  const std::vector<std::string> mReaders{
     "north0", "north1", "south0", "south1"
   };
 };
@@ -365,7 +365,7 @@
     Put(2 * kLarge);
     Advance(kBound);
     STRCMP_EQUAL("", Behind().c_str());
-    CHECK_TRUE(StoreReaders() == kReaders);
+    CHECK_TRUE(StoreReaders() == mReaders);
     LONGS_EQUAL(8, Logged("source=peer version=" + std::to_string(mVersion)));
     Advance(Seconds(3));
   }
@@ -373,7 +373,7 @@
   // The others have not asked the store at all.
   for (const std::string& name : mNames) {
     const bool reads =
-      std::find(kReaders.begin(), kReaders.end(), name) != kReaders.end();
+      std::find(mReaders.begin(), mReaders.end(), name) != mReaders.end();
     CHECK_EQUAL(reads, mWaits[name] > 0);
   }
   // Once it is small again, every node reads it from the store.
@@ -401,7 +401,7 @@
         mCluster.CutFromStore(reader, true);
       }
       CheckChangeInTime({ reader });
-      CHECK_TRUE(StoreReaders().size() <= kReaders.size());
+      CHECK_TRUE(StoreReaders().size() <= mReaders.size());
       mCluster.CutFromStore(reader, false);
       mCluster.WakeNode(reader, ClusterSimulation::OnWaking::TickFirst);
       Start(reader);
@@ -491,7 +491,7 @@
   mReadBytes.clear();
   Put(kLarge);
   Advance(kBound);
-  CHECK_TRUE(StoreReaders() == kReaders);
+  CHECK_TRUE(StoreReaders() == mReaders);
 }
 
 // Guards against followers of nodes that run an earlier version of this
@@ -528,7 +528,7 @@
     Put(kLarge);
     Advance(mTransferTime + Seconds(1));
     STRCMP_EQUAL("", Behind().c_str());
-    CHECK_TRUE(StoreReaders() == kReaders);
+    CHECK_TRUE(StoreReaders() == mReaders);
     Advance(Seconds(3));
   }
   LONGS_EQUAL(0, Logged("event=peer_given_up"));
