--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -378,6 +378,9 @@
       return;
     }
     ExtendDeadline(aConnection);
+    if (connection.mCurrent->mCall.mOnProgress) {
+      connection.mCurrent->mCall.mOnProgress(connection.mReceivedBytes);
+    }
     Read(aConnection);
     return;
   }
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -40,6 +40,9 @@
   /// these time-outs replace mTimeout. A bound on the whole call would break
   /// off each large answer over a slow link, and its repetition as well.
   std::optional<TransferTimeouts> mTransferTimeouts = std::nullopt;
+  /// Called whenever bytes of the answer have arrived, with their number so
+  /// far, but not with the last ones. It must not send or close anything.
+  std::function<void(std::size_t aReceivedBytes)> mOnProgress = nullptr;
 };
 
 /// Whether a call failed to bring a complete answer, and what is known then
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -9,6 +9,7 @@
 #include <LibDispatch/DispatchSettings.h>
 #include <LibNode/Cluster.h>
 #include <LibNode/DirectoryPort.h>
+#include <LibNode/OperatorRelay.h>
 #include <LibNode/RowPartitions.h>
 #include <LibNode/RunnerPort.h>
 #include <LibNode/StoreClock.h>
@@ -24,6 +25,7 @@
 {
   StoreLimits mStoreLimits;
   ClaimSettings mClaims;
+  RelaySettings mRelay;
   dispatch::DispatchSettings mDispatch;
   /// Interval at which a node writes its own row.
   Millis mHeartbeatInterval{ 1000 };
@@ -93,10 +95,14 @@
   StorePort mStore;
   RunnerPort mRunners;
   DirectoryPort mDirectory;
+  PeerPort mPeers; ///< Without functions, nodes don't pass rows on.
   Deadlines* mDeadlines = nullptr;
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
   MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
+  /// When bytes of a large answer of the store last arrived that is not
+  /// complete yet.
+  MonotonicTime mStoreProgressAt;
   StoreClock mStoreClock;
   /// Clock for tests. Without it, the time since the host's start is used.
   std::function<MonotonicTime()> mClock;
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -45,7 +45,8 @@
     mCluster.StartNode(mName);
     NodeContext& context = mCluster.mNodes.at(mName).mContext;
     context.mLog = &mLog;
-    context.mDirectory.mReadOperatorState = [this](OperatorStateHandler aDone) {
+    context.mDirectory.mReadOperatorState = [this](Millis,
+                                                   OperatorStateHandler aDone) {
       mHandler = std::move(aDone);
       mSentAt = mCluster.mNow;
       ++mReads;
