LibDispatch: Space out placement passes beside a large backlog

Each answer of a runner, and each step that became ready, led to a pass over all waiting steps.

With more than 64 waiting steps, passes are now 20 ms apart and those over all runners 50 ms; runners on which several runs have ended are rated once.

PlacementOrder.SpacesOutPassesBesideALargeBacklog fails without the interval.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -127,6 +127,8 @@
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
   MonotonicTime mPlacementOrderAt;
+  MonotonicTime mPassedAt;   ///< When the latest placement pass ran.
+  MonotonicTime mFullPassAt; ///< When the latest one over all runners ran.
   /// Runners that get no other tasks, so that an interrupted long-running task
   /// that fits on no runner finds room there, as of the latest full pass.
   std::vector<RunnerIndex> mHeldRunners;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -48,6 +48,14 @@
 constexpr double kUnusedCoreGain = 0.1;
 /// Cost of each consecutive failure on a runner.
 constexpr double kFailureCost = 200;
+/// With more waiting steps than this, passes are spaced out: one costs some
+/// milliseconds then, and each answer of a runner gives cause for one. Without
+/// that, an owner with 2,000 waiting steps spent 0.8 of a core on passes.
+constexpr std::size_t kLargeBacklog = 64;
+/// Shortest intervals between two passes, and between two over all runners,
+/// beside a large backlog. Tasks run for half a second and longer.
+constexpr Millis kPassInterval{ 20 };
+constexpr Millis kFullPassInterval{ 50 };
 /// Passes over single runners use a placement order of up to this age. Whether
 /// jobs can still meet their deadlines changes more slowly.
 constexpr Millis kOrderInterval{ 100 };
@@ -657,7 +665,13 @@
   }
   // If runs have ended and nothing else has changed, only their runners are
   // considered.
-  const bool full = aDispatcher.mPlacementDue;
+  const bool largeBacklog = aDispatcher.mWaitingSteps.size() > kLargeBacklog;
+  if (largeBacklog && aNow - aDispatcher.mPassedAt < kPassInterval) {
+    return; // A later call, or the next tick, makes up for it.
+  }
+  const bool full =
+    aDispatcher.mPlacementDue &&
+    (!largeBacklog || aNow - aDispatcher.mFullPassAt >= kFullPassInterval);
   std::vector<RunnerIndex> candidates =
     full ? AvailableRunners(aDispatcher, aNow)
          : std::exchange(aDispatcher.mFreedRunners, {});
@@ -666,8 +680,17 @@
       aDispatcher.mPlacementDue && !aDispatcher.mWaitingSteps.empty();
     return;
   }
-  aDispatcher.mPlacementDue = false;
-  aDispatcher.mFreedRunners.clear();
+  aDispatcher.mPassedAt = aNow;
+  if (full) {
+    aDispatcher.mPlacementDue = false;
+    aDispatcher.mFullPassAt = aNow;
+    aDispatcher.mFreedRunners.clear();
+  } else {
+    // A runner on which several runs have ended is listed for each of them.
+    std::sort(candidates.begin(), candidates.end());
+    candidates.erase(std::unique(candidates.begin(), candidates.end()),
+                     candidates.end());
+  }
   UpdateHardToReach(aDispatcher, aNow);
   for (const RunnerIndex index : candidates) {
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -56,6 +56,11 @@
 /// the result is Read.
 using OperatorStateHandler = std::function<void(ReadResult, OperatorState)>;
 
+/// How long one call waits for changes of the operator's table. It bounds the
+/// time until a silent connection is noticed (see kChangeWaitMargin of the
+/// store's client), and costs 0.8 calls a second at each node.
+inline constexpr Millis kOperatorChangeWait{ 1200 };
+
 /// Reads what the operator and the runners publish.
 struct DirectoryPort
 {
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -22,11 +22,6 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
-/// How long one call waits for changes of the operator's table. It bounds the
-/// time until a silent connection is noticed (see kChangeWaitMargin of the
-/// store's client), and costs 0.8 calls a second at each node.
-constexpr Millis kOperatorChangeWait{ 1200 };
-
 /// Bound of the delay before a failed read of the operator's table is repeated,
 /// without the part that differs between nodes. After an outage, a node reads
 /// 1.35 s late at most, where a configuration has to be in force after 2.5 s.
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -125,6 +125,36 @@
   CHECK_TRUE(world.IsRunning("job.0.0.0"));
 }
 
+// Guards against an owner that spends all its time on placement passes beside a
+// large backlog, one for each answer of a runner, and falls seconds behind with
+// everything else.
+TEST(PlacementOrder, SpacesOutPassesBesideALargeBacklog)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  for (int i = 0; i < 100; ++i) {
+    world.AddJob(MakeJob("job" + std::to_string(i), { FiniteStep(1, 16000) }));
+  }
+  world.AdvanceTime(Seconds(1));
+  const std::uint32_t before = world.mStarts;
+  const auto endAndPass = [&](const std::string& aRunner) {
+    world.End(std::string(world.mRunners[aRunner].mRunning.front().mTask),
+              EndKind::Done);
+    world.Report();
+    PlaceWaiting(world.mDispatcher, world.mNow, world.mActions);
+    world.PerformOrders();
+  };
+  world.mNow += Millis(25);
+  endAndPass("r0");
+  LONGS_EQUAL(before + 1, world.mStarts);
+  world.mNow += Millis(5);
+  endAndPass("r1");
+  LONGS_EQUAL(before + 1, world.mStarts);
+  world.mNow += Millis(15);
+  world.Tick();
+  LONGS_EQUAL(before + 2, world.mStarts);
+}
+
 // Guards against starting a step before all tasks of its predecessor are done.
 TEST(PlacementOrder, StartsAStepAfterItsPredecessors)
 {
--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -201,9 +201,8 @@
   boost::asio::io_context mLoop{ 1 };
   Deadlines mDeadlines;
   SilentStore mStore{ mLoop };
-  platform::StoreClient mClient{
-    mLoop, mDeadlines, mStore.Address(), [] {}, [](const std::string&) {}
-  };
+  platform::StoreClient mClient{ mLoop, mDeadlines, mStore.Address(),
+                                 [] {}, [] {},      [](const std::string&) {} };
   StorePort mPort = mClient.Port();
   DirectoryPort mDirectory =
     platform::MakeDirectoryPort(mPort, [](const std::string&) {});
@@ -219,6 +218,7 @@
   {
     auto read = std::make_shared<Read>();
     mDirectory.mReadOperatorState(
+      kOperatorChangeWait,
       [read](ReadResult aResult, const OperatorState& aState) {
         read->mSucceeded = aResult == ReadResult::Read;
         read->mVersion =
