LibNode: Log failed and slow reads of the list of runners

runner_read_failed and runner_read_slow (above 1 s) state how long the read took and how old the list in use is.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -31,6 +31,10 @@
 /// takes 1 MB with the rows in base64 and 100 entries, two for each shard.
 constexpr std::size_t kMaxRenewalBytes = 700000;
 
+/// A read of the list of runners that takes longer is logged. A draining runner
+/// must get no more starts 2.5 s after its notice.
+constexpr Millis kSlowRunnerRead{ 1000 };
+
 /// A copy of the configuration that is older is called stale in the log, if the
 /// last read has failed or has no answer yet. The read waits 1.2 s for a
 /// change, so that a read without an answer after this time has failed, or its
@@ -532,23 +536,44 @@
   Log(LogLevel::Notice, "configuration_stale", FormatConfigurationCopy(copy));
 }
 
+void
+Node::LogRunnerRead(bool aSucceeded, MonotonicTime aSentAt, MonotonicTime aNow)
+{
+  const auto millisSince = [&](MonotonicTime aTime) {
+    return std::to_string(
+      std::chrono::duration_cast<Millis>(aNow - aTime).count());
+  };
+  const bool slow = aNow - aSentAt > kSlowRunnerRead;
+  if (aSucceeded && !slow) {
+    return;
+  }
+  Log(LogLevel::Info,
+      aSucceeded ? "runner_read_slow" : "runner_read_failed",
+      "read_ms=" + millisSince(aSentAt) + " list_age_ms=" +
+        (mRunnersReadSentAt ? millisSince(*mRunnersReadSentAt) : "none") +
+        " runners=" + std::to_string(mRunners.size()));
+}
+
 void
 Node::ReadRunners()
 {
   mRunnerReadInFlight = true;
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadRunners(
-    [this, alive](std::optional<std::vector<dispatch::RunnerSpec>> aRunners) {
+    [this, alive, sentAt = mContext.Now()](
+      std::optional<std::vector<dispatch::RunnerSpec>> aRunners) {
       if (alive.expired()) {
         return;
       }
       mRunnerReadInFlight = false;
+      const MonotonicTime now = mContext.Now();
+      LogRunnerRead(aRunners.has_value(), sentAt, now);
       if (!aRunners) {
-        mNextRunnerReadAt = mContext.Now() + mContext.mSettings.mRetryPause;
+        mNextRunnerReadAt = now + mContext.mSettings.mRetryPause;
         return;
       }
-      mNextRunnerReadAt =
-        mContext.Now() + mContext.mSettings.mRunnerPollInterval;
+      mRunnersReadSentAt = sentAt;
+      mNextRunnerReadAt = now + mContext.mSettings.mRunnerPollInterval;
       mRunners = std::move(*aRunners);
       for (auto& [number, shard] : mShards) {
         shard->SetRunners(mRunners, mView.mShardCount);
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -139,6 +139,12 @@
   void CheckConfigurationAge(MonotonicTime aNow);
   /// Reads the list of runners, and passes it on to the owned shards.
   void ReadRunners();
+  /// Logs that a read of the list of runners failed or was slow, and how old
+  /// the list in use is: until the next one, starts may go to runners that have
+  /// left.
+  void LogRunnerRead(bool aSucceeded,
+                     MonotonicTime aSentAt,
+                     MonotonicTime aNow);
   /// Chooses the number of shards and stores it, if no node has done so.
   void CreateLayout();
   /// Begins to claim the shards that DecideClaims() returns.
@@ -173,6 +179,8 @@
   bool mOperatorReadInFlight = false;
   std::uint32_t mOperatorReadFailures = 0; ///< Since the last success.
   bool mRunnerReadInFlight = false;
+  /// When the read was sent that brought the list of runners in use.
+  std::optional<MonotonicTime> mRunnersReadSentAt;
   bool mLayoutWriteInFlight = false;
   MonotonicTime mBeginAt;
   MonotonicTime mNextHeartbeatAt;
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -175,6 +175,34 @@
                       std::to_string(before + 25) + "\n"));
 }
 
+// Guards against an owner that starts tasks on runners that have left, without
+// a line that says that its list of runners is old.
+TEST(ConfigurationAge, TellsThatTheListOfRunnersIsOld)
+{
+  Begin();
+  std::function<void(std::optional<std::vector<dispatch::RunnerSpec>>)> handler;
+  mCluster.mNodes.at(mName).mContext.mDirectory.mReadRunners =
+    [&](const auto& aDone) { handler = aDone; };
+  const auto answer = [&](bool aSucceeds, Millis aAfter) {
+    for (int i = 0; i < 200 && !handler; ++i) {
+      mCluster.AdvanceTime(Millis(25));
+    }
+    mCluster.AdvanceTime(aAfter);
+    const auto done = std::exchange(handler, {});
+    CHECK_TRUE(done != nullptr);
+    done(aSucceeds ? std::optional(std::vector<dispatch::RunnerSpec>(3))
+                   : std::nullopt);
+  };
+  answer(true, Millis(0));
+  answer(true, Millis(0));
+  LONGS_EQUAL(0, Count(mLog, "event=runner_read"));
+  answer(false, Millis(1200));
+  LONGS_EQUAL(1, Count(mLog, "event=runner_read_failed read_ms=1200"));
+  LONGS_EQUAL(1, Count(mLog, "runners=3\n"));
+  answer(true, Millis(1500));
+  LONGS_EQUAL(1, Count(mLog, "event=runner_read_slow read_ms=1500"));
+}
+
 // Guards against notices about a calm node. If each wait takes 2 s, its copy is
 // older than 3 s before each answer without a change.
 TEST(ConfigurationAge, IsNotStaleWhileAllReadsAreAnswered)
