LibDispatch: Hold only runners that can take the lost task; move more tasks

Found by the review: a runner with too little memory for the lost task was held because it lacked cores as well, and the one that could take the task was refilled for ever; a running task of a removed queue stopped the moving of all tasks behind it; and an interrupted step that fits nowhere stopped all moving.

A held runner now has the capacity in every resource. Tasks of removed queues are passed over, and moving waits only for tasks of the same service that were interrupted within 5 s.

PlacementOrder.HoldsOnlyRunnersThatCanTakeTheLostTask and LeavingRunners.MovesTasksBesideOnesThatFitNowhere failed before.

--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <compare>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -69,6 +70,10 @@
 /// runners at the same time. A stop takes up to 900 ms and a runner leaves 2.5
 /// s to 4 s after its notice, so that three rounds fit.
 constexpr std::size_t kMaxMovesInFlight = 96;
+/// Tasks are not moved from leaving runners while one waits that was
+/// interrupted within this time. One that waits for longer may fit on no runner
+/// at all.
+constexpr Seconds kRoomForLostTasks{ 5 };
 /// Largest number of waiting steps that are explained in the log at a time.
 constexpr std::size_t kMaxExplainedSteps = 3;
 /// The log explains only steps that have waited for longer than this.
@@ -594,6 +599,9 @@
     const std::int64_t reachable =
       aRunner.mSpec.mCapacity.mMilliCores - aRunner.mLongRunningMilliCores;
     return reachable >= spec.mDemand.mMilliCores &&
+           aRunner.mSpec.mCapacity.mMemoryMb >= spec.mDemand.mMemoryMb &&
+           aRunner.mSpec.mCapacity.mAccelerators >=
+             spec.mDemand.mAccelerators &&
            aRunner.mSpec.mService == aService &&
            (spec.mRequiredLabel.empty() ||
             HasLabel(aRunner, spec.mRequiredLabel)) &&
@@ -771,6 +779,30 @@
 
 namespace {
 
+/// @return the services of which a long-running task was interrupted lately and
+///         waits for room, which it needs before tasks that still run
+std::set<std::string_view>
+ServicesWithLostTasks(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::set<std::string_view> services;
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    const QueueSpec* queue = FindQueue(aDispatcher, entry.mJob->mSpec.mQueue);
+    if (queue == nullptr || entry.mKind != StepKind::LongRunning) {
+      continue;
+    }
+    const std::vector<Task>& tasks = StepOf(entry).mTasks;
+    const bool waits =
+      std::any_of(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+        return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
+               aNow - *aTask.mInterruptedAt < kRoomForLostTasks;
+      });
+    if (waits) {
+      services.insert(queue->mService);
+    }
+  }
+  return services;
+}
+
 /// @return the tasks that run on leaving runners and could run elsewhere
 /// @param aMoving receives the number of tasks that are being moved already
 std::vector<TaskRef>
@@ -813,24 +845,20 @@
   if (tasks.empty() || aNow >= aDispatcher.mStartsUntil) {
     return;
   }
-  const bool restartsWait =
-    std::any_of(aDispatcher.mWaitingSteps.begin(),
-                aDispatcher.mWaitingSteps.end(),
-                [&](const WaitingStep& aEntry) {
-                  return HasInterruptedTask(aDispatcher, aEntry);
-                });
-  if (restartsWait) {
-    return; // They need the room first.
-  }
+  const std::set<std::string_view> shortOfRoom =
+    ServicesWithLostTasks(aDispatcher, aNow);
   const std::vector<RunnerIndex> candidates =
     AvailableRunners(aDispatcher, aNow);
   // What is kept for a task counts as used for those after it.
   std::vector<std::pair<RunnerIndex, Resources>> kept;
   for (const TaskRef& ref : tasks) {
     const QueueSpec* queue = FindQueue(aDispatcher, ref.mJob->mSpec.mQueue);
-    if (moving == kMaxMovesInFlight || queue == nullptr) {
+    if (moving == kMaxMovesInFlight) {
       break;
     }
+    if (queue == nullptr || shortOfRoom.contains(queue->mService)) {
+      continue;
+    }
     const RunnerIndex target =
       ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
     if (target == kNoRunner) {
--- a/Tests/LibDispatch/TestLeavingRunners.cpp
+++ b/Tests/LibDispatch/TestLeavingRunners.cpp
@@ -71,6 +71,41 @@
   LONGS_EQUAL(4, world.mStarts);
 }
 
+// Guards against a lost task that fits nowhere, or a task of a removed queue,
+// that keeps all others on leaving runners.
+TEST(LeavingRunners, MovesTasksBesideOnesThatFitNowhere)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  const QueueSpec queue = world.mDispatcher.mQueues.at("queue");
+  QueueSpec removed = queue;
+  removed.mName = "removed";
+  const QueueSpec both[] = { queue, removed };
+  SetQueues(world.mDispatcher, both);
+  StepSpec rare = LongRunningStep(1, 16000);
+  rare.mRequiredLabel = "a";
+  JobSpec orphan = MakeJob("orphan", { LongRunningStep(1, 1000) });
+  orphan.mQueue = "removed";
+  world.AddJob(orphan);
+  world.AddJob(MakeJob("rare", { rare }));
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.AdvanceTime(Seconds(1));
+  // No runner has the label any more when the task is lost.
+  for (RunnerSpec& spec : world.mListed) {
+    spec.mLabels = { "b", spec.mRack };
+  }
+  const std::string leaving = world.RunnerOf("job.0.0.0");
+  STRCMP_EQUAL(leaving.c_str(), world.RunnerOf("orphan.0.0.0").c_str());
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  world.End("rare.0.0.0", EndKind::Failed);
+  world.AdvanceTime(Seconds(6));
+  CHECK_FALSE(world.IsRunning("rare.0.0.0"));
+  SetQueues(world.mDispatcher, { &queue, 1 });
+  Drain(world, leaving);
+  world.AdvanceTime(Seconds(1));
+  CHECK_TRUE(world.RunnerOf("job.0.0.0") != leaving);
+}
+
 // Guards against a second run of a task on a leaving runner that gets the stop
 // order, or does not get it, and works on.
 TEST(LeavingRunners, StartsNoSecondRunWhileTheFirstMayRun)
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -107,6 +107,41 @@
   CHECK_TRUE(away <= Seconds(9));
 }
 
+// Guards against holding a runner on which the lost task never fits, instead of
+// one on which it fits as soon as others have ended.
+TEST(PlacementOrder, HoldsOnlyRunnersThatCanTakeTheLostTask)
+{
+  DispatchWorld world;
+  world.ListRunners(3);
+  for (RunnerSpec& spec : world.mListed) {
+    // r0 has much room but too little memory.
+    spec.mCapacity = spec.mId == "r0" ? Resources{ 40000, 2500, 0 }
+                                      : Resources{ 16000, 64000, 0 };
+  }
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  StepSpec lost = LongRunningStep(1, 12000);
+  lost.mDemand.mMemoryMb = 10000;
+  world.AddJob(MakeJob("long-running", { lost }));
+  world.AddJob(MakeJob("finite", { FiniteStep(200, 4000) }));
+  const std::string first = world.RunnerOf("long-running.0.0.0");
+  world.AdvanceTime(Seconds(1));
+  world.Leave(first);
+  Millis away(0);
+  while (!world.IsRunning("long-running.0.0.0") && away < Seconds(12)) {
+    for (const auto& [id, runner] : world.mRunners) {
+      for (const DispatchWorld::Run& run : runner.mRunning) {
+        if (id != first && run.mTask.starts_with("finite")) {
+          world.End(std::string(run.mTask), EndKind::Done);
+          break;
+        }
+      }
+    }
+    world.AdvanceTime(Millis(200));
+    away += Millis(200);
+  }
+  CHECK_TRUE(away <= Seconds(9));
+}
+
 // Guards against a lost task that is ordered from one runner beyond a full link
 // after the other: they look free because nothing starts there.
 TEST(PlacementOrder, PrefersDataCentresThatAnswerStartOrders)
