LibDispatch: Hold no runner that long-running tasks fill in any resource

A runner was held for a lost task although long-running tasks left too little memory there, and finite tasks that end could not change that. It would have been kept from all other work as long as the lost task waited.

--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -50,6 +50,10 @@
 void
 MarkSeen(const TaskRef& aTask);
 
+/// @return the resources that a task of the step reserves
+Resources
+ReservedResources(const StepSpec& aSpec);
+
 /// Adds a run of a task to a runner and to the resources in use there.
 void
 AssignToRunner(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -596,12 +596,18 @@
   const StepSpec& spec = SpecOf(aTask);
   const auto suits = [&](const Runner& aRunner) {
     // Only finite tasks end by themselves.
-    const std::int64_t reachable =
-      aRunner.mSpec.mCapacity.mMilliCores - aRunner.mLongRunningMilliCores;
-    return reachable >= spec.mDemand.mMilliCores &&
-           aRunner.mSpec.mCapacity.mMemoryMb >= spec.mDemand.mMemoryMb &&
-           aRunner.mSpec.mCapacity.mAccelerators >=
-             spec.mDemand.mAccelerators &&
+    Resources lasting;
+    for (const TaskRef& ref : aRunner.mTasks) {
+      if (SpecOf(ref).mKind == StepKind::LongRunning) {
+        lasting += ReservedResources(SpecOf(ref));
+      }
+    }
+    const Resources& capacity = aRunner.mSpec.mCapacity;
+    return lasting.mMilliCores + spec.mDemand.mMilliCores <=
+             capacity.mMilliCores &&
+           lasting.mMemoryMb + spec.mDemand.mMemoryMb <= capacity.mMemoryMb &&
+           lasting.mAccelerators + spec.mDemand.mAccelerators <=
+             capacity.mAccelerators &&
            aRunner.mSpec.mService == aService &&
            (spec.mRequiredLabel.empty() ||
             HasLabel(aRunner, spec.mRequiredLabel)) &&
@@ -616,8 +622,10 @@
     const PlacementRating rating =
       RateRunner(aDispatcher, index, aTask, aService, aNow);
     const Obstacle* obstacle = std::get_if<Obstacle>(&rating);
-    const bool full = obstacle != nullptr && (*obstacle == Obstacle::Cores ||
-                                              *obstacle == Obstacle::Memory);
+    const bool full =
+      obstacle != nullptr &&
+      (*obstacle == Obstacle::Cores || *obstacle == Obstacle::Memory ||
+       *obstacle == Obstacle::Accelerators);
     if (!full || !suits(runner) ||
         std::find(held.begin(), held.end(), index) != held.end()) {
       continue;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -11,17 +11,6 @@
 /// there may be more.
 constexpr std::size_t kMaxEndsPerReport = 500;
 
-/// @return the resources that a task of the step reserves
-Resources
-ReservedResources(const StepSpec& aSpec)
-{
-  Resources amount = aSpec.mDemand;
-  if (aSpec.mReservation == Reservation::BestEffort) {
-    amount.mMilliCores = 0;
-  }
-  return amount;
-}
-
 /// Removes a task from its runner and from the resources in use there.
 void
 RemoveFromRunner(Dispatcher& aDispatcher,
@@ -416,6 +405,16 @@
 
 } // namespace
 
+Resources
+ReservedResources(const StepSpec& aSpec)
+{
+  Resources amount = aSpec.mDemand;
+  if (aSpec.mReservation == Reservation::BestEffort) {
+    amount.mMilliCores = 0;
+  }
+  return amount;
+}
+
 bool
 AdoptRun(Dispatcher& aDispatcher,
          RunnerIndex aRunner,
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -142,6 +142,32 @@
   CHECK_TRUE(away <= Seconds(9));
 }
 
+// Guards against holding a runner for ever whose long-running tasks leave too
+// little memory for the lost one.
+TEST(PlacementOrder, HoldsNoRunnerThatLongRunningTasksFill)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  StepSpec wide = LongRunningStep(2, 2000);
+  wide.mDemand.mMemoryMb = 40000;
+  world.AddJob(MakeJob("wide", { wide }));
+  world.AddJob(MakeJob("finite", { FiniteStep(200, 7000) }));
+  const std::string first = world.RunnerOf("wide.0.0.0");
+  world.AdvanceTime(Seconds(1));
+  world.Leave(first);
+  world.AdvanceTime(Seconds(8)); // The task is lost and fits nowhere.
+  const std::string other = world.RunnerOf("wide.0.0.1");
+  const std::uint32_t before = world.mStarts;
+  for (const DispatchWorld::Run& run : world.mRunners[other].mRunning) {
+    if (run.mTask.starts_with("finite")) {
+      world.End(std::string(run.mTask), EndKind::Done);
+      break;
+    }
+  }
+  world.AdvanceTime(Millis(500));
+  CHECK_TRUE(world.mStarts > before);
+}
+
 // Guards against a lost task that is ordered from one runner beyond a full link
 // after the other: they look free because nothing starts there.
 TEST(PlacementOrder, PrefersDataCentresThatAnswerStartOrders)
