--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -7,6 +7,22 @@
 using namespace paddle;
 using namespace paddle::dispatch;
 
+namespace {
+
+/// Adds a queue "urgent", whose priority is better than that of "queue".
+void
+AddUrgentQueue(DispatchWorld& aWorld)
+{
+  QueueSpec background = aWorld.mDispatcher.mQueues.at("queue");
+  QueueSpec urgent = background;
+  background.mPriority = 2;
+  urgent.mName = "urgent";
+  const QueueSpec queues[] = { background, urgent };
+  SetQueues(aWorld.mDispatcher, queues);
+}
+
+} // namespace
+
 TEST_GROUP(PlacementOrder){};
 
 // Guards against placing the oldest job of a backlog first although it is late
@@ -46,12 +62,7 @@
 {
   DispatchWorld world;
   world.ListRunners(1);
-  QueueSpec background = world.mDispatcher.mQueues.at("queue");
-  QueueSpec urgent = background;
-  background.mPriority = 2;
-  urgent.mName = "urgent";
-  const QueueSpec queues[] = { background, urgent };
-  SetQueues(world.mDispatcher, queues);
+  AddUrgentQueue(world);
   world.AddJob(MakeJob("long-running", { LongRunningStep(1, 16000) }));
   JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
   finite.mQueue = "urgent";
@@ -67,12 +78,7 @@
 {
   DispatchWorld world;
   world.ListRunners(1);
-  QueueSpec background = world.mDispatcher.mQueues.at("queue");
-  QueueSpec urgent = background;
-  background.mPriority = 2;
-  urgent.mName = "urgent";
-  const QueueSpec queues[] = { background, urgent };
-  SetQueues(world.mDispatcher, queues);
+  AddUrgentQueue(world);
   JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
   finite.mQueue = "urgent";
   world.AddJob(finite);
