LibNode: Tell peers only of a configuration that is arriving

Only answers about the operator's table count now. SilentConnections.OnlyAnswersAboutTheOperatorsTableAreProgress is new; the old client reported progress for both tables.

--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -100,9 +100,9 @@
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
   MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
-  /// When bytes of a large answer of the store last arrived that is not
-  /// complete yet.
-  MonotonicTime mStoreProgressAt;
+  /// When bytes last arrived of a large answer about the operator's table that
+  /// is not complete yet.
+  MonotonicTime mOperatorProgressAt;
   StoreClock mStoreClock;
   /// Clock for tests. Without it, the time since the host's start is used.
   std::function<MonotonicTime()> mClock;
--- a/Libraries/LibNode/NodeRelay.cpp
+++ b/Libraries/LibNode/NodeRelay.cpp
@@ -181,8 +181,8 @@
   answer.mHeld =
     std::chrono::duration_cast<Millis>(aNow - aRequest.mReceivedAt);
   answer.mReceiving = mOperatorReadInFlight &&
-                      mContext.mStoreProgressAt > mOperatorReadSentAt &&
-                      aNow - mContext.mStoreProgressAt <
+                      mContext.mOperatorProgressAt > mOperatorReadSentAt &&
+                      aNow - mContext.mOperatorProgressAt <
                         mContext.mSettings.mRelay.mReceivingPause;
   answer.mRows =
     mContext.mDirectory.mOperatorRowsAfter(aRequest.mRequest.mAfter);
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -87,7 +87,7 @@
       mDeadlines,
       aSettings.mStoreAddress,
       [this] { mContext.mStoreAnsweredAt = BootTime(); },
-      [this] { mContext.mStoreProgressAt = BootTime(); },
+      [this] { mContext.mOperatorProgressAt = BootTime(); },
       [this](const std::string& aProblem) {
         mLog.Write(
           LogLevel::Warning, "store_answer_unusable", aProblem, BootTime());
--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -121,7 +121,7 @@
           mCluster.mDeadlines.Add(
             mCluster.mNow + after, [this, aName, process] {
               Deliver(aName, process, [this, aName] {
-                mCluster.mNodes.at(aName).mContext.mStoreProgressAt =
+                mCluster.mNodes.at(aName).mContext.mOperatorProgressAt =
                   mCluster.mNow;
               });
             });
--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -92,6 +92,9 @@
     return mIgnored + mWaiting.size();
   }
 
+  /// Makes each answer larger by that many bytes.
+  void Pad(std::size_t aBytes) { mPadding.assign(aBytes, 'x'); }
+
 private:
   struct Connection
   {
@@ -160,7 +163,8 @@
     const std::string body =
       R"({"rows":[{"table":"op","part":"","key":"config","ver":1,"value":")" +
       std::string(mChanged ? kNewValue : kOldValue) + R"("}],"ver":)" +
-      (mChanged ? "2" : "1") + R"(,"now_ms":1})";
+      (mChanged ? "2" : "1") + R"(,"now_ms":1,"padding":")" + mPadding +
+      R"("})";
     std::string answer =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n\r\n" + body;
@@ -184,6 +188,7 @@
   std::size_t mHoldUntil = 0;
   bool mChanged = false;
   bool mCutNext = false;
+  std::string mPadding;
 };
 
 } // namespace
@@ -201,8 +206,13 @@
   boost::asio::io_context mLoop{ 1 };
   Deadlines mDeadlines;
   SilentStore mStore{ mLoop };
-  platform::StoreClient mClient{ mLoop, mDeadlines, mStore.Address(),
-                                 [] {}, [] {},      [](const std::string&) {} };
+  std::size_t mProgress = 0; ///< Times at which the client reported progress.
+  platform::StoreClient mClient{ mLoop,
+                                 mDeadlines,
+                                 mStore.Address(),
+                                 [] {},
+                                 [this] { ++mProgress; },
+                                 [](const std::string&) {} };
   StorePort mPort = mClient.Port();
   DirectoryPort mDirectory =
     platform::MakeDirectoryPort(mPort, [](const std::string&) {});
@@ -369,3 +379,21 @@
   CHECK_TRUE(wait->mSucceeded.has_value());
   CHECK_FALSE(*wait->mSucceeded);
 }
+
+// Guards against a node that tells its peers that a configuration is arriving
+// because of another large answer, such as the list of runners: they would wait
+// for it although its own read is stuck.
+TEST(SilentConnections, OnlyAnswersAboutTheOperatorsTableAreProgress)
+{
+  mStore.Pad(200000);
+  const auto read = [&](const std::string& aTable) {
+    bool answered = false;
+    mPort.mRead(
+      aTable, "", "", "", [&](const ReadOutcome&) { answered = true; });
+    RunUntil([&] { return answered; });
+  };
+  read("servers");
+  UNSIGNED_LONGS_EQUAL(0, mProgress);
+  read("op");
+  CHECK_TRUE(mProgress > 0);
+}
