--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -7,6 +7,22 @@
 using namespace paddle;
 using namespace paddle::dispatch;
 
+namespace {
+
+/// Adds a queue "urgent", whose priority is better than that of "queue".
+void
+AddUrgentQueue(DispatchWorld& aWorld)
+{
+  QueueSpec background = aWorld.mDispatcher.mQueues.at("queue");
+  QueueSpec urgent = background;
+  background.mPriority = 2;
+  urgent.mName = "urgent";
+  const QueueSpec queues[] = { background, urgent };
+  SetQueues(aWorld.mDispatcher, queues);
+}
+
+} // namespace
+
 TEST_GROUP(PlacementOrder){};
 
 // Guards against placing the oldest job of a backlog first although it is late
@@ -46,12 +62,7 @@
 {
   DispatchWorld world;
   world.ListRunners(1);
-  QueueSpec background = world.mDispatcher.mQueues.at("queue");
-  QueueSpec urgent = background;
-  background.mPriority = 2;
-  urgent.mName = "urgent";
-  const QueueSpec queues[] = { background, urgent };
-  SetQueues(world.mDispatcher, queues);
+  AddUrgentQueue(world);
   world.AddJob(MakeJob("long-running", { LongRunningStep(1, 16000) }));
   JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
   finite.mQueue = "urgent";
@@ -67,12 +78,7 @@
 {
   DispatchWorld world;
   world.ListRunners(1);
-  QueueSpec background = world.mDispatcher.mQueues.at("queue");
-  QueueSpec urgent = background;
-  background.mPriority = 2;
-  urgent.mName = "urgent";
-  const QueueSpec queues[] = { background, urgent };
-  SetQueues(world.mDispatcher, queues);
+  AddUrgentQueue(world);
   JobSpec finite = MakeJob("finite", { FiniteStep(2, 16000) });
   finite.mQueue = "urgent";
   world.AddJob(finite);
@@ -142,6 +148,32 @@
   CHECK_TRUE(away <= Seconds(9));
 }
 
+// Guards against holding a runner for ever whose long-running tasks leave too
+// little memory for the lost one.
+TEST(PlacementOrder, HoldsNoRunnerThatLongRunningTasksFill)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  StepSpec wide = LongRunningStep(2, 2000);
+  wide.mDemand.mMemoryMb = 40000;
+  world.AddJob(MakeJob("wide", { wide }));
+  world.AddJob(MakeJob("finite", { FiniteStep(200, 7000) }));
+  const std::string first = world.RunnerOf("wide.0.0.0");
+  world.AdvanceTime(Seconds(1));
+  world.Leave(first);
+  world.AdvanceTime(Seconds(8)); // The task is lost and fits nowhere.
+  const std::string other = world.RunnerOf("wide.0.0.1");
+  const std::uint32_t before = world.mStarts;
+  for (const DispatchWorld::Run& run : world.mRunners[other].mRunning) {
+    if (run.mTask.starts_with("finite")) {
+      world.End(std::string(run.mTask), EndKind::Done);
+      break;
+    }
+  }
+  world.AdvanceTime(Millis(500));
+  CHECK_TRUE(world.mStarts > before);
+}
+
 // Guards against a lost task that is ordered from one runner beyond a full link
 // after the other: they look free because nothing starts there.
 TEST(PlacementOrder, PrefersDataCentresThatAnswerStartOrders)
