LibDispatch: Acknowledge an end only when all changes of its job are stored

Cause: an end that changed nothing was acknowledged at once. What made it superfluous could be in memory only: a step that was concluded to be done because a task of a later step ran, a gang's end by another member, a failure of the job, or a removed occurrence. If the owner was replaced before it stored that, neither the store nor the runner knew of the end any more.

Change: each job knows the commit that stores its latest change, and every end of its runs waits for that commit. A job without unstored changes still has its ends acknowledged at once. Two log lines show a concluded step and a superfluous end. EndRun() and ApplyEnd() no longer report whether something has changed, since nothing depends on it any more.

--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -19,8 +19,7 @@
 /// next phase.
 /// @param aRun        number of the run; only used for failed runs
 /// @param aCheckpoint latest checkpoint of the run, or empty
-/// @return whether the progress to store has changed
-bool
+void
 EndRun(Dispatcher& aDispatcher,
        const TaskRef& aTask,
        RunOutcome aOutcome,
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -171,6 +171,9 @@
   /// the progress of all of them would be too large.
   bool mOccurrenceHeld = false;
   bool mDirty = false; ///< Whether there are changes that no commit carries.
+  /// Sequence number of the commit that stores the latest change; 0 if all that
+  /// is known of the job was read from the store.
+  std::uint64_t mChangeSequence = 0;
   bool mTerminalCommitted = false; ///< Whether the final phase is stored.
 };
 
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -404,7 +404,11 @@
 void
 MarkDirty(Dispatcher& aDispatcher, Job& aJob)
 {
-  if (aJob.mDirty || aJob.mTerminalCommitted) {
+  if (aJob.mTerminalCommitted) {
+    return;
+  }
+  aJob.mChangeSequence = aDispatcher.mCommitSequence;
+  if (aJob.mDirty) {
     return;
   }
   aJob.mDirty = true;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -70,8 +70,7 @@
 
 /// Counts a failed run, unless it has been counted before. The job fails if the
 /// task may not be tried again.
-/// @return whether the run was counted
-bool
+void
 CountFailure(Dispatcher& aDispatcher,
              const TaskRef& aTask,
              std::int64_t aRun,
@@ -81,14 +80,14 @@
   Job& job = *aTask.mJob;
   const StepSpec& spec = SpecOf(aTask);
   if (spec.mKind == StepKind::LongRunning || job.mPhase != JobPhase::Active) {
-    return false;
+    return;
   }
   Step& step = StepOf(aTask);
   // The failures of a gang are counted for its first member.
   std::vector<std::int64_t>& failed =
     step.mTasks[spec.mGang ? 0 : aTask.mIndex].mFailedRuns;
   if (WasCounted(failed, aRun)) {
-    return false;
+    return;
   }
   failed.push_back(aRun);
   ++aDispatcher.mCounters.mFailed;
@@ -97,7 +96,6 @@
   if (queue != nullptr && failed.size() >= queue->mMaxAttempts) {
     FailJob(aDispatcher, job, aNow, aActions);
   }
-  return true;
 }
 
 /// Advances the occurrence and the job after a task of a finite step is done.
@@ -163,8 +161,7 @@
 }
 
 /// Applies one end that a runner reports.
-/// @return whether the progress to store has changed
-bool
+void
 ApplyEnd(Dispatcher& aDispatcher,
          RunnerIndex aRunner,
          const EndEntry& aEnd,
@@ -178,11 +175,19 @@
   });
   const TaskRef ref = FindTask(aDispatcher, aEnd.mTask);
   if (ref.mJob == nullptr) {
-    return false;
+    return;
   }
   Task& task = TaskOf(ref);
   if (task.mPhase == TaskPhase::Done) {
-    return false;
+    Emit(aDispatcher,
+         "end_superfluous",
+         ref.mJob,
+         "task=" + FormatTaskName(aEnd.mTask) +
+           " run=" + std::to_string(aEnd.mRun) + " runner=" + runner.mSpec.mId +
+           " stored=" +
+           (ref.mJob->mChangeSequence <= aDispatcher.mStoredThrough ? "1"
+                                                                    : "0"));
+    return;
   }
   // A later run was only started after the earlier one had ended. Its end
   // therefore counts even if, by a stale record, the earlier run may still run.
@@ -193,8 +198,10 @@
   const bool former = task.mPhase == TaskPhase::Waiting &&
                       (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
   if (!current && !former) {
-    return aEnd.mKind == EndKind::Failed &&
-           CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
+    if (aEnd.mKind == EndKind::Failed) {
+      CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
+    }
+    return;
   }
   task.mRun = std::max(task.mRun, aEnd.mRun);
   ref.mJob->mBegan = true;
@@ -205,7 +212,7 @@
   if (outcome != RunOutcome::Interrupted) {
     UpdateRunnerHealth(aDispatcher, runner, ref.mJob->mSpec.mId, outcome, aNow);
   }
-  return EndRun(
+  EndRun(
     aDispatcher, ref, outcome, aEnd.mRun, aEnd.mCheckpoint, aNow, aActions);
 }
 
@@ -339,6 +346,7 @@
     if (i == aTask.mStep || step.mDoneTasks == step.mTasks.size()) {
       continue;
     }
+    const std::uint32_t doneBefore = step.mDoneTasks;
     for (Task& task : step.mTasks) {
       if (task.mPhase == TaskPhase::Waiting) {
         task.mPhase = TaskPhase::Done;
@@ -346,6 +354,12 @@
         ++step.mDoneTasks;
       }
     }
+    Emit(aDispatcher,
+         "step_inferred_done",
+         &job,
+         "step=" + std::to_string(i) +
+           " tasks=" + std::to_string(step.mDoneTasks - doneBefore) +
+           " seen=" + FormatTaskName(NameOf(aTask)));
     occurrence.mStepsDone += step.mDoneTasks == step.mTasks.size() ? 1 : 0;
     UpdateWaiting(aDispatcher, job, aTask.mOccurrence, i);
     changed = true;
@@ -468,7 +482,7 @@
   ++aTask.mJob->mActiveRuns;
 }
 
-bool
+void
 EndRun(Dispatcher& aDispatcher,
        const TaskRef& aTask,
        RunOutcome aOutcome,
@@ -494,19 +508,22 @@
   task.mStopAnsweredAt.reset();
   task.mOverTargetSince.reset();
   task.mProgressPercent = -1;
-  bool progressChanged = false;
-  if (!aCheckpoint.empty() && task.mCheckpoint != aCheckpoint) {
+  const bool newCheckpoint =
+    !aCheckpoint.empty() && task.mCheckpoint != aCheckpoint;
+  if (newCheckpoint) {
     task.mCheckpoint = aCheckpoint;
-    progressChanged = true;
   }
   if (job.mPhase != JobPhase::Active) {
     EraseIfFinished(aDispatcher, job);
-    return false;
+    return;
+  }
+  if (newCheckpoint) {
+    MarkDirty(aDispatcher, job);
   }
   const bool finite = spec.mKind == StepKind::Finite;
   if (aOutcome == RunOutcome::Done && finite) {
     ++aDispatcher.mCounters.mDone;
-    progressChanged = true;
+    MarkDirty(aDispatcher, job);
     if (spec.mGang) {
       FinishGang(aDispatcher, aTask, aNow);
     } else {
@@ -516,10 +533,9 @@
     }
   } else if (aOutcome == RunOutcome::Failed && finite) {
     task.mFailedOn = runner;
-    progressChanged =
-      CountFailure(aDispatcher, aTask, aRun, aNow, aActions) || progressChanged;
+    CountFailure(aDispatcher, aTask, aRun, aNow, aActions);
     if (job.mPhase != JobPhase::Active) {
-      return true;
+      return;
     }
   } else {
     ++aDispatcher.mCounters.mStopped;
@@ -529,14 +545,10 @@
     }
     task.mFailedOn = aOutcome == RunOutcome::Failed ? runner : kNoRunner;
   }
-  if (progressChanged) {
-    MarkDirty(aDispatcher, job);
-  }
   UpdateWaiting(aDispatcher, job, aTask.mOccurrence, aTask.mStep);
   if (task.mPhase == TaskPhase::Done) {
     AdvanceJob(aDispatcher, aTask, aNow);
   }
-  return progressChanged;
 }
 
 void
@@ -626,14 +638,16 @@
     if (end.mNumber <= runner.mHighestAppliedEnd) {
       continue;
     }
-    const bool progressChanged =
-      ApplyEnd(aDispatcher, aRunner, end, aNow, aActions);
+    ApplyEnd(aDispatcher, aRunner, end, aNow, aActions);
     runner.mHighestAppliedEnd = end.mNumber;
+    // An end that changes nothing may be superfluous only because of changes
+    // that are not stored yet. A later owner would need the end without them.
     const auto job = aDispatcher.mJobs.find(end.mTask.mJob);
+    const bool known = job != aDispatcher.mJobs.end();
     runner.mUnstoredEnds.push_back(
       { end.mNumber,
-        progressChanged ? aDispatcher.mCommitSequence : 0,
-        job != aDispatcher.mJobs.end() ? job->second->mArrivalNumber : 0 });
+        known ? job->second->mChangeSequence : 0,
+        known ? job->second->mArrivalNumber : 0 });
   }
   AcknowledgeStored(aDispatcher, runner);
 
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -62,11 +62,12 @@
   GangIncomplete   ///< Some members of the gang did not start in time.
 };
 
-/// An end that has been applied to its task but is not stored.
+/// An end that has been applied to its task but is not acknowledged.
 struct UnstoredEnd
 {
   std::int64_t mNumber = 0; ///< See EndEntry::mNumber.
-  /// Sequence number of the commit that stores it.
+  /// Sequence number of the commit that stores it, together with all earlier
+  /// changes of its job; 0 if the store needs neither.
   std::uint64_t mCommitSequence = 0;
   std::uint64_t mJobArrivalNumber = 0; ///< See Job::mArrivalNumber.
 };
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -72,6 +72,37 @@
   FAIL("All runners have runs.");
 }
 
+/// Lets an owner start both steps of a job, which run on different runners, but
+/// store nothing, and a later owner take over. The second step's runner answers
+/// that owner first, so that it concludes that the first step is done.
+/// @return the runner that still reports the end of the first step
+RunnerIndex
+TakeOverWithAnUnstoredStep(DispatchWorld& aWorld)
+{
+  StepSpec first = FiniteStep(1, 1000);
+  first.mRequiredLabel = "rack1";
+  StepSpec second = FiniteStep(1, 1000);
+  second.mRequiredLabel = "rack0";
+  second.mPredecessors = { 0 };
+  aWorld.ListRunners(8);
+  aWorld.AddJob(MakeJob("job", { first, second }));
+  const std::string runner = aWorld.RunnerOf("job.0.0.0");
+  aWorld.End("job.0.0.0", EndKind::Done);
+  aWorld.Report();
+  aWorld.Tick();
+  CHECK_TRUE(aWorld.IsRunning("job.0.1.0"));
+  aWorld.TakeOver(2);
+  aWorld.Report();
+  return aWorld.mDispatcher.mRunnerById.at(runner);
+}
+
+/// @return the number up to which the next renewal acknowledges ends
+std::int64_t
+AcknowledgedEnd(DispatchWorld& aWorld, RunnerIndex aRunner)
+{
+  return PlanRenewal(aWorld.mDispatcher, aRunner, aWorld.mNow).mAcknowledgedEnd;
+}
+
 } // namespace
 
 TEST_GROUP(Takeover){};
@@ -121,6 +152,81 @@
   CHECK_TRUE(world.mEndedJobs.empty());
 }
 
+// Guards against acknowledging the end of a task that is done only in memory,
+// because a task of a later step was seen: a later owner would start it again.
+TEST(Takeover, KeepsTheEndOfAStepThatIsDoneInMemoryOnly)
+{
+  DispatchWorld world;
+  const RunnerIndex runner = TakeOverWithAnUnstoredStep(world);
+  LONGS_EQUAL(0, AcknowledgedEnd(world, runner));
+  world.Report();
+  world.End("job.0.1.0", EndKind::Done);
+  world.TakeOver(3);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+  CHECK_TRUE(world.mEndedJobs["job"] == JobPhase::Completed);
+}
+
+// Guards against ends that are never acknowledged because they change nothing:
+// runners would report them for ever.
+TEST(Takeover, AcknowledgesASuperfluousEndOnceItsJobIsStored)
+{
+  DispatchWorld world;
+  const RunnerIndex runner = TakeOverWithAnUnstoredStep(world);
+  world.Commit();
+  LONGS_EQUAL(1, AcknowledgedEnd(world, runner));
+  // The next owner finds the end in the store and has nothing to commit.
+  world.TakeOver(3);
+  world.Report();
+  CHECK_TRUE(world.mDispatcher.mDirtyJobs.empty());
+  LONGS_EQUAL(1, AcknowledgedEnd(world, runner));
+}
+
+// Guards against acknowledging the end of a gang's member before the end of
+// another member, which stands for all of them, is stored.
+TEST(Takeover, KeepsTheEndsOfAGangUntilOneIsStored)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  StepSpec gang = FiniteStep(2, 16000);
+  gang.mGang = true;
+  world.AddJob(MakeJob("job", { gang, FiniteStep(1, 1000) }));
+  const RunnerIndex second =
+    world.mDispatcher.mRunnerById.at(world.RunnerOf("job.0.0.1"));
+  world.End("job.0.0.0", EndKind::Done);
+  world.End("job.0.0.1", EndKind::Done);
+  world.Report();
+  LONGS_EQUAL(0, AcknowledgedEnd(world, 0));
+  LONGS_EQUAL(0, AcknowledgedEnd(world, 1));
+  world.Commit();
+  LONGS_EQUAL(1, AcknowledgedEnd(world, second));
+}
+
+// Guards against acknowledging the end of a task whose job has failed in memory
+// only: if the failure is lost with its runner and the owner, a later owner
+// would start the task again, although it is done.
+TEST(Takeover, KeepsTheEndsOfAJobWhoseFailureIsNotStored)
+{
+  DispatchWorld world;
+  world.ListRunners(8);
+  world.AddJob(MakeJob("job", { FiniteStep(2, 16000) }));
+  for (int failure = 0; failure < 3; ++failure) {
+    world.End("job.0.0.0", EndKind::Failed);
+    world.AdvanceTime(Millis(100));
+  }
+  const std::string failing = world.RunnerOf("job.0.0.0");
+  const std::string other = world.RunnerOf("job.0.0.1");
+  world.End("job.0.0.0", EndKind::Failed);
+  world.End("job.0.0.1", EndKind::Done);
+  world.Report(world.mDispatcher.mRunnerById.at(failing));
+  world.Report(world.mDispatcher.mRunnerById.at(other));
+  LONGS_EQUAL(0,
+              AcknowledgedEnd(world, world.mDispatcher.mRunnerById.at(other)));
+  world.Commit();
+  LONGS_EQUAL(1,
+              AcknowledgedEnd(world, world.mDispatcher.mRunnerById.at(other)));
+}
+
 // Guards against running a task again that is done, if the owner to which its
 // end was reported was lost before it stored the end.
 TEST(Takeover, KeepsADoneTaskWhoseEndIsReportedAgain)
