LibNode: Leave a tombstone when a job is cancelled that is not stored

Cause: a cancellation that found no row of the job answered at once and left nothing behind, while the only check of a submission is that the row is absent. The same held for a submission that lies in the socket of a frozen node.

Change: such a cancellation first stores a tombstone, a cancelled status row with one more member, under the same check. A late submission then fails its check. If the job was stored in the meantime, the tombstone's check fails and the job is cancelled as usual. A status request for a tombstone is answered 410; a job that is submitted again is stored as cancelled and shown so.

Looked at on related paths: a cancellation of a stored job is bound to the row's version; the scheduler's cancel command answers "not held", an error and no acknowledgement.

--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <span>
 #include <utility>
 #include <xxhash.h>
 
@@ -20,6 +21,21 @@
 /// without a read of the store.
 constexpr std::size_t kMaxRememberedStatuses = 20000;
 
+/// @param aRows the rows that made a submission's check fail
+/// @return the version of the job's tombstone, or 0 if it has none
+std::int64_t
+TombstoneVersion(std::span<const StoreRow> aRows, std::string_view aJob)
+{
+  for (const StoreRow& row : aRows) {
+    if (row.mTable != kStatusTable || row.mKey != aJob) {
+      continue;
+    }
+    const std::optional<JobStatus> status = ParseStatus(row.mValue);
+    return status && status->mTombstone ? row.mVersion : 0;
+  }
+  return 0;
+}
+
 } // namespace
 
 struct ClientFrontEnd::State : std::enable_shared_from_this<State>
@@ -38,6 +54,8 @@
     MonotonicTime mDeadline;
     /// An earlier transaction got no answer, so "not accepted" could be wrong.
     bool mMayBeStored = false;
+    /// Version of the tombstone that a cancellation has left; 0: there is none.
+    std::int64_t mTombstoneVersion = 0;
     std::function<void(ClientAnswer)> mAnswer;
   };
 
@@ -52,12 +70,16 @@
   /// @return the shard that is to run a job, or nothing if no shard is known
   std::optional<std::uint32_t> ChooseShard(const dispatch::JobSpec& aJob) const;
   /// Sends the transaction that stores a job, unless the job's id is known
-  /// already.
+  /// already. A job that was cancelled before is stored as cancelled.
   void SendSubmission(const std::shared_ptr<Submission>& aSubmission);
   void HandleSubmissionOutcome(const std::shared_ptr<Submission>& aSubmission,
                                const TransactionOutcome& aOutcome);
   /// Reads the status of a job that is to be cancelled.
   void ReadForCancel(const std::shared_ptr<Cancellation>& aCancellation);
+  /// Stores that a job is cancelled of which the store knows nothing. A
+  /// submission that got no answer may still be carried out, and its check
+  /// fails then.
+  void WriteTombstone(const std::shared_ptr<Cancellation>& aCancellation);
   /// Stores a cancellation.
   /// @param aStatus  the status of the job as read
   /// @param aVersion the version of its row
@@ -125,19 +147,24 @@
   const std::shared_ptr<Submission>& aSubmission)
 {
   const std::string& id = aSubmission->mJob.mSpec.mId;
+  const bool cancelled = aSubmission->mTombstoneVersion != 0;
   const JobStatus status{ aSubmission->mShard,
                           aSubmission->mJob.mSpec.mQueue,
-                          dispatch::JobPhase::Active,
+                          cancelled ? dispatch::JobPhase::Cancelled
+                                    : dispatch::JobPhase::Active,
                           false };
   StoreTransaction transaction;
   const std::string partition = mContext.mPartitions.OfJob(id);
-  transaction.mChecks.push_back({ kStatusTable, partition, id, 0 });
+  transaction.mChecks.push_back(
+    { kStatusTable, partition, id, aSubmission->mTombstoneVersion });
   transaction.mPuts.push_back(
     { kStatusTable, partition, id, FormatStatus(status) });
-  transaction.mPuts.push_back({ InboxTable(aSubmission->mShard),
-                                partition,
-                                kAcceptedPrefix + id,
-                                FormatAcceptedJob(aSubmission->mJob) });
+  if (!cancelled) {
+    transaction.mPuts.push_back({ InboxTable(aSubmission->mShard),
+                                  partition,
+                                  kAcceptedPrefix + id,
+                                  FormatAcceptedJob(aSubmission->mJob) });
+  }
   auto self = shared_from_this();
   const auto left =
     std::chrono::duration_cast<Millis>(aSubmission->mDeadline - mContext.Now());
@@ -165,9 +192,16 @@
     case StoreResult::Stored:
       finish(ClientAnswer::Accepted, "accepted");
       return;
-    case StoreResult::Conflict:
-      finish(ClientAnswer::Accepted, "accepted_before");
-      return;
+    case StoreResult::Conflict: {
+      const std::int64_t tombstone = TombstoneVersion(aOutcome.mCurrent, id);
+      if (tombstone == 0) {
+        finish(ClientAnswer::Accepted, "accepted_before");
+        return;
+      }
+      Log("submit", "job=" + id + " result=cancelled_before");
+      aSubmission->mTombstoneVersion = tombstone;
+      break;
+    }
     case StoreResult::Rejected:
       // The transaction is not repeated, because it can't succeed. An earlier
       // one without an answer may nevertheless have been stored.
@@ -241,8 +275,7 @@
         return;
       }
       if (aRead.mRows.empty()) {
-        self->Log("cancel", "job=" + aCancellation->mJob + " result=unknown");
-        aCancellation->mAnswer(ClientAnswer::NoSuchJob);
+        self->WriteTombstone(aCancellation);
         return;
       }
       const std::optional<JobStatus> status =
@@ -252,6 +285,11 @@
         aCancellation->mAnswer(ClientAnswer::Unavailable);
         return;
       }
+      if (status->mTombstone) {
+        self->Log("cancel", "job=" + aCancellation->mJob + " result=unknown");
+        aCancellation->mAnswer(ClientAnswer::NoSuchJob);
+        return;
+      }
       if (status->mPhase != dispatch::JobPhase::Active) {
         aCancellation->mAnswer(ClientAnswer::Accepted);
         return;
@@ -260,6 +298,35 @@
     });
 }
 
+void
+ClientFrontEnd::State::WriteTombstone(
+  const std::shared_ptr<Cancellation>& aCancellation)
+{
+  const std::string& id = aCancellation->mJob;
+  JobStatus status;
+  status.mPhase = dispatch::JobPhase::Cancelled;
+  status.mTombstone = true;
+  StoreTransaction transaction;
+  const std::string partition = mContext.mPartitions.OfJob(id);
+  transaction.mChecks.push_back({ kStatusTable, partition, id, 0 });
+  transaction.mPuts.push_back(
+    { kStatusTable, partition, id, FormatStatus(status) });
+  auto self = shared_from_this();
+  mContext.mStore.mTransact(
+    std::move(transaction),
+    mContext.mSettings.mStoreTimeout,
+    [self, aCancellation](const TransactionOutcome& aOutcome) {
+      if (aOutcome.mResult != StoreResult::Stored) {
+        // The next read shows whether the tombstone was stored or the job was
+        // accepted in the meantime.
+        self->RetryCancel(aCancellation);
+        return;
+      }
+      self->Log("cancel", "job=" + aCancellation->mJob + " result=unknown");
+      aCancellation->mAnswer(ClientAnswer::NoSuchJob);
+    });
+}
+
 void
 ClientFrontEnd::State::WriteCancel(
   const std::shared_ptr<Cancellation>& aCancellation,
@@ -361,6 +428,11 @@
         answer({ ClientAnswer::Unavailable, {} });
         return;
       }
+      if (status->mTombstone) {
+        state->Log("status", "job=" + aJob + " result=cancelled_unknown");
+        answer({ ClientAnswer::NoSuchJob, {} });
+        return;
+      }
       if (status->mPhase != dispatch::JobPhase::Active) {
         state->RememberEndedJob(aJob, *status);
       }
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -411,6 +411,7 @@
   value["queue"] = aStatus.mQueue;
   value["phase"] = NameOf(aStatus.mPhase);
   PutFlag(value, "began", aStatus.mBegan);
+  PutFlag(value, "tombstone", aStatus.mTombstone);
   return WriteJson(value);
 }
 
@@ -424,7 +425,8 @@
   return JobStatus{ (*value)["shard"].asUInt(),
                     (*value)["queue"].asString(),
                     PhaseFromName((*value)["phase"].asString()),
-                    (*value)["began"].asBool() };
+                    (*value)["began"].asBool(),
+                    (*value)["tombstone"].asBool() };
 }
 
 std::string
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -30,6 +30,9 @@
   std::string mQueue;
   dispatch::JobPhase mPhase = dispatch::JobPhase::Active;
   bool mBegan = false; ///< A task of the job has started.
+  /// The job was cancelled before a submission was stored. The row makes the
+  /// check of a submission fail that is carried out later.
+  bool mTombstone = false;
 };
 
 /// Formats the row of a job in a shard's inbox.
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -1,4 +1,5 @@
 #include <climits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,19 @@
     mCluster.StartNode("a");
     mCluster.AdvanceTime(Seconds(6));
   }
+
+  /// Cancels a job through a node and advances the clock by 3 s, more than a
+  /// client waits.
+  /// @return the answer, or nothing if there was none
+  std::optional<ClientAnswer> Cancel(const std::string& aNode,
+                                     const std::string& aJob = kJob)
+  {
+    std::optional<ClientAnswer> answer;
+    mCluster.mNodes.at(aNode).mNode->FrontEnd().Cancel(
+      aJob, [&](ClientAnswer aAnswer) { answer = aAnswer; });
+    mCluster.AdvanceTime(Seconds(3));
+    return answer;
+  }
 };
 
 // Guards against a break anywhere on the usual path: a job is accepted, run,
@@ -96,6 +110,74 @@
   CHECK_TRUE(answer == ClientAnswer::Unknown);
 }
 
+// Guards against a job that runs for good although its cancellation was
+// acknowledged: a submission that got no answer is only carried out later.
+TEST(Node, NeverRunsACancelledJobThatIsStoredLate)
+{
+  Begin();
+  mCluster.StartNode("b");
+  mCluster.AdvanceTime(Seconds(2));
+  mCluster.mStore.mDelayNext = INT_MAX;
+  CHECK_TRUE(mCluster.Submit("a", kJob, dispatch::StepKind::LongRunning) ==
+             ClientAnswer::Unknown);
+  mCluster.mStore.mDelayNext = 0;
+  CHECK_TRUE(Cancel("b") == ClientAnswer::NoSuchJob);
+  mCluster.mStore.ApplyDelayed();
+  mCluster.AdvanceTime(Seconds(5));
+  LONGS_EQUAL(0, mCluster.mStarts);
+  CHECK_TRUE(mCluster.Status("a", kJob).mAnswer == ClientAnswer::NoSuchJob);
+}
+
+// Guards against losing a cancellation that meets a submission under way: the
+// job may be stored between the cancellation's read and its write.
+TEST(Node, CancelsAJobThatIsStoredMeanwhile)
+{
+  Begin();
+  mCluster.mStore.mDelayNext = INT_MAX;
+  CHECK_TRUE(mCluster.Submit("a", kJob, dispatch::StepKind::LongRunning) ==
+             ClientAnswer::Unknown);
+  mCluster.mStore.mDelayNext = 0;
+  mCluster.mStore.mHoldReads = true;
+  ClientAnswer answer = ClientAnswer::Unavailable;
+  mCluster.mNodes.at("a").mNode->FrontEnd().Cancel(
+    kJob, [&](ClientAnswer aAnswer) { answer = aAnswer; });
+  mCluster.mStore.Run();
+  mCluster.mStore.ApplyDelayed();
+  mCluster.mStore.ReleaseReads();
+  mCluster.AdvanceTime(Seconds(2));
+  CHECK_TRUE(answer == ClientAnswer::Accepted);
+  LONGS_EQUAL(0, mCluster.Running(kTask));
+  CHECK_TRUE(mCluster.Status("a", kJob).mStatus.mPhase ==
+             dispatch::JobPhase::Cancelled);
+}
+
+// Guards against running a job that a client submits again after it was
+// cancelled, and against contradicting the answer that it is accepted.
+TEST(Node, StoresARepeatedSubmissionAfterItsCancellationAsCancelled)
+{
+  Begin();
+  CHECK_TRUE(Cancel("a") == ClientAnswer::NoSuchJob);
+  CHECK_TRUE(Cancel("a") == ClientAnswer::NoSuchJob);
+  CHECK_TRUE(mCluster.Status("a", kJob).mAnswer == ClientAnswer::NoSuchJob);
+  CHECK_TRUE(mCluster.Submit("a", kJob) == ClientAnswer::Accepted);
+  LONGS_EQUAL(0, mCluster.mStarts);
+  const StatusAnswer status = mCluster.Status("a", kJob);
+  CHECK_TRUE(status.mAnswer == ClientAnswer::Accepted);
+  CHECK_TRUE(status.mStatus.mPhase == dispatch::JobPhase::Cancelled);
+  CHECK_TRUE(Cancel("a") == ClientAnswer::Accepted);
+}
+
+// Guards against a cancellation that hangs or is acknowledged without effect
+// when the store loses the answer to its write, or takes no writes.
+TEST(Node, AnswersACancellationOfAnUnknownJobByWhatIsStored)
+{
+  Begin();
+  mCluster.mStore.mLoseNextAnswers = 1;
+  CHECK_TRUE(Cancel("a") == ClientAnswer::NoSuchJob);
+  mCluster.mNodes.at("a").mWritesRefused = true;
+  CHECK_TRUE(Cancel("a", "fedcba9876543210") == ClientAnswer::Unavailable);
+}
+
 // Guards against a second run of a job that a client submits again to another
 // node, seconds after it was accepted.
 TEST(Node, AcceptsARepeatedJobOnce)
