--- a/Libraries/LibBase/JsonReader.cpp
+++ b/Libraries/LibBase/JsonReader.cpp
@@ -375,9 +375,14 @@
   const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
   Json::Value value;
   std::string errors;
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &value, &errors) ||
-      !value.isObject()) {
+  try {
+    if (!reader->parse(
+          aText.data(), aText.data() + aText.size(), &value, &errors) ||
+        !value.isObject()) {
+      return {};
+    }
+  } catch (const Json::Exception&) {
+    // jsoncpp throws if values are nested deeper than its stack limit.
     return {};
   }
   return value;
--- a/Libraries/LibLease/LeaseRowText.cpp
+++ b/Libraries/LibLease/LeaseRowText.cpp
@@ -87,13 +87,14 @@
   // row.
   static const Json::CharReaderBuilder sBuilder;
   const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &root, &errors) ||
-      !root.isObject()) {
-    return Error{ ErrorKind::Internal,
-                  std::string("malformed ") + aKind + " row: " + errors };
-  }
   try {
+    // jsoncpp throws if values are nested deeper than its stack limit.
+    if (!reader->parse(
+          aText.data(), aText.data() + aText.size(), &root, &errors) ||
+        !root.isObject()) {
+      return Error{ ErrorKind::Internal,
+                    std::string("malformed ") + aKind + " row: " + errors };
+    }
     return aConvert(root);
   } catch (const Json::Exception& e) {
     return Error{ ErrorKind::Internal,
--- a/Tests/Platform/TestMessages.cpp
+++ b/Tests/Platform/TestMessages.cpp
@@ -1,6 +1,10 @@
 #include <string>
 
+#include <LibBase/JsonReader.h>
+#include <LibNode/JobRows.h>
+
 #include "../../platform/ClientCalls.h"
+#include "../../platform/Directory.h"
 #include "../../platform/RunnerClient.h"
 #include "../../platform/Settings.h"
 #include "../../platform/Wire.h"
@@ -116,6 +120,34 @@
   }
 }
 
+// Guards against a message that ends the process: a parser that recurses once
+// for each array or object overflows the stack. One client could end each node
+// with a body of 120,000 bytes.
+TEST(Messages, RejectsMessagesThatAreNestedTooDeep)
+{
+  std::string objects;
+  for (int i = 0; i < 48000; ++i) {
+    objects += R"({"a":)";
+  }
+  for (const std::string& nested : { std::string(240000, '['), objects }) {
+    const std::string inSteps = R"({"spec":"x","steps":)" + nested;
+    CHECK_FALSE(Succeeded(platform::ParseJob("0123456789abcdef", "q", nested)));
+    CHECK_FALSE(
+      Succeeded(platform::ParseJob("0123456789abcdef", "q", inSteps)));
+    CHECK_FALSE(platform::ParseRunnerReport(nested).has_value());
+    CHECK_FALSE(platform::ParseRunnerEntry("i-1", nested).has_value());
+    CHECK_FALSE(platform::ParseConfiguration(nested).has_value());
+    CHECK_FALSE(ParseJsonObject(nested).has_value());
+    CHECK_FALSE(ParseStatus(nested).has_value());
+  }
+  // Unknown members of a moderate depth are ignored.
+  CHECK_TRUE(Succeeded(
+    platform::ParseJob("0123456789abcdef",
+                       "q",
+                       R"({"spec":"x","steps":[{"count":1}],"later":)" +
+                         std::string(60, '[') + std::string(60, ']') + "}")));
+}
+
 // Guards against stored values that come back changed: all lengths of the last
 // group, and bytes that are not text.
 TEST(Messages, EncodesAndDecodesBase64)
