LibAsyncHttp: Tie each answer to its call before a connection is used again

Cause: nothing in an answer was compared with its call. A second copy that arrived after the next call had been sent on the connection, or lay unread in the socket then, counted as that call's answer: the state of another job for a client, a transaction that counts as stored, a task that counts as started.

Change: a call says how its answer is recognized, and its connection carries a further call only after an answer that is certainly its own. The store and the runners have no call ids, but their answers carry a steady clock's reading: it is later than that of the answer before, since a connection now rests 3 ms between an answer and the next call; a second copy is dropped and the call goes on waiting. After an answer without a reading (503, 429) the connection is closed. Nodes repeat a call's id in a header; towards nodes of earlier versions, which do not, each call has its own connection.

The stand-in of TestSilentConnections now keeps to the protocol: its clock goes on and it answers with rows of the table that was asked for.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -27,6 +28,10 @@
 /// Largest body of an answer that is accepted. An answer of the table store
 /// holds up to 1 MB of rows, encoded in base64 and with their keys.
 constexpr std::uint64_t kMaxAnswerBytes = 8UL << 20;
+/// Time between an answer and the next call on its connection. Peers read their
+/// clocks in milliseconds, and a clock may be 2% slow, so that the reading in
+/// the next answer is certainly later.
+constexpr Millis kRestTime{ 3 };
 /// Size of a connection's read buffer.
 constexpr std::size_t kReadBufferBytes = 16384;
 
@@ -60,6 +65,19 @@
 
 } // namespace
 
+AnswerOrigin
+CheckPeerClock(std::optional<std::int64_t> aClockMs, AnswerHistory& aHistory)
+{
+  if (!aClockMs) {
+    return AnswerOrigin::Unproved;
+  }
+  if (aHistory.mPeerClockMs && *aClockMs <= *aHistory.mPeerClockMs) {
+    return AnswerOrigin::Earlier;
+  }
+  aHistory.mPeerClockMs = aClockMs;
+  return AnswerOrigin::Own;
+}
+
 struct HttpPool::State : std::enable_shared_from_this<State>
 {
   /// A call without an answer yet.
@@ -68,8 +86,9 @@
     HttpCall mCall;
     AnswerHandler mDone;
     MonotonicTime mExpiresAt;
-    MonotonicTime mSentAt;          ///< When a connection was told to send it.
+    MonotonicTime mSentAt{};        ///< When a connection was told to send it.
     std::uint64_t mQueueNumber = 0; ///< Identifies the call in the queue.
+    std::optional<Deadlines::Key> mQueueDeadline{}; ///< While it is queued.
   };
 
   struct Connection
@@ -91,6 +110,7 @@
     MonotonicTime mOpenedAt; ///< When it was established.
     MonotonicTime mHeardAt;  ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
+    AnswerHistory mHistory;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -104,6 +124,7 @@
     , mAddress(std::move(aAddress))
     , mMaxConnections(aMaxConnections)
     , mMaxIdleTime(aMaxIdleTime)
+    , mRestTimer(aLoop)
   {
   }
 
@@ -117,11 +138,22 @@
 
   /// Sends the call on an idle or a new connection, or queues it.
   void Start(PendingCall aPending);
+  /// Takes the most recently used connection that has rested since its last
+  /// answer. Closes those that were idle for too long.
+  /// @return the connection, or null if there is none
+  ConnectionPtr TakeIdle();
+  /// Queues the call until a connection is free.
+  void Enqueue(PendingCall aPending);
+  PendingCall Dequeue();
+  /// Sends queued calls as soon as idle connections have rested.
+  void ServeQueueAfterRest();
   /// Opens a connection and sends the call on it.
   void Open(PendingCall aPending);
   /// Sends the call on a connection that is open and idle.
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
   void Write(const ConnectionPtr& aConnection);
+  /// Prepares the connection for the first byte of an answer.
+  static void ExpectAnswer(Connection& aConnection);
   void Read(const ConnectionPtr& aConnection);
   /// Replaces the time-out of a call whose answer has begun to arrive, if the
   /// call has time-outs for that.
@@ -162,45 +194,117 @@
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mIdle;
   std::deque<PendingCall> mQueue;
+  boost::asio::steady_timer mRestTimer;
+  bool mRestTimerSet = false; ///< The timer runs.
 };
 
 void
 HttpPool::State::Start(PendingCall aPending)
 {
-  while (!mIdle.empty()) {
-    const ConnectionPtr connection = mIdle.back();
-    mIdle.pop_back();
-    const auto idleTime =
-      std::chrono::duration_cast<Millis>(BootTime() - connection->mHeardAt);
-    if (idleTime > mMaxIdleTime) {
-      Close(connection);
-      continue;
-    }
+  if (const ConnectionPtr connection = TakeIdle()) {
     Assign(connection, std::move(aPending));
     return;
   }
+  // The connections that are left in mIdle rest. Each of them serves one of the
+  // queued calls within a few milliseconds, sooner than a new connection.
+  if (mIdle.size() > mQueue.size()) {
+    Enqueue(std::move(aPending));
+    ServeQueueAfterRest();
+    return;
+  }
   if (mConnections.size() < mMaxConnections) {
     Open(std::move(aPending));
     return;
   }
+  Enqueue(std::move(aPending));
+}
+
+HttpPool::State::ConnectionPtr
+HttpPool::State::TakeIdle()
+{
+  const MonotonicTime now = BootTime();
+  for (std::size_t i = mIdle.size(); i-- > 0;) {
+    const ConnectionPtr connection = mIdle[i];
+    const auto idleTime =
+      std::chrono::duration_cast<Millis>(now - connection->mHeardAt);
+    if (idleTime < kRestTime) {
+      continue;
+    }
+    mIdle.erase(mIdle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (idleTime <= mMaxIdleTime) {
+      return connection;
+    }
+    Close(connection);
+  }
+  return nullptr;
+}
+
+void
+HttpPool::State::Enqueue(PendingCall aPending)
+{
   // A call that is still queued when it expires was certainly not sent.
   aPending.mQueueNumber = ++mLastQueueNumber;
   auto self = shared_from_this();
-  mDeadlines.Add(aPending.mExpiresAt, [self, number = mLastQueueNumber] {
-    const auto found = std::find_if(
-      self->mQueue.begin(), self->mQueue.end(), [&](const PendingCall& aEntry) {
-        return aEntry.mQueueNumber == number;
-      });
-    if (found == self->mQueue.end()) {
+  aPending.mQueueDeadline =
+    mDeadlines.Add(aPending.mExpiresAt, [self, number = mLastQueueNumber] {
+      const auto found = std::find_if(self->mQueue.begin(),
+                                      self->mQueue.end(),
+                                      [&](const PendingCall& aEntry) {
+                                        return aEntry.mQueueNumber == number;
+                                      });
+      if (found == self->mQueue.end()) {
+        return;
+      }
+      const AnswerHandler done = std::move(found->mDone);
+      self->mQueue.erase(found);
+      HttpAnswer answer;
+      answer.mFailure = CallFailure::NotSent;
+      done(std::move(answer));
+    });
+  mQueue.push_back(std::move(aPending));
+}
+
+HttpPool::State::PendingCall
+HttpPool::State::Dequeue()
+{
+  PendingCall next = std::move(mQueue.front());
+  mQueue.pop_front();
+  if (next.mQueueDeadline) {
+    mDeadlines.Cancel(*next.mQueueDeadline);
+    next.mQueueDeadline.reset();
+  }
+  return next;
+}
+
+void
+HttpPool::State::ServeQueueAfterRest()
+{
+  if (mRestTimerSet) {
+    return;
+  }
+  mRestTimerSet = true;
+  mRestTimer.expires_after(kRestTime);
+  std::weak_ptr<State> weak = shared_from_this();
+  mRestTimer.async_wait([weak](error_code aError) {
+    const auto self = weak.lock();
+    if (!self) {
       return;
     }
-    const AnswerHandler done = std::move(found->mDone);
-    self->mQueue.erase(found);
-    HttpAnswer answer;
-    answer.mFailure = CallFailure::NotSent;
-    done(std::move(answer));
+    self->mRestTimerSet = false;
+    if (aError || self->mStopped) {
+      return;
+    }
+    while (!self->mQueue.empty()) {
+      const ConnectionPtr connection = self->TakeIdle();
+      if (!connection) {
+        break;
+      }
+      self->Assign(connection, self->Dequeue());
+    }
+    if (!self->mQueue.empty() && !self->mIdle.empty()) {
+      self->ServeQueueAfterRest();
+    }
   });
-  mQueue.push_back(std::move(aPending));
 }
 
 void
@@ -255,14 +359,20 @@
   Write(aConnection);
 }
 
+void
+HttpPool::State::ExpectAnswer(Connection& aConnection)
+{
+  aConnection.mParser.emplace();
+  aConnection.mParser->body_limit(kMaxAnswerBytes);
+  aConnection.mParser->eager(true);
+  aConnection.mReceivedBytes = aConnection.mBufferedBytes;
+}
+
 void
 HttpPool::State::Write(const ConnectionPtr& aConnection)
 {
   aConnection->mOutgoing = Serialize(aConnection->mCurrent->mCall, mAddress);
-  aConnection->mParser.emplace();
-  aConnection->mParser->body_limit(kMaxAnswerBytes);
-  aConnection->mParser->eager(true);
-  aConnection->mReceivedBytes = 0;
+  ExpectAnswer(*aConnection);
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
   auto self = shared_from_this();
@@ -388,7 +498,22 @@
   answer.mStatus = static_cast<int>(connection.mParser->get().result_int());
   answer.mBody = std::move(connection.mParser->get().body());
   answer.mReceivedBytes = connection.mReceivedBytes;
-  Finish(aConnection, std::move(answer), connection.mParser->keep_alive());
+  answer.mCallId = std::string(connection.mParser->get()[kCallIdHeader]);
+  const AnswerCheck& check = connection.mCurrent->mCall.mCheckAnswer;
+  const AnswerOrigin origin =
+    check ? check(answer, connection.mHistory) : AnswerOrigin::Unproved;
+  if (origin == AnswerOrigin::Earlier) {
+    ExpectAnswer(connection);
+    if (connection.mBufferedBytes > 0) {
+      Consume(aConnection);
+    } else {
+      Read(aConnection);
+    }
+    return;
+  }
+  Finish(aConnection,
+         std::move(answer),
+         connection.mParser->keep_alive() && origin == AnswerOrigin::Own);
 }
 
 void
@@ -407,12 +532,9 @@
     Close(aConnection);
   } else {
     Read(aConnection);
-    if (mQueue.empty()) {
-      mIdle.push_back(aConnection);
-    } else {
-      PendingCall next = std::move(mQueue.front());
-      mQueue.pop_front();
-      Assign(aConnection, std::move(next));
+    mIdle.push_back(aConnection);
+    if (!mQueue.empty()) {
+      ServeQueueAfterRest();
     }
   }
   done(std::move(aAnswer));
@@ -430,9 +552,7 @@
   std::erase(mConnections, aConnection);
   std::erase(mIdle, aConnection);
   if (!mQueue.empty() && !mStopped) {
-    PendingCall next = std::move(mQueue.front());
-    mQueue.pop_front();
-    Open(std::move(next));
+    Open(Dequeue());
   }
 }
 
@@ -520,7 +640,10 @@
 HttpPool::~HttpPool()
 {
   mState->mStopped = true;
-  mState->mQueue.clear();
+  mState->mRestTimer.cancel();
+  while (!mState->mQueue.empty()) {
+    mState->Dequeue();
+  }
   const std::vector<State::ConnectionPtr> connections = mState->mConnections;
   for (const State::ConnectionPtr& connection : connections) {
     if (connection->mDeadline) {
@@ -535,7 +658,7 @@
 HttpPool::Send(HttpCall aCall, AnswerHandler aDone)
 {
   const MonotonicTime until = BootTime() + aCall.mTimeout;
-  mState->Start({ std::move(aCall), std::move(aDone), until });
+  mState->Start({ std::move(aCall), std::move(aDone), until, {}, 0, {} });
 }
 
 } // namespace paddle
--- a/Libraries/LibAsyncHttp/HttpPool.h
+++ b/Libraries/LibAsyncHttp/HttpPool.h
@@ -11,9 +11,10 @@
 
 namespace paddle {
 
-/// A pool of persistent HTTP/1.1 connections from one event loop to one peer.
-/// It never sends a request twice, because only the caller knows whether a
-/// request may be repeated.
+/// A pool of persistent HTTP/1.1 connections from one event loop to one peer. A
+/// connection is used again only after an answer that is certainly the call's
+/// own, see AnswerOrigin. It never sends a request twice, because only the
+/// caller knows whether a request may be repeated.
 class HttpPool
 {
 public:
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -25,6 +26,32 @@
   Millis mTotal;
 };
 
+struct HttpAnswer;
+
+/// What the earlier answers on a connection have shown of its peer.
+struct AnswerHistory
+{
+  /// Reading of the peer's clock in the latest answer.
+  std::optional<std::int64_t> mPeerClockMs;
+};
+
+/// Whether an answer belongs to the call that is under way on its connection.
+/// HTTP/1.1 has nothing that ties an answer to its request, so a peer that
+/// answers a request twice would answer the next one with it.
+enum class AnswerOrigin
+{
+  Own,      ///< It certainly does, and the connection can be used again.
+  Unproved, ///< It does if the peer answers each request once. The connection
+            ///< is closed, so that a second copy meets no other call.
+  Earlier   ///< It repeats the answer to an earlier call, and is dropped.
+};
+
+/// Decides about the answer to a call from its content. It must find Earlier
+/// for each repetition of an answer for which it found Own.
+/// @param aHistory of the connection; updated if the answer is the call's own
+using AnswerCheck = std::function<AnswerOrigin(const HttpAnswer& aAnswer,
+                                               AnswerHistory& aHistory)>;
+
 /// A request that this process sends to a peer.
 struct HttpCall
 {
@@ -43,6 +70,8 @@
   /// Called whenever bytes of the answer have arrived, with their number so
   /// far, but not with the last ones. It must not send or close anything.
   std::function<void(std::size_t aReceivedBytes)> mOnProgress = nullptr;
+  /// Without it, the origin of every answer is unproved.
+  AnswerCheck mCheckAnswer = nullptr;
 };
 
 /// Whether a call failed to bring a complete answer, and what is known then
@@ -62,8 +91,20 @@
   std::string mBody;
   /// Bytes of the answer that have arrived, its header included.
   std::size_t mReceivedBytes = 0;
+  std::string mCallId; ///< Value of the header field kCallIdHeader, or empty.
 };
 
+/// Header field that identifies a call. Servers of this project repeat it in
+/// their answer.
+inline constexpr const char* kCallIdHeader = "X-Call-Id";
+
+/// Decides about an answer by its reading of the peer's monotonic clock, which
+/// is later than that of the answer before, because a connection rests between
+/// an answer and the next call.
+/// @param aClockMs the reading, if the answer has one
+AnswerOrigin
+CheckPeerClock(std::optional<std::int64_t> aClockMs, AnswerHistory& aHistory);
+
 /// Receives the outcome of a call.
 using AnswerHandler = std::function<void(HttpAnswer)>;
 
--- a/Services/Node/PeerCalls.cpp
+++ b/Services/Node/PeerCalls.cpp
@@ -35,8 +35,19 @@
         pool = std::make_unique<HttpPool>(
           mLoop, mDeadlines, aAddress, kConnections, kMaxIdleTime);
       }
-      HttpCall call{ "GET", FormatRelayRequest(aRequest), {}, {}, aTimeout };
+      const std::string id = std::to_string(++mLastCallId);
+      HttpCall call{ "GET",
+                     FormatRelayRequest(aRequest),
+                     { { kCallIdHeader, id } },
+                     {},
+                     aTimeout };
       call.mLongPoll = aRequest.mWait > Millis(0);
+      call.mCheckAnswer = [id](const HttpAnswer& aAnswer, AnswerHistory&) {
+        // Nodes of earlier versions don't repeat the call's id.
+        return aAnswer.mCallId.empty() ? AnswerOrigin::Unproved
+               : aAnswer.mCallId == id ? AnswerOrigin::Own
+                                       : AnswerOrigin::Earlier;
+      };
       pool->Send(std::move(call),
                  [done = std::move(aDone)](HttpAnswer aAnswer) {
                    if (aAnswer.mStatus == 200) {
@@ -60,9 +71,15 @@
     aReply({ 404, {}, {}, {} });
     return;
   }
+  HttpHeaders headers;
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    if (name == kCallIdHeader) {
+      headers.emplace_back(name, value);
+    }
+  }
   aNode.ServeOperatorRows(
-    *request, [reply = std::move(aReply)](std::string aBody) {
-      reply({ 200, "application/octet-stream", std::move(aBody), {} });
+    *request, [reply = std::move(aReply), headers](std::string aBody) {
+      reply({ 200, "application/octet-stream", std::move(aBody), headers });
     });
 }
 
--- a/Services/Node/PeerCalls.h
+++ b/Services/Node/PeerCalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
   boost::asio::io_context& mLoop;
   Deadlines& mDeadlines;
   std::map<std::string, std::unique_ptr<HttpPool>> mPools; ///< By address.
+  std::uint64_t mLastCallId = 0; ///< Value of kCallIdHeader, as a number.
 };
 
 /// Answers a call of another node.
--- a/Tests/LibAsyncHttp/TestHttpPool.cpp
+++ b/Tests/LibAsyncHttp/TestHttpPool.cpp
@@ -161,6 +161,10 @@
 
   Answer Send(HttpCall aCall)
   {
+    // This peer answers each request once.
+    aCall.mCheckAnswer = [](const HttpAnswer&, AnswerHistory&) {
+      return AnswerOrigin::Own;
+    };
     auto answer = std::make_shared<std::optional<HttpAnswer>>();
     mPool.Send(std::move(aCall),
                [answer](HttpAnswer aAnswer) { *answer = std::move(aAnswer); });
--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -105,6 +105,7 @@
     tcp::socket mSocket;
     std::array<char, 1024> mBuffer{};
     std::string mIncoming;
+    std::string mTable; ///< That the latest request asks for.
     bool mSilent = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -142,6 +143,9 @@
   {
     ++mRequests;
     mLastUsed = aConnection;
+    const std::size_t table = aRequest.find("table=") + 6;
+    aConnection->mTable =
+      aRequest.substr(table, aRequest.find_first_of("& ", table) - table);
     if (aConnection->mSilent) {
       ++mIgnored;
       return;
@@ -161,10 +165,14 @@
   void Answer(const ConnectionPtr& aConnection)
   {
     const std::string body =
-      R"({"rows":[{"table":"op","part":"","key":"config","ver":1,"value":")" +
+      R"({"rows":[{"table":")" + aConnection->mTable +
+      R"(","part":"","key":"config","ver":1,"value":")" +
       std::string(mChanged ? kNewValue : kOldValue) + R"("}],"ver":)" +
-      (mChanged ? "2" : "1") + R"(,"now_ms":1,"padding":")" + mPadding +
-      R"("})";
+      (mChanged ? "2" : "1") + R"(,"now_ms":)" +
+      std::to_string(
+        std::chrono::duration_cast<Millis>(BootTime().time_since_epoch())
+          .count()) +
+      R"(,"padding":")" + mPadding + R"("})";
     std::string answer =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n\r\n" + body;
