LibHttp: Reuse a connection only after a reply that is the request's own

Change: Execute() takes a check of the reply. Without one a connection carries one request. A reply to an earlier request on a used connection is dropped with that connection, and the request is sent again on a new one, which Reusable allows. RPC calls carry ids of their own, which JSON-RPC has for this; libjsonrpccpp's client numbers every call 1. Gateways compare the request id in the answers of peers; requests to runners used new connections and compared it already.

Evidence: the two new tests, with a server that repeats each answer 20 ms later, fail without the checks and pass. The two tests on the library's resending now say that their peer's replies are the requests' own; what they expect is unchanged.

--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <LibBase/AnswerOrigin.h>
 #include <LibTime/Time.h>
 
 namespace paddle {
@@ -35,17 +36,6 @@
   std::optional<std::int64_t> mPeerClockMs;
 };
 
-/// Whether an answer belongs to the call that is under way on its connection.
-/// HTTP/1.1 has nothing that ties an answer to its request, so a peer that
-/// answers a request twice would answer the next one with it.
-enum class AnswerOrigin
-{
-  Own,      ///< It certainly does, and the connection can be used again.
-  Unproved, ///< It does if the peer answers each request once. The connection
-            ///< is closed, so that a second copy meets no other call.
-  Earlier   ///< It repeats the answer to an earlier call, and is dropped.
-};
-
 /// Decides about the answer to a call from its content. It must find Earlier
 /// for each repetition of an answer for which it found Own.
 /// @param aHistory of the connection; updated if the answer is the call's own
--- a/Libraries/LibGateway/RequestHandler.cpp
+++ b/Libraries/LibGateway/RequestHandler.cpp
@@ -479,8 +479,14 @@
   forwarded.mPath = aRequest.mPath;
   SetHeader(forwarded.mHeaders, kForwardedHeader, aForwarded);
   SetHeader(forwarded.mHeaders, kDeadlineHeader, std::to_string(left.count()));
+  const auto check = [&](const HttpReply& aReply) {
+    const std::string_view id = FindHeader(aReply.mHeaders, kRequestIdHeader);
+    return id.empty()           ? AnswerOrigin::Unproved
+           : id == aRequest.mId ? AnswerOrigin::Own
+                                : AnswerOrigin::Earlier;
+  };
   auto reply = mClient.Execute(
-    aPeer, forwarded, left + kPeerGraceMs, PeerConnectionUse(aRequest));
+    aPeer, forwarded, left + kPeerGraceMs, PeerConnectionUse(aRequest), check);
   if (!Succeeded(reply)) {
     const HttpFailure& failure = ErrorOf(reply);
     result.mProblem = ToText(aPeer) + ": " + failure.mMessage;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -139,41 +139,57 @@
 HttpClient::Execute(const Endpoint& aEndpoint,
                     const HttpRequest& aRequest,
                     Millis aTimeout,
-                    ConnectionUse aUse)
+                    ConnectionUse aUse,
+                    const ReplyCheck& aCheck)
 {
   const MonotonicTime end = std::chrono::steady_clock::now() + aTimeout;
+  const bool reusable = aUse == ConnectionUse::Reusable && aCheck;
   SendState state = SendState::NotSent;
   try {
     cxxtools::http::Request request;
     ToLibrary(aRequest, request);
     request.setHeader("User-Agent", mState->mSettings.mUserAgent.c_str());
+    if (!reusable) {
+      request.setHeader("Connection", "close");
+    }
     std::unique_ptr<cxxtools::http::Client> client;
-    if (aUse == ConnectionUse::Reusable) {
+    if (reusable) {
       client = mState->TakeIdle(aEndpoint);
     }
-    if (!client) {
-      client = std::make_unique<cxxtools::http::Client>(aEndpoint.mHost,
-                                                        aEndpoint.mPort);
-      if (aUse == ConnectionUse::Fresh) {
-        request.setHeader("Connection", "close");
+    for (;;) {
+      const bool used = client != nullptr;
+      if (!client) {
+        client = std::make_unique<cxxtools::http::Client>(aEndpoint.mHost,
+                                                          aEndpoint.mPort);
       }
+      const Millis left = std::max(Millis(1),
+                                   std::chrono::duration_cast<Millis>(
+                                     end - std::chrono::steady_clock::now()));
+      state = SendState::Unknown;
+      client->execute(
+        request,
+        cxxtools::Milliseconds(left.count()),
+        cxxtools::Milliseconds(
+          std::min(left, mState->mSettings.mConnectTimeout).count()));
+      client->readBody();
+      HttpReply reply = FromLibrary(client->reply());
+      const AnswerOrigin origin =
+        aCheck ? aCheck(reply) : AnswerOrigin::Unproved;
+      if (origin == AnswerOrigin::Earlier && used) {
+        client.reset();
+        continue;
+      }
+      if (origin == AnswerOrigin::Earlier) {
+        return HttpFailure{ state,
+                            false,
+                            "the reply belongs to another request" };
+      }
+      if (reusable && origin == AnswerOrigin::Own &&
+          client->reply().header().keepAlive()) {
+        mState->PutIdle(aEndpoint, std::move(client));
+      }
+      return reply;
     }
-    const Millis left = std::max(Millis(1),
-                                 std::chrono::duration_cast<Millis>(
-                                   end - std::chrono::steady_clock::now()));
-    state = SendState::Unknown;
-    client->execute(
-      request,
-      cxxtools::Milliseconds(left.count()),
-      cxxtools::Milliseconds(
-        std::min(left, mState->mSettings.mConnectTimeout).count()));
-    client->readBody();
-    HttpReply reply = FromLibrary(client->reply());
-    if (aUse == ConnectionUse::Reusable &&
-        client->reply().header().keepAlive()) {
-      mState->PutIdle(aEndpoint, std::move(client));
-    }
-    return reply;
   } catch (const cxxtools::IOTimeout& e) {
     return HttpFailure{ state, true, e.what() };
   } catch (const std::exception& e) {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
+#include <LibBase/AnswerOrigin.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibTime/Time.h>
 
@@ -20,6 +22,10 @@
            ///< time-out.
 };
 
+/// Decides from its content whether a reply belongs to the request. It must
+/// find Earlier for each repetition of a reply for which it found Own.
+using ReplyCheck = std::function<AnswerOrigin(const HttpReply& aReply)>;
+
 /// What is known about a request that got no answer.
 enum class SendState
 {
@@ -55,16 +61,20 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Sends a request and waits for the whole answer. After any failure the
-  /// connection is closed and never used again, so a late answer can't be taken
-  /// for that of another request.
+  /// Sends a request and waits for the whole answer. A connection is used again
+  /// only after a reply that is certainly the request's own; after any failure
+  /// it is closed, so a late answer can't be taken for that of another request.
+  /// If a used connection brings the reply to an earlier request, the request
+  /// is sent again on a new one.
   /// @param aTimeout limit of the whole request, connecting included; see
   ///                 ConnectionUse for an exception
+  /// @param aCheck   without it, the origin of the reply is unproved
   /// @return the reply whatever its status, or a failure if there was none
   Outcome<HttpReply, HttpFailure> Execute(const Endpoint& aEndpoint,
                                           const HttpRequest& aRequest,
                                           Millis aTimeout,
-                                          ConnectionUse aUse);
+                                          ConnectionUse aUse,
+                                          const ReplyCheck& aCheck = nullptr);
 
 private:
   struct State;
--- a/Libraries/LibRpc/JsonRpcAdapter.cpp
+++ b/Libraries/LibRpc/JsonRpcAdapter.cpp
@@ -1,6 +1,5 @@
 #include <LibRpc/JsonRpcAdapter.h>
 
-#include <jsonrpccpp/client/client.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
@@ -59,47 +58,4 @@
   return answer;
 }
 
-namespace {
-
-/// Lets libjsonrpccpp send a request with a JsonRpcTransport.
-class TransportConnector : public jsonrpc::IClientConnector
-{
-public:
-  explicit TransportConnector(const JsonRpcTransport& aTransport)
-    : mTransport(aTransport)
-  {
-  }
-
-  void SendRPCMessage(const std::string& aMessage, std::string& aResult) throw(
-    jsonrpc::JsonRpcException) override
-  {
-    if (!mTransport(aMessage, aResult)) {
-      throw jsonrpc::JsonRpcException(kRpcTransportFailed, aResult);
-    }
-  }
-
-private:
-  const JsonRpcTransport& mTransport;
-};
-
-} // namespace
-
-JsonRpcAnswer
-CallJsonRpc(const std::string& aMethod,
-            const Json::Value& aParameters,
-            const JsonRpcTransport& aTransport)
-{
-  TransportConnector connector(aTransport);
-  JsonRpcAnswer answer;
-  try {
-    jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
-    client.CallMethod(aMethod, aParameters, answer.mResult);
-  } catch (const jsonrpc::JsonRpcException& e) {
-    answer.mFailed = true;
-    answer.mErrorCode = e.GetCode();
-    answer.mErrorMessage = e.GetMessage();
-  }
-  return answer;
-}
-
 } // namespace paddle
--- a/Libraries/LibRpc/JsonRpcAdapter.h
+++ b/Libraries/LibRpc/JsonRpcAdapter.h
@@ -45,25 +45,10 @@
   std::unique_ptr<State> mState;
 };
 
-/// Sends an encoded request and waits for its answer.
-/// @param aAnswer set to the encoded answer, or on failure to an error message
-/// @return whether an answer arrived
-using JsonRpcTransport =
-  std::function<bool(const std::string& aRequest, std::string& aAnswer)>;
-
-/// Encodes a call, sends it and decodes its answer.
-/// @return the answer, with kRpcTransportFailed if @p aTransport failed
-JsonRpcAnswer
-CallJsonRpc(const std::string& aMethod,
-            const Json::Value& aParameters,
-            const JsonRpcTransport& aTransport);
-
 /// @name Error codes of JSON-RPC 2.0 (section 5.1 of its specification). Those
 /// from -32099 to -32000 are reserved for errors that implementations define.
 /// @{
 constexpr int kRpcInvalidParameters = -32602;
-/// No answer arrived. CallJsonRpc() returns it; it is not sent.
-constexpr int kRpcTransportFailed = -32003;
 /// First of the reserved codes; RpcCodeOf() derives its codes from it.
 constexpr int kRpcApplicationError = -32000;
 /// @}
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -1,6 +1,8 @@
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpServer.h>
@@ -114,10 +116,129 @@
   std::thread mThread;
 };
 
+/// A server that sends the bytes that a test makes of each request. It closes
+/// the connection after an empty text.
+class ScriptedServer
+{
+public:
+  using Script = std::function<std::string(const std::string& aRequest)>;
+
+  /// @param aRepeatAfter time after which an answer is sent once more; zero: it
+  ///                     is not repeated
+  ScriptedServer(Script aScript, Millis aRepeatAfter)
+    : mScript(std::move(aScript))
+    , mRepeatAfter(aRepeatAfter)
+    , mListener(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const int on = 1;
+    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK_EQUAL(
+      0,
+      bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof address));
+    CHECK_EQUAL(0, listen(mListener, 8));
+    mAcceptor = std::thread([this] { Accept(); });
+  }
+
+  /// Stops the server. All clients must have closed their connections.
+  ~ScriptedServer()
+  {
+    shutdown(mListener, SHUT_RDWR);
+    mAcceptor.join();
+    for (std::thread& connection : mConnections) {
+      connection.join();
+    }
+    close(mListener);
+  }
+
+private:
+  void Accept()
+  {
+    for (;;) {
+      const int connection = accept(mListener, nullptr, nullptr);
+      if (connection < 0) {
+        return;
+      }
+      mConnections.emplace_back([this, connection] { Serve(connection); });
+    }
+  }
+
+  /// Each read is taken for one request, because the requests of these tests
+  /// are short.
+  void Serve(int aConnection)
+  {
+    char buffer[4096];
+    ssize_t count = 0;
+    while ((count = read(aConnection, buffer, sizeof buffer)) > 0) {
+      const std::string answer =
+        mScript(std::string(buffer, static_cast<std::size_t>(count)));
+      send(aConnection, answer.data(), answer.size(), MSG_NOSIGNAL);
+      if (mRepeatAfter > Millis(0)) {
+        std::this_thread::sleep_for(mRepeatAfter);
+        send(aConnection, answer.data(), answer.size(), MSG_NOSIGNAL);
+      } else {
+        break;
+      }
+    }
+    close(aConnection);
+  }
+
+  Script mScript;
+  Millis mRepeatAfter;
+  int mListener;
+  std::thread mAcceptor;
+  std::vector<std::thread> mConnections;
+};
+
+/// For peers that answer each request once.
+AnswerOrigin
+IsOwn(const HttpReply&)
+{
+  return AnswerOrigin::Own;
+}
+
+std::string
+WholeAnswer(const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nContent-Length: " +
+         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
 } // namespace
 
 TEST_GROUP(HttpClient){};
 
+// Guards against the answer of another request: a peer sends each answer once
+// more, late, on a connection that the next request uses.
+TEST(HttpClient, TakesNoRepeatedAnswerForThatOfTheNextRequest)
+{
+  const ScriptedServer server(
+    [](const std::string& aRequest) {
+      return WholeAnswer(aRequest.substr(4, aRequest.find(" HTTP") - 4));
+    },
+    Millis(20));
+  HttpClient client({});
+  for (int i = 0; i < 5; ++i) {
+    const std::string path = "/" + std::to_string(i);
+    const auto check = [&](const HttpReply& aReply) {
+      return aReply.mBody == path ? AnswerOrigin::Own : AnswerOrigin::Earlier;
+    };
+    for (const ReplyCheck& used : { ReplyCheck(check), ReplyCheck() }) {
+      const auto reply = client.Execute({ "127.0.0.1", kPort },
+                                        { "GET", path, "", {}, "" },
+                                        kTimeout,
+                                        ConnectionUse::Reusable,
+                                        used);
+      CHECK_TRUE(Succeeded(reply));
+      STRCMP_EQUAL(path.c_str(), ValueOf(reply).mBody.c_str());
+      std::this_thread::sleep_for(Millis(40));
+    }
+  }
+}
+
 // Guards against a request that is reported as possibly run although the
 // connection was refused and no byte of it was sent.
 TEST(HttpClient, ReportsRefusedConnectionAsNotSent)
@@ -189,10 +310,10 @@
   {
     HttpClient client({});
     CHECK_TRUE(Succeeded(client.Execute(
-      endpoint, HttpRequest{}, kTimeout, ConnectionUse::Reusable)));
+      endpoint, HttpRequest{}, kTimeout, ConnectionUse::Reusable, IsOwn)));
     HttpRequest order{ "POST", "/order", "", {}, "one" };
-    CHECK_FALSE(Succeeded(
-      client.Execute(endpoint, order, kTimeout, ConnectionUse::Reusable)));
+    CHECK_FALSE(Succeeded(client.Execute(
+      endpoint, order, kTimeout, ConnectionUse::Reusable, IsOwn)));
   }
   LONGS_EQUAL(2, peer.StopAndCountLaterRequests());
 }
@@ -208,10 +329,10 @@
     const Endpoint endpoint{ "127.0.0.1", kPort };
     {
       HttpClient client({});
-      CHECK_TRUE(
-        Succeeded(client.Execute(endpoint, HttpRequest{}, kTimeout, use)));
+      CHECK_TRUE(Succeeded(
+        client.Execute(endpoint, HttpRequest{}, kTimeout, use, IsOwn)));
       const auto reply =
-        client.Execute(endpoint, HttpRequest{}, Millis(200), use);
+        client.Execute(endpoint, HttpRequest{}, Millis(200), use, IsOwn);
       CHECK_FALSE(Succeeded(reply));
       CHECK_TRUE(ErrorOf(reply).mState == SendState::Unknown);
     }
@@ -248,6 +369,35 @@
 
 TEST_GROUP(Rpc){};
 
+// Guards against the result of another call: a peer sends each answer once
+// more, late, on a connection that the next call uses.
+TEST(Rpc, TakesNoRepeatedAnswerForThatOfTheNextCall)
+{
+  RpcMethods methods;
+  methods["echo"] = [](const Json::Value& aIn) -> Outcome<Json::Value> {
+    return aIn;
+  };
+  const HttpHandler handler = MakeRpcHandler(methods, {});
+  const ScriptedServer server(
+    [&](const std::string& aRequest) {
+      HttpRequest request;
+      request.mPath = kRpcPath;
+      request.mBody = aRequest.substr(aRequest.find("\r\n\r\n") + 4);
+      return WholeAnswer(handler(request).mBody);
+    },
+    Millis(20));
+  HttpClient client({});
+  for (int i = 0; i < 5; ++i) {
+    Json::Value parameters;
+    parameters["call"] = i;
+    const auto answer =
+      CallRpc(client, { "127.0.0.1", kPort }, "echo", parameters, kTimeout);
+    CHECK_TRUE(Succeeded(answer));
+    LONGS_EQUAL(i, ValueOf(answer)["call"].asInt());
+    std::this_thread::sleep_for(Millis(40));
+  }
+}
+
 // Guards against results that arrive changed, and errors whose kind is lost
 // between processes. A refused connection must be reported as Unavailable.
 TEST(Rpc, CarriesResultsAndErrorKinds)
