LibAsyncHttp, LibHttp: Reserve no memory for an answer of absurd length

The users saw processes end by themselves (FAULT).

Cause: Beast's parser reserves memory for the stated length of an answer's body before it compares it with its limit.

Change: both clients compare the stated length as soon as the header is read.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -364,7 +364,6 @@
 {
   aConnection.mParser.emplace();
   aConnection.mParser->body_limit(kMaxAnswerBytes);
-  aConnection.mParser->eager(true);
   aConnection.mReceivedBytes = aConnection.mBufferedBytes;
 }
 
@@ -469,7 +468,12 @@
     if (error == http::error::need_more) {
       break;
     }
-    if (error) {
+    // NOTE: The parser stops after the header. It would reserve memory for the
+    // stated length before it checks its limit.
+    const bool tooLong =
+      connection.mParser->is_header_done() &&
+      connection.mParser->content_length().value_or(0) > kMaxAnswerBytes;
+    if (error || tooLong) {
       Fail(aConnection);
       return;
     }
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -221,9 +221,20 @@
     parser.body_limit(kMaxReplyBytes);
     parser.skip(aRequest.method() == http::verb::head);
     error = Wait(aConnection, aEnd, [&](auto aDone) {
-      http::async_read(
+      http::async_read_header(
         aConnection.mSocket, aConnection.mBuffer, parser, std::move(aDone));
     });
+    // NOTE: The parser would reserve memory for the stated length before it
+    // checks its limit.
+    if (!error && parser.content_length().value_or(0) > kMaxReplyBytes) {
+      error = http::error::body_limit;
+    }
+    if (!error) {
+      error = Wait(aConnection, aEnd, [&](auto aDone) {
+        http::async_read(
+          aConnection.mSocket, aConnection.mBuffer, parser, std::move(aDone));
+      });
+    }
     if (error) {
       return { MakeFailure(SendState::Unknown, "no whole reply", error) };
     }
--- a/Tests/LibAsyncHttp/TestRepeatedAnswers.cpp
+++ b/Tests/LibAsyncHttp/TestRepeatedAnswers.cpp
@@ -157,3 +157,14 @@
   CompleteCall();
   CheckNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1234");
 }
+
+// Guards against an answer that ends the process: memory was reserved for any
+// length that an answer states, before it was checked.
+TEST(RepeatedAnswers, AnAnswerOfAbsurdLengthIsNoAnswer)
+{
+  for (const char* length :
+       { "8388609", "99999999999", "18446744073709551615" }) {
+    CheckNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) +
+                  "\r\n\r\n1234");
+  }
+}
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -247,6 +247,8 @@
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n",
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n12",
          "HTTP/1.1 200 OK\r\n\r\n1234",
+         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n1234",
+         "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\n12",
          "HTTP/1.1 200 OK\r\nContent-Le" }) {
     const ScriptedServer server([&](const std::string&) { return answer; },
                                 Millis(0));
