LibHttp: Report a lack of file descriptors as a request that was not sent

A trial with 24 descriptors ended a scheduler (std::terminate): since the client uses Beast, each of its connections has an event loop, whose constructor throws when no descriptor is left.

Change: Execute() reports it as any other failure to connect.

Evidence: FailsWithoutFileDescriptors, with 0 to 3 descriptors left, ended the test program before, and passes.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -277,7 +277,12 @@
   for (;;) {
     const bool used = connection != nullptr;
     if (!connection) {
-      connection = std::make_unique<Connection>();
+      try {
+        connection = std::make_unique<Connection>();
+      } catch (const boost::system::system_error& e) {
+        // Asio throws if there is no file descriptor left for the event loop.
+        return HttpFailure{ SendState::NotSent, false, e.what() };
+      }
       const error_code error = mState->Connect(*connection, aEndpoint, end);
       if (error) {
         return MakeFailure(SendState::NotSent, "can't connect", error);
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -9,6 +9,7 @@
 #include <LibRpc/RpcClient.h>
 #include <LibRpc/RpcServer.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -259,6 +260,26 @@
   }
 }
 
+// Guards against a client that ends the process when there is no file
+// descriptor left for another connection.
+TEST(HttpClient, FailsWithoutFileDescriptors)
+{
+  rlimit before{};
+  CHECK_EQUAL(0, getrlimit(RLIMIT_NOFILE, &before));
+  HttpClient client({});
+  for (const rlim_t free : { 0, 1, 2, 3 }) {
+    const int next = dup(0);
+    close(next);
+    const rlimit few{ static_cast<rlim_t>(next) + free, before.rlim_max };
+    CHECK_EQUAL(0, setrlimit(RLIMIT_NOFILE, &few));
+    const auto reply = client.Execute(
+      { "127.0.0.1", kPort }, HttpRequest{}, kTimeout, ConnectionUse::Fresh);
+    CHECK_EQUAL(0, setrlimit(RLIMIT_NOFILE, &before));
+    CHECK_FALSE(Succeeded(reply));
+    CHECK_TRUE(ErrorOf(reply).mState == SendState::NotSent);
+  }
+}
+
 // Guards against a request that is reported as possibly run although the
 // connection was refused and no byte of it was sent.
 TEST(HttpClient, ReportsRefusedConnectionAsNotSent)
