--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -224,7 +224,7 @@
 {
   const MonotonicTime now = BootTime();
   for (std::size_t i = mIdle.size(); i-- > 0;) {
-    const ConnectionPtr connection = mIdle[i];
+    ConnectionPtr connection = mIdle[i];
     const auto idleTime =
       std::chrono::duration_cast<Millis>(now - connection->mHeardAt);
     if (idleTime < kRestTime) {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -179,14 +179,13 @@
   }
   Task& task = TaskOf(ref);
   if (task.mPhase == TaskPhase::Done) {
-    Emit(aDispatcher,
-         "end_superfluous",
-         ref.mJob,
-         "task=" + FormatTaskName(aEnd.mTask) +
-           " run=" + std::to_string(aEnd.mRun) + " runner=" + runner.mSpec.mId +
-           " stored=" +
-           (ref.mJob->mChangeSequence <= aDispatcher.mStoredThrough ? "1"
-                                                                    : "0"));
+    Emit(
+      aDispatcher,
+      "end_superfluous",
+      ref.mJob,
+      "task=" + FormatTaskName(aEnd.mTask) + " run=" +
+        std::to_string(aEnd.mRun) + " runner=" + runner.mSpec.mId + " stored=" +
+        (ref.mJob->mChangeSequence <= aDispatcher.mStoredThrough ? "1" : "0"));
     return;
   }
   // A later run was only started after the earlier one had ended. Its end
@@ -644,10 +643,9 @@
     // that are not stored yet. A later owner would need the end without them.
     const auto job = aDispatcher.mJobs.find(end.mTask.mJob);
     const bool known = job != aDispatcher.mJobs.end();
-    runner.mUnstoredEnds.push_back(
-      { end.mNumber,
-        known ? job->second->mChangeSequence : 0,
-        known ? job->second->mArrivalNumber : 0 });
+    runner.mUnstoredEnds.push_back({ end.mNumber,
+                                     known ? job->second->mChangeSequence : 0,
+                                     known ? job->second->mArrivalNumber : 0 });
   }
   AcknowledgeStored(aDispatcher, runner);
 
