--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -33,6 +33,23 @@
   return std::move(ValueOf(server));
 }
 
+/// @return a socket that listens on kPort of the loopback address
+int
+Listen()
+{
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  CHECK_EQUAL(
+    0, bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address));
+  CHECK_EQUAL(0, listen(listener, 8));
+  return listener;
+}
+
 /// A server that answers the first request it reads, and none of the later
 /// ones. It counts these, to show how often a request without an answer is
 /// sent.
@@ -50,18 +67,8 @@
   explicit SingleReplyPeer(
     OnLaterRequest aOnLaterRequest = OnLaterRequest::Close)
     : mOnLaterRequest(aOnLaterRequest)
-    , mListener(socket(AF_INET, SOCK_STREAM, 0))
+    , mListener(Listen())
   {
-    const int on = 1;
-    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CHECK_EQUAL(
-      0,
-      bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof address));
-    CHECK_EQUAL(0, listen(mListener, 8));
     mThread = std::thread([this] { Serve(); });
   }
 
@@ -129,18 +136,8 @@
   ScriptedServer(Script aScript, Millis aRepeatAfter)
     : mScript(std::move(aScript))
     , mRepeatAfter(aRepeatAfter)
-    , mListener(socket(AF_INET, SOCK_STREAM, 0))
+    , mListener(Listen())
   {
-    const int on = 1;
-    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CHECK_EQUAL(
-      0,
-      bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof address));
-    CHECK_EQUAL(0, listen(mListener, 8));
     mAcceptor = std::thread([this] { Accept(); });
   }
 
