LibDispatch: Compare failed runs with the allowed attempts before a start

Cause: CountFailure() compared only while the configuration had the job's queue.

Change: failures that can't be compared, a changed configuration and stored progress mark the attempts as unchecked; the next placement pass fails the jobs that have none left before it starts anything.

Result: both tests fail on the code before and pass now.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -137,6 +137,10 @@
   MonotonicTime mPlacedAt;    ///< When a full placement pass was last ordered.
   /// Whether the next placement pass must consider all runners.
   bool mPlacementDue = false;
+  /// Whether jobs may have as many failed runs of a task as their queue allows
+  /// without having failed: failures are counted also while the configuration
+  /// lacks the queue, and a later one may allow fewer attempts.
+  bool mAttemptsUnchecked = false;
   /// Runners on which runs have ended since the latest placement pass.
   std::vector<RunnerIndex> mFreedRunners;
 
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -43,6 +43,13 @@
 bool
 MayRunUnseen(const Dispatcher& aDispatcher, const Task& aTask);
 
+/// Fails the active jobs that have as many failed runs of a task as their queue
+/// allows.
+void
+FailExhaustedJobs(Dispatcher& aDispatcher,
+                  MonotonicTime aNow,
+                  Actions& aActions);
+
 /// Handles that a runner has shown a run of the task under this owner's epoch,
 /// or that a final record holds it. An earlier owner had then no other run of
 /// the task, and had not started any step that follows.
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -332,6 +332,7 @@
   job.mMayHaveRunBefore = aPriorRuns == PriorRuns::Possible;
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
   if (aProgress != nullptr) {
+    aDispatcher.mAttemptsUnchecked = true;
     job.mPhase = aProgress->mPhase;
     job.mBegan = aProgress->mBegan;
     job.mOccurrencesBegun = aProgress->mOccurrencesBegun;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -679,6 +679,9 @@
     aDispatcher.mPlacementDue = true;
     return;
   }
+  if (std::exchange(aDispatcher.mAttemptsUnchecked, false)) {
+    FailExhaustedJobs(aDispatcher, aNow, aActions);
+  }
   // If runs have ended and nothing else has changed, only their runners are
   // considered.
   const bool largeBacklog = aDispatcher.mWaitingSteps.size() > kLargeBacklog;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -93,11 +93,34 @@
   ++aDispatcher.mCounters.mFailed;
   MarkDirty(aDispatcher, job);
   const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
-  if (queue != nullptr && failed.size() >= queue->mMaxAttempts) {
+  if (queue == nullptr) {
+    aDispatcher.mAttemptsUnchecked = true;
+  } else if (failed.size() >= queue->mMaxAttempts) {
     FailJob(aDispatcher, job, aNow, aActions);
   }
 }
 
+/// @return whether a task of an unfinished occurrence has failed as often as
+///         its queue allows
+bool
+HasExhaustedTask(const Job& aJob, std::uint32_t aMaxAttempts)
+{
+  const auto exhausted = [&](const Task& aTask) {
+    return aTask.mPhase != TaskPhase::Done &&
+           aTask.mFailedRuns.size() >= aMaxAttempts;
+  };
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
+      const std::vector<Task>& tasks = occurrence.mSteps[i].mTasks;
+      if (aJob.mSpec.mSteps[i].mKind == StepKind::Finite &&
+          std::any_of(tasks.begin(), tasks.end(), exhausted)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 /// Advances the occurrence and the job after a task of a finite step is done.
 void
 AdvanceJob(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
@@ -418,6 +441,25 @@
 
 } // namespace
 
+void
+FailExhaustedJobs(Dispatcher& aDispatcher,
+                  MonotonicTime aNow,
+                  Actions& aActions)
+{
+  std::vector<Job*> exhausted;
+  for (const auto& [id, job] : aDispatcher.mJobs) {
+    const QueueSpec* queue = FindQueue(aDispatcher, job->mSpec.mQueue);
+    if (job->mPhase == JobPhase::Active && queue != nullptr &&
+        HasExhaustedTask(*job, queue->mMaxAttempts)) {
+      exhausted.push_back(job.get());
+    }
+  }
+  for (Job* job : exhausted) {
+    Emit(aDispatcher, "attempts_exhausted", job, {});
+    FailJob(aDispatcher, *job, aNow, aActions);
+  }
+}
+
 Resources
 ReservedResources(const StepSpec& aSpec)
 {
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -367,6 +367,7 @@
   for (const QueueSpec& queue : aQueues) {
     aDispatcher.mQueues.emplace(queue.mName, queue);
   }
+  aDispatcher.mAttemptsUnchecked = true;
   // The order of the waiting steps depends on the priorities of the queues.
   aDispatcher.mWaitingSteps.clear();
   for (const auto& [id, job] : aDispatcher.mJobs) {
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -226,3 +226,65 @@
   world.AdvanceTime(Millis(500));
   CHECK_TRUE(world.IsRunning("second.0.0.0"));
 }
+
+namespace {
+
+/// Configures the queue "queue" with a number of attempts.
+void
+AllowAttempts(DispatchWorld& aWorld, std::uint32_t aMaxAttempts)
+{
+  QueueSpec queue;
+  queue.mName = "queue";
+  queue.mService = "service";
+  queue.mMaxAttempts = aMaxAttempts;
+  queue.mStretch = 2;
+  queue.mTargetDuration = Millis(400);
+  SetQueues(aWorld.mDispatcher, { &queue, 1 });
+}
+
+} // namespace
+
+// Guards against a task that is started again after its last attempt, because
+// that attempt failed while the configuration lacked the queue.
+TEST(Runners, CountsAttemptsThatFailWhileTheQueueIsOut)
+{
+  DispatchWorld world;
+  AllowAttempts(world, 2);
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Millis(100));
+  world.End("job.0.0.0", EndKind::Failed);
+  world.AdvanceTime(Millis(200));
+  LONGS_EQUAL(2, world.mStarts);
+  SetQueues(world.mDispatcher, {});
+  world.End("job.0.0.0", EndKind::Failed);
+  world.AdvanceTime(Seconds(1));
+  AllowAttempts(world, 2);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+  CHECK_TRUE(world.mEndedJobs.contains("job"));
+  CHECK_TRUE(world.mEndedJobs["job"] == JobPhase::Failed);
+}
+
+// Guards against the same after a change of owner: the failures are read from
+// the store, and no further one is reported.
+TEST(Runners, ChecksStoredFailuresAfterATakeover)
+{
+  DispatchWorld world;
+  AllowAttempts(world, 4);
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  for (int i = 0; i < 2; ++i) {
+    world.AdvanceTime(Millis(200));
+    world.End("job.0.0.0", EndKind::Failed);
+  }
+  world.mDropStarts = true;
+  world.AdvanceTime(Millis(100));
+  const std::uint32_t starts = world.mStarts;
+  world.TakeOver(2);
+  world.mDropStarts = false;
+  AllowAttempts(world, 2);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(starts, world.mStarts);
+  CHECK_TRUE(world.mEndedJobs.contains("job"));
+}
