LibAsyncHttp: Parse no further request while a response is written

Cause: between the reply of the handler and the end of its write, the parser of a connection still holds the old request.

Change: a connection counts as busy until its response is written; what arrives until then is kept and parsed after it.

--- a/Libraries/LibAsyncHttp/HttpServer.cpp
+++ b/Libraries/LibAsyncHttp/HttpServer.cpp
@@ -95,10 +95,15 @@
     std::optional<http::request_parser<http::string_body>> mParser;
     std::string mOutgoing;
     bool mHandling = false; ///< The handler has not replied yet.
+    /// The response is being written. The parser still holds its request.
+    bool mReplying = false;
     bool mClosed = false;
     bool mCloseAfterReply = false;
     bool mReading = false; ///< A read is pending.
     std::optional<Deadlines::Key> mDeadline;
+
+    /// @return whether a request has been parsed whose response is not written
+    [[nodiscard]] bool Busy() const { return mHandling || mReplying; }
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -164,6 +169,7 @@
 void
 AsyncHttpServer::State::Begin(const ConnectionPtr& aConnection)
 {
+  aConnection->mReplying = false;
   aConnection->mParser.emplace();
   aConnection->mParser->header_limit(mLimits.mHeaderBytes);
   aConnection->mParser->body_limit(mLimits.mBodyBytes);
@@ -209,18 +215,18 @@
       if (aError) {
         // NOTE: A caller may shut down its sending side and still wait for the
         // response, so a request that is being handled is not aborted.
-        if (aConnection->mHandling && aError == boost::asio::error::eof) {
+        if (aConnection->Busy() && aError == boost::asio::error::eof) {
           aConnection->mCloseAfterReply = true;
           return;
         }
         self->Close(aConnection);
         return;
       }
-      if (aConnection->mUnparsed.empty() && !aConnection->mHandling) {
+      if (aConnection->mUnparsed.empty() && !aConnection->Busy()) {
         self->SetDeadline(aConnection, self->mLimits.mRequestTimeout);
       }
       aConnection->mUnparsed.append(aConnection->mBuffer.data(), aCount);
-      if (!aConnection->mHandling) {
+      if (!aConnection->Busy()) {
         self->Consume(aConnection);
       }
     });
@@ -313,6 +319,7 @@
 {
   const bool keepAlive =
     aKeepAlive && !mDraining && !aConnection->mCloseAfterReply;
+  aConnection->mReplying = true;
   aConnection->mOutgoing = Serialize(aReply, keepAlive);
   SetDeadline(aConnection, mLimits.mRequestTimeout);
   auto self = shared_from_this();
