LibNode: Give no number of waiting jobs whose age is not known

Cause: the shard's row states how many accepted jobs wait, but not up to when the owner has taken up accepted jobs.

Change: the row states the store's time of the last read of the inbox that the number counts. Rows of earlier versions have no such member and count as before; earlier versions ignore it.

--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -440,11 +440,21 @@
     });
 }
 
-std::uint64_t
+std::optional<std::uint64_t>
 ClientFrontEnd::Pending(const std::string& aQueue) const
 {
+  const NodeContext& context = mState->mContext;
+  const std::int64_t storeNowMs =
+    LatestStoreTime(context.mStoreClock, context.Now()).value_or(0);
+  const std::int64_t oldestMs =
+    storeNowMs - context.mSettings.mMaxPendingAge.count();
   std::uint64_t pending = 0;
   for (const auto& [shard, row] : mState->mView.mShardRows) {
+    // An earlier version of this program does not state the time.
+    const std::int64_t asOfMs = row.mRow.mPendingAsOfMs;
+    if (asOfMs != 0 && asOfMs < oldestMs) {
+      return {};
+    }
     const auto found = row.mRow.mPending.find(aQueue);
     if (found != row.mRow.mPending.end()) {
       pending += found->second;
--- a/Libraries/LibNode/ClientFrontEnd.h
+++ b/Libraries/LibNode/ClientFrontEnd.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -60,8 +61,11 @@
   void Status(const std::string& aJob,
               std::function<void(StatusAnswer)> aAnswer);
   /// @return the number of accepted jobs of the queue of which no task has been
-  ///         started, as the shards' owners last published it
-  [[nodiscard]] std::uint64_t Pending(const std::string& aQueue) const;
+  ///         started, as the shards' owners last published it; nothing if a
+  ///         part of it is older than NodeSettings::mMaxPendingAge, as while an
+  ///         owner is late or changes
+  [[nodiscard]] std::optional<std::uint64_t> Pending(
+    const std::string& aQueue) const;
 
   struct State;
 
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -222,6 +222,9 @@
     pending[queue] = Json::UInt64(count);
   }
   value["pending"] = pending;
+  if (aRow.mPendingAsOfMs != 0) {
+    value["pending_as_of_ms"] = Json::Int64(aRow.mPendingAsOfMs);
+  }
   value["leases_end_ms"] = Json::Int64(aRow.mLeasesEndMs);
   value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
   value["earlier_isolated_leases_end_ms"] =
@@ -260,6 +263,7 @@
       row.mPending.emplace(queue, pending[queue].asUInt64());
     }
   }
+  row.mPendingAsOfMs = (*value)["pending_as_of_ms"].asInt64();
   row.mLeasesEndMs = (*value)["leases_end_ms"].asInt64();
   row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
   row.mEarlierIsolatedLeasesEndMs =
@@ -366,6 +370,7 @@
       claim.mRowVersion = row.mVersion;
       claim.mEpoch = row.mRow.mEpoch + 1;
       claim.mPending = row.mRow.mPending;
+      claim.mPendingAsOfMs = row.mRow.mPendingAsOfMs;
       claim.mEarlierOwner =
         row.mRow.mOwner.empty() ? EarlierOwner::Released : EarlierOwner::Ended;
       claim.mRowSeenAt = row.mVersionSeenAt;
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -61,6 +61,9 @@
   std::int64_t mTotalMilliCores = 0; ///< All processors of the runners.
   /// Number of accepted jobs of which no task has started, by queue.
   std::map<std::string, std::uint64_t> mPending;
+  /// Time on the store's clock up to which the accepted jobs count in mPending.
+  /// 0: not known, because an earlier version of this program wrote the row.
+  std::int64_t mPendingAsOfMs = 0;
   /// Time on the store's clock by which all leases have ended that the owner or
   /// an earlier owner has granted to runners up to this renewal, and that the
   /// owner grants without a further renewal of this row. 0: not known, because
@@ -162,6 +165,7 @@
   /// The earlier owner's ShardRow::mPending. The new owner publishes it until
   /// it has read the jobs itself.
   std::map<std::string, std::uint64_t> mPending;
+  std::int64_t mPendingAsOfMs = 0; ///< The same for ShardRow::mPendingAsOfMs.
 };
 
 /// Updates a view with a complete read of the nodes' rows.
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -81,6 +81,9 @@
   /// A client gets an answer after this time at the latest, even if the outcome
   /// is not known.
   Millis mClientTimeout{ 2500 };
+  /// The number of waiting jobs is not given to clients if it leaves out jobs
+  /// that were accepted longer ago. The deployment sets it.
+  Millis mMaxPendingAge{ 4500 };
   /// Clients whose request was refused are asked to repeat it after this time.
   Seconds mRetryAfter{ 1 };
 };
--- a/Libraries/LibNode/RefusedRequest.cpp
+++ b/Libraries/LibNode/RefusedRequest.cpp
@@ -22,6 +22,8 @@
   switch (aCause) {
     case RefusalCause::NoConfiguration:
       return "no_configuration";
+    case RefusalCause::PendingUnknown:
+      return "pending_unknown";
     case RefusalCause::UnknownRoute:
       return "unknown_route";
     case RefusalCause::InvalidJobId:
--- a/Libraries/LibNode/RefusedRequest.h
+++ b/Libraries/LibNode/RefusedRequest.h
@@ -25,8 +25,9 @@
   NoConfiguration, ///< The node has not read a configuration yet.
   UnknownRoute,    ///< The node's version has no route for the request.
   InvalidJobId,
-  InvalidJob, ///< The request's body does not describe a job.
-  Method      ///< The method is not served on the path of a job.
+  InvalidJob,     ///< The request's body does not describe a job.
+  PendingUnknown, ///< The known number of waiting jobs is too old.
+  Method          ///< The method is not served on the path of a job.
 };
 
 /// A client's request that was refused, as its line in the log describes it.
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -98,6 +98,7 @@
         self->ApplyInboxRow(row, dispatch::PriorRuns::None);
       }
       self->mInboxVersion = std::max(self->mInboxVersion, aRead.mVersion);
+      self->mInboxAsOfMs = std::max(self->mInboxAsOfMs, aRead.mClockMs);
       self->WaitForInboxChanges();
       if (!aRead.mRows.empty() &&
           self->MayCommandRunners(self->mContext.Now())) {
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -23,6 +23,9 @@
   : mContext(aContext)
   , mClaim(aClaim)
 {
+  // A count of unknown age is repeated as an old one until this owner has its
+  // own.
+  mClaim.mPendingAsOfMs = std::max<std::int64_t>(1, mClaim.mPendingAsOfMs);
   mDispatcher.mSettings = aContext.mSettings.mDispatch;
   mDispatcher.mEpoch = aClaim.mEpoch;
   if (mClaim.mRecordsSince == 0) {
@@ -122,9 +125,11 @@
   row.mTotalMilliCores = capacity.mTotalMilliCores;
   if (state.mStage != ShardStage::Serving) {
     row.mPending = state.mClaim.mPending;
+    row.mPendingAsOfMs = state.mClaim.mPendingAsOfMs;
     return row;
   }
   row.mPending = dispatch::PendingJobs(state.mDispatcher);
+  row.mPendingAsOfMs = state.mInboxAsOfMs;
   return row;
 }
 
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -278,6 +278,10 @@
   std::uint32_t mInboxPartitionsLeft = 0;
   /// Version after which changes of the inbox are still to be read.
   std::int64_t mInboxVersion = 0;
+  /// Time on the store's clock up to which the inbox was read.
+  std::int64_t mInboxAsOfMs = 0;
+  /// The same for the present full read, of which pages are missing.
+  std::int64_t mInboxReadAsOfMs = 0;
 
   /// Version of the commit sequence row. Every transaction on this shard's
   /// progress checks this version and replaces the row, so that a delayed
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -46,6 +46,7 @@
   row.mOwnerIncarnation = mContext.mSelf.mIncarnation;
   row.mEpoch = mClaim.mEpoch;
   row.mPending = mClaim.mPending;
+  row.mPendingAsOfMs = mClaim.mPendingAsOfMs;
   row.mRecordsSince = mClaim.mRecordsSince;
   const MonotonicTime sentAt = mContext.Now();
   AssumeEarlierLeases(sentAt);
@@ -217,6 +218,10 @@
       self->mInboxVersion = self->mInboxVersion == 0
                               ? aRead.mVersion
                               : std::min(self->mInboxVersion, aRead.mVersion);
+      self->mInboxReadAsOfMs =
+        self->mInboxReadAsOfMs == 0
+          ? aRead.mClockMs
+          : std::min(self->mInboxReadAsOfMs, aRead.mClockMs);
       const std::string last =
         aRead.mRows.empty() ? std::string() : aRead.mRows.back().mKey;
       for (StoreRow& row : aRead.mRows) {
@@ -235,6 +240,7 @@
 void
 ShardOwner::State::HandleInboxRead()
 {
+  mInboxAsOfMs = std::exchange(mInboxReadAsOfMs, 0);
   if (mStage == ShardStage::ReadingJobs) {
     LoadJobs();
     return;
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -34,6 +34,10 @@
 /// A draining process exits at the latest this long before its grace period
 /// ends.
 constexpr Millis kGraceMargin{ 900 };
+/// The number of waiting jobs may leave out jobs that were accepted up to two
+/// seconds longer ago than the time after which a job must be visible; half a
+/// second of it is left for the answer to arrive.
+constexpr Millis kPendingAgeBeyondVisible{ 1500 };
 
 /// The node's process: an event loop with the node, its connections and its
 /// servers.
@@ -51,6 +55,8 @@
   void WaitForSignal();
   /// Reads the settings again on SIGHUP; drains the node on other signals.
   void HandleSignal(int aSignal);
+  /// Applies the limits of the deployment that the settings file states.
+  void ApplyLimits(const platform::Settings& aSettings);
   /// Applies the limits on client requests after a change of the configuration.
   void UpdateLimits();
   /// @return whether a draining process may exit
@@ -127,7 +133,7 @@
   mContext.mSelf.mRegion = mSettings.mRegion;
   mContext.mSelf.mIncarnation = UnixMs();
   mContext.mSelf.mMilliCores = mSettings.mMilliCores;
-  mContext.mSettings.mDispatch = mSettings.mDispatch;
+  ApplyLimits(mSettings);
   mContext.mPartitions.mTransactionsSpanPartitions =
     mSettings.mStoreSpansPartitions;
   mContext.mStore = mStore.Port();
@@ -249,6 +255,14 @@
     });
 }
 
+void
+Process::ApplyLimits(const platform::Settings& aSettings)
+{
+  mContext.mSettings.mDispatch = aSettings.mDispatch;
+  mContext.mSettings.mMaxPendingAge =
+    aSettings.mJobVisibleTime + kPendingAgeBeyondVisible;
+}
+
 void
 Process::HandleSignal(int aSignal)
 {
@@ -264,7 +278,7 @@
     }
     // Addresses and the node's identity can't change while the process runs.
     // The new limits apply to shards that are claimed from now on.
-    mContext.mSettings.mDispatch = ValueOf(settings).mDispatch;
+    ApplyLimits(ValueOf(settings));
     mLog.Write(LogLevel::Notice, "settings_read", {}, now);
     return;
   }
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -223,8 +223,8 @@
   shard.mFreeMilliCores = shard.mBestEffortMilliCores = INT64_MAX;
   shard.mTotalMilliCores = shard.mLeasesEndMs = INT64_MAX;
   shard.mIsolatedLeasesEndMs = shard.mEarlierIsolatedLeasesEndMs = INT64_MAX;
-  shard.mRecordsSince = INT64_MAX;
-  LONGS_EQUAL(450, FormatShardRow(shard).size());
+  shard.mRecordsSince = shard.mPendingAsOfMs = INT64_MAX;
+  LONGS_EQUAL(489, FormatShardRow(shard).size());
 }
 
 // Guards against leaving out numbers of pending jobs that fit, see the table of
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -80,6 +80,64 @@
   }
 }
 
+// Guards against a number of waiting jobs that leaves out those which a late
+// owner has not taken up for seconds.
+TEST(Node, GivesNoNumberOfWaitingJobsWhileTheOwnerIsLate)
+{
+  mCluster.StartNode("a");
+  StorePort& store = mCluster.mNodes.at("a").mContext.mStore;
+  bool late = false;
+  store.mWaitForChanges =
+    [&, wait = store.mWaitForChanges](const std::string& aTable,
+                                      std::int64_t aAfter,
+                                      Millis aWait,
+                                      const ReadHandler& aDone) {
+      wait(aTable, aAfter, aWait, [&late, aDone](const ReadOutcome& aRead) {
+        if (!late) {
+          aDone(aRead);
+        }
+      });
+    };
+  mCluster.AdvanceTime(Seconds(6));
+  mCluster.StartNode("b");
+  mCluster.AdvanceTime(Seconds(2));
+  const ClientFrontEnd& frontEnd = mCluster.mNodes.at("b").mNode->FrontEnd();
+  const std::uint32_t tooMany = 10000;
+  const dispatch::StepKind kind = dispatch::StepKind::Finite;
+  CHECK_TRUE(mCluster.Submit("b", kJob, kind) == ClientAnswer::Accepted);
+  LONGS_EQUAL(0, frontEnd.Pending("queue").value_or(99));
+  late = true;
+  CHECK_TRUE(mCluster.Submit("b", "0123456789abcde0", kind, tooMany) ==
+             ClientAnswer::Accepted);
+  mCluster.AdvanceTime(Seconds(2));
+  CHECK_FALSE(frontEnd.Pending("queue").has_value());
+}
+
+// Guards against a new owner that repeats the number of its predecessor, with
+// the age of its own row, until it has read the jobs.
+TEST(Node, GivesNoNumberOfWaitingJobsThatANewOwnerRepeats)
+{
+  Begin();
+  mCluster.StartNode("b");
+  mCluster.AdvanceTime(Seconds(2));
+  CHECK_TRUE(mCluster.Submit("b", kJob) == ClientAnswer::Accepted);
+  StorePort& store = mCluster.mNodes.at("b").mContext.mStore;
+  store.mRead = [read = store.mRead](const std::string& aTable,
+                                     const std::string& aPartition,
+                                     const std::string& aFrom,
+                                     const std::string& aTo,
+                                     const ReadHandler& aDone) {
+    if (!aTable.starts_with("inbox")) {
+      read(aTable, aPartition, aFrom, aTo, aDone);
+    }
+  };
+  mCluster.KillNode("a");
+  STRCMP_EQUAL("b", mCluster.AwaitOwner(2, Seconds(10)).c_str());
+  mCluster.AdvanceTime(Seconds(3));
+  const ClientFrontEnd& frontEnd = mCluster.mNodes.at("b").mNode->FrontEnd();
+  CHECK_FALSE(frontEnd.Pending("queue").has_value());
+}
+
 // Guards against the answer "not accepted" after a store call that got no
 // answer: the job may be stored.
 TEST(Node, NeverRefusesAJobThatMayBeStored)
