Services: Let no SIGHUP end a daemon

Cause: the gateway and the scheduler left SIGHUP at its default, and a node did until its signal handler was installed. A changed settings file therefore ended the process.

Change: all three block SIGHUP in the first line of main. The node receives it once its handler is installed and reads the settings; the gateway and the scheduler log reload_refused, since their settings are read at the start only. A signal before main is reached still ends the process.

--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -1,13 +1,13 @@
 #include "CommandLine.h"
 
 #include <chrono>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <thread>
 
 #include <LibBase/JsonReader.h>
 #include <LibBase/Log.h>
+#include <LibBase/ProcessSignals.h>
 #include <LibConfig/ConfigFollower.h>
 #include <LibDocument/DaemonSettings.h>
 #include <LibGateway/Gateway.h>
@@ -74,20 +74,13 @@
   return ports;
 }
 
-/// Blocks SIGTERM and SIGINT in this thread and in all threads started later,
-/// so that sigwait() receives them. Ignores SIGPIPE.
-/// @return the blocked signals
-sigset_t
-BlockStopSignals()
+/// Logs that SIGHUP has no effect: documents are followed without it.
+void
+RefuseReload()
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // A peer that closes its connection must not end this process.
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
+  LogEvent(LogLevel::Warning,
+           "reload_refused",
+           { { "cause", "settings are read at the start only" } });
 }
 
 /// Ends the service without failing requests: lets the load balancer send
@@ -119,11 +112,11 @@
 }
 
 /// Runs the gateway until SIGTERM or SIGINT arrives.
+/// @param aSignals the signals that WaitForStopSignal() receives
 /// @return the exit code of the process if the gateway can't start
 int
-Serve(DaemonSettings aSettings)
+Serve(DaemonSettings aSettings, const sigset_t& aSignals)
 {
-  const sigset_t signals = BlockStopSignals();
   StartLogging(aSettings.mSelf.mName, aSettings.mLogLevel);
   aSettings.mSelf.mRole = "gateway";
   aSettings.mSelf.mIncarnation = MakeIncarnation();
@@ -166,8 +159,7 @@
   LogEvent(LogLevel::Info,
            "serving",
            { { "address", ToText(aSettings.mSelf.mAddress) } });
-  int signal = 0;
-  sigwait(&signals, &signal);
+  WaitForStopSignal(aSignals, RefuseReload);
   ShutDownGracefully(gateway, *ValueOf(server), lease);
   // Threads may still wait for watches at runners whose callers have their
   // answers already. The destructors would wait for these threads, so the
@@ -180,6 +172,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  const sigset_t signals = BlockDaemonSignals();
   const auto file = ReadCommandLine(aCount, aArguments);
   if (!Succeeded(file)) {
     return PrintError(ErrorOf(file));
@@ -192,5 +185,5 @@
   if (!Succeeded(settings)) {
     return PrintError(ErrorOf(settings));
   }
-  return Serve(ValueOf(settings));
+  return Serve(ValueOf(settings), signals);
 }
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include <LibAsyncHttp/HttpServer.h>
+#include <LibBase/ProcessSignals.h>
 #include <LibNode/Node.h>
 #include <LibTime/BootClock.h>
 
@@ -294,6 +295,7 @@
 int
 Process::Run()
 {
+  UnblockHangUp();
   const MonotonicTime now = BootTime();
   for (const auto& [server, address] :
        { std::pair{ &mClients, mSettings.mClientAddress },
--- a/Services/Node/main.cpp
+++ b/Services/Node/main.cpp
@@ -4,12 +4,15 @@
 #include <cstdio>
 #include <string>
 
+#include <LibBase/ProcessSignals.h>
+
 #include "../../platform/Process.h"
 #include "NodeProcess.h"
 
 int
 main(int aCount, char** aArguments)
 {
+  paddle::BlockHangUp();
   CLI::App app("Runs one savorypaddle node on the platform.");
   std::string path = paddle::platform::SettingsPath();
   bool checkOnly = false;
--- a/Services/Scheduler/main.cpp
+++ b/Services/Scheduler/main.cpp
@@ -1,5 +1,4 @@
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -9,6 +8,7 @@
 
 #include <LibBase/Log.h>
 #include <LibBase/Metrics.h>
+#include <LibBase/ProcessSignals.h>
 #include <LibConfig/ConfigFollower.h>
 #include <LibDocument/DaemonSettings.h>
 #include <LibKernel/Registry.h>
@@ -117,8 +117,11 @@
   LogEvent(LogLevel::Info,
            "listening",
            { { "address", ToText(aSettings.mSelf.mAddress) } });
-  int signal = 0;
-  sigwait(&aSignals, &signal);
+  const int signal = WaitForStopSignal(aSignals, [] {
+    LogEvent(LogLevel::Warning,
+             "reload_refused",
+             { { "cause", "settings are read at the start only" } });
+  });
 
   LogEvent(LogLevel::Info, "leaving", { { "signal", signal } });
   scheduler.BeginLeave();
@@ -137,20 +140,13 @@
 int
 main(int aCount, char** aArguments)
 {
+  const sigset_t signals = BlockDaemonSignals();
   CLI::App app("Places batch jobs and service tasks on workers");
   std::string path;
   app.add_option("--settings", path, "settings file (JSON with comments)")
     ->required();
   CLI11_PARSE(app, aCount, aArguments);
 
-  // The signals are blocked before any thread starts, so that only sigwait()
-  // receives them.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
   Outcome<DaemonSettings> settings = ReadSettings(path);
   if (!Succeeded(settings)) {
     return Fail(ErrorOf(settings));
--- a/Tests/Scenarios/Primitives.cpp
+++ b/Tests/Scenarios/Primitives.cpp
@@ -86,14 +86,15 @@
 }
 
 /// Sends a signal to a process.
-/// signal(name, "TERM" | "KILL" | "STOP" | "CONT") -> true
+/// signal(name, "TERM" | "KILL" | "STOP" | "CONT" | "HUP") -> true
 int
 Signal(lua_State* aLua)
 {
   const std::map<std::string, int> signals{ { "TERM", SIGTERM },
                                             { "KILL", SIGKILL },
                                             { "STOP", SIGSTOP },
-                                            { "CONT", SIGCONT } };
+                                            { "CONT", SIGCONT },
+                                            { "HUP", SIGHUP } };
   const auto signal = signals.find(StringAt(aLua, 2));
   if (signal == signals.end()) {
     return PushFailure(aLua, "unknown signal");
--- a/Tests/Scenarios/Vocabulary.lua
+++ b/Tests/Scenarios/Vocabulary.lua
@@ -74,6 +74,9 @@
 function thaw(name) must(primitive.signal(name, "CONT")) end
 function terminate(name) must(primitive.signal(name, "TERM")) end
 
+-- Sends a process the signal that asks for a reload.
+function hang_up(name) must(primitive.signal(name, "HUP")) end
+
 -- Asks a process to stop, waits until it has ended and returns its exit code.
 function stop(name)
   terminate(name)
