LibDispatch: Await the ends of a silent runner that is still listed

Cause: when the leases of a silent runner were over, its finite tasks were started elsewhere, also those that had been done before the lease ended and whose ends this owner had not heard.

Change: while such a runner is listed, and no long-running task was at work on it, its finite tasks wait for its report, at most 12 s beyond their leases.

AcceptsTheEndOfALaterRunThanInAStaleRecord assumed that the tasks of its silent, listed runner run elsewhere after 7 s; it waits 12 s longer now and checks the same.

Result: WaitsForTheEndsOfASilentRunnerThatIsListed fails before.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -25,6 +25,11 @@
   /// Added to the lease of a silent runner before its tasks are given up, to
   /// allow for scheduling delays of this process.
   Millis mLeaseExpiryMargin{ 150 };
+  /// After its leases have ended, the finite tasks of a silent runner that is
+  /// still listed are started elsewhere only after this time. The runner lives
+  /// and may hold ends that this owner has not heard, so the tasks may have
+  /// been done. The platform carries out an order up to 12 s late.
+  Millis mUnheardEndsWait{ 12000 };
   /// A stop order whose run has not ended is sent again after this time. A
   /// round trip between regions takes 24 ms, and a stop takes at most 200 to
   /// 900 ms, depending on the deployment.
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -663,6 +663,7 @@
     return;
   }
   runner.mSilent = false;
+  runner.mEndsAwaited = false;
   runner.mClockMs = aReport.mClockMs;
   runner.mClockReadAt = aNow;
   runner.mClockRequestedAt = aSentAt;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -183,6 +183,9 @@
   /// end, and its tasks could never be started elsewhere.
   bool mSilent = false;
   MonotonicTime mSilentSince;
+  /// Whether its leases have ended and its finite tasks wait for its report,
+  /// see DispatchSettings::mUnheardEndsWait.
+  bool mEndsAwaited = false;
   /// Whether the store holds a record of all runs that the runner may have, or
   /// the end of its leases. No task is started on it, and no lease granted,
   /// until the list is replaced by one without them.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -140,6 +140,7 @@
   if (unanswered.empty() && !mayRun) {
     runner.mLeasesExpireAt = aNow;
   }
+  runner.mEndsAwaited = false;
   runner.mConsecutiveFailures = 0;
   runner.mDistinctFailedJobs = 0;
   runner.mQuarantines = 0;
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -13,6 +13,37 @@
 /// Longest interval between two placement passes over all runners.
 constexpr Millis kPlaceInterval{ 150 };
 
+/// @return whether a silent runner whose leases have ended may hold the ends of
+///         tasks that were done, so that starting these again would run them
+///         twice. A run that goes on until its lease ends shows as lapsed; if
+///         all runs may have ended before, only the runner's report tells.
+bool
+MayHoldUnheardEnds(const Dispatcher& aDispatcher,
+                   const Runner& aRunner,
+                   MonotonicTime aNow)
+{
+  // NOTE: The record of an earlier owner holds all runs of a runner that has
+  // not answered this one; they are started elsewhere after one lease.
+  const bool heard = aRunner.mClockMs > 0;
+  if (aRunner.mPhase != RunnerPhase::Live || !heard ||
+      !WasRecentlyListed(aRunner, aNow) ||
+      aNow >=
+        aRunner.mLeasesExpireAt + aDispatcher.mSettings.mUnheardEndsWait) {
+    return false;
+  }
+  bool mayBeDone = false;
+  for (const TaskRef& ref : aRunner.mTasks) {
+    if (SpecOf(ref).mKind == StepKind::LongRunning) {
+      if (TaskOf(ref).mPhase == TaskPhase::Running) {
+        return false;
+      }
+    } else if (ref.mJob->mPhase == JobPhase::Active) {
+      mayBeDone = true;
+    }
+  }
+  return mayBeDone;
+}
+
 /// Ends the runs of runners that have been silent until all their leases have
 /// ended.
 void
@@ -34,6 +65,18 @@
     if (!silent) {
       continue;
     }
+    if (MayHoldUnheardEnds(aDispatcher, runner, aNow)) {
+      if (!runner.mEndsAwaited) {
+        runner.mEndsAwaited = true;
+        Emit(aDispatcher,
+             "runner_ends_awaited",
+             nullptr,
+             "runner=" + runner.mSpec.mId +
+               " tasks=" + std::to_string(runner.mTasks.size()));
+      }
+      continue;
+    }
+    runner.mEndsAwaited = false;
     runner.mPhase = RunnerPhase::LeaseExpired;
     Emit(aDispatcher,
          "runner_lapsed",
@@ -100,7 +143,12 @@
       until = std::max(until, EarlierLeasesEnd(aDispatcher, i));
     } else if (runner.mPhase == RunnerPhase::Live && runner.mSilent &&
                !runner.mTasks.empty()) {
-      rule = runner.mClockMs == 0 ? "record" : "own_lease";
+      rule = runner.mEndsAwaited    ? "unheard_ends"
+             : runner.mClockMs == 0 ? "record"
+                                    : "own_lease";
+      if (runner.mEndsAwaited) {
+        until += aDispatcher.mSettings.mUnheardEndsWait;
+      }
     } else {
       continue;
     }
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -441,3 +441,64 @@
   world.Commit();
   CHECK_TRUE(HasLeft(world.mDispatcher, 0));
 }
+
+// Guards against work that is run again although it was done: an owner that is
+// late, or a runner that is slow to answer, misses the end until the leases are
+// over, and the runner still lists it.
+TEST(Leases, WaitsForTheEndsOfASilentRunnerThatIsListed)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Millis(500));
+  const std::string runner = world.RunnerOf("job.0.0.0");
+  world.mRunners[runner].mAnswers = false;
+  world.End("job.0.0.0", EndKind::Done);
+  world.AdvanceTime(Seconds(12));
+  LONGS_EQUAL(1, world.mStarts);
+  world.mRunners[runner].mAnswers = true;
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(1, world.mStarts);
+  CHECK_TRUE(world.mEndedJobs["job"] == JobPhase::Completed);
+}
+
+// Guards against tasks that wait for the report of a runner that has left.
+TEST(Leases, RestartsTheTasksOfASilentRunnerThatIsListedNoMore)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Millis(500));
+  world.Leave(world.RunnerOf("job.0.0.0"));
+  world.AdvanceTime(Seconds(7));
+  LONGS_EQUAL(2, world.mStarts);
+}
+
+// Guards against tasks that wait forever for a runner that stays listed and
+// never answers.
+TEST(Leases, WaitsForUnheardEndsForALimitedTime)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Millis(500));
+  world.mRunners[world.RunnerOf("job.0.0.0")].mAnswers = false;
+  world.AdvanceTime(Seconds(6) + world.mDispatcher.mSettings.mUnheardEndsWait);
+  LONGS_EQUAL(1, world.mStarts);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(2, world.mStarts);
+}
+
+// Guards against waiting where it isn't needed: a long-running task runs until
+// its lease ends, so the runner's leases certainly ended with a run.
+TEST(Leases, RestartsTasksBesideALongRunningTaskAfterOneLease)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.AddJob(MakeJob("long", { LongRunningStep(1, 1000) }));
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  world.AdvanceTime(Millis(500));
+  world.mRunners["r0"].mAnswers = false;
+  world.AdvanceTime(Millis(6700));
+  CHECK_TRUE(world.mDispatcher.mRunners[0].mTasks.empty());
+}
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -304,7 +304,7 @@
   // The leases of the runner end, and its tasks run on other runners. One of
   // them is done.
   world.mRunners[silent].mRunning.clear();
-  world.AdvanceTime(Seconds(7));
+  world.AdvanceTime(Seconds(7) + world.mDispatcher.mSettings.mUnheardEndsWait);
   LONGS_EQUAL(4, world.mStarts);
   world.End("job.0.0.0", EndKind::Done);
   world.TakeOver(2);
