LibAsyncHttp, LibNode: Ask again whether a start is wanted when it is sent

Cause: a start order may wait for a connection to its runner for up to 0.9 s, and longer while a process is suspended.

Change: calls may name a condition that the pool checks just before it writes them; start orders name the owner's right to start tasks and the state of the run. The results of orders are logged by name.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -145,6 +145,9 @@
   /// Queues the call until a connection is free.
   void Enqueue(PendingCall aPending);
   PendingCall Dequeue();
+  /// Ends the current call of a connection, nothing of which has been sent, as
+  /// not sent. The connection is idle then.
+  void Withdraw(const ConnectionPtr& aConnection);
   /// Sends queued calls as soon as idle connections have rested.
   void ServeQueueAfterRest();
   /// Opens a connection and sends the call on it.
@@ -261,7 +264,36 @@
       answer.mFailure = CallFailure::NotSent;
       done(std::move(answer));
     });
-  mQueue.push_back(std::move(aPending));
+  if (!aPending.mCall.mUrgent) {
+    mQueue.push_back(std::move(aPending));
+    return;
+  }
+  const auto behindUrgent =
+    std::find_if(mQueue.begin(), mQueue.end(), [](const PendingCall& aEntry) {
+      return !aEntry.mCall.mUrgent;
+    });
+  mQueue.insert(behindUrgent, std::move(aPending));
+}
+
+void
+HttpPool::State::Withdraw(const ConnectionPtr& aConnection)
+{
+  if (aConnection->mDeadline) {
+    mDeadlines.Cancel(*aConnection->mDeadline);
+    aConnection->mDeadline.reset();
+  }
+  AnswerHandler done = std::move(aConnection->mCurrent->mDone);
+  aConnection->mCurrent.reset();
+  mIdle.push_back(aConnection);
+  // The handler must not be called from within Send().
+  boost::asio::post(mLoop, [done = std::move(done)] {
+    HttpAnswer answer;
+    answer.mFailure = CallFailure::NotSent;
+    done(std::move(answer));
+  });
+  if (!mQueue.empty()) {
+    ServeQueueAfterRest();
+  }
 }
 
 HttpPool::State::PendingCall
@@ -370,6 +402,12 @@
 void
 HttpPool::State::Write(const ConnectionPtr& aConnection)
 {
+  const std::function<bool()>& stillWanted =
+    aConnection->mCurrent->mCall.mStillWanted;
+  if (stillWanted && !stillWanted()) {
+    Withdraw(aConnection);
+    return;
+  }
   aConnection->mOutgoing = Serialize(aConnection->mCurrent->mCall, mAddress);
   ExpectAnswer(*aConnection);
   aConnection->mMayBeSent = true;
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -53,6 +53,12 @@
   /// The peer may delay its answer until something changes, and the caller
   /// repeats the call after any failure.
   bool mLongPoll = false;
+  /// Sent before queued calls that are not urgent.
+  bool mUrgent = false;
+  /// Asked just before the call is sent, which may be long after it was queued;
+  /// a call that is not wanted any more fails as not sent. Without a function,
+  /// the call is always sent.
+  std::function<bool()> mStillWanted = nullptr;
   /// For calls whose answer may be large: from the answer's first bytes on,
   /// these time-outs replace mTimeout. A bound on the whole call would break
   /// off each large answer over a slow link, and its repetition as well.
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -290,10 +290,17 @@
   Refused,   ///< The runner lacks capacity, the order was late, or its run
              ///< number was outdated. The task does not run.
   NotSent,   ///< The order did not leave this process. The task does not run.
+  Withdrawn, ///< The order was not sent, because the run was stopped or this
+             ///< node may start no task now. The task does not run.
   Unhealthy, ///< The runner refuses all tasks for now. The task does not run.
   Unknown    ///< There was no answer, so the task may run.
 };
 
+/// @return whether the run is still to be started: its order has no result, and
+///         it has not been stopped
+bool
+IsStarting(Dispatcher& aDispatcher, const TaskName& aTask, std::int64_t aRun);
+
 /// Handles the result of a start order.
 void
 HandleStartResult(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -708,6 +708,14 @@
   AdjustPace(aDispatcher, aRunner, aNow, aActions);
 }
 
+bool
+IsStarting(Dispatcher& aDispatcher, const TaskName& aTask, std::int64_t aRun)
+{
+  const TaskRef ref = FindTask(aDispatcher, aTask);
+  return ref.mJob != nullptr && TaskOf(ref).mRun == aRun &&
+         TaskOf(ref).mPhase == TaskPhase::Starting;
+}
+
 void
 HandleStartResult(Dispatcher& aDispatcher,
                   RunnerIndex aRunner,
@@ -718,7 +726,9 @@
                   Actions& aActions)
 {
   Runner& runner = aDispatcher.mRunners[aRunner];
-  CountStartContact(aDispatcher, runner, aResult, aNow);
+  if (aResult != StartResult::Withdrawn) {
+    CountStartContact(aDispatcher, runner, aResult, aNow);
+  }
   const TaskRef ref = FindTask(aDispatcher, aTask);
   if (ref.mJob == nullptr) {
     return;
@@ -740,6 +750,9 @@
         BeginStop(aDispatcher, ref, StopCause::StartUnanswered, aNow, aActions);
       }
       return;
+    case StartResult::Withdrawn:
+      EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
+      return;
     case StartResult::Unhealthy:
       UpdateRunnerHealth(
         aDispatcher, runner, ref.mJob->mSpec.mId, RunOutcome::Failed, aNow);
--- a/Libraries/LibNode/RunnerPort.h
+++ b/Libraries/LibNode/RunnerPort.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <LibDispatch/Runner.h>
 #include <LibTime/Time.h>
@@ -51,6 +52,10 @@
   Unknown
 };
 
+/// @return the name of a result in the log
+std::string_view
+NameOf(RunnerResult aResult);
+
 /// The answer to a renewal; the report is only valid if the result is Done.
 struct RenewalOutcome
 {
@@ -71,6 +76,10 @@
   std::string mCheckpoint;
   /// Ticket that the runner checks before it starts the run, or empty.
   std::string mStartTicket;
+  /// Asked just before the order is sent: whether this node may still send it
+  /// and the run is still to be started. An order that is not sent then has the
+  /// result NotSent. Without a function, the order is always sent.
+  std::function<bool()> mStillWanted = nullptr;
 };
 
 /// Order to stop a run or to set its pace.
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -208,11 +208,24 @@
                     {} };
   const MonotonicTime sentAt = mContext.Now();
   auto self = shared_from_this();
+  auto withdrawn = std::make_shared<bool>(false);
+  order.mStillWanted = [self, withdrawn, name, run = aStart.mRun] {
+    const MonotonicTime now = self->mContext.Now();
+    *withdrawn = !self->MayCommandRunners(now) ||
+                 now >= self->mDispatcher.mStartsUntil ||
+                 !dispatch::IsStarting(self->mDispatcher, name, run);
+    return !*withdrawn;
+  };
   mContext.mRunners.mStart(
     TargetOf(aStart.mRunner),
     std::move(order),
-    [self, name, text, run = aStart.mRun, index = aStart.mRunner, sentAt](
-      RunnerResult aResult) {
+    [self,
+     withdrawn,
+     name,
+     text,
+     run = aStart.mRun,
+     index = aStart.mRunner,
+     sentAt](RunnerResult aResult) {
       if (self->mOwnershipLost) {
         return;
       }
@@ -228,16 +241,17 @@
       } else if (aResult == RunnerResult::Unknown) {
         result = dispatch::StartResult::Unknown;
       } else if (aResult == RunnerResult::NotSent) {
-        result = dispatch::StartResult::NotSent;
+        result = *withdrawn ? dispatch::StartResult::Withdrawn
+                            : dispatch::StartResult::NotSent;
       }
       const MonotonicTime now = self->mContext.Now();
       if (result != dispatch::StartResult::Started) {
         self->Log(LogLevel::Info,
                   "start_not_done",
                   "job=" + name.mJob + " task=" + text +
-                    " run=" + std::to_string(run) +
-                    " runner=" + self->mDispatcher.mRunners[index].mSpec.mId +
-                    " result=" + std::to_string(static_cast<int>(aResult)));
+                    " run=" + std::to_string(run) + " runner=" +
+                    self->mDispatcher.mRunners[index].mSpec.mId + " result=" +
+                    std::string(*withdrawn ? "withdrawn" : NameOf(aResult)));
       }
       self->mContext.mMetrics->Observe(
         "start_answer", std::chrono::duration_cast<Micros>(now - sentAt));
@@ -305,7 +319,7 @@
         self->Log(LogLevel::Info,
                   "pace_not_done",
                   "task=" + dispatch::FormatTaskName(aPace.mTask) +
-                    " result=" + std::to_string(static_cast<int>(aResult)));
+                    " result=" + std::string(NameOf(aResult)));
       }
     });
 }
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -80,6 +80,36 @@
   }
 }
 
+// Guards against a start order that waits for a connection and is sent although
+// its job has been cancelled meanwhile, or the node has been suspended and the
+// time has passed in which it may start tasks.
+TEST(Node, WithdrawsStartOrdersThatAreNotWantedAnyMore)
+{
+  mCluster.StartNode("a");
+  std::vector<StartOrder> orders;
+  std::vector<std::function<void(RunnerResult)>> results;
+  mCluster.mNodes.at("a").mContext.mRunners.mStart =
+    [&](const RunnerTarget&,
+        const StartOrder& aOrder,
+        const std::function<void(RunnerResult)>& aDone) {
+      orders.push_back(aOrder);
+      results.push_back(aDone);
+    };
+  mCluster.AdvanceTime(Seconds(6));
+  CHECK_TRUE(mCluster.Submit("a", kJob) == ClientAnswer::Accepted);
+  CHECK_TRUE(mCluster.Submit("a", "0123456789abcde0") ==
+             ClientAnswer::Accepted);
+  LONGS_EQUAL(2, orders.size());
+  CHECK_TRUE(orders[0].mStillWanted());
+  CHECK_TRUE(Cancel("a") == ClientAnswer::Accepted);
+  CHECK_FALSE(orders[0].mStillWanted());
+  CHECK_TRUE(orders[1].mStillWanted());
+  results[0](RunnerResult::NotSent);
+  mCluster.FreezeNode("a");
+  mCluster.AdvanceTime(Seconds(3));
+  CHECK_FALSE(orders[1].mStillWanted());
+}
+
 // Guards against a number of waiting jobs that leaves out those which a late
 // owner has not taken up for seconds.
 TEST(Node, GivesNoNumberOfWaitingJobsWhileTheOwnerIsLate)
