LibAsyncHttp: Take answers that arrived in time but are read late

Cause: the loop looks at deadlines before it reads the sockets that have become ready. When a node is behind, an answer that has arrived is thrown away at its deadline: a start then counts as unanswered, is stopped and sent again on a new connection, and runners count as silent.

Change: a call whose time is over, but for which the socket has an event that the loop has not handled, is kept until the loop has read it, at most 5 s.

Two tests; the first fails before.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <optional>
+#include <poll.h>
 #include <vector>
 
 namespace paddle {
@@ -32,6 +33,13 @@
 /// clocks in milliseconds, and a clock may be 2% slow, so that the reading in
 /// the next answer is certainly later.
 constexpr Millis kRestTime{ 3 };
+/// Interval at which a call whose time is over, but for which bytes have
+/// arrived that the loop has not handled, is looked at again.
+constexpr Millis kLateEventGrace{ 25 };
+/// An answer that is handled later than this after the call's time is over is
+/// given up, so that a peer can't keep a call for ever by single bytes. An
+/// overloaded loop of a small host was up to 3 s behind.
+constexpr Millis kLongestLateness{ 5000 };
 /// Size of a connection's read buffer.
 constexpr std::size_t kReadBufferBytes = 16384;
 
@@ -171,8 +179,12 @@
   void Close(const ConnectionPtr& aConnection);
   /// Closes the connection and completes its current call, if any, as failed.
   void Fail(const ConnectionPtr& aConnection);
+  /// @return whether bytes have arrived, or the connection has been established
+  ///         or has ended, and the loop has not handled it yet
+  static bool HasUnhandledEvent(Connection& aConnection);
   /// Fails the connection because its call has got no answer, or no further
-  /// bytes of it, in time.
+  /// bytes of it, in time. It is kept for a while if this process is late and
+  /// not the peer.
   void Expire(const ConnectionPtr& aConnection);
   /// Closes the connections that may have fallen silent together with one on
   /// which a call got no answer: those that are idle or carry a long poll from
@@ -620,9 +632,30 @@
   }
 }
 
+bool
+HttpPool::State::HasUnhandledEvent(Connection& aConnection)
+{
+  pollfd event{};
+  event.fd = aConnection.mSocket.native_handle();
+  event.events = aConnection.mConnected ? POLLIN : POLLOUT;
+  return ::poll(&event, 1, 0) > 0;
+}
+
 void
 HttpPool::State::Expire(const ConnectionPtr& aConnection)
 {
+  const MonotonicTime now = BootTime();
+  if (aConnection->mCurrent &&
+      now < aConnection->mCurrent->mExpiresAt + kLongestLateness &&
+      HasUnhandledEvent(*aConnection)) {
+    // The loop handles the event within its next turns. The call expires if the
+    // bytes do not complete its answer.
+    auto self = shared_from_this();
+    aConnection->mDeadline =
+      mDeadlines.Add(now + kLateEventGrace,
+                     [self, aConnection] { self->Expire(aConnection); });
+    return;
+  }
   if (aConnection->mConnected && aConnection->mCurrent) {
     DropSuspects(
       std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt),
--- a/Tests/LibAsyncHttp/TestQueuedCalls.cpp
+++ b/Tests/LibAsyncHttp/TestQueuedCalls.cpp
@@ -97,6 +97,45 @@
   LONGS_EQUAL(1, mPeer.Connections());
 }
 
+// Guards against an answer that has arrived in time and is thrown away because
+// this process reads it late: the peer's work is undone and done again, which
+// makes the process even later.
+TEST(QueuedCalls, TakesAnAnswerThatArrivedBeforeTheTimeWasOver)
+{
+  bool answered = false;
+  HttpCall call = MakeCall("/start");
+  call.mTimeout = Millis(50);
+  mPool.Send(std::move(call), [&](const HttpAnswer& aAnswer) {
+    answered = aAnswer.mFailure == CallFailure::None;
+  });
+  RunUntil([&] { return mTargets.size() == 1; });
+  mPeer.Send(0, ScriptedPeer::Answer("{}"));
+  mDeadlines.Expire(BootTime() + Millis(100));
+  RunUntil([&] { return answered; });
+  Send(MakeCall("/next"));
+  RunUntil([&] { return mTargets.size() == 2; });
+  LONGS_EQUAL(1, mPeer.Connections());
+}
+
+// Guards against a call that never ends because its peer sends single bytes.
+TEST(QueuedCalls, GivesUpAnAnswerThatIsTooLate)
+{
+  std::optional<CallFailure> failure;
+  HttpCall call = MakeCall("/start");
+  call.mTimeout = Millis(0);
+  mPool.Send(std::move(call),
+             [&](const HttpAnswer& aAnswer) { failure = aAnswer.mFailure; });
+  RunUntil([&] { return mTargets.size() == 1; });
+  mPeer.Send(0, "HTTP/1.1 200 OK\r\n");
+  mDeadlines.Expire(BootTime() + Millis(50));
+  CHECK_FALSE(failure.has_value());
+  RunUntil([&] {
+    mDeadlines.Expire(BootTime() + Millis(50));
+    return failure.has_value();
+  });
+  CHECK_TRUE(*failure == CallFailure::NoAnswer);
+}
+
 // Guards against a stop order that waits behind all start orders to its runner.
 TEST(QueuedCalls, SendsUrgentCallsFirst)
 {
