LibDispatch: Limit the starts that an owner has under way by its delays

Cause: an owner starts tasks as fast as runners have room, whatever its own host carries. Beyond that, answers and timers come late, renewals are missed, and leases lapse; each of these makes more work, so that the owner stays late (docs/platform.md, Load control).

Change: OrderLimit adapts the number of start orders without an answer (AIMD on the shortest answer time and timer lag of an interval) and stretches the intervals of renewals; placement passes pause in proportion to their time. No table of host sizes is used. A log line owner_load says what it does.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -40,8 +40,14 @@
   /// latencies every half second.
   Millis mLongPollBesideServing{ 400 };
   Millis mLongPoll{ 900 };
+  /// Long polls are stretched up to this while the owner is late. The platform
+  /// allows 2 s; leases last 6 s.
+  Millis mLongestPoll{ 1900 };
   /// Interval of requests to an idle runner, which keep its clock known.
   Millis mIdlePollInterval{ 3000 };
+  /// That interval is stretched up to this while the owner is late. It must be
+  /// less than mMaxClockReadingAge.
+  Millis mLongestIdlePollInterval{ 6500 };
   /// No task is started on a runner whose latest clock reading is older.
   Millis mMaxClockReadingAge{ 8000 };
   /// Consecutive failures, of at least two jobs, after which a runner is
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -16,6 +16,7 @@
 #include <LibDispatch/DispatchSettings.h>
 #include <LibDispatch/Interference.h>
 #include <LibDispatch/Job.h>
+#include <LibDispatch/OrderLimit.h>
 #include <LibDispatch/Runner.h>
 #include <LibTime/Time.h>
 
@@ -158,6 +159,12 @@
   bool mCommitUrgent = false;
 
   Interference mInterference;
+  OrderLimit mOrderLimit;
+  /// Start orders that have no answer yet, of all runners.
+  std::uint32_t mUnansweredStarts = 0;
+  /// No placement pass runs before this time, so that passes leave processor
+  /// time for answers and renewals.
+  MonotonicTime mPassesPausedUntil;
   DispatchCounters mCounters;
   EventSink mSink;
 };
@@ -302,12 +309,14 @@
 IsStarting(Dispatcher& aDispatcher, const TaskName& aTask, std::int64_t aRun);
 
 /// Handles the result of a start order.
+/// @param aTime time from sending the order to its result
 void
 HandleStartResult(Dispatcher& aDispatcher,
                   RunnerIndex aRunner,
                   const TaskName& aTask,
                   std::int64_t aRun,
                   StartResult aResult,
+                  Millis aTime,
                   MonotonicTime aNow,
                   Actions& aActions);
 
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -28,6 +28,10 @@
        MonotonicTime aNow,
        Actions& aActions);
 
+/// Changes the number of start orders to a runner that have no answer.
+void
+CountUnansweredStart(Dispatcher& aDispatcher, Runner& aRunner, int aChange);
+
 /// Adopts a run that an earlier owner started, of a task that waits here.
 /// @return whether it was adopted; it is not if the job has ended, or if the
 ///         task runs or has run later
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -363,7 +363,7 @@
   AssignToRunner(aDispatcher, aRunner, aTask);
   Runner& runner = aDispatcher.mRunners[aRunner];
   ++aDispatcher.mCounters.mStarts;
-  ++runner.mUnansweredStarts;
+  CountUnansweredStart(aDispatcher, runner, 1);
   aActions.push_back(
     StartTask{ aRunner, aTask, aRun, GrantLease(aDispatcher, runner, aNow) });
 }
@@ -682,6 +682,17 @@
   if (std::exchange(aDispatcher.mAttemptsUnchecked, false)) {
     FailExhaustedJobs(aDispatcher, aNow, aActions);
   }
+  OrderLimit& limit = aDispatcher.mOrderLimit;
+  UpdateOrderLimit(limit, aDispatcher.mUnansweredStarts, aNow);
+  if (!aDispatcher.mWaitingSteps.empty() &&
+      aDispatcher.mUnansweredStarts >= limit.mLimit) {
+    limit.mReached = true;
+    aDispatcher.mPlacementDue = true;
+    return; // An answer, or the next tick, makes up for it.
+  }
+  if (aNow < aDispatcher.mPassesPausedUntil) {
+    return; // A later call, or the next tick, makes up for it.
+  }
   // If runs have ended and nothing else has changed, only their runners are
   // considered.
   const bool largeBacklog = aDispatcher.mWaitingSteps.size() > kLargeBacklog;
@@ -758,7 +769,8 @@
       }
     } else {
       for (std::uint32_t i = 0;
-           i < step.mTasks.size() && step.mWaitingTasks > 0;
+           i < step.mTasks.size() && step.mWaitingTasks > 0 &&
+           aDispatcher.mUnansweredStarts < limit.mLimit;
            ++i) {
         if (step.mTasks[i].mPhase != TaskPhase::Waiting ||
             MayRunUnseen(aDispatcher, step.mTasks[i])) {
@@ -781,6 +793,12 @@
       }
     }
     UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
+    // A gang may exceed the limit, because it starts as a whole.
+    if (aDispatcher.mUnansweredStarts >= limit.mLimit) {
+      limit.mReached = true;
+      aDispatcher.mPlacementDue = true;
+      return;
+    }
     if (started >= aDispatcher.mSettings.mMaxStartsPerPass) {
       aDispatcher.mPlacementDue = true;
       return;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -33,7 +33,7 @@
     runner.mLongRunningMilliCores -= amount.mMilliCores;
   }
   if (task.mPhase == TaskPhase::Starting) {
-    --runner.mUnansweredStarts;
+    CountUnansweredStart(aDispatcher, runner, -1);
   }
   std::erase(runner.mTasks, aTask);
   aDispatcher.mFreedRunners.push_back(task.mRunner);
@@ -243,7 +243,7 @@
 MarkStarted(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
 {
   Task& task = TaskOf(aTask);
-  --aDispatcher.mRunners[task.mRunner].mUnansweredStarts;
+  CountUnansweredStart(aDispatcher, aDispatcher.mRunners[task.mRunner], -1);
   task.mPhase = TaskPhase::Running;
   aTask.mJob->mBegan = true;
   if (task.mInterruptedAt) {
@@ -470,6 +470,13 @@
   return amount;
 }
 
+void
+CountUnansweredStart(Dispatcher& aDispatcher, Runner& aRunner, int aChange)
+{
+  aRunner.mUnansweredStarts += static_cast<std::uint32_t>(aChange);
+  aDispatcher.mUnansweredStarts += static_cast<std::uint32_t>(aChange);
+}
+
 bool
 AdoptRun(Dispatcher& aDispatcher,
          RunnerIndex aRunner,
@@ -601,7 +608,7 @@
 {
   Task& task = TaskOf(aTask);
   if (task.mPhase == TaskPhase::Starting) {
-    --aDispatcher.mRunners[task.mRunner].mUnansweredStarts;
+    CountUnansweredStart(aDispatcher, aDispatcher.mRunners[task.mRunner], -1);
   }
   task.mPhase = TaskPhase::Stopping;
   task.mStopCause = aCause;
@@ -722,6 +729,7 @@
                   const TaskName& aTask,
                   std::int64_t aRun,
                   StartResult aResult,
+                  Millis aTime,
                   MonotonicTime aNow,
                   Actions& aActions)
 {
@@ -729,6 +737,9 @@
   if (aResult != StartResult::Withdrawn) {
     CountStartContact(aDispatcher, runner, aResult, aNow);
   }
+  if (aResult == StartResult::Started || aResult == StartResult::Unknown) {
+    ObserveAnswer(aDispatcher.mOrderLimit, aTime);
+  }
   const TaskRef ref = FindTask(aDispatcher, aTask);
   if (ref.mJob == nullptr) {
     return;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -460,10 +460,11 @@
   // A runner with a record is granted no lease until the record is removed, so
   // its answer is needed at once.
   if (mayHaveRuns && !runner.mRecordStored) {
+    const OrderLimit& limit = aDispatcher.mOrderLimit;
     plan.mLongPollTimeout =
       runner.mLongRunningTasks > 0 && runner.mBestEffortMilliCores > 0
-        ? settings.mLongPollBesideServing
-        : settings.mLongPoll;
+        ? Stretched(limit, settings.mLongPollBesideServing, settings.mLongPoll)
+        : Stretched(limit, settings.mLongPoll, settings.mLongestPoll);
     if (!runner.mUnstoredEnds.empty() || !runner.mOrphans.empty()) {
       // A runner answers immediately while it has ends that are not
       // acknowledged, and would report them again and again.
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -102,6 +102,7 @@
   Deadlines* mDeadlines = nullptr;
   EventLog* mLog = nullptr;
   Metrics* mMetrics = nullptr;
+  Millis mTimerLag{ 0 };          ///< By which the latest tick was late.
   MonotonicTime mStoreAnsweredAt; ///< When the store last served a call.
   /// When bytes last arrived of a large answer about the operator's table that
   /// is not complete yet.
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -103,8 +103,7 @@
       if (!aRead.mRows.empty() &&
           self->MayCommandRunners(self->mContext.Now())) {
         dispatch::Actions actions;
-        dispatch::PlaceWaiting(
-          self->mDispatcher, self->mContext.Now(), actions);
+        self->Place(self->mContext.Now(), actions);
         self->PerformActions(actions);
       }
     });
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -61,6 +61,29 @@
   Log(LogLevel::Warning, "shard_lost", "reason=" + std::string(aReason));
 }
 
+void
+ShardOwner::State::LogLoad(MonotonicTime aNow)
+{
+  constexpr Seconds kInterval{ 2 };
+  if (aNow - mLoadLoggedAt < kInterval) {
+    return;
+  }
+  const auto since =
+    std::chrono::duration_cast<Micros>(aNow - mLoadLoggedAt).count();
+  const dispatch::OrderLimit& limit = mDispatcher.mOrderLimit;
+  Log(LogLevel::Info,
+      "owner_load",
+      "lag_ms=" + std::to_string(mContext.mTimerLag.count()) +
+        " starts_under_way=" + std::to_string(mDispatcher.mUnansweredStarts) +
+        " limit=" + std::to_string(static_cast<int>(limit.mLimit)) +
+        " poll_stretch_percent=" +
+        std::to_string(static_cast<int>(100 * limit.mPollStretch)) +
+        " placing_percent=" +
+        std::to_string(100 * mPlacingTime.count() / std::max<long>(1, since)));
+  mLoadLoggedAt = aNow;
+  mPlacingTime = Micros(0);
+}
+
 bool
 ShardOwner::State::MayCommandRunners(MonotonicTime aNow) const
 {
@@ -230,7 +253,12 @@
   }
   if (state.MayCommandRunners(aNow)) {
     dispatch::Actions actions;
+    dispatch::ObserveLag(state.mDispatcher.mOrderLimit,
+                         state.mContext.mTimerLag);
+    const MonotonicTime begin = state.mContext.Now();
     dispatch::HandleTick(state.mDispatcher, aNow, UnixMs(), actions);
+    state.PauseAfterPass(begin);
+    state.LogLoad(aNow);
     state.PerformActions(actions);
     for (dispatch::RunnerIndex i = 0; i < state.mDispatcher.mRunners.size();
          ++i) {
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -18,6 +18,9 @@
 /// are acknowledged, the runner would answer at once with the same ends. The
 /// renewal is sent earlier if the commit is answered.
 constexpr Millis kCommitWait{ 250 };
+/// Pause after a placement pass, as a multiple of the time that the pass took.
+/// On a host of 0.069 cores a pass over 540 runners took most of the processor.
+constexpr int kPauseAfterPass = 2;
 
 } // namespace
 
@@ -130,7 +133,7 @@
   const bool newEnds =
     mDispatcher.mRunners[aRunner].mHighestAppliedEnd != processed;
   if (MayCommandRunners(now)) {
-    dispatch::PlaceWaiting(mDispatcher, now, actions);
+    Place(now, actions);
   }
   PerformActions(actions);
   if (mDispatcher.mCommitUrgent) {
@@ -140,9 +143,12 @@
   const bool mayRunTasks = !runner.mTasks.empty() || !runner.mOrphans.empty();
   if (!mayRunTasks && runner.mUnstoredEnds.empty()) {
     renewal.mNextRenewalAt =
-      now + (mDispatcher.mFrequentContact
-               ? mContext.mSettings.mFrequentPollInterval
-               : mDispatcher.mSettings.mIdlePollInterval);
+      now +
+      (mDispatcher.mFrequentContact
+         ? mContext.mSettings.mFrequentPollInterval
+         : dispatch::Stretched(mDispatcher.mOrderLimit,
+                               mDispatcher.mSettings.mIdlePollInterval,
+                               mDispatcher.mSettings.mLongestIdlePollInterval));
     return;
   }
   if (!runner.mUnstoredEnds.empty()) {
@@ -160,6 +166,23 @@
   }
 }
 
+void
+ShardOwner::State::Place(MonotonicTime aNow, dispatch::Actions& aActions)
+{
+  const MonotonicTime begin = mContext.Now();
+  dispatch::PlaceWaiting(mDispatcher, aNow, aActions);
+  PauseAfterPass(begin);
+}
+
+void
+ShardOwner::State::PauseAfterPass(MonotonicTime aBegan)
+{
+  const MonotonicTime now = mContext.Now();
+  mPlacingTime += std::chrono::duration_cast<Micros>(now - aBegan);
+  mDispatcher.mPassesPausedUntil = std::max(
+    mDispatcher.mPassesPausedUntil, now + (now - aBegan) * kPauseAfterPass);
+}
+
 void
 ShardOwner::State::RenewAfterCommit(MonotonicTime aNow)
 {
@@ -257,7 +280,14 @@
         "start_answer", std::chrono::duration_cast<Micros>(now - sentAt));
       dispatch::Actions actions;
       dispatch::HandleStartResult(
-        self->mDispatcher, index, name, run, result, now, actions);
+        self->mDispatcher,
+        index,
+        name,
+        run,
+        result,
+        std::chrono::duration_cast<Millis>(now - sentAt),
+        now,
+        actions);
       self->PerformActions(actions);
     });
   // The end of the run must be seen at once, so the runner is renewed now. If a
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -158,6 +158,14 @@
                      const RenewalOutcome& aOutcome,
                      MonotonicTime aSentAt,
                      Millis aLongPollTimeout);
+  /// Runs a placement pass.
+  void Place(MonotonicTime aNow, dispatch::Actions& aActions);
+  /// Delays the next placement pass by a multiple of the time that the present
+  /// one has taken.
+  /// @param aBegan when it began
+  void PauseAfterPass(MonotonicTime aBegan);
+  /// Logs how late the owner is and what its load control allows.
+  void LogLoad(MonotonicTime aNow);
   /// Renews the runners whose reported ends of runs are stored by now.
   void RenewAfterCommit(MonotonicTime aNow);
   /// Sends the orders that the dispatcher has decided on, unless this node
@@ -254,6 +262,8 @@
 
   dispatch::Dispatcher mDispatcher;
   std::vector<RunnerRenewal> mRenewals; ///< By RunnerIndex.
+  Micros mPlacingTime{ 0 }; ///< Taken by placement since mLoadLoggedAt.
+  MonotonicTime mLoadLoggedAt;
   /// Runners of this shard in the latest runner list.
   std::vector<dispatch::RunnerSpec> mShardRunners;
   bool mShardRunnersRead = false;
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -230,6 +230,8 @@
       return;
     }
     const MonotonicTime now = BootTime();
+    mContext.mTimerLag = std::chrono::duration_cast<Millis>(
+      std::chrono::steady_clock::now() - mTimer.expiry());
     mDeadlines.Expire(now);
     mNode->Tick(now);
     UpdateLimits();
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -171,6 +171,7 @@
                             name,
                             start->mRun,
                             StartResult::Unknown,
+                            kUnsentAfter,
                             mNow,
                             mActions);
           continue;
@@ -184,6 +185,7 @@
                           name,
                           start->mRun,
                           StartResult::Started,
+                          Millis(5),
                           mNow,
                           mActions);
       } else if (const auto* stop = std::get_if<StopTask>(&action)) {
@@ -306,6 +308,7 @@
                       NameOf(start.mTask),
                       start.mRun,
                       StartResult::NotSent,
+                      kUnsentAfter,
                       mNow,
                       mActions);
     PerformOrders();
