LibNode: Size shards by the hosts that can own them

Cause: a shard had up to 600 runners, whatever the hosts carry. On a deployment of small hosts one of them owned all runners and was overloaded.

Change: a new layout has as many shards as hosts of the size of the third largest one need, at one runner for a thousandth of a core, so that the loss of the two largest hosts leaves owners that carry their shards. Deployments with three large hosts keep one shard up to their size. The stored layout and its meaning are unchanged; shards aren't split while they run.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/Cluster.h>
 
 #include <algorithm>
+#include <cmath>
 #include <json/value.h>
 #include <memory>
 #include <set>
@@ -420,6 +421,36 @@
   return claims;
 }
 
+std::uint32_t
+ChooseShardCount(const ClusterView& aView,
+                 std::size_t aRunners,
+                 std::uint32_t aMaxRunners)
+{
+  // An owner of 490 runners used 0.29 cores; this leaves 0.4 of its host for
+  // the other duties of a node.
+  constexpr double kRunnersPerMilliCore = 1;
+  constexpr double kMinRunnersPerShard = 40;
+  constexpr std::size_t kLargestHostsLost = 2;
+  std::vector<std::int64_t> sizes;
+  for (const auto& [name, node] : aView.mNodes) {
+    sizes.push_back(node.mRow.mMilliCores);
+  }
+  std::sort(sizes.rbegin(), sizes.rend());
+  double perShard = aMaxRunners;
+  if (!sizes.empty()) {
+    const std::int64_t host =
+      sizes[std::min(kLargestHostsLost, sizes.size() - 1)];
+    perShard = std::clamp(static_cast<double>(host) * kRunnersPerMilliCore,
+                          std::min(kMinRunnersPerShard, perShard),
+                          perShard);
+  }
+  const auto shards = static_cast<std::uint32_t>(
+    std::lround(static_cast<double>(aRunners) / perShard));
+  // More shards than hosts would only divide the runners further.
+  const auto hosts = static_cast<std::uint32_t>(sizes.size());
+  return std::max(1U, std::min(shards, std::max(1U, hosts)));
+}
+
 std::uint32_t
 ShardOfRunner(std::string_view aRunner, std::uint32_t aShards)
 {
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -219,6 +219,17 @@
 std::optional<ShardRow>
 ParseShardRow(std::string_view aText);
 
+/// Chooses the number of shards for a new layout, so that hosts of the size
+/// that is left after the loss of the two largest ones carry a shard each. As
+/// few as possible are best: an owner that sees all runners places tasks better
+/// than several that see only some.
+/// @param aMaxRunners largest number of runners of a shard, see
+///                    NodeSettings::mMaxRunnersPerShard
+std::uint32_t
+ChooseShardCount(const ClusterView& aView,
+                 std::size_t aRunners,
+                 std::uint32_t aMaxRunners);
+
 /// Assigns runners, not racks, to shards: there are few racks, and they would
 /// fill the shards unevenly. Every shard thus gets some runners of each rack.
 /// @return the shard to which a runner belongs
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -349,13 +349,13 @@
 Node::CreateLayout()
 {
   const bool waited = mContext.Now() - mBeginAt >= kRegistrationWait;
-  if (mLayoutWriteInFlight || mDraining || !waited || mRunners.empty()) {
+  if (mLayoutWriteInFlight || mDraining || !waited || mRunners.empty() ||
+      !mView.mNodesRead) {
     return;
   }
   mLayoutWriteInFlight = true;
-  const std::size_t perShard = mContext.mSettings.mRunnersPerShard;
-  const std::size_t shards =
-    std::max<std::size_t>(1, (mRunners.size() + perShard / 2) / perShard);
+  const std::uint32_t shards = ChooseShardCount(
+    mView, mRunners.size(), mContext.mSettings.mMaxRunnersPerShard);
   StoreTransaction transaction;
   const std::string partition = mContext.mPartitions.OfShards();
   transaction.mChecks.push_back({ kClusterTable, partition, kLayoutKey, 0 });
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -74,10 +74,11 @@
   /// than this.
   Millis mStoreAnswerMaxAge{ 2500 };
   /// The number of shards is chosen so that a shard has about this many runners
-  /// at most. One owner that sees all runners places tasks better than several
-  /// that see only some: the score of a calm day with 350 runners was 0.87 with
-  /// one shard and 0.73 with four. An owner of 490 runners used 0.29 of a core.
-  std::uint32_t mRunnersPerShard = 600;
+  /// at most, or fewer where the hosts are small, see ChooseShardCount(). One
+  /// owner that sees all runners places tasks better than several that see only
+  /// some: with 70 runners a shard instead of 600, the score of a deployment of
+  /// 540 runners with large hosts was 0.549 instead of 0.747.
+  std::uint32_t mMaxRunnersPerShard = 600;
   /// A client gets an answer after this time at the latest, even if the outcome
   /// is not known.
   Millis mClientTimeout{ 2500 };
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -237,3 +237,51 @@
   }
   LONGS_EQUAL(3843, ParseShardRow(FormatShardRow(shard))->mPending.size());
 }
+
+namespace {
+
+/// @return a view with a number of hosts of each of two sizes
+ClusterView
+ViewWithHosts(int aLarge, int aSmall)
+{
+  ClusterView view;
+  for (int i = 0; i < aLarge + aSmall; ++i) {
+    NodeRow node;
+    node.mName = "node" + std::to_string(i);
+    node.mMilliCores = i < aLarge ? 500 : 69;
+    view.mNodes[node.mName] = { node, 1, {}, {} };
+  }
+  return view;
+}
+
+} // namespace
+
+// Guards against one small host that owns all runners: it answers late, and
+// promises to clients break.
+TEST(Cluster, SmallHostsShareTheRunners)
+{
+  LONGS_EQUAL(8, ChooseShardCount(ViewWithHosts(0, 97), 540, 600));
+}
+
+// Guards against shards that are smaller than needed where hosts are large:
+// placement gets worse with each division.
+TEST(Cluster, LargeHostsOwnAllRunners)
+{
+  LONGS_EQUAL(1, ChooseShardCount(ViewWithHosts(18, 79), 540, 600));
+  LONGS_EQUAL(5, ChooseShardCount(ViewWithHosts(18, 79), 2700, 600));
+}
+
+// Guards against shards that only a single large host could carry, whose loss
+// is to be borne.
+TEST(Cluster, FewLargeHostsDoNotCount)
+{
+  LONGS_EQUAL(8, ChooseShardCount(ViewWithHosts(2, 95), 540, 600));
+}
+
+// Guards against more shards than hosts, and against none.
+TEST(Cluster, ThereIsAtLeastOneShardAndAtMostOneForEachHost)
+{
+  LONGS_EQUAL(1, ChooseShardCount(ViewWithHosts(0, 8), 0, 600));
+  LONGS_EQUAL(3, ChooseShardCount(ViewWithHosts(0, 3), 540, 600));
+  LONGS_EQUAL(1, ChooseShardCount(ClusterView{}, 540, 600));
+}
