LibNode: Count hosts' links and late runners in the size of shards

Cause: shards were sized by processors only, and by the runners that had registered 3.5 s after the start, 60% of them.

Change: a node's row states its host's link; a shard has at most ten runners for a megabit a second (an owner of 108 runners sent and received 0.8 MB a second). The layout waits while the list of runners grows, 4.7 s at most. Rows of earlier versions have no such member; their hosts count by processor.

--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -31,6 +31,7 @@
   row.mRegion = (*value)["region"].asString();
   row.mIncarnation = (*value)["incarnation"].asInt64();
   row.mMilliCores = (*value)["milli_cores"].asInt64();
+  row.mLinkMbps = (*value)["link_mbps"].asInt64();
   row.mHeartbeatCount = (*value)["beat"].asUInt64();
   row.mPeerAddress = (*value)["peer_address"].asString();
   return row;
@@ -199,6 +200,9 @@
   value["region"] = aRow.mRegion;
   value["incarnation"] = Json::Int64(aRow.mIncarnation);
   value["milli_cores"] = Json::Int64(aRow.mMilliCores);
+  if (aRow.mLinkMbps != 0) {
+    value["link_mbps"] = Json::Int64(aRow.mLinkMbps);
+  }
   value["beat"] = Json::UInt64(aRow.mHeartbeatCount);
   if (!aRow.mPeerAddress.empty()) {
     value["peer_address"] = aRow.mPeerAddress;
@@ -426,28 +430,34 @@
                  std::size_t aRunners,
                  std::uint32_t aMaxRunners)
 {
-  // An owner of 490 runners used 0.29 cores; this leaves 0.4 of its host for
-  // the other duties of a node.
+  // An owner of 490 runners used 0.29 cores, and one of 108 runners 0.8 MB a
+  // second; this leaves 0.4 of its host for the other duties of a node.
   constexpr double kRunnersPerMilliCore = 1;
-  constexpr double kMinRunnersPerShard = 40;
+  constexpr double kRunnersPerMbps = 10;
+  constexpr double kMinRunnersPerShard = 15;
   constexpr std::size_t kLargestHostsLost = 2;
-  std::vector<std::int64_t> sizes;
+  std::vector<double> carried; // Runners that each host carries.
   for (const auto& [name, node] : aView.mNodes) {
-    sizes.push_back(node.mRow.mMilliCores);
+    const NodeRow& row = node.mRow;
+    const double byCores =
+      static_cast<double>(row.mMilliCores) * kRunnersPerMilliCore;
+    const double byLink =
+      row.mLinkMbps == 0 ? byCores
+                         : static_cast<double>(row.mLinkMbps) * kRunnersPerMbps;
+    carried.push_back(std::min(byCores, byLink));
   }
-  std::sort(sizes.rbegin(), sizes.rend());
+  std::sort(carried.rbegin(), carried.rend());
   double perShard = aMaxRunners;
-  if (!sizes.empty()) {
-    const std::int64_t host =
-      sizes[std::min(kLargestHostsLost, sizes.size() - 1)];
-    perShard = std::clamp(static_cast<double>(host) * kRunnersPerMilliCore,
-                          std::min(kMinRunnersPerShard, perShard),
-                          perShard);
+  if (!carried.empty()) {
+    perShard =
+      std::clamp(carried[std::min(kLargestHostsLost, carried.size() - 1)],
+                 std::min(kMinRunnersPerShard, perShard),
+                 perShard);
   }
   const auto shards = static_cast<std::uint32_t>(
     std::lround(static_cast<double>(aRunners) / perShard));
   // More shards than hosts would only divide the runners further.
-  const auto hosts = static_cast<std::uint32_t>(sizes.size());
+  const auto hosts = static_cast<std::uint32_t>(carried.size());
   return std::max(1U, std::min(shards, std::max(1U, hosts)));
 }
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -32,6 +32,9 @@
   std::int64_t mIncarnation = 0; ///< Higher for each new process of this name.
   /// Processor time that the host grants the node, in thousandths of a core.
   std::int64_t mMilliCores = 0;
+  /// Bandwidth of the host's link in megabits a second; 0: not stated, as by
+  /// earlier versions.
+  std::int64_t mLinkMbps = 0;
   /// Rises with each heartbeat, so that each one changes the row.
   std::uint64_t mHeartbeatCount = 0;
   /// Address at which other nodes ask this one for the operator's rows. Empty:
@@ -220,7 +223,8 @@
 ParseShardRow(std::string_view aText);
 
 /// Chooses the number of shards for a new layout, so that hosts of the size
-/// that is left after the loss of the two largest ones carry a shard each. As
+/// that is left after the loss of the two largest ones carry a shard each, by
+/// their processor and their link. As
 /// few as possible are best: an owner that sees all runners places tasks better
 /// than several that see only some.
 /// @param aMaxRunners largest number of runners of a shard, see
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
-/// The layout is created this long after the start at the earliest, because the
-/// number of shards depends on the number of runners. Runners register within
-/// about three seconds of their start.
+/// The layout is created this long after the start at the earliest, and later
+/// while the list of runners grows, because the number of shards depends on the
+/// number of runners. Most register within three seconds of their start; with
+/// 540 runners, 60% had after 3.6 s.
 constexpr Millis kRegistrationWait{ 3500 };
+/// The layout is created at the latest then, because no job is accepted before.
+constexpr Millis kLongestRegistrationWait{ 4700 };
 
 /// Rate at which a node reads changes of the operator's configuration. Nodes
 /// read each change in full and share a regional link of 30 Mbit/s or more,
@@ -348,7 +351,10 @@
 void
 Node::CreateLayout()
 {
-  const bool waited = mContext.Now() - mBeginAt >= kRegistrationWait;
+  const MonotonicTime now = mContext.Now();
+  const bool waited =
+    now - mBeginAt >= kLongestRegistrationWait ||
+    (now - mBeginAt >= kRegistrationWait && !mRunnerListGrows);
   if (mLayoutWriteInFlight || mDraining || !waited || mRunners.empty() ||
       !mView.mNodesRead) {
     return;
@@ -574,6 +580,7 @@
       }
       mRunnersReadSentAt = sentAt;
       mNextRunnerReadAt = now + mContext.mSettings.mRunnerPollInterval;
+      mRunnerListGrows = aRunners->size() > mRunners.size();
       mRunners = std::move(*aRunners);
       for (auto& [number, shard] : mShards) {
         shard->SetRunners(mRunners, mView.mShardCount);
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -169,6 +169,8 @@
   std::uint64_t mLastPeerCall = 0; ///< Number of the last one sent.
   std::vector<HeldRequest> mHeldRequests;
   std::vector<dispatch::RunnerSpec> mRunners;
+  /// Whether the latest read of the list had more runners than the one before.
+  bool mRunnerListGrows = false;
   bool mDraining = false;
   bool mStoreReachable = false; ///< As last logged.
 
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -134,6 +134,7 @@
   mContext.mSelf.mRegion = mSettings.mRegion;
   mContext.mSelf.mIncarnation = UnixMs();
   mContext.mSelf.mMilliCores = mSettings.mMilliCores;
+  mContext.mSelf.mLinkMbps = mSettings.mLinkMbps;
   ApplyLimits(mSettings);
   mContext.mPartitions.mTransactionsSpanPartitions =
     mSettings.mStoreSpansPartitions;
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -207,10 +207,9 @@
 TEST(Cluster, RowsHaveTheDocumentedSizes)
 {
   const std::string name(60, 'n');
-  const NodeRow node{
-    name, name, name, INT64_MAX, INT64_MAX, UINT64_MAX, name
-  };
-  LONGS_EQUAL(394, FormatNodeRow(node).size());
+  const NodeRow node{ name,      name,      name,       INT64_MAX,
+                      INT64_MAX, INT64_MAX, UINT64_MAX, name };
+  LONGS_EQUAL(426, FormatNodeRow(node).size());
   const JobStatus status{
     UINT32_MAX, name, dispatch::JobPhase::Cancelled, true
   };
@@ -271,6 +270,18 @@
   LONGS_EQUAL(5, ChooseShardCount(ViewWithHosts(18, 79), 2700, 600));
 }
 
+// Guards against a host whose processor carries all runners and whose link
+// doesn't.
+TEST(Cluster, HostsWithNarrowLinksShareTheRunners)
+{
+  ClusterView view = ViewWithHosts(0, 18);
+  LONGS_EQUAL(1, ChooseShardCount(view, 90, 600));
+  for (auto& [name, node] : view.mNodes) {
+    node.mRow.mLinkMbps = 2;
+  }
+  LONGS_EQUAL(5, ChooseShardCount(view, 90, 600));
+}
+
 // Guards against shards that only a single large host could carry, whose loss
 // is to be borne.
 TEST(Cluster, FewLargeHostsDoNotCount)
