LibNode: Give new jobs to the owner that is quicker to start tasks

Cause: a job's shard was chosen by free processors only.

Change: an owner whose load control keeps starts back states in its shard's row how long it needs to start what waits; of the two shards that a job's id selects, the one whose owner is clearly quicker gets the job.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -427,6 +427,11 @@
 std::map<std::string, std::uint64_t>
 PendingJobs(const Dispatcher& aDispatcher);
 
+/// @return the time that this owner needs to start the tasks that wait, if its
+///         load control keeps starts back; otherwise none
+Millis
+StartWait(const Dispatcher& aDispatcher);
+
 TaskName
 NameOf(const TaskRef& aTask);
 
--- a/Libraries/LibDispatch/OrderLimit.cpp
+++ b/Libraries/LibDispatch/OrderLimit.cpp
@@ -26,12 +26,19 @@
 constexpr double kStretchGrowth = 1.5;
 constexpr double kStretchDecay = 0.9;
 constexpr double kMaxStretch = 5;
+/// Weight of the latest interval in the means.
+constexpr double kMeanWeight = 0.2;
+/// From this share of intervals on, in which the limit has kept starts back,
+/// the owner counts as overloaded. A burst that lasts for a second does not
+/// reach it.
+constexpr double kOverloadPressure = 0.6;
 
 } // namespace
 
 void
 ObserveAnswer(OrderLimit& aLimit, Millis aTime)
 {
+  ++aLimit.mAnswers;
   aLimit.mShortestAnswer =
     std::min(aTime, aLimit.mShortestAnswer.value_or(aTime));
 }
@@ -64,12 +71,30 @@
   aLimit.mPollStretch =
     late ? std::min(kMaxStretch, aLimit.mPollStretch * kStretchGrowth)
          : std::max(1.0, aLimit.mPollStretch * kStretchDecay);
+  const std::chrono::duration<double> seconds = aNow - aLimit.mIntervalBegan;
+  const double rate = aLimit.mAnswers / seconds.count();
+  aLimit.mAnswersPerS += kMeanWeight * (rate - aLimit.mAnswersPerS);
+  aLimit.mPressure +=
+    kMeanWeight * ((aLimit.mReached ? 1 : 0) - aLimit.mPressure);
+  aLimit.mAnswers = 0;
   aLimit.mIntervalBegan = aNow;
   aLimit.mShortestAnswer.reset();
   aLimit.mShortestLag.reset();
   aLimit.mReached = false;
 }
 
+Millis
+StartWait(const OrderLimit& aLimit, std::uint64_t aWaiting)
+{
+  if (aLimit.mPressure < kOverloadPressure) {
+    return Millis(0);
+  }
+  constexpr double kMillisPerSecond = 1000;
+  const double wait = static_cast<double>(aWaiting) * kMillisPerSecond /
+                      std::max(1.0, aLimit.mAnswersPerS);
+  return Millis(static_cast<Millis::rep>(wait));
+}
+
 Millis
 Stretched(const OrderLimit& aLimit, Millis aInterval, Millis aLongest)
 {
--- a/Libraries/LibDispatch/OrderLimit.h
+++ b/Libraries/LibDispatch/OrderLimit.h
@@ -27,6 +27,10 @@
   std::optional<Millis> mShortestLag;
   /// Whether the limit has kept starts back in the present interval.
   bool mReached = false;
+  /// Share of the latest intervals in which it has, from 0 to 1.
+  double mPressure = 0;
+  std::uint32_t mAnswers = 0; ///< In the present interval.
+  double mAnswersPerS = 0;    ///< Mean of the latest intervals.
 };
 
 /// Takes over the time that a start order took until its answer, or until it
@@ -45,6 +49,11 @@
                  std::uint32_t aUnderWay,
                  MonotonicTime aNow);
 
+/// @return the time that the owner needs to start @p aWaiting tasks; none if it
+///         is not the limit that keeps starts back
+Millis
+StartWait(const OrderLimit& aLimit, std::uint64_t aWaiting);
+
 /// @return @p aInterval, stretched by the load, but at most @p aLongest
 Millis
 Stretched(const OrderLimit& aLimit, Millis aInterval, Millis aLongest);
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -516,6 +516,16 @@
   return end;
 }
 
+Millis
+StartWait(const Dispatcher& aDispatcher)
+{
+  std::uint64_t waiting = 0;
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    waiting += StepOf(entry).mWaitingTasks;
+  }
+  return StartWait(aDispatcher.mOrderLimit, waiting);
+}
+
 ShardCapacity
 AvailableCapacity(const Dispatcher& aDispatcher, MonotonicTime aNow)
 {
--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Difference of the times that two owners need to start what waits from which
+/// on the quicker one gets a job. Rows are up to a second old.
+constexpr std::int64_t kClearlyQuickerMs = 1000;
+
 // FIXME: Status rows of ended jobs stay in the store. The owner of the shard
 // should remove them 120 s after the end of the job, when no client asks any
 // more.
@@ -108,12 +112,14 @@
 std::optional<std::uint32_t>
 ClientFrontEnd::State::ChooseShard(const dispatch::JobSpec& aJob) const
 {
-  // Power of two choices: the job's id selects two shards, and the one with the
-  // larger share of free capacity is chosen. The capacities are up to a second
-  // old; if all shards were compared, all jobs of that second would go to the
-  // same one.
+  // Power of two choices: the job's id selects two shards, and the one is
+  // chosen whose owner is clearly quicker to start tasks, or else the one with
+  // the larger share of free capacity. The capacities are up to a second old;
+  // if all shards were compared, all jobs of that second would go to the same
+  // one.
   std::optional<std::uint32_t> best;
   double bestFreeShare = 0;
+  std::int64_t bestWaitMs = 0;
   if (mView.mShardCount == 0) {
     return {};
   }
@@ -134,9 +140,12 @@
       static_cast<double>(bestEffort ? known.mBestEffortMilliCores
                                      : known.mFreeMilliCores) /
       total;
-    if (!best || freeShare > bestFreeShare) {
+    const std::int64_t waitMs = known.mStartWaitMs;
+    const bool alike = std::abs(waitMs - bestWaitMs) <= kClearlyQuickerMs;
+    if (!best || (alike ? freeShare > bestFreeShare : waitMs < bestWaitMs)) {
       best = shard;
       bestFreeShare = freeShare;
+      bestWaitMs = waitMs;
     }
   }
   return best;
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -227,6 +227,9 @@
     pending[queue] = Json::UInt64(count);
   }
   value["pending"] = pending;
+  if (aRow.mStartWaitMs != 0) {
+    value["start_wait_ms"] = Json::Int64(aRow.mStartWaitMs);
+  }
   if (aRow.mPendingAsOfMs != 0) {
     value["pending_as_of_ms"] = Json::Int64(aRow.mPendingAsOfMs);
   }
@@ -268,6 +271,7 @@
       row.mPending.emplace(queue, pending[queue].asUInt64());
     }
   }
+  row.mStartWaitMs = (*value)["start_wait_ms"].asInt64();
   row.mPendingAsOfMs = (*value)["pending_as_of_ms"].asInt64();
   row.mLeasesEndMs = (*value)["leases_end_ms"].asInt64();
   row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -62,6 +62,9 @@
   /// reserves or that the tasks with a reservation leave idle.
   std::int64_t mBestEffortMilliCores = 0;
   std::int64_t mTotalMilliCores = 0; ///< All processors of the runners.
+  /// Time that the owner needs to start the tasks that wait, if its own load
+  /// control keeps starts back; 0 otherwise, also from earlier versions.
+  std::int64_t mStartWaitMs = 0;
   /// Number of accepted jobs of which no task has started, by queue.
   std::map<std::string, std::uint64_t> mPending;
   /// Time on the store's clock up to which the accepted jobs count in mPending.
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -153,6 +153,7 @@
   }
   row.mPending = dispatch::PendingJobs(state.mDispatcher);
   row.mPendingAsOfMs = state.mInboxAsOfMs;
+  row.mStartWaitMs = dispatch::StartWait(state.mDispatcher).count();
   return row;
 }
 
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -223,7 +223,8 @@
   shard.mTotalMilliCores = shard.mLeasesEndMs = INT64_MAX;
   shard.mIsolatedLeasesEndMs = shard.mEarlierIsolatedLeasesEndMs = INT64_MAX;
   shard.mRecordsSince = shard.mPendingAsOfMs = INT64_MAX;
-  LONGS_EQUAL(489, FormatShardRow(shard).size());
+  shard.mStartWaitMs = INT64_MAX;
+  LONGS_EQUAL(525, FormatShardRow(shard).size());
 }
 
 // Guards against leaving out numbers of pending jobs that fit, see the table of
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -1,7 +1,11 @@
 #include <climits>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
+#include <xxhash.h>
+
+#include <LibNode/ShardState.h>
 
 #include "ClusterSimulation.h"
 
@@ -110,6 +114,50 @@
   CHECK_FALSE(orders[1].mStillWanted());
 }
 
+// Guards against new jobs for an owner that can't start in time what it has,
+// while another owner could.
+TEST(Node, GivesNewJobsToTheQuickerOwner)
+{
+  NodeContext context;
+  ClusterView view;
+  view.mShardCount = 2;
+  view.mShardRows[0].mRow.mStartWaitMs = 5000;
+  for (std::uint32_t shard : { 0U, 1U }) {
+    ShardRow& row = view.mShardRows[shard].mRow;
+    row.mTotalMilliCores = 1000;
+    row.mFreeMilliCores = shard == 0 ? 900 : 100;
+  }
+  EventLog log("node", {});
+  context.mLog = &log;
+  std::set<std::string> inboxes;
+  context.mStore.mTransact = [&](const StoreTransaction& aTransaction,
+                                 Millis,
+                                 const TransactionHandler&) {
+    for (const StoreRow& put : aTransaction.mPuts) {
+      if (put.mKey.starts_with(kAcceptedPrefix)) {
+        inboxes.insert(put.mTable);
+      }
+    }
+  };
+  ClientFrontEnd frontEnd(context, view);
+  // The id selects both shards, so that the choice decides.
+  std::size_t both = 0;
+  for (int i = 0; i < 20; ++i) {
+    dispatch::JobSpec job;
+    job.mId = "job" + std::to_string(i);
+    job.mSteps.push_back({});
+    const auto first = XXH64(job.mId.data(), job.mId.size(), 0) % 2;
+    const auto second = XXH64(job.mId.data(), job.mId.size(), 1) % 2;
+    if (first != second) {
+      ++both;
+      frontEnd.Submit(job, [](ClientAnswer) {});
+    }
+  }
+  CHECK_COMPARE(both, >, 3);
+  LONGS_EQUAL(1, inboxes.size());
+  STRCMP_EQUAL(InboxTable(1).c_str(), inboxes.begin()->c_str());
+}
+
 // Guards against a number of waiting jobs that leaves out those which a late
 // owner has not taken up for seconds.
 TEST(Node, GivesNoNumberOfWaitingJobsWhileTheOwnerIsLate)
--- a/Tests/Overload/TestOverload.cpp
+++ b/Tests/Overload/TestOverload.cpp
@@ -97,6 +97,29 @@
   CHECK_COMPARE(mLimit.mLimit, <, 40);
 }
 
+// Guards against refusing jobs because of a short burst, or because runners and
+// not the owner keep starts back.
+TEST(OrderLimit, TellsAWaitOnlyUnderLastingPressure)
+{
+  for (int i = 0; i < 3; ++i) {
+    mLimit.mReached = true;
+    Interval(Millis(20), Millis(0), 40);
+  }
+  LONGS_EQUAL(0, StartWait(mLimit, 1000).count());
+  for (int i = 0; i < 20; ++i) {
+    mLimit.mReached = true;
+    Interval(Millis(20), Millis(0), 40);
+  }
+  // Each interval of 300 ms has one answer.
+  const auto wait = StartWait(mLimit, 10).count();
+  CHECK_COMPARE(wait, >=, 2900);
+  CHECK_COMPARE(wait, <=, 3200);
+  for (int i = 0; i < 20; ++i) {
+    Interval(Millis(20), Millis(0), 0);
+  }
+  LONGS_EQUAL(0, StartWait(mLimit, 1000).count());
+}
+
 // Guards against a limit that falls to nothing, or never rises again.
 TEST(OrderLimit, RisesAgainFromItsMinimum)
 {
