--- a/Tests/Overload/OverloadModel.cpp
+++ b/Tests/Overload/OverloadModel.cpp
@@ -151,7 +151,8 @@
                      static_cast<std::uint32_t>(mStarting.size()),
                      MonotonicTime(std::chrono::microseconds(
                        static_cast<long>(mNowMs * 1000) + 1000000)));
-    while (!mWaiting.empty() && mStarting.size() < Limit()) {
+    while (!mWaiting.empty() &&
+           static_cast<double>(mStarting.size()) < Limit()) {
       const std::size_t index = mWaiting.front();
       mWaiting.pop_front();
       Start(index);
