LibDispatch: Bound the pause after a placement pass

Cause: the pause is a multiple of the time that a pass took, on a clock that counts suspension. A process that was suspended for seconds within a pass would have started nothing for twice that time.

Change: a pause is 500 ms at most.

Result: OrderLimit.PausesPassesForALimitedTime.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -37,8 +37,7 @@
 /// arrived that the loop has not handled, is looked at again.
 constexpr Millis kLateEventGrace{ 25 };
 /// An answer that is handled later than this after the call's time is over is
-/// given up, so that a peer can't keep a call for ever by single bytes. An
-/// overloaded loop of a small host was up to 3 s behind.
+/// given up, so that a peer can't keep a call for ever by single bytes.
 constexpr Millis kLongestLateness{ 5000 };
 /// Size of a connection's read buffer.
 constexpr std::size_t kReadBufferBytes = 16384;
--- a/Libraries/LibDispatch/OrderLimit.cpp
+++ b/Libraries/LibDispatch/OrderLimit.cpp
@@ -26,6 +26,11 @@
 constexpr double kStretchGrowth = 1.5;
 constexpr double kStretchDecay = 0.9;
 constexpr double kMaxStretch = 5;
+/// Pause after a placement pass, as a multiple of its time. Passes over 540
+/// runners took a third of the time of a host of 0.069 cores with it.
+constexpr int kPausePerPass = 2;
+/// A pass in which the process was suspended seems to have taken seconds.
+constexpr Millis kLongestPause{ 500 };
 /// Weight of the latest interval in the means.
 constexpr double kMeanWeight = 0.2;
 /// From this share of intervals on, in which the limit has kept starts back,
@@ -95,6 +100,12 @@
   return Millis(static_cast<Millis::rep>(wait));
 }
 
+Micros
+PauseAfterPass(Micros aTook)
+{
+  return std::min(aTook * kPausePerPass, Micros(kLongestPause));
+}
+
 Millis
 Stretched(const OrderLimit& aLimit, Millis aInterval, Millis aLongest)
 {
--- a/Libraries/LibDispatch/OrderLimit.h
+++ b/Libraries/LibDispatch/OrderLimit.h
@@ -54,6 +54,12 @@
 Millis
 StartWait(const OrderLimit& aLimit, std::uint64_t aWaiting);
 
+/// @param aTook time that a placement pass took
+/// @return the pause until the next one, which leaves time for answers and
+///         renewals
+Micros
+PauseAfterPass(Micros aTook);
+
 /// @return @p aInterval, stretched by the load, but at most @p aLongest
 Millis
 Stretched(const OrderLimit& aLimit, Millis aInterval, Millis aLongest);
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -438,6 +438,7 @@
   // second; this leaves 0.4 of its host for the other duties of a node.
   constexpr double kRunnersPerMilliCore = 1;
   constexpr double kRunnersPerMbps = 10;
+  // A step that is wider than its shard runs in parts, one after the other.
   constexpr double kMinRunnersPerShard = 15;
   constexpr std::size_t kLargestHostsLost = 2;
   std::vector<double> carried; // Runners that each host carries.
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -18,9 +18,6 @@
 /// are acknowledged, the runner would answer at once with the same ends. The
 /// renewal is sent earlier if the commit is answered.
 constexpr Millis kCommitWait{ 250 };
-/// Pause after a placement pass, as a multiple of the time that the pass took.
-/// On a host of 0.069 cores a pass over 540 runners took most of the processor.
-constexpr int kPauseAfterPass = 2;
 
 } // namespace
 
@@ -179,8 +176,10 @@
 {
   const MonotonicTime now = mContext.Now();
   mPlacingTime += std::chrono::duration_cast<Micros>(now - aBegan);
-  mDispatcher.mPassesPausedUntil = std::max(
-    mDispatcher.mPassesPausedUntil, now + (now - aBegan) * kPauseAfterPass);
+  mDispatcher.mPassesPausedUntil =
+    std::max(mDispatcher.mPassesPausedUntil,
+             now + dispatch::PauseAfterPass(
+                     std::chrono::duration_cast<Micros>(now - aBegan)));
 }
 
 void
--- a/Tests/Overload/TestOverload.cpp
+++ b/Tests/Overload/TestOverload.cpp
@@ -120,6 +120,14 @@
   LONGS_EQUAL(0, StartWait(mLimit, 1000).count());
 }
 
+// Guards against an owner that starts nothing for seconds because it was
+// suspended during a placement pass.
+TEST(OrderLimit, PausesPassesForALimitedTime)
+{
+  LONGS_EQUAL(8000, PauseAfterPass(Millis(4)).count());
+  LONGS_EQUAL(500000, PauseAfterPass(Seconds(4)).count());
+}
+
 // Guards against a limit that falls to nothing, or never rises again.
 TEST(OrderLimit, RisesAgainFromItsMinimum)
 {
