--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -12,7 +12,7 @@
 /// The layout is created this long after the start at the earliest, and later
 /// while the list of runners grows, because the number of shards depends on the
 /// number of runners. Most register within three seconds of their start; with
-/// 540 runners, 60% had after 3.6 s.
+/// 540 runners, about 60% had after 3.6 s.
 constexpr Millis kRegistrationWait{ 3500 };
 /// The layout is created at the latest then, because no job is accepted before.
 constexpr Millis kLongestRegistrationWait{ 4700 };
