LibDispatch: Let awaited ends delay no long-running task

Cause: a silent runner whose finite tasks wait for its report kept its long-running tasks as well, if they had been stopped to be moved away and so did not show that a lease ended with a run.

Change: the long-running runs of such a runner are ended with its leases.

Result: Leases.AwaitedEndsDelayNoLongRunningTask fails before and passes now.

--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -44,6 +44,23 @@
   return mayBeDone;
 }
 
+/// Ends the long-running runs of a runner whose leases have ended. They are
+/// never done, so that nothing speaks against starting their tasks elsewhere.
+void
+EndLongRunningRuns(Dispatcher& aDispatcher,
+                   const Runner& aRunner,
+                   MonotonicTime aNow,
+                   Actions& aActions)
+{
+  const std::vector<TaskRef> tasks = aRunner.mTasks;
+  for (const TaskRef& ref : tasks) {
+    if (SpecOf(ref).mKind == StepKind::LongRunning) {
+      ++aDispatcher.mCounters.mLost;
+      EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
+    }
+  }
+}
+
 /// Ends the runs of runners that have been silent until all their leases have
 /// ended.
 void
@@ -74,6 +91,7 @@
              "runner=" + runner.mSpec.mId +
                " tasks=" + std::to_string(runner.mTasks.size()));
       }
+      EndLongRunningRuns(aDispatcher, runner, aNow, aActions);
       continue;
     }
     runner.mEndsAwaited = false;
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -502,3 +502,34 @@
   world.AdvanceTime(Millis(6700));
   CHECK_TRUE(world.mDispatcher.mRunners[0].mTasks.empty());
 }
+
+// Guards against a long-running task that waits for the ends of finite tasks on
+// its silent runner. It was being moved away, so that it may have been stopped
+// before the leases ended.
+TEST(Leases, AwaitedEndsDelayNoLongRunningTask)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("long", { LongRunningStep(1, 1000) }));
+  const std::string runner = world.RunnerOf("long.0.0.0");
+  world.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  STRCMP_EQUAL(runner.c_str(), world.RunnerOf("job.0.0.0").c_str());
+  world.AdvanceTime(Millis(500));
+  world.mRunners[runner].mAnswers = false;
+  for (RunnerSpec& spec : world.mListed) {
+    spec.mDraining = spec.mId == runner;
+  }
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  for (Runner& known : world.mDispatcher.mRunners) {
+    for (const TaskRef& ref : known.mTasks) {
+      if (SpecOf(ref).mKind == StepKind::LongRunning) {
+        TaskOf(ref).mPhase = TaskPhase::Stopping;
+        TaskOf(ref).mStopCause = StopCause::Moved;
+      }
+    }
+  }
+  world.AdvanceTime(Millis(6800));
+  CHECK_TRUE(world.IsRunning("long.0.0.0"));
+  CHECK_TRUE(world.RunnerOf("long.0.0.0") != runner);
+  LONGS_EQUAL(3, world.mStarts);
+}
