TestLibDispatch: Show that late jobs wait with nothing running

A best-effort task starts only where 0.7 of its demand is unused.

The test fails: none of five late jobs runs.

--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include "DispatchWorld.h"
 
@@ -222,6 +223,26 @@
   LONGS_EQUAL(before + 2, world.mStarts);
 }
 
+// Guards against late jobs of which nothing runs while best-effort tasks use
+// all processors that are left unreserved.
+TEST(PlacementOrder, StartsATaskOfEachLateJob)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
+  const std::vector<std::string> late = { "a", "b", "c", "d", "e" };
+  for (const std::string& job : late) {
+    world.AddJob(MakeJob(job, { BestEffortStep(4, 4000, "image") }));
+  }
+  CHECK_EQUAL(8, world.RunningTasks());
+  // They should have ended within two seconds.
+  world.AdvanceTime(Seconds(5));
+  for (const std::string& job : late) {
+    CHECK_TRUE(world.IsRunning(job + ".0.0.0"));
+  }
+  CHECK_EQUAL(8 + late.size(), world.RunningTasks());
+}
+
 // Guards against starting a step before all tasks of its predecessor are done.
 TEST(PlacementOrder, StartsAStepAfterItsPredecessors)
 {
