LibDispatch: Log how many late jobs have nothing running

The line `room` now has the number of late jobs without a run (`idle_late`), which tells starvation from a backlog that is worked on.

--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -180,6 +180,11 @@
 void
 ExplainWaiting(Dispatcher& aDispatcher, MonotonicTime aNow);
 
+/// @return the number of jobs that can't meet their objective any more, of
+///         which best-effort tasks wait and nothing runs
+std::size_t
+CountIdleLateJobs(const Dispatcher& aDispatcher, MonotonicTime aNow);
+
 // Interference of best-effort tasks with long-running tasks. The dispatcher
 // limits it by the pace of the best-effort tasks: the percentage of its full
 // speed to which the runner throttles a task.
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -397,6 +397,17 @@
   return worthwhile ? DeadlineOutlook::Late : DeadlineOutlook::Worthless;
 }
 
+/// @return whether finite best-effort tasks of the step wait, while nothing of
+///         its job runs
+bool
+IsIdleBestEffort(const WaitingStep& aEntry)
+{
+  const StepSpec& spec = aEntry.mJob->mSpec.mSteps[aEntry.mStep];
+  return aEntry.mKind != StepKind::LongRunning &&
+         spec.mReservation == Reservation::BestEffort &&
+         aEntry.mJob->mActiveRuns == 0;
+}
+
 /// @return whether a task of a long-running step waits that has run before, and
 ///         that may be started
 bool
@@ -806,6 +817,19 @@
   }
 }
 
+std::size_t
+CountIdleLateJobs(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::set<const Job*> jobs;
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    if (IsIdleBestEffort(entry) &&
+        OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
+      jobs.insert(entry.mJob);
+    }
+  }
+  return jobs.size();
+}
+
 namespace {
 
 /// @return the services of which a long-running task was interrupted lately and
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -143,7 +143,8 @@
          " free=" + std::to_string(capacity.mFreeMilliCores) + " unreserved=" +
          std::to_string(bestEffort) + " tasks=" + std::to_string(tasks) +
          " waiting=" + std::to_string(waiting) +
-         " jobs=" + std::to_string(aDispatcher.mJobs.size()));
+         " jobs=" + std::to_string(aDispatcher.mJobs.size()) +
+         " idle_late=" + std::to_string(CountIdleLateJobs(aDispatcher, aNow)));
 }
 
 /// Logs for which runners the dispatcher waits before it starts tasks elsewhere
