LibDispatch: Start a task of each late job that has nothing running

Cause: starvation. Within a priority, jobs that can't meet their objective come last, and a best-effort task starts only where 0.7 of its demand is unused. In a backlog the first jobs take what becomes unused, and nothing of the last ones runs until all others are done.

Now late jobs share: once every job that can still meet its objective has had something running for 2 s, each late job gets one task, also on runners without unused processors. Memory and the limits that protect serving tasks hold as before. Order among late jobs gains nothing, since their runners' processors are all in use either way.

PlacementOrder.StartsATaskOfEachLateJob failed before.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -66,6 +66,8 @@
   /// Orders that set the pace of a run: the percentage of its full speed to
   /// which its runner throttles it.
   std::uint64_t mPaceOrders = 0;
+  /// Starts of late jobs on runners without unused processors.
+  std::uint64_t mOvercommittedStarts = 0;
   std::uint64_t mQuarantines = 0;
 };
 
@@ -128,6 +130,9 @@
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
   MonotonicTime mPlacementOrderAt;
+  /// When a full pass last left a job with nothing running that could still
+  /// meet its objective.
+  MonotonicTime mIdleInTimeAt;
   MonotonicTime mPassedAt;   ///< When the latest placement pass ran.
   MonotonicTime mFullPassAt; ///< When the latest one over all runners ran.
   /// Runners that get no other tasks, so that an interrupted long-running task
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -60,6 +60,11 @@
 /// Passes over single runners use a placement order of up to this age. Whether
 /// jobs can still meet their deadlines changes more slowly.
 constexpr Millis kOrderInterval{ 100 };
+/// Late jobs get tasks on runners without unused processors only after this
+/// time in which every job in time had something running. Such a task slows the
+/// others on its runner down for about two seconds, also those of jobs that
+/// arrive meanwhile.
+constexpr Millis kOvercommitDelay{ 2000 };
 /// Multiple of its time objective after which the end of a job is worth
 /// nothing.
 constexpr int kWorthlessAfterObjectives = 3;
@@ -231,19 +236,26 @@
 /// Cost of a runner for a task, or the reason why it can't take the task.
 using PlacementRating = std::variant<double, Obstacle>;
 
+/// Whether a best-effort task may start on a runner with too few unused
+/// processors, where it shares those of the best-effort tasks that run there.
+enum class Overcommit : std::uint8_t
+{
+  No,
+  Yes
+};
+
 /// @return the rating of a runner for a best-effort task
 PlacementRating
 BestEffortCost(const Dispatcher& aDispatcher,
                const Runner& aRunner,
                const TaskRef& aTask,
+               Overcommit aOvercommit,
                MonotonicTime aNow)
 {
   const auto wanted = static_cast<double>(SpecOf(aTask).mDemand.mMilliCores);
   const auto unused = static_cast<double>(UnusedMilliCores(aRunner));
-  if (unused < wanted * kMinUnusedShare) {
-    return Obstacle::TooFewUnusedCores;
-  }
-  if (aRunner.mBestEffortStarved) {
+  if (aOvercommit == Overcommit::No &&
+      (unused < wanted * kMinUnusedShare || aRunner.mBestEffortStarved)) {
     return Obstacle::TooFewUnusedCores;
   }
   const double cost =
@@ -266,6 +278,7 @@
            RunnerIndex aRunner,
            const TaskRef& aTask,
            const std::string& aService,
+           Overcommit aOvercommit,
            MonotonicTime aNow)
 {
   const StepSpec& spec = SpecOf(aTask);
@@ -293,7 +306,7 @@
     cost = ReservedCost(aDispatcher, runner, aTask);
   } else {
     const PlacementRating rating =
-      BestEffortCost(aDispatcher, runner, aTask, aNow);
+      BestEffortCost(aDispatcher, runner, aTask, aOvercommit, aNow);
     if (std::holds_alternative<Obstacle>(rating)) {
       return rating;
     }
@@ -322,13 +335,14 @@
              std::span<const RunnerIndex> aCandidates,
              const TaskRef& aTask,
              const std::string& aService,
+             Overcommit aOvercommit,
              MonotonicTime aNow)
 {
   RunnerIndex best = kNoRunner;
   double bestCost = 0;
   for (const RunnerIndex index : aCandidates) {
     const PlacementRating rating =
-      RateRunner(aDispatcher, index, aTask, aService, aNow);
+      RateRunner(aDispatcher, index, aTask, aService, aOvercommit, aNow);
     const double* cost = std::get_if<double>(&rating);
     if (cost != nullptr && (best == kNoRunner || *cost < bestCost)) {
       best = index;
@@ -468,6 +482,7 @@
           std::span<const RunnerIndex> aCandidates,
           const WaitingStep& aWaiting,
           const std::string& aService,
+          Overcommit aOvercommit,
           MonotonicTime aNow,
           Actions& aActions)
 {
@@ -494,7 +509,7 @@
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     const TaskRef ref{ &job, aWaiting.mOccurrence, aWaiting.mStep, i };
     const RunnerIndex runner =
-      ChooseRunner(aDispatcher, aCandidates, ref, aService, aNow);
+      ChooseRunner(aDispatcher, aCandidates, ref, aService, aOvercommit, aNow);
     if (runner == kNoRunner) {
       for (std::uint32_t back = 0; back < i; ++back) {
         EndRun(aDispatcher,
@@ -631,7 +646,7 @@
     const std::vector<RunnerIndex>& held = aDispatcher.mHeldRunners;
     const Runner& runner = aDispatcher.mRunners[index];
     const PlacementRating rating =
-      RateRunner(aDispatcher, index, aTask, aService, aNow);
+      RateRunner(aDispatcher, index, aTask, aService, Overcommit::No, aNow);
     const Obstacle* obstacle = std::get_if<Obstacle>(&rating);
     const bool full =
       obstacle != nullptr &&
@@ -681,6 +696,103 @@
   }
 }
 
+/// @return whether a best-effort job that can still meet its objective waits
+///         with nothing running
+bool
+AnyIdleJobInTime(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  return std::any_of(aDispatcher.mWaitingSteps.begin(),
+                     aDispatcher.mWaitingSteps.end(),
+                     [&](const WaitingStep& aEntry) {
+                       return IsIdleBestEffort(aEntry) &&
+                              OutlookOf(aEntry, aNow) ==
+                                DeadlineOutlook::InTime;
+                     });
+}
+
+/// Starts a task of the step, or all tasks of a gang, also where too few
+/// processors are unused.
+/// @return whether anything was started
+bool
+StartOvercommitted(Dispatcher& aDispatcher,
+                   std::span<const RunnerIndex> aCandidates,
+                   const WaitingStep& aEntry,
+                   const std::string& aService,
+                   MonotonicTime aNow,
+                   Actions& aActions)
+{
+  if (aEntry.mJob->mSpec.mSteps[aEntry.mStep].mGang) {
+    return StartGang(aDispatcher,
+                     aCandidates,
+                     aEntry,
+                     aService,
+                     Overcommit::Yes,
+                     aNow,
+                     aActions);
+  }
+  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
+  const auto task =
+    std::find_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+      return aTask.mPhase == TaskPhase::Waiting &&
+             !MayRunUnseen(aDispatcher, aTask);
+    });
+  if (task == tasks.end()) {
+    return false;
+  }
+  const TaskRef ref{ aEntry.mJob,
+                     aEntry.mOccurrence,
+                     aEntry.mStep,
+                     static_cast<std::uint32_t>(task - tasks.begin()) };
+  const RunnerIndex runner = ChooseRunner(
+    aDispatcher, aCandidates, ref, aService, Overcommit::Yes, aNow);
+  if (runner == kNoRunner) {
+    return false;
+  }
+  Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
+  AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
+  return true;
+}
+
+/// Starts a task of each late job that has nothing running, unless jobs in time
+/// wait as well. Late jobs gain nothing by an order among them, and the last
+/// ones of it would have nothing running for as long as the backlog lasts.
+void
+StartIdleLateJobs(Dispatcher& aDispatcher,
+                  std::span<const RunnerIndex> aCandidates,
+                  MonotonicTime aNow,
+                  Actions& aActions)
+{
+  if (AnyIdleJobInTime(aDispatcher, aNow)) {
+    aDispatcher.mIdleInTimeAt = aNow;
+  }
+  if (aNow - aDispatcher.mIdleInTimeAt < kOvercommitDelay) {
+    return;
+  }
+  std::uint32_t started = 0;
+  for (const WaitingStep& entry : aDispatcher.mPlacementOrder) {
+    if (!aDispatcher.mWaitingSteps.contains(entry)) {
+      continue; // The step has been placed in this pass.
+    }
+    Job& job = *entry.mJob;
+    const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
+    if (queue == nullptr || job.mTakenAt > aDispatcher.mUncontestedUntil ||
+        !IsIdleBestEffort(entry)) {
+      continue;
+    }
+    if (started >= aDispatcher.mSettings.mMaxStartsPerPass ||
+        aDispatcher.mUnansweredStarts >= aDispatcher.mOrderLimit.mLimit) {
+      aDispatcher.mPlacementDue = true;
+      return;
+    }
+    if (StartOvercommitted(
+          aDispatcher, aCandidates, entry, queue->mService, aNow, aActions)) {
+      ++started;
+      ++aDispatcher.mCounters.mOvercommittedStarts;
+      UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -774,8 +886,13 @@
     }
     Step& step = StepOf(entry);
     if (spec.mGang) {
-      if (StartGang(
-            aDispatcher, candidates, entry, queue->mService, aNow, aActions)) {
+      if (StartGang(aDispatcher,
+                    candidates,
+                    entry,
+                    queue->mService,
+                    Overcommit::No,
+                    aNow,
+                    aActions)) {
         started += static_cast<std::uint32_t>(step.mTasks.size());
       }
     } else {
@@ -788,8 +905,8 @@
           continue;
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
-        const RunnerIndex runner =
-          ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
+        const RunnerIndex runner = ChooseRunner(
+          aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
         if (runner == kNoRunner) {
           unplaceable.Add(spec, queue->mService);
           if (mayHold) {
@@ -815,6 +932,9 @@
       return;
     }
   }
+  if (full) {
+    StartIdleLateJobs(aDispatcher, candidates, aNow, aActions);
+  }
 }
 
 std::size_t
@@ -912,8 +1032,8 @@
     if (queue == nullptr || shortOfRoom.contains(queue->mService)) {
       continue;
     }
-    const RunnerIndex target =
-      ChooseRunner(aDispatcher, candidates, ref, queue->mService, aNow);
+    const RunnerIndex target = ChooseRunner(
+      aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
     if (target == kNoRunner) {
       continue; // It works on until its runner leaves.
     }
@@ -955,7 +1075,7 @@
     std::array<std::uint32_t, kObstacleNames.size()> counts{};
     for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
       const PlacementRating rating =
-        RateRunner(aDispatcher, i, ref, queue->mService, aNow);
+        RateRunner(aDispatcher, i, ref, queue->mService, Overcommit::No, aNow);
       const Obstacle* obstacle = std::get_if<Obstacle>(&rating);
       ++counts[obstacle != nullptr ? static_cast<std::size_t>(*obstacle) : 0];
     }
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -144,7 +144,9 @@
          std::to_string(bestEffort) + " tasks=" + std::to_string(tasks) +
          " waiting=" + std::to_string(waiting) +
          " jobs=" + std::to_string(aDispatcher.mJobs.size()) +
-         " idle_late=" + std::to_string(CountIdleLateJobs(aDispatcher, aNow)));
+         " idle_late=" + std::to_string(CountIdleLateJobs(aDispatcher, aNow)) +
+         " overcommitted=" +
+         std::to_string(aDispatcher.mCounters.mOvercommittedStarts));
 }
 
 /// Logs for which runners the dispatcher waits before it starts tasks elsewhere
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -243,6 +243,37 @@
   CHECK_EQUAL(8 + late.size(), world.RunningTasks());
 }
 
+// Guards against late jobs that slow down those which can still end in time.
+TEST(PlacementOrder, LateJobsShareNoProcessorsWhileJobsInTimeWait)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
+  world.AddJob(MakeJob("late", { BestEffortStep(4, 4000, "image") }));
+  for (int i = 0; i < 8; ++i) {
+    world.AddJob(
+      MakeJob("fresh" + std::to_string(i), { BestEffortStep(1, 4000, "") }));
+    world.AdvanceTime(Seconds(1));
+    CHECK_EQUAL(8, world.RunningTasks());
+  }
+}
+
+// Guards against late jobs that disturb serving tasks, or that take memory
+// which is not there.
+TEST(PlacementOrder, LateJobsAreKeptFromRunnersThatCannotTakeThem)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  // The tail latency of the serving task is not known.
+  world.AddJob(MakeJob("serving", { LongRunningStep(1, 4000) }));
+  StepSpec large = BestEffortStep(2, 16000, "image");
+  large.mDemand.mMemoryMb = 40000;
+  world.AddJob(MakeJob("late", { large }));
+  world.AddJob(MakeJob("late2", { large }));
+  world.AdvanceTime(Seconds(5));
+  CHECK_EQUAL(2, world.RunningTasks());
+}
+
 // Guards against starting a step before all tasks of its predecessor are done.
 TEST(PlacementOrder, StartsAStepAfterItsPredecessors)
 {
