Tests: Show reads of the configuration that repeat themselves for ever

With 30 Mbit/s or 20 Mbit/s between the regions, the 18 nodes of the region without the store read a configuration of 4,245 routes (1.27 MB) from it at the same time, after their readers were late. Each connection puts a window of 256 KB into the link, the first byte comes after the fixed time-out, and the repetition adds a further window.

Seen on unchanged code, each of them fails:

- FewNodesOfALargeRegionReplaceLostReaders: more than 4 of 18 nodes read from the store.
- ReadsRecoverAfterTheLinkWasFull: over a shared link of 20 Mbit/s that was full for 1.5 s, none of 18 nodes has the configuration after 8 s.
- ARepeatedReadWaitsLongerForItsFirstByte, ...ForFurtherBytes: each repetition ends after the same time.
- ARepeatedReadOutlivesOtherCalls: a wait for changes ends when another call gets no answer.
- ARepeatedReadEndsWhenALaterCallIsAnswered: bounds the longer time-outs; it fails because there are none yet.

--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,34 @@
 constexpr Millis kProgressStep{ 50 };
 /// Bytes that a node's link carries in a millisecond.
 constexpr std::int64_t kLinkBytesPerMs = 1250;
+/// Within this time a change must be in force in regions of 18 nodes.
+constexpr Millis kLargeRegionBound{ 4000 };
+/// Size of a configuration of 4,245 routes.
+constexpr std::size_t kVeryLarge = 1'270'000;
+/// Bytes that a connection carries before the receiver must have acknowledged
+/// them.
+constexpr std::size_t kWindowBytes = 256'000;
+/// Time-outs of the store's client: until the first byte of a read and of a
+/// wait for a change, here beyond that wait, and between bytes.
+constexpr Millis kReadTimeout{ 1200 };
+constexpr Millis kChangeWaitMargin{ 700 };
+constexpr Millis kStall{ 1000 };
+
+/// A link between the regions, which carries one byte after the other.
+struct SharedLink
+{
+  std::int64_t mBytesPerMs = 0; ///< 0: the link is not simulated.
+  MonotonicTime mFreeAt;        ///< When all that was sent so far has arrived.
+};
+
+/// An answer of the store that crosses the shared link.
+struct LinkTransfer
+{
+  ReadOutcome mRead;
+  std::size_t mBytes = 0;
+  std::size_t mArrived = 0;
+  MonotonicTime mExpiresAt; ///< Unless further bytes arrive before.
+};
 
 } // namespace
 
@@ -44,6 +73,9 @@
   bool mPeersCorrupt = false; ///< Answers of peers are damaged on the way.
   std::int64_t mPeerCalls = 0;
   Millis mTransferTime{ 0 }; ///< Of large rows from the store to a node.
+  SharedLink mLink;          ///< From the store to the nodes in the north.
+  /// These nodes and all others don't reach each other.
+  std::vector<std::string> mCutOff;
 
   void setup() override
   {
@@ -106,13 +138,25 @@
     const StorePort base = mCluster.mNodes.at(aName).mContext.mStore;
     const std::uint64_t process = mCluster.mNodes.at(aName).mProcess;
     StorePort port = base;
-    const auto counted = [this, aName, process](const ReadHandler& aDone) {
-      return [this, aName, process, aDone](const ReadOutcome& aRead) {
+    const auto counted = [this, aName, process](const ReadHandler& aDone,
+                                                Millis aTimeout) {
+      const MonotonicTime expiresAt = mCluster.mNow + aTimeout;
+      return [this, aName, process, aDone, expiresAt](
+               const ReadOutcome& aRead) {
         std::size_t bytes = 0;
         for (const StoreRow& row : aRead.mRows) {
           bytes += row.mValue.size();
         }
         mReadBytes[aName] += bytes;
+        if (mLink.mBytesPerMs > 0 && bytes >= kLarge &&
+            RegionOf(aName) == "north") {
+          SendWindow(aName,
+                     process,
+                     std::make_shared<LinkTransfer>(
+                       LinkTransfer{ aRead, bytes, 0, expiresAt }),
+                     aDone);
+          return;
+        }
         if (bytes < kLarge || mTransferTime == Millis(0)) {
           aDone(aRead);
           return;
@@ -137,7 +181,7 @@
                                  const std::string& aFrom,
                                  const std::string& aTo,
                                  const ReadHandler& aDone) {
-      base.mRead(aTable, aPartition, aFrom, aTo, counted(aDone));
+      base.mRead(aTable, aPartition, aFrom, aTo, counted(aDone, kReadTimeout));
     };
     port.mWaitForChanges =
       [this, base, counted, aName, process](const std::string& aTable,
@@ -147,7 +191,8 @@
         mWaits[aName] += aTable == "op" ? 1 : 0;
         auto answered = std::make_shared<bool>(false);
         const auto once = [answered,
-                           done = counted(aDone)](const ReadOutcome& aRead) {
+                           done = counted(aDone, aWait + kChangeWaitMargin)](
+                            const ReadOutcome& aRead) {
           if (!std::exchange(*answered, true)) {
             done(aRead);
           }
@@ -171,6 +216,54 @@
     return port;
   }
 
+  /// Sends the next part of an answer over the shared link. The read fails if
+  /// the first byte of the part is late; the part then arrives all the same.
+  void SendWindow(const std::string& aName,
+                  std::uint64_t aProcess,
+                  const std::shared_ptr<LinkTransfer>& aTransfer,
+                  const ReadHandler& aDone)
+  {
+    const std::size_t bytes =
+      std::min(kWindowBytes, aTransfer->mBytes - aTransfer->mArrived);
+    const MonotonicTime begin = std::max(mCluster.mNow, mLink.mFreeAt);
+    mLink.mFreeAt =
+      begin + Millis(static_cast<std::int64_t>(bytes) / mLink.mBytesPerMs);
+    if (begin > aTransfer->mExpiresAt) {
+      mCluster.mDeadlines.Add(
+        aTransfer->mExpiresAt, [this, aName, aProcess, aTransfer, aDone] {
+          ReadOutcome failed;
+          failed.mReceivedBytes = aTransfer->mArrived;
+          Deliver(aName, aProcess, [aDone, failed] { aDone(failed); });
+        });
+      return;
+    }
+    for (MonotonicTime at = begin; at < mLink.mFreeAt; at += kProgressStep) {
+      mCluster.mDeadlines.Add(at, [this, aName, aProcess] {
+        Deliver(aName, aProcess, [this, aName] {
+          mCluster.mNodes.at(aName).mContext.mOperatorProgressAt =
+            mCluster.mNow;
+        });
+      });
+    }
+    mCluster.mDeadlines.Add(mLink.mFreeAt,
+                            [this, aName, aProcess, aTransfer, aDone, bytes] {
+                              aTransfer->mArrived += bytes;
+                              aTransfer->mExpiresAt = mCluster.mNow + kStall;
+                              if (aTransfer->mArrived < aTransfer->mBytes) {
+                                SendWindow(aName, aProcess, aTransfer, aDone);
+                                return;
+                              }
+                              Deliver(aName, aProcess, [aDone, aTransfer] {
+                                aDone(aTransfer->mRead);
+                              });
+                            });
+  }
+
+  [[nodiscard]] bool IsCutOff(const std::string& aName) const
+  {
+    return std::find(mCutOff.begin(), mCutOff.end(), aName) != mCutOff.end();
+  }
+
   PeerPort Peers(const std::string& aName)
   {
     PeerPort port;
@@ -194,6 +287,9 @@
         };
         mCluster.mDeadlines.Add(mCluster.mNow + aTimeout,
                                 [answer] { answer({}); });
+        if (IsCutOff(aName) != IsCutOff(aAddress)) {
+          return;
+        }
         const std::uint64_t peer = mCluster.mNodes.at(aAddress).mProcess;
         mCluster.mDeadlines.Add(
           mCluster.mNow + kLatency, [this, aAddress, peer, aRequest, answer] {
@@ -290,6 +386,26 @@
     }
   }
 
+  /// Adds nodes to the north, which then has 18.
+  void EnlargeNorth()
+  {
+    for (const char suffix : std::string_view("6789ABCDEFGH")) {
+      mNames.push_back(std::string("north") + suffix);
+      Start(mNames.back());
+    }
+    Advance(Seconds(4));
+  }
+
+  /// @return how many nodes of the north have read large rows from the store
+  std::size_t NorthernStoreReaders() const
+  {
+    const std::vector<std::string> names = StoreReaders();
+    return static_cast<std::size_t>(
+      std::count_if(names.begin(), names.end(), [](const std::string& aName) {
+        return RegionOf(aName) == "north";
+      }));
+  }
+
   /// Publishes large configurations until all nodes know that they are large
   /// and have a source.
   void BecomeLarge()
@@ -563,3 +679,56 @@
     }
   }
 }
+
+// Guards against all followers of a large region that read from the store when
+// the copies of both readers are late: 18 reads at the same time filled the
+// link between the regions, and none of them arrived. The rows that the lost
+// readers have read themselves don't count.
+TEST(OperatorRelaySimulation, FewNodesOfALargeRegionReplaceLostReaders)
+{
+  EnlargeNorth();
+  for (const char* fault : { "kill", "freeze", "cut" }) {
+    for (int phase = 0; phase < 500; phase += 150) {
+      BecomeLarge();
+      Advance(Millis(phase));
+      for (const char* reader : { "north0", "north1" }) {
+        if (fault == std::string("kill")) {
+          mCluster.KillNode(reader);
+        } else if (fault == std::string("freeze")) {
+          mCluster.FreezeNode(reader);
+        } else {
+          mCluster.CutFromStore(reader, true);
+        }
+      }
+      Put(kLarge);
+      Advance(kLargeRegionBound);
+      STRCMP_EQUAL("", Behind({ "north0", "north1" }).c_str());
+      CHECK_TRUE(NorthernStoreReaders() <= 4);
+      for (const char* reader : { "north0", "north1" }) {
+        mCluster.CutFromStore(reader, false);
+        mCluster.WakeNode(reader, ClusterSimulation::OnWaking::TickFirst);
+        Start(reader);
+      }
+      Advance(Seconds(12));
+    }
+  }
+}
+
+// Guards against a load that repeats itself: after the link between the regions
+// was full for 1.5 s, 18 nodes read the configuration from the store, each read
+// was given up before its first byte, and its repetition kept the link full.
+TEST(OperatorRelaySimulation, ReadsRecoverAfterTheLinkWasFull)
+{
+  EnlargeNorth();
+  Put(kVeryLarge);
+  Advance(Seconds(5));
+  mReadBytes.clear();
+  mLink.mBytesPerMs = 2500; // 20 Mbit/s
+  mLink.mFreeAt = mCluster.mNow + Millis(1500);
+  Put(kVeryLarge);
+  Advance(Seconds(8));
+  STRCMP_EQUAL("", Behind().c_str());
+  CHECK_TRUE(NorthernStoreReaders() <= 4);
+  // The link is free again.
+  CHECK_TRUE(mLink.mFreeAt <= mCluster.mNow);
+}
--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -83,6 +83,9 @@
     }
   }
 
+  /// Takes the newer configuration back.
+  void Revert() { mChanged = false; }
+
   /// @return the number of requests received so far, answered or not
   [[nodiscard]] std::size_t Requests() const { return mRequests; }
   /// @return the number of requests that got no answer or half of one, or that
@@ -208,6 +211,8 @@
   /// Within this time, a configuration has to be in force, and a draining
   /// runner gets no more starts.
   static constexpr Millis kBound{ 2500 };
+  /// Time-out of the first wait for changes.
+  static constexpr Millis kWaitTimeout{ 1900 };
   /// Longest delay before a read that has failed once.
   static constexpr Millis kRetryDelay{ 225 };
 
@@ -293,6 +298,34 @@
     RunUntil([&] { return answered == 11; });
   }
 
+  /// Sends a short read of another table, and waits for its answer.
+  void ReadOther()
+  {
+    bool answered = false;
+    mPort.mRead(
+      "cluster", "", "", "", [&](const ReadOutcome&) { answered = true; });
+    RunUntil([&] { return answered; });
+  }
+
+  /// Sends a wait for changes, and checks when it fails without an answer.
+  /// @param aTimeout time-out, give or take 50 ms
+  void CheckWaitExpiresAfter(Millis aTimeout)
+  {
+    const std::shared_ptr<Read> wait = Send([this] { return ReadOperator(); });
+    mDeadlines.Expire(BootTime() + aTimeout - Millis(50));
+    CHECK_FALSE(wait->mSucceeded.has_value());
+    mDeadlines.Expire(BootTime() + aTimeout + Millis(50));
+    CHECK_TRUE(wait->mSucceeded.has_value());
+    CHECK_FALSE(*wait->mSucceeded);
+  }
+
+  /// Runs the loop for that long.
+  void RunFor(Millis aTime)
+  {
+    const MonotonicTime from = BootTime();
+    RunUntil([&] { return BootTime() - from > aTime; });
+  }
+
   /// Repeats a read until it succeeds.
   /// @param aFirst a read that has been sent already
   /// @return the time that the calls have taken until their time-outs, with the
@@ -405,3 +438,90 @@
   read("op");
   CHECK_TRUE(mProgress > 0);
 }
+
+// Guards against a read of a large configuration over a full link that is given
+// up before its first byte, again and again after the same time: each try adds
+// another answer to the link, and none arrives.
+TEST(SilentConnections, ARepeatedReadWaitsLongerForItsFirstByte)
+{
+  RunUntil([read = ReadOperator()] { return read->mSucceeded.has_value(); });
+  for (const int factor : { 1, 2, 4, 4 }) {
+    CheckWaitExpiresAfter(factor * kWaitTimeout);
+  }
+  // A success ends it.
+  mStore.Change();
+  CHECK_TRUE(*Send([this] { return ReadOperator(); })->mSucceeded);
+  mStore.Revert();
+  CheckWaitExpiresAfter(kWaitTimeout);
+}
+
+// Guards against the same while an answer arrives: behind the first windows of
+// 18 answers, the next one waits for more than a second.
+TEST(SilentConnections, ARepeatedReadWaitsLongerForFurtherBytes)
+{
+  RunUntil([read = ReadOperator()] { return read->mSucceeded.has_value(); });
+  mStore.Change();
+  for (const int factor : { 1, 2, 4, 4 }) {
+    mStore.CutNextAnswer();
+    const std::shared_ptr<Read> read = Send([this] { return ReadOperator(); });
+    ReadOther(); // The first half is read before this.
+    mDeadlines.Expire(BootTime() + factor * Millis(1000) - Millis(100));
+    CHECK_FALSE(read->mSucceeded.has_value());
+    mDeadlines.Expire(BootTime() + factor * Millis(1000) + Millis(100));
+    CHECK_TRUE(read->mSucceeded.has_value());
+    CHECK_FALSE(*read->mSucceeded);
+  }
+}
+
+// Guards against a repeated read that is ended because another call got no
+// answer in its shorter time: on a full link both are just late.
+TEST(SilentConnections, ARepeatedReadOutlivesOtherCalls)
+{
+  RunUntil([read = ReadOperator()] { return read->mSucceeded.has_value(); });
+  CheckWaitExpiresAfter(kWaitTimeout);
+  const std::shared_ptr<Read> wait = Send([this] { return ReadOperator(); });
+  mStore.HoldUntil(mStore.Requests() + 10);
+  std::optional<bool> other;
+  mPort.mRead("cluster", "", "", "", [&](const ReadOutcome& aRead) {
+    other = aRead.mResult == ReadResult::Read;
+  });
+  const std::size_t received = mStore.Requests();
+  RunUntil([&] { return mStore.Requests() > received; });
+  mDeadlines.Expire(BootTime() + Millis(1300));
+  CHECK_TRUE(other && !*other);
+  CHECK_FALSE(wait->mSucceeded.has_value());
+}
+
+// Guards against a longer time-out that outlasts an outage of the store: the
+// answer to a call that is sent after the repeated read is due shows that the
+// read was lost, since it would have arrived before.
+TEST(SilentConnections, ARepeatedReadEndsWhenALaterCallIsAnswered)
+{
+  const auto wait = [this] {
+    auto failed = std::make_shared<bool>(false);
+    const std::size_t unanswered = mStore.Unanswered();
+    mPort.mWaitForChanges(
+      "op", 1, Millis(0), [failed](const ReadOutcome&) { *failed = true; });
+    RunUntil([&] { return mStore.Unanswered() > unanswered; });
+    return failed;
+  };
+  constexpr Millis kTimeout{ 700 }; // Without the wait for a change.
+  const auto first = wait();
+  mDeadlines.Expire(BootTime() + kTimeout + Millis(50));
+  CHECK_TRUE(*first);
+  // The later call is answered before the first time-out.
+  const auto second = wait();
+  RunFor(Millis(300));
+  ReadOther();
+  CHECK_FALSE(*second);
+  mDeadlines.Expire(BootTime() + kTimeout);
+  CHECK_TRUE(*second);
+  // The later call is answered after it.
+  const auto third = wait();
+  RunFor(Millis(300));
+  mDeadlines.Expire(BootTime() + kTimeout);
+  CHECK_FALSE(*third);
+  ReadOther();
+  mDeadlines.Expire(BootTime() + Millis(50));
+  CHECK_TRUE(*third);
+}
