LibNode: Bound the nodes that replace late readers of a region

Cause: when the copies of both readers were late, all followers of the region read the rows from the store within 0.4 s of each other. 18 answers of 1.27 MB put a window of 256 KB each, 4.7 MB, into the link. Over 20 Mbit/s this takes 1.9 s, a read waits 0.9 s to 1.9 s for its first byte, and each repetition added another window.

Now only the first four nodes of the region's order, not counting those that gave no usable answer, read from the store while their copies are stale. The others ask the next two nodes, which pass on their copies with the true age. Late nodes count as the others do: on a full link all are late, and would move up together. Two rules let a node reach the store in the end: twice as many may read for each 5 s that the copy is old, and a node without a usable answer of three peers in a row takes itself for cut off from its peers.

Nodes that replace readers read as often as readers do, since others rely on them now.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -414,11 +414,10 @@
 {
   mOperatorReadInFlight = true;
   mOperatorReadSentAt = mContext.Now();
-  const bool othersRely = mSource.mCause == SourceCause::Reader ||
-                          mSource.mCause == SourceCause::Stale;
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadOperatorState(
-    othersRely ? mContext.mSettings.mRelay.mReaderWait : kOperatorChangeWait,
+    OthersRely(mSource.mCause) ? mContext.mSettings.mRelay.mReaderWait
+                               : kOperatorChangeWait,
     [this, alive, sentAt = mOperatorReadSentAt](ReadResult aResult,
                                                 OperatorState aState) {
       if (!alive.expired()) {
@@ -459,7 +458,7 @@
     std::move(aState), aSentAt, "store", "read_ms=" + readTime);
   // What was read may make this node a reader.
   UpdateSource(now);
-  if (mSource.mCause == SourceCause::Reader) {
+  if (OthersRely(mSource.mCause)) {
     mNextOperatorReadAt =
       now + std::min(delay, mContext.mSettings.mRelay.mLongestReaderDelay);
   }
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -128,7 +128,8 @@
                         const std::optional<std::string>& aBody,
                         MonotonicTime aSentAt);
   /// Stops asking the present peer for a while.
-  void GiveUpPeer(std::string_view aCause);
+  /// @param aCause word for the log
+  void GiveUpPeer(std::string_view aCause, PeerFault aFault);
   /// @return the body of the answer to a peer
   [[nodiscard]] std::string RelayAnswerTo(const HeldRequest& aRequest,
                                           MonotonicTime aNow) const;
--- a/Libraries/LibNode/NodeRelay.cpp
+++ b/Libraries/LibNode/NodeRelay.cpp
@@ -16,13 +16,18 @@
   const RelaySettings& settings = mContext.mSettings.mRelay;
   mRelay.mConfirmedAt = mConfigurationConfirmedAt;
   if (ShouldGiveUpPeer(mRelay, settings, aNow)) {
-    GiveUpPeer("silent");
+    GiveUpPeer("silent", PeerFault::Late);
   }
   NodeRow self = mContext.mSelf;
   if (mDraining) {
     self.mPeerAddress.clear(); // Others don't count on this node any more.
   }
   OperatorSource source = ChooseSource(mView, self, mRelay, settings, aNow);
+  if (source.mCause == SourceCause::NextReader && !mRelay.mPeer.empty() &&
+      source.mPeer != mRelay.mPeer) {
+    // Otherwise the node would return to it at the next confirmation.
+    GiveUpPeer("stale", PeerFault::Late);
+  }
   if (source.mPeer != mRelay.mPeer) {
     mRelay.mPeer = source.mPeer;
     mRelay.mPeerSince = aNow;
@@ -102,7 +107,7 @@
   const bool received = mRelay.mReceivingUntil && now < *mRelay.mReceivingUntil;
   mRelay.mReceivingUntil.reset();
   if (!aBody) {
-    GiveUpPeer("no_answer");
+    GiveUpPeer("no_answer", PeerFault::Unusable);
     return;
   }
   const Outcome<RelayAnswer> parsed = ParseRelayAnswer(*aBody);
@@ -111,9 +116,10 @@
         "peer_answer_refused",
         "peer=" + mRelay.mPeer + " bytes=" + std::to_string(aBody->size()) +
           " cause=" + ErrorOf(parsed).mMessage);
-    GiveUpPeer("refused");
+    GiveUpPeer("refused", PeerFault::Unusable);
     return;
   }
+  RecordPeerAnswer(mRelay);
   const RelayAnswer& answer = ValueOf(parsed);
   if (answer.mReceiving) {
     // The next answer is due before that.
@@ -122,7 +128,7 @@
   const std::optional<MonotonicTime> confirmedAt =
     ConfirmationTime(answer, aSentAt);
   if (!confirmedAt) {
-    GiveUpPeer("unconfirmed");
+    GiveUpPeer("unconfirmed", PeerFault::Late);
     return;
   }
   // The peer may have an older version than this node: versions also count
@@ -134,7 +140,7 @@
     if (aRequest.mLargeRows ||
         now - *confirmedAt >
           (received ? settings.mMaxReceivingAge : 2 * settings.mMaxAge)) {
-      GiveUpPeer("stale");
+      GiveUpPeer("stale", PeerFault::Late);
       return;
     }
     ReadLargeRows(answer.mOmittedBytes);
@@ -156,20 +162,14 @@
 }
 
 void
-Node::GiveUpPeer(std::string_view aCause)
+Node::GiveUpPeer(std::string_view aCause, PeerFault aFault)
 {
   const MonotonicTime now = mContext.Now();
   Log(LogLevel::Notice,
       "peer_given_up",
       "peer=" + mRelay.mPeer + " cause=" + std::string(aCause) + " " +
         FormatConfigurationCopy(ConfigurationInForce()));
-  mRelay.mAvoidedUntil.insert_or_assign(
-    mRelay.mPeer, now + mContext.mSettings.mRelay.mAvoidTime);
-  std::erase_if(mRelay.mAvoidedUntil,
-                [&](const auto& aEntry) { return aEntry.second <= now; });
-  mRelay.mPeer.clear();
-  mRelay.mTransferUntil.reset();
-  mRelay.mReceivingUntil.reset();
+  RecordPeerFault(mRelay, mContext.mSettings.mRelay, aFault, now);
   mPeerCall = 0;
 }
 
--- a/Libraries/LibNode/OperatorRelay.cpp
+++ b/Libraries/LibNode/OperatorRelay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <json/value.h>
+#include <span>
 #include <tuple>
 #include <xxhash.h>
 
@@ -63,13 +64,13 @@
          aNow - *aState.mConfirmedAt < aSettings.mMaxReceivingAge;
 }
 
-} // namespace
-
+/// @return the names of the nodes of this node's region that can be asked, in
+///         the order of RankReaders()
 std::vector<std::string>
-RankReaders(const ClusterView& aView,
-            const NodeRow& aSelf,
-            const RelaySettings& aSettings,
-            MonotonicTime aNow)
+RankNodes(const ClusterView& aView,
+          const NodeRow& aSelf,
+          const RelaySettings& aSettings,
+          MonotonicTime aNow)
 {
   using Rank = std::tuple<std::int64_t, std::uint64_t, std::string>;
   std::vector<Rank> ranks;
@@ -87,7 +88,6 @@
   }
   add(aSelf);
   std::sort(ranks.begin(), ranks.end());
-  ranks.resize(std::min(ranks.size(), aSettings.mReaders));
   std::vector<std::string> names;
   names.reserve(ranks.size());
   for (Rank& rank : ranks) {
@@ -96,6 +96,95 @@
   return names;
 }
 
+/// @return the first @p aCount nodes that are neither avoided nor this one
+std::vector<std::string>
+FirstPeers(std::span<const std::string> aRanked,
+           std::size_t aCount,
+           const NodeRow& aSelf,
+           const RelayState& aState,
+           MonotonicTime aNow)
+{
+  std::vector<std::string> peers;
+  for (const std::string& name : aRanked) {
+    if (peers.size() < aCount && name != aSelf.mName &&
+        !IsAvoided(aState, name, aNow)) {
+      peers.push_back(name);
+    }
+  }
+  return peers;
+}
+
+/// @param aRanked all nodes of the region
+/// @return whether this node reads from the store if the readers fail. Nodes
+///         that are late count like all others: on a full link all are late,
+///         and would move up together.
+bool
+MayReplaceReaders(std::span<const std::string> aRanked,
+                  const NodeRow& aSelf,
+                  const RelayState& aState,
+                  const RelaySettings& aSettings,
+                  MonotonicTime aNow)
+{
+  if (aState.mUnusableInARow >= aSettings.mMaxUnusablePeers) {
+    return true;
+  }
+  const auto self = std::find(aRanked.begin(), aRanked.end(), aSelf.mName);
+  const auto ahead = static_cast<std::size_t>(
+    std::count_if(aRanked.begin(), self, [&](const std::string& aName) {
+      const auto found = aState.mUnusableUntil.find(aName);
+      return found == aState.mUnusableUntil.end() || aNow >= found->second;
+    }));
+  std::size_t limit = aSettings.mMaxStoreReaders;
+  if (aState.mConfirmedAt) {
+    for (auto age = aNow - *aState.mConfirmedAt;
+         age >= aSettings.mStoreReaderStep && limit < aRanked.size();
+         age -= aSettings.mStoreReaderStep) {
+      limit *= 2;
+    }
+  }
+  return ahead < limit;
+}
+
+} // namespace
+
+std::vector<std::string>
+RankReaders(const ClusterView& aView,
+            const NodeRow& aSelf,
+            const RelaySettings& aSettings,
+            MonotonicTime aNow)
+{
+  std::vector<std::string> names = RankNodes(aView, aSelf, aSettings, aNow);
+  names.resize(std::min(names.size(), aSettings.mReaders));
+  return names;
+}
+
+void
+RecordPeerFault(RelayState& aState,
+                const RelaySettings& aSettings,
+                PeerFault aFault,
+                MonotonicTime aNow)
+{
+  const auto over = [&](const auto& aEntry) { return aEntry.second <= aNow; };
+  std::erase_if(aState.mAvoidedUntil, over);
+  std::erase_if(aState.mUnusableUntil, over);
+  const MonotonicTime until = aNow + aSettings.mAvoidTime;
+  aState.mAvoidedUntil.insert_or_assign(aState.mPeer, until);
+  if (aFault == PeerFault::Unusable) {
+    aState.mUnusableUntil.insert_or_assign(aState.mPeer, until);
+    ++aState.mUnusableInARow;
+  }
+  aState.mPeer.clear();
+  aState.mTransferUntil.reset();
+  aState.mReceivingUntil.reset();
+}
+
+void
+RecordPeerAnswer(RelayState& aState)
+{
+  aState.mUnusableUntil.erase(aState.mPeer);
+  aState.mUnusableInARow = 0;
+}
+
 bool
 ShouldGiveUpPeer(const RelayState& aState,
                  const RelaySettings& aSettings,
@@ -120,34 +209,51 @@
   if (aState.mCopyBytes < aSettings.mLargeBytes) {
     return source;
   }
-  std::vector<std::string> readers = RankReaders(aView, aSelf, aSettings, aNow);
-  if (readers.empty()) {
+  const std::vector<std::string> ranked =
+    RankNodes(aView, aSelf, aSettings, aNow);
+  if (ranked.empty()) {
     source.mCause = SourceCause::NoPeer;
     return source;
   }
+  const std::size_t readerCount = std::min(ranked.size(), aSettings.mReaders);
+  const std::span<const std::string> readers(ranked.data(), readerCount);
+  const std::span<const std::string> others =
+    std::span(ranked).subspan(readerCount);
   if (std::find(readers.begin(), readers.end(), aSelf.mName) != readers.end()) {
     source.mCause = SourceCause::Reader;
     return source;
   }
-  std::erase_if(readers, [&](const std::string& aName) {
-    return IsAvoided(aState, aName, aNow);
-  });
-  if (readers.empty()) {
+  const bool stale =
+    (!aState.mConfirmedAt ||
+     aNow - *aState.mConfirmedAt > aSettings.mMaxAge + aSettings.mStoreDelay +
+                                     StoreReadDelay(aSelf, aSettings)) &&
+    !IsTransferring(aState, aSettings, aNow);
+  std::vector<std::string> peers =
+    FirstPeers(readers, readerCount, aSelf, aState, aNow);
+  std::vector<std::string> nextPeers =
+    FirstPeers(others, aSettings.mReaders, aSelf, aState, aNow);
+  const bool mayReadStore =
+    nextPeers.empty() ||
+    MayReplaceReaders(ranked, aSelf, aState, aSettings, aNow);
+  if (peers.empty() && mayReadStore) {
     source.mCause = SourceCause::PeersFailed;
     return source;
   }
+  source.mStore = stale && mayReadStore;
+  source.mCause = source.mStore ? SourceCause::Stale : SourceCause::Follower;
+  const bool leavesPeer =
+    stale && (aState.mPeer.empty() ||
+              aNow - aState.mPeerSince > aSettings.mPeerPatience);
+  if (!mayReadStore && (leavesPeer || peers.empty())) {
+    peers = std::move(nextPeers);
+    source.mCause = SourceCause::NextReader;
+  }
   const bool keepsPeer =
-    std::find(readers.begin(), readers.end(), aState.mPeer) != readers.end();
+    std::find(peers.begin(), peers.end(), aState.mPeer) != peers.end();
   source.mPeer = keepsPeer              ? aState.mPeer
-                 : AsksLastFirst(aSelf) ? readers.back()
-                                        : readers.front();
+                 : AsksLastFirst(aSelf) ? peers.back()
+                                        : peers.front();
   source.mAddress = aView.mNodes.at(source.mPeer).mRow.mPeerAddress;
-  const bool stale =
-    !aState.mConfirmedAt ||
-    aNow - *aState.mConfirmedAt > aSettings.mMaxAge + aSettings.mStoreDelay +
-                                    StoreReadDelay(aSelf, aSettings);
-  source.mStore = stale && !IsTransferring(aState, aSettings, aNow);
-  source.mCause = source.mStore ? SourceCause::Stale : SourceCause::Follower;
   return source;
 }
 
@@ -221,6 +327,13 @@
   return RelayRequest{ *after, *large == 1, Millis(*wait) };
 }
 
+bool
+OthersRely(SourceCause aCause)
+{
+  return aCause == SourceCause::Reader || aCause == SourceCause::Stale ||
+         aCause == SourceCause::PeersFailed;
+}
+
 std::string_view
 NameOf(SourceCause aCause)
 {
@@ -233,6 +346,8 @@
       return "follower";
     case SourceCause::NoPeer:
       return "no_peer";
+    case SourceCause::NextReader:
+      return "next_reader";
     case SourceCause::PeersFailed:
       return "peers_failed";
     case SourceCause::Stale:
--- a/Libraries/LibNode/OperatorRelay.h
+++ b/Libraries/LibNode/OperatorRelay.h
@@ -27,6 +27,20 @@
   /// Nodes of each region that read from the store. With two, the followers of
   /// one that dies have another one whose copy is current.
   std::size_t mReaders = 2;
+  /// At most so many nodes of a region, the readers included, read large rows
+  /// from the store while the copies of the others are late. Each answer puts
+  /// a window of some 256 KB into the link between the regions: 18 of them take
+  /// 1.9 s over 20 Mbit/s, more than a read waits for its first byte, and
+  /// four 0.4 s.
+  std::size_t mMaxStoreReaders = 4;
+  /// For each such time that a node's copy is old, twice as many nodes may read
+  /// from the store: the first ones may be cut off from it, and not from their
+  /// followers. It is not shorter than mMaxReceivingAge.
+  Millis mStoreReaderStep{ 5000 };
+  /// A node that gets no usable answer from so many peers in a row, each after
+  /// mCallTimeout at the latest, takes itself for cut off from the others and
+  /// reads from the store. Regions of 18 nodes have 4 s for a change.
+  std::uint32_t mMaxUnusablePeers = 3;
   /// How long one read of a reader waits for a change. Its copy is confirmed by
   /// each answer, so that its age stays below twice this time.
   Millis mReaderWait{ 200 };
@@ -63,6 +77,10 @@
   /// between nodes, because they all miss a lost reader at the same time.
   Millis mStoreDelay{ 200 };
   Millis mSpread{ 400 };
+  /// A node with a stale copy leaves a peer for the next reader only this much
+  /// after it has begun to ask it or has got large rows from it. The peer's own
+  /// next read is sent and answered within 0.2 s each.
+  Millis mPeerPatience{ 500 };
   /// A peer that was given up is not asked again for this long.
   Millis mAvoidTime{ 10'000 };
   /// A node whose row has not changed for this long is no reader. It is longer
@@ -121,10 +139,13 @@
 /// Why a node reads the operator's rows from where it does.
 enum class SourceCause
 {
-  SmallCopy,   ///< The copy is small, so each node reads from the store.
-  Reader,      ///< This node is one of its region's readers.
-  Follower,    ///< The region's readers pass the rows on.
-  NoPeer,      ///< There is no other node to read from.
+  SmallCopy, ///< The copy is small, so each node reads from the store.
+  Reader,    ///< This node is one of its region's readers.
+  Follower,  ///< The region's readers pass the rows on.
+  NoPeer,    ///< There is no other node to read from.
+  /// The readers were given up lately, or copies are stale, but enough other
+  /// nodes read from the store: one of them passes the rows on.
+  NextReader,
   PeersFailed, ///< All readers were given up lately.
   Stale        ///< No reader has told of a young confirmation.
 };
@@ -154,6 +175,16 @@
   /// tell more until then.
   std::optional<MonotonicTime> mReceivingUntil;
   std::map<std::string, MonotonicTime> mAvoidedUntil; ///< By node.
+  /// The avoided nodes that gave no usable answer, by node.
+  std::map<std::string, MonotonicTime> mUnusableUntil;
+  std::uint32_t mUnusableInARow = 0; ///< Since the last usable answer.
+};
+
+/// Why a peer is given up.
+enum class PeerFault
+{
+  Unusable, ///< It gave no answer, or a damaged one.
+  Late      ///< Its copy is not confirmed, or too old.
 };
 
 /// @return the names of the nodes of this node's region that read from the
@@ -172,6 +203,21 @@
                  const RelaySettings& aSettings,
                  MonotonicTime aNow);
 
+/// Records that the present peer is given up: it is avoided for a while.
+void
+RecordPeerFault(RelayState& aState,
+                const RelaySettings& aSettings,
+                PeerFault aFault,
+                MonotonicTime aNow);
+
+/// Records that the present peer has given a usable answer.
+void
+RecordPeerAnswer(RelayState& aState);
+
+/// Chooses where the node reads the operator's rows.
+/// @param aView  the nodes as this node knows them; nodes may differ in that
+///               for a second, so that a node more reads from the store
+/// @param aState of this node
 OperatorSource
 ChooseSource(const ClusterView& aView,
              const NodeRow& aSelf,
@@ -202,6 +248,11 @@
 std::optional<RelayRequest>
 ParseRelayRequest(std::string_view aTarget);
 
+/// @return whether other nodes may read the rows from a node with this source,
+///         so that it must not wait long between its own reads
+bool
+OthersRely(SourceCause aCause);
+
 /// @return a word for the log
 std::string_view
 NameOf(SourceCause aCause);
--- a/Tests/LibNode/TestOperatorRelay.cpp
+++ b/Tests/LibNode/TestOperatorRelay.cpp
@@ -181,6 +181,78 @@
   CHECK_TRUE(Choose().mStore);
 }
 
+// Guards against all nodes of a large region that read from the store when the
+// readers are late, and against ones that only wait for the late readers.
+TEST(OperatorRelay, OnlyTheFirstNodesReplaceLateReaders)
+{
+  for (int i = 0; i < 10; ++i) {
+    Add(Row("node-" + std::to_string(i), "north", 300 - 10 * i));
+  }
+  const auto late = [&](const std::string& aName) {
+    mSelf = mView.mNodes.at(aName).mRow;
+    mState.mConfirmedAt = mNow - Seconds(2);
+    return Choose();
+  };
+  for (const char* name : { "node-0", "node-1" }) {
+    CHECK_TRUE(late(name).mStore);
+    CHECK_TRUE(late(name).mCause == SourceCause::Stale);
+  }
+  for (const char* name : { "node-2", "node-9", "self" }) {
+    const OperatorSource source = late(name);
+    CHECK_FALSE(source.mStore);
+    CHECK_TRUE(source.mCause == SourceCause::NextReader);
+    CHECK_TRUE(source.mPeer == "node-0" || source.mPeer == "node-1");
+  }
+  // One after the other, and from the store in the end.
+  mState.mAvoidedUntil["node-0"] = mNow + Millis(1);
+  STRCMP_EQUAL("node-1", late("self").mPeer.c_str());
+  for (int i = 1; i < 10; ++i) {
+    mState.mAvoidedUntil["node-" + std::to_string(i)] = mNow + Millis(1);
+  }
+  CHECK_TRUE(late("self").mStore);
+  // Nodes that are only late don't let others move up.
+  mState.mAvoidedUntil.erase("node-9");
+  CHECK_FALSE(late("self").mStore);
+}
+
+// Guards against a node that asks one peer after the other, 16 in the largest
+// regions, although it reaches none of them.
+TEST(OperatorRelay, ANodeThatReachesNoPeerReadsFromTheStore)
+{
+  for (int i = 0; i < 10; ++i) {
+    Add(Row("node-" + std::to_string(i), "north", 300));
+  }
+  mState.mConfirmedAt = mNow - Seconds(2);
+  for (std::uint32_t i = 0; i < mSettings.mMaxUnusablePeers; ++i) {
+    CHECK_FALSE(Choose().mStore);
+    mState.mPeer = Choose().mPeer;
+    RecordPeerFault(mState, mSettings, PeerFault::Unusable, mNow);
+  }
+  CHECK_TRUE(Choose().mStore);
+  // An answer shows that it isn't cut off.
+  mState.mPeer = "node-0";
+  RecordPeerAnswer(mState);
+  CHECK_FALSE(Choose().mStore);
+}
+
+// Guards against a region whose first nodes are all cut off from the store, and
+// whose others wait for them for ever.
+TEST(OperatorRelay, MoreNodesReadFromTheStoreAsTheirCopiesAge)
+{
+  for (int i = 0; i < 10; ++i) {
+    Add(Row("node-" + std::to_string(i), "north", 300 - 10 * i));
+  }
+  mSelf = mView.mNodes.at("node-5").mRow; // The eighth.
+  mState.mConfirmedAt = mNow - mSettings.mStoreReaderStep + Millis(1);
+  CHECK_FALSE(Choose().mStore);
+  mState.mConfirmedAt = mNow - mSettings.mStoreReaderStep;
+  CHECK_TRUE(Choose().mStore);
+  mSelf = mView.mNodes.at("self").mRow; // The last one.
+  CHECK_FALSE(Choose().mStore);
+  mState.mConfirmedAt = mNow - 2 * mSettings.mStoreReaderStep;
+  CHECK_TRUE(Choose().mStore);
+}
+
 // Guards against a transfer over a slow link that is taken for a silent reader:
 // the store would send the same rows once more.
 TEST(OperatorRelay, ATransferIsNotTakenForSilence)
--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -732,3 +732,73 @@
   // The link is free again.
   CHECK_TRUE(mLink.mFreeAt <= mCluster.mNow);
 }
+
+// Guards against a change that is late because the nodes between a lost reader
+// and the store change their sources: it comes at any time after the loss.
+TEST(OperatorRelaySimulation, AChangeIsInTimeAtAnyTimeAfterAReaderIsLost)
+{
+  EnlargeNorth();
+  for (const char* fault : { "freeze", "cut" }) {
+    for (int after = 0; after <= 4500; after += 500) {
+      BecomeLarge();
+      for (const char* reader : { "north0", "north1" }) {
+        if (fault == std::string("freeze")) {
+          mCluster.FreezeNode(reader);
+        } else {
+          mCluster.CutFromStore(reader, true);
+        }
+      }
+      Advance(Millis(after));
+      Put(kLarge);
+      Advance(kLargeRegionBound);
+      STRCMP_EQUAL("", Behind({ "north0", "north1" }).c_str());
+      CHECK_TRUE(NorthernStoreReaders() <= 4);
+      for (const char* reader : { "north0", "north1" }) {
+        mCluster.CutFromStore(reader, false);
+        mCluster.WakeNode(reader, ClusterSimulation::OnWaking::TickFirst);
+      }
+      Advance(Seconds(12));
+    }
+  }
+}
+
+// Guards against nodes that wait for others which they don't reach, although
+// they reach the store.
+TEST(OperatorRelaySimulation, NodesThatReachOnlyTheStoreGetAChangeInTime)
+{
+  EnlargeNorth();
+  for (int after = 0; after <= 3000; after += 500) {
+    BecomeLarge();
+    mCutOff = { "northC", "northD", "northE", "northF", "northG", "northH" };
+    Advance(Millis(after));
+    Put(kLarge);
+    Advance(kLargeRegionBound);
+    STRCMP_EQUAL("", Behind().c_str());
+    mCutOff.clear();
+    Advance(Seconds(12));
+  }
+}
+
+// Guards against a region that never gets a change because all nodes that may
+// read it from the store are cut off from it, and not from the others.
+TEST(OperatorRelaySimulation, ARegionMovesOnFromReadersThatAreCutOff)
+{
+  EnlargeNorth();
+  BecomeLarge();
+  std::vector<std::string> cut;
+  while (cut.size() < 6) {
+    for (const std::string& name : mNames) {
+      const bool reads = mWaits[name] > 0 && RegionOf(name) == "north" &&
+                         std::find(cut.begin(), cut.end(), name) == cut.end();
+      if (reads && cut.size() < 6) {
+        mCluster.CutFromStore(name, true);
+        cut.push_back(name);
+      }
+    }
+    mWaits.clear();
+    Advance(Seconds(3));
+  }
+  Put(kLarge);
+  Advance(Seconds(15));
+  STRCMP_EQUAL("", Behind(cut).c_str());
+}
