LibAsyncHttp: Give repeated reads of the operator's rows more time

Cause: each repetition had the time-outs of the first try, and a wait for changes ended as soon as another call of the pool got no answer. Each read that is given up leaves a window of 256 KB in the link, so that the load repeats itself.

A longer time-out must not outlast an outage: after it, a call that was lost would hold up the configuration. The pool therefore ends such a call at its first time-out, or later at once, if a call that was sent 250 ms after its answer was due has been answered. On a link that is only full, the earlier answer would have come first. A first failure is noticed as fast as before.

operator_read_failed states the time-out in force (first_byte_ms). The two lines that ConfigurationAge.TellsWhyAReadFailed expects have the field now and are compared as a whole, as before.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -39,6 +39,10 @@
 /// An answer that is handled later than this after the call's time is over is
 /// given up, so that a peer can't keep a call for ever by single bytes.
 constexpr Millis kLongestLateness{ 5000 };
+/// A call that was sent this much after another one was due to be answered, and
+/// is answered before it, shows that the other one was lost. A read that the
+/// store is slow with takes 250 ms.
+constexpr Millis kReorderMargin{ 250 };
 /// Size of a connection's read buffer.
 constexpr std::size_t kReadBufferBytes = 16384;
 
@@ -96,6 +100,7 @@
     MonotonicTime mSentAt{};        ///< When a connection was told to send it.
     std::uint64_t mQueueNumber = 0; ///< Identifies the call in the queue.
     std::optional<Deadlines::Key> mQueueDeadline{}; ///< While it is queued.
+    MonotonicTime mStartedAt{}; ///< When the caller handed it over.
   };
 
   struct Connection
@@ -112,6 +117,9 @@
     std::optional<PendingCall> mCurrent; ///< Empty while idle.
     std::size_t mReceivedBytes = 0;      ///< Of the current call's answer.
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
+    /// The first time-out of the current call, or of its present stall, is over
+    /// and HttpCall::mPatience applies.
+    bool mExtended = false;
     bool mConnected = false;
     bool mClosed = false;
     MonotonicTime mOpenedAt; ///< When it was established.
@@ -176,8 +184,23 @@
               bool aReusable);
   /// Closes the connection; opens another one if a call is queued.
   void Close(const ConnectionPtr& aConnection);
+  /// Why a call fails.
+  enum class FailCause
+  {
+    Broken, ///< The connection or the answer can't be used any more.
+    Late    ///< See HttpAnswer::mLate.
+  };
   /// Closes the connection and completes its current call, if any, as failed.
-  void Fail(const ConnectionPtr& aConnection);
+  void Fail(const ConnectionPtr& aConnection,
+            FailCause aCause = FailCause::Broken);
+  /// @return whether the answer to the current call, or its further bytes, must
+  ///         have been lost, because a later call was answered
+  [[nodiscard]] bool IsOvertaken(const Connection& aConnection) const;
+  /// Gives the current call more time, once, if its patience allows.
+  /// @return whether it did
+  bool ExtendByPatience(const ConnectionPtr& aConnection);
+  /// Records that a call was answered, and ends those that it has overtaken.
+  void RecordAnswer(MonotonicTime aSentAt);
   /// @return whether bytes have arrived, or the connection has been established
   ///         or has ended, and the loop has not handled it yet
   static bool HasUnhandledEvent(Connection& aConnection);
@@ -192,7 +215,8 @@
   /// polls go on if a connection from before that call has been heard since:
   /// then the peer may just have been slow with that call. A newer connection
   /// says nothing about the older ones. An answer that has begun to arrive also
-  /// goes on, until its own time-out for a stall.
+  /// goes on, until its own time-out for a stall, and so does a call with
+  /// HttpCall::mPatience.
   /// @param aSilentSince when the call without an answer was sent, or when
   ///                     bytes of its answer last arrived
   /// @param aSilent      the connection of that call
@@ -204,6 +228,7 @@
   std::size_t mMaxConnections;
   Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
+  MonotonicTime mLatestAnsweredCall; ///< When that one was sent.
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mIdle;
@@ -395,6 +420,7 @@
 HttpPool::State::Assign(const ConnectionPtr& aConnection, PendingCall aPending)
 {
   aConnection->mCurrent = std::move(aPending);
+  aConnection->mExtended = false;
   auto self = shared_from_this();
   aConnection->mDeadline =
     mDeadlines.Add(aConnection->mCurrent->mExpiresAt,
@@ -481,6 +507,7 @@
   if (connection.mDeadline) {
     mDeadlines.Cancel(*connection.mDeadline);
   }
+  connection.mExtended = false;
   const MonotonicTime stallEnd = connection.mHeardAt + timeouts->mStall;
   const MonotonicTime totalEnd =
     connection.mCurrent->mSentAt + timeouts->mTotal;
@@ -580,7 +607,9 @@
     connection.mDeadline.reset();
   }
   const AnswerHandler done = std::move(connection.mCurrent->mDone);
+  const MonotonicTime sentAt = connection.mCurrent->mSentAt;
   connection.mCurrent.reset();
+  RecordAnswer(sentAt);
   if (!aReusable || mStopped || connection.mBufferedBytes > 0) {
     Close(aConnection);
   } else {
@@ -610,7 +639,7 @@
 }
 
 void
-HttpPool::State::Fail(const ConnectionPtr& aConnection)
+HttpPool::State::Fail(const ConnectionPtr& aConnection, FailCause aCause)
 {
   if (aConnection->mClosed) {
     return;
@@ -627,10 +656,66 @@
     HttpAnswer answer;
     answer.mFailure = sent ? CallFailure::NoAnswer : CallFailure::NotSent;
     answer.mReceivedBytes = aConnection->mReceivedBytes;
+    answer.mLate = aCause == FailCause::Late;
     current->mDone(std::move(answer));
   }
 }
 
+bool
+HttpPool::State::IsOvertaken(const Connection& aConnection) const
+{
+  const PendingCall& call = *aConnection.mCurrent;
+  const MonotonicTime dueAt = InTransfer(aConnection) ? aConnection.mHeardAt
+                              : !aConnection.mConnected
+                                ? call.mStartedAt
+                                : call.mSentAt + call.mCall.mAnswerDelay;
+  return mLatestAnsweredCall > dueAt + kReorderMargin;
+}
+
+bool
+HttpPool::State::ExtendByPatience(const ConnectionPtr& aConnection)
+{
+  Connection& connection = *aConnection;
+  if (!connection.mCurrent || connection.mCurrent->mCall.mPatience <= 1 ||
+      connection.mExtended || IsOvertaken(connection)) {
+    return false;
+  }
+  PendingCall& call = *connection.mCurrent;
+  const std::optional<TransferTimeouts>& transfer =
+    call.mCall.mTransferTimeouts;
+  const MonotonicTime end =
+    InTransfer(connection)
+      ? std::min(connection.mHeardAt + call.mCall.mPatience * transfer->mStall,
+                 call.mSentAt + transfer->mTotal)
+      : call.mStartedAt + call.mCall.mPatience * call.mCall.mTimeout;
+  connection.mExtended = true;
+  call.mExpiresAt = std::max(call.mExpiresAt, end);
+  auto self = shared_from_this();
+  connection.mDeadline =
+    mDeadlines.Add(end, [self, aConnection] { self->Expire(aConnection); });
+  return true;
+}
+
+void
+HttpPool::State::RecordAnswer(MonotonicTime aSentAt)
+{
+  mLatestAnsweredCall = std::max(mLatestAnsweredCall, aSentAt);
+  auto self = shared_from_this();
+  for (const ConnectionPtr& connection : mConnections) {
+    if (!connection->mCurrent || !connection->mExtended ||
+        !IsOvertaken(*connection)) {
+      continue;
+    }
+    // NOTE: It expires with the next turn of the loop, because its handler must
+    // not be called from within the one of the answered call.
+    if (connection->mDeadline) {
+      mDeadlines.Cancel(*connection->mDeadline);
+    }
+    connection->mDeadline = mDeadlines.Add(
+      BootTime(), [self, connection] { self->Expire(connection); });
+  }
+}
+
 bool
 HttpPool::State::HasUnhandledEvent(Connection& aConnection)
 {
@@ -655,12 +740,15 @@
                      [self, aConnection] { self->Expire(aConnection); });
     return;
   }
+  if (ExtendByPatience(aConnection)) {
+    return;
+  }
   if (aConnection->mConnected && aConnection->mCurrent) {
     DropSuspects(
       std::max(aConnection->mCurrent->mSentAt, aConnection->mHeardAt),
       aConnection);
   }
-  Fail(aConnection);
+  Fail(aConnection, FailCause::Late);
 }
 
 void
@@ -680,6 +768,7 @@
     if (!connection->mCurrent) {
       idle.push_back(connection);
     } else if (connection->mCurrent->mCall.mLongPoll &&
+               connection->mCurrent->mCall.mPatience <= 1 &&
                connection->mCurrent->mSentAt < aSilentSince &&
                !InTransfer(*connection)) {
       longPolls.push_back(connection);
@@ -694,7 +783,7 @@
     return;
   }
   for (const ConnectionPtr& connection : longPolls) {
-    Fail(connection);
+    Fail(connection, FailCause::Late);
   }
 }
 
@@ -731,8 +820,9 @@
 void
 HttpPool::Send(HttpCall aCall, AnswerHandler aDone)
 {
-  const MonotonicTime until = BootTime() + aCall.mTimeout;
-  mState->Start({ std::move(aCall), std::move(aDone), until, {}, 0, {} });
+  const MonotonicTime now = BootTime();
+  const MonotonicTime until = now + aCall.mTimeout;
+  mState->Start({ std::move(aCall), std::move(aDone), until, {}, 0, {}, now });
 }
 
 } // namespace paddle
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -63,6 +63,13 @@
   /// these time-outs replace mTimeout. A bound on the whole call would break
   /// off each large answer over a slow link, and its repetition as well.
   std::optional<TransferTimeouts> mTransferTimeouts = std::nullopt;
+  /// Multiple of mTimeout and of the longest stall that the call may take as
+  /// long as no later call was answered. Once one was, the answer to this call
+  /// was lost: on a link that is merely full, it would have arrived before.
+  /// Calls with a multiple don't end because others got no answer.
+  std::uint32_t mPatience = 1;
+  /// Time by which the peer may delay its answer to a long poll.
+  Millis mAnswerDelay{ 0 };
   /// Called whenever bytes of the answer have arrived, with their number so
   /// far, but not with the last ones. It must not send or close anything.
   std::function<void(std::size_t aReceivedBytes)> mOnProgress = nullptr;
@@ -83,6 +90,9 @@
 struct HttpAnswer
 {
   CallFailure mFailure = CallFailure::None;
+  /// Whether the call failed because its answer, or further bytes of it, did
+  /// not come in time.
+  bool mLate = false;
   int mStatus = 0; ///< HTTP status code; 0 after a failure.
   std::string mBody;
   /// Bytes of the answer that have arrived, its header included.
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -50,10 +50,12 @@
   std::size_t mCopyBytes = 0; ///< Size of all rows of this node's copy.
   /// Bytes of the answers that have arrived, also if the read failed.
   std::size_t mReceivedBytes = 0;
+  /// Longest time until the first byte that a failed read had; 0: not known.
+  Millis mFirstByteTimeout{ 0 };
 };
 
-/// Receives the operator's state, which is empty but for mReceivedBytes unless
-/// the result is Read.
+/// Receives the operator's state, which is empty but for mReceivedBytes and
+/// mFirstByteTimeout unless the result is Read.
 using OperatorStateHandler = std::function<void(ReadResult, OperatorState)>;
 
 /// How long one call waits for changes of the operator's table. It bounds the
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -448,8 +448,9 @@
         std::string("cause=") +
           (aResult == ReadResult::HistoryGone ? "history_gone" : "failed") +
           " read_ms=" + readTime +
-          " received_bytes=" + std::to_string(aState.mReceivedBytes) + " " +
-          FormatConfigurationCopy(before));
+          " received_bytes=" + std::to_string(aState.mReceivedBytes) +
+          " first_byte_ms=" + std::to_string(aState.mFirstByteTimeout.count()) +
+          " " + FormatConfigurationCopy(before));
     return;
   }
   const Millis delay = OperatorReadDelay(aState.mChangedBytes);
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -91,6 +91,8 @@
   std::int64_t mClockMs = 0;
   /// Bytes of the answer that have arrived, also of one that was broken off.
   std::size_t mReceivedBytes = 0;
+  /// Longest time until the first byte that the read had; 0: not known.
+  Millis mFirstByteTimeout{ 0 };
 };
 
 using TransactionHandler = std::function<void(TransactionOutcome)>;
--- a/Tests/LibNode/TestConfigurationAge.cpp
+++ b/Tests/LibNode/TestConfigurationAge.cpp
@@ -57,14 +57,17 @@
   /// Answers the read that was sent last after @p aTime.
   /// @param aVersion  of the configuration that was read; 0: none
   /// @param aReceived bytes of the answer that have arrived
+  /// @param aFirstByte time-out until the first byte
   void Answer(Millis aTime,
               ReadResult aResult,
               std::int64_t aVersion = 0,
-              std::size_t aReceived = 0)
+              std::size_t aReceived = 0,
+              Millis aFirstByte = Millis(0))
   {
     mCluster.AdvanceTime(aTime);
     OperatorState state;
     state.mReceivedBytes = aReceived;
+    state.mFirstByteTimeout = aFirstByte;
     if (aVersion > 0) {
       state.mConfiguration = Configuration{ aVersion, {}, {} };
     }
@@ -153,26 +156,27 @@
 
 // Guards against failed reads that leave no line, or whose line confuses a
 // silent store with one that has dropped its history, or with a large answer
-// that was broken off.
+// that was broken off, or hides how long the node has waited.
 TEST(ConfigurationAge, TellsWhyAReadFailed)
 {
   Begin();
-  Answer(Millis(1200), ReadResult::Failed, 0, 654321);
-  LONGS_EQUAL(
-    1,
-    Count(mLog,
-          "event=operator_read_failed cause=failed read_ms=1200 "
-          "received_bytes=654321 version=0 configuration_age_ms=none\n"));
+  Answer(Millis(1200), ReadResult::Failed, 0, 654321, Millis(2400));
+  LONGS_EQUAL(1,
+              Count(mLog,
+                    "event=operator_read_failed cause=failed read_ms=1200 "
+                    "received_bytes=654321 first_byte_ms=2400 version=0 "
+                    "configuration_age_ms=none\n"));
   AwaitRead();
   Answer(Millis(0), ReadResult::Read, 7);
   AwaitRead();
   const std::int64_t before = Age();
   Answer(Millis(25), ReadResult::HistoryGone);
-  LONGS_EQUAL(1,
-              Count(mLog,
-                    "event=operator_read_failed cause=history_gone read_ms=25 "
-                    "received_bytes=0 version=7 configuration_age_ms=" +
-                      std::to_string(before + 25) + "\n"));
+  LONGS_EQUAL(
+    1,
+    Count(mLog,
+          "event=operator_read_failed cause=history_gone read_ms=25 "
+          "received_bytes=0 first_byte_ms=0 version=7 configuration_age_ms=" +
+            std::to_string(before + 25) + "\n"));
 }
 
 // Guards against an owner that starts tasks on runners that have left, without
--- a/Tests/Platform/TestSilentConnections.cpp
+++ b/Tests/Platform/TestSilentConnections.cpp
@@ -308,13 +308,13 @@
   }
 
   /// Sends a wait for changes, and checks when it fails without an answer.
-  /// @param aTimeout time-out, give or take 50 ms
   void CheckWaitExpiresAfter(Millis aTimeout)
   {
+    const MonotonicTime before = BootTime();
     const std::shared_ptr<Read> wait = Send([this] { return ReadOperator(); });
-    mDeadlines.Expire(BootTime() + aTimeout - Millis(50));
+    mDeadlines.Expire(before + aTimeout - Millis(1));
     CHECK_FALSE(wait->mSucceeded.has_value());
-    mDeadlines.Expire(BootTime() + aTimeout + Millis(50));
+    mDeadlines.Expire(BootTime() + aTimeout);
     CHECK_TRUE(wait->mSucceeded.has_value());
     CHECK_FALSE(*wait->mSucceeded);
   }
@@ -463,11 +463,12 @@
   mStore.Change();
   for (const int factor : { 1, 2, 4, 4 }) {
     mStore.CutNextAnswer();
+    const MonotonicTime before = BootTime();
     const std::shared_ptr<Read> read = Send([this] { return ReadOperator(); });
     ReadOther(); // The first half is read before this.
-    mDeadlines.Expire(BootTime() + factor * Millis(1000) - Millis(100));
+    mDeadlines.Expire(before + factor * Millis(1000) - Millis(1));
     CHECK_FALSE(read->mSucceeded.has_value());
-    mDeadlines.Expire(BootTime() + factor * Millis(1000) + Millis(100));
+    mDeadlines.Expire(BootTime() + factor * Millis(1000));
     CHECK_TRUE(read->mSucceeded.has_value());
     CHECK_FALSE(*read->mSucceeded);
   }
