--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -414,11 +414,10 @@
 {
   mOperatorReadInFlight = true;
   mOperatorReadSentAt = mContext.Now();
-  const bool othersRely = mSource.mCause == SourceCause::Reader ||
-                          mSource.mCause == SourceCause::Stale;
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadOperatorState(
-    othersRely ? mContext.mSettings.mRelay.mReaderWait : kOperatorChangeWait,
+    OthersRely(mSource.mCause) ? mContext.mSettings.mRelay.mReaderWait
+                               : kOperatorChangeWait,
     [this, alive, sentAt = mOperatorReadSentAt](ReadResult aResult,
                                                 OperatorState aState) {
       if (!alive.expired()) {
@@ -449,8 +448,9 @@
         std::string("cause=") +
           (aResult == ReadResult::HistoryGone ? "history_gone" : "failed") +
           " read_ms=" + readTime +
-          " received_bytes=" + std::to_string(aState.mReceivedBytes) + " " +
-          FormatConfigurationCopy(before));
+          " received_bytes=" + std::to_string(aState.mReceivedBytes) +
+          " first_byte_ms=" + std::to_string(aState.mFirstByteTimeout.count()) +
+          " " + FormatConfigurationCopy(before));
     return;
   }
   const Millis delay = OperatorReadDelay(aState.mChangedBytes);
@@ -459,7 +459,7 @@
     std::move(aState), aSentAt, "store", "read_ms=" + readTime);
   // What was read may make this node a reader.
   UpdateSource(now);
-  if (mSource.mCause == SourceCause::Reader) {
+  if (OthersRely(mSource.mCause)) {
     mNextOperatorReadAt =
       now + std::min(delay, mContext.mSettings.mRelay.mLongestReaderDelay);
   }
