TestLibDispatch: Show starts that are repeated beyond a full link

A start order without an answer makes its data centre costly for a second (kContactHalfLife). Until the unanswered run has been stopped, 2 s pass at a round trip of 0.7 s, and 6.3 s if its runner falls silent, so that the task is sent beyond the same link again. DispatchWorld gets links with a round trip.

--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -9,8 +9,9 @@
 /// Step of virtual time.
 constexpr Millis kTimeStep{ 50 };
 
-/// Time after which the sender gives up an order that it can't send.
-constexpr Millis kUnsentAfter{ 900 };
+/// Time after which the sender gives up an order without an answer, or one that
+/// it can't send.
+constexpr Millis kOrderTimeout{ 900 };
 
 std::size_t
 RunsOf(const std::map<std::string, DispatchWorld::FakeRunner>& aRunners,
@@ -161,7 +162,13 @@
         ++mStarts;
         if (mStartsNotSentTo.contains(
               mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre)) {
-          mUnsentStarts.push_back({ *start, mNow + kUnsentAfter });
+          mUnsentStarts.push_back({ *start, mNow + kOrderTimeout });
+          continue;
+        }
+        const auto roundTrip = mRoundTrips.find(
+          mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre);
+        if (roundTrip != mRoundTrips.end()) {
+          SendSlowly(*start, roundTrip->second);
           continue;
         }
         if (mDropStarts || !runner.mAnswers) {
@@ -171,15 +178,14 @@
                             name,
                             start->mRun,
                             StartResult::Unknown,
-                            kUnsentAfter,
+                            kOrderTimeout,
                             mNow,
                             mActions);
           continue;
         }
-        runner.mRunning.push_back({ FormatTaskName(name), start->mRun });
-        runner.mLeaseEndMs = std::max(runner.mLeaseEndMs, start->mLeaseEndMs);
-        mMostRunsOfATask =
-          std::max(mMostRunsOfATask, RunsOf(mRunners, FormatTaskName(name)));
+        CarryOutStart(mDispatcher.mRunners[start->mRunner].mSpec.mId,
+                      { FormatTaskName(name), start->mRun },
+                      start->mLeaseEndMs);
         HandleStartResult(mDispatcher,
                           start->mRunner,
                           name,
@@ -194,19 +200,13 @@
         if (!runner.mAnswers) {
           continue;
         }
-        const std::string task = FormatTaskName(stop->mTask);
-        const auto found = std::find_if(
-          runner.mRunning.begin(), runner.mRunning.end(), [&](const Run& aRun) {
-            return aRun.mTask == task && aRun.mRun == stop->mRun;
-          });
-        if (found != runner.mRunning.end()) {
-          runner.mRunning.erase(found);
-          runner.mEnds.push_back({ runner.mNextEnd++,
-                                   stop->mTask,
-                                   stop->mRun,
-                                   EndKind::Stopped,
-                                   {} });
+        const RunnerSpec& spec = mDispatcher.mRunners[stop->mRunner].mSpec;
+        const auto roundTrip = mRoundTrips.find(spec.mDataCentre);
+        if (roundTrip != mRoundTrips.end()) {
+          SendSlowly(*stop, roundTrip->second);
+          continue;
         }
+        CarryOutStop(spec.mId, stop->mTask, stop->mRun);
         HandleStopAnswered(
           mDispatcher, stop->mRunner, stop->mTask, stop->mRun, mNow);
       } else if (const auto* pace = std::get_if<PaceTask>(&action)) {
@@ -216,6 +216,84 @@
   }
 }
 
+void
+DispatchWorld::CarryOutStart(const std::string& aRunner,
+                             const Run& aRun,
+                             std::int64_t aLeaseEndMs)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  runner.mRunning.push_back(aRun);
+  runner.mLeaseEndMs = std::max(runner.mLeaseEndMs, aLeaseEndMs);
+  mMostRunsOfATask = std::max(mMostRunsOfATask, RunsOf(mRunners, aRun.mTask));
+}
+
+void
+DispatchWorld::CarryOutStop(const std::string& aRunner,
+                            const TaskName& aTask,
+                            std::int64_t aRun)
+{
+  FakeRunner& runner = mRunners.at(aRunner);
+  const std::string task = FormatTaskName(aTask);
+  const auto found = std::find_if(
+    runner.mRunning.begin(), runner.mRunning.end(), [&](const Run& aOther) {
+      return aOther.mTask == task && aOther.mRun == aRun;
+    });
+  if (found != runner.mRunning.end()) {
+    runner.mRunning.erase(found);
+    runner.mEnds.push_back(
+      { runner.mNextEnd++, aTask, aRun, EndKind::Stopped, {} });
+  }
+}
+
+void
+DispatchWorld::SendSlowly(const StartTask& aStart, Millis aRoundTrip)
+{
+  const TaskName name = NameOf(aStart.mTask);
+  const RunnerIndex index = aStart.mRunner;
+  const std::int64_t run = aStart.mRun;
+  mOnTheWay.emplace(mNow + aRoundTrip * 3 / 2,
+                    [this, name, index, run, leaseEndMs = aStart.mLeaseEndMs] {
+                      CarryOutStart(mDispatcher.mRunners[index].mSpec.mId,
+                                    { FormatTaskName(name), run },
+                                    leaseEndMs);
+                    });
+  const Millis answerTime = std::min(aRoundTrip * 2, kOrderTimeout);
+  const StartResult result = aRoundTrip * 2 > kOrderTimeout
+                               ? StartResult::Unknown
+                               : StartResult::Started;
+  mOnTheWay.emplace(
+    mNow + answerTime, [this, name, index, run, answerTime, result] {
+      HandleStartResult(
+        mDispatcher, index, name, run, result, answerTime, mNow, mActions);
+    });
+}
+
+void
+DispatchWorld::SendSlowly(const StopTask& aStop, Millis aRoundTrip)
+{
+  mOnTheWay.emplace(mNow + aRoundTrip * 3 / 2, [this, aStop] {
+    CarryOutStop(
+      mDispatcher.mRunners[aStop.mRunner].mSpec.mId, aStop.mTask, aStop.mRun);
+  });
+  if (aRoundTrip * 2 <= kOrderTimeout) {
+    mOnTheWay.emplace(mNow + aRoundTrip * 2, [this, aStop] {
+      HandleStopAnswered(
+        mDispatcher, aStop.mRunner, aStop.mTask, aStop.mRun, mNow);
+    });
+  }
+}
+
+void
+DispatchWorld::DeliverFromSlowLinks()
+{
+  while (!mOnTheWay.empty() && mOnTheWay.begin()->first <= mNow) {
+    const std::function<void()> deliver = mOnTheWay.begin()->second;
+    mOnTheWay.erase(mOnTheWay.begin());
+    deliver();
+    PerformOrders();
+  }
+}
+
 void
 DispatchWorld::Report(RunnerIndex aRunner)
 {
@@ -290,6 +368,7 @@
   for (Millis passed(0); passed < aTime; passed += kTimeStep) {
     mNow += kTimeStep;
     GiveUpUnsentStarts();
+    DeliverFromSlowLinks();
     ExpireLeases();
     Report();
     Tick();
@@ -308,7 +387,7 @@
                       NameOf(start.mTask),
                       start.mRun,
                       StartResult::NotSent,
-                      kUnsentAfter,
+                      kOrderTimeout,
                       mNow,
                       mActions);
     PerformOrders();
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -69,6 +69,8 @@
   void ExpireLeases();
   /// Reports the start orders that could not be sent in time.
   void GiveUpUnsentStarts();
+  /// Lets orders and answers arrive that crossed a slow link.
+  void DeliverFromSlowLinks();
 
   /// Ends the run of a task on its runner, which reports it with its next
   /// answer.
@@ -80,6 +82,16 @@
 
   /// Carries out the orders in mActions and those that follow from the answers.
   void PerformOrders();
+  /// Sends an order across a slow link.
+  void SendSlowly(const StartTask& aStart, Millis aRoundTrip);
+  void SendSlowly(const StopTask& aStop, Millis aRoundTrip);
+  // Carry out an order at a runner.
+  void CarryOutStart(const std::string& aRunner,
+                     const Run& aRun,
+                     std::int64_t aLeaseEndMs);
+  void CarryOutStop(const std::string& aRunner,
+                    const TaskName& aTask,
+                    std::int64_t aRun);
 
   Dispatcher mDispatcher;
   std::map<std::string, FakeRunner> mRunners;
@@ -100,6 +112,13 @@
   std::set<std::string> mStartsNotSentTo;
   /// Such orders, and when their sender gives them up.
   std::vector<std::pair<StartTask, MonotonicTime>> mUnsentStarts;
+  /// Round trip to the runners of data centres beyond a slow link. A start or
+  /// stop order opens a connection first, so that it is carried out after one
+  /// and a half round trips, and an answer after more than the sender's
+  /// time-out counts for nothing. Renewals are answered at once.
+  std::map<std::string, Millis> mRoundTrips;
+  /// What happens on the way to these runners and back, by time.
+  std::multimap<MonotonicTime, std::function<void()>> mOnTheWay;
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0; ///< Number of start orders, lost ones included.
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -192,6 +192,92 @@
   CHECK_TRUE(world.IsRunning("job.0.0.0"));
 }
 
+namespace {
+
+/// Moves the first eight runners into two data centres beyond a link. Among
+/// equal runners the first is chosen.
+void
+PutFirstRunnersBeyondALink(DispatchWorld& aWorld)
+{
+  for (std::size_t i = 0; i < aWorld.mListed.size(); ++i) {
+    RunnerSpec& spec = aWorld.mListed[i];
+    spec.mDataCentre = i < 4 ? "far-a" : i < 8 ? "far-b" : "near";
+    spec.mLabels = { spec.mDataCentre };
+  }
+  SetRunners(aWorld.mDispatcher, aWorld.mListed, aWorld.mNow, aWorld.mActions);
+  aWorld.AdvanceTime(Seconds(1));
+}
+
+/// @return the data centre in which a task runs, or an empty text
+std::string
+DataCentreOf(const DispatchWorld& aWorld, const std::string& aTask)
+{
+  const std::string runner = aWorld.RunnerOf(aTask);
+  for (const RunnerSpec& spec : aWorld.mListed) {
+    if (spec.mId == runner) {
+      return spec.mDataCentre;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+// Guards against a task that is started again beyond a full link: that its
+// start got no answer was forgotten within the 2 s in which the run was
+// stopped.
+TEST(PlacementOrder, RepeatsNoUnansweredStartBeyondTheSameLink)
+{
+  DispatchWorld world;
+  world.ListRunners(12);
+  PutFirstRunnersBeyondALink(world);
+  world.mRoundTrips["far-a"] = Millis(700);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 8000) }));
+  CHECK_FALSE(world.mOnTheWay.empty());
+  world.AdvanceTime(Seconds(3));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(DataCentreOf(world, "job.0.0.0") != "far-a");
+  LONGS_EQUAL(2, world.mStarts);
+}
+
+// Guards against the same after the lease of an unanswered run, which a runner
+// that falls silent may hold for 6 s.
+TEST(PlacementOrder, RemembersAnUnansweredStartForTheLeaseOfItsRun)
+{
+  DispatchWorld world;
+  world.ListRunners(12);
+  PutFirstRunnersBeyondALink(world);
+  world.mDropStarts = true;
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 8000) }));
+  world.mDropStarts = false;
+  world.mRunners["r0"].mAnswers = false;
+  world.mRoundTrips["far-a"] = Millis(700);
+  world.AdvanceTime(Seconds(7));
+  LONGS_EQUAL(2, world.mStarts);
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(DataCentreOf(world, "job.0.0.0") != "far-a");
+}
+
+// Guards against a task that is started in one data centre after the other
+// beyond the same full link, although starts in another one are answered.
+TEST(PlacementOrder, ATaskWhoseStartGotNoAnswerGoesWhereStartsAreAnswered)
+{
+  DispatchWorld world;
+  world.ListRunners(12);
+  PutFirstRunnersBeyondALink(world);
+  world.mRoundTrips["far-a"] = Millis(700);
+  world.mRoundTrips["far-b"] = Millis(700);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 8000) }));
+  // Reserved cores would make their runners the preferred ones.
+  StepSpec other = FiniteStep(1, 0);
+  other.mRequiredLabel = "near";
+  for (int i = 0; i < 6; ++i) {
+    world.AddJob(MakeJob("other-" + std::to_string(i), { other }));
+    world.AdvanceTime(Millis(500));
+  }
+  STRCMP_EQUAL("near", DataCentreOf(world, "job.0.0.0").c_str());
+}
+
 // Guards against an owner that spends all its time on placement passes beside a
 // large backlog, one for each answer of a runner, and falls seconds behind with
 // everything else.
