LibDispatch: Remember data centres that answered no start order

A task whose start got no answer was sent beyond the same full link again: the failure counted for a second, and the run was stopped only 2 s (round trip of 0.7 s) to 8.3 s (lease of a silent runner) after its order. Such tasks, and long-running ones, now avoid the data centre for 10 s, or until a start order is answered there, and prefer data centres that answer. Other tasks still try it after a second, so that its return is noticed.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -76,6 +76,9 @@
   double mAnswered = 0;
   double mUnanswered = 0; ///< Orders without an answer, or not even sent.
   MonotonicTime mUpdatedAt;
+  /// Until then it is remembered that most orders got no answer, unless one is
+  /// answered.
+  MonotonicTime mRememberedUntil;
 };
 
 /// Receives the events to log: the name, the job concerned or null, and fields
@@ -122,8 +125,9 @@
   TextMap<QueueSpec> mQueues;
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
   TextMap<StartContact> mStartContacts; ///< By data centre.
-  bool mAnyHardToReach = false;         ///< Whether any runner is marked so.
-  std::set<WaitingStep> mWaitingSteps;  ///< Ready steps with waiting tasks.
+  /// Whether the start orders to any data centre got or get no answer.
+  bool mAnyHardToReach = false;
+  std::set<WaitingStep> mWaitingSteps; ///< Ready steps with waiting tasks.
   /// Waiting steps in the order in which they are placed, as of
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -168,12 +168,10 @@
                   StartResult aResult,
                   MonotonicTime aNow);
 
-/// @return whether most of the latest start orders to the data centre got no
-///         answer, so that another one is likely to be lost as well
-bool
-IsHardToReach(const Dispatcher& aDispatcher,
-              std::string_view aDataCentre,
-              MonotonicTime aNow);
+/// @return how start orders to a data centre fare, where those to some data
+///         centre got no answer
+StartReach
+ReachOf(const StartContact& aContact, MonotonicTime aNow);
 
 /// Logs for a few steps that have waited long how many runners can't take their
 /// tasks, and why.
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -105,6 +105,8 @@
   /// owner has not seen. Until the recovery after the takeover is complete, the
   /// task is not started.
   bool mMayRunUnseen = false;
+  /// Whether the latest start order got no answer or was not even sent.
+  bool mStartUnanswered = false;
   /// Runner on which the latest run failed. The task avoids it next time.
   RunnerIndex mFailedOn = kNoRunner;
   std::string mCheckpoint; ///< Latest checkpoint, or empty.
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <compare>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -41,6 +42,9 @@
 /// a task waits 0.9 s for nothing, and the next attempt is likely to fail as
 /// well. Such runners look free, because nothing starts there.
 constexpr double kHardToReachCost = 800;
+/// Cost, for the tasks that avoid these data centres for longer, of one in
+/// which no start order was answered lately: it may be beyond the same link.
+constexpr double kUnprovenReachCost = 400;
 /// Costs for best-effort tasks: of a rise of utilization by 1; of a runner that
 /// tolerates any image, which is kept for images that interfere elsewhere; and
 /// the amount by which each unused core lowers the cost.
@@ -260,6 +264,26 @@
   return cost + kInterferenceCost * *interferenceCost;
 }
 
+/// @return the cost of the way to a runner for a task
+double
+ReachCost(const Runner& aRunner, const TaskRef& aTask)
+{
+  // Other tasks find out whether starts are answered again.
+  const bool careful = SpecOf(aTask).mKind == StepKind::LongRunning ||
+                       TaskOf(aTask).mStartUnanswered;
+  switch (aRunner.mStartReach) {
+    case StartReach::Answered:
+      return 0;
+    case StartReach::Unproven:
+      return careful ? kUnprovenReachCost : 0;
+    case StartReach::LatelyUnanswered:
+      return careful ? kHardToReachCost : 0;
+    case StartReach::HardToReach:
+      return kHardToReachCost;
+  }
+  return 0;
+}
+
 /// @return the rating of a runner for a task whose queue belongs to the service
 PlacementRating
 RateRunner(const Dispatcher& aDispatcher,
@@ -308,9 +332,7 @@
   if (TaskOf(aTask).mFailedOn == aRunner) {
     cost += kSlowRunnerCost;
   }
-  if (runner.mHardToReach) {
-    cost += kHardToReachCost;
-  }
+  cost += ReachCost(runner, aTask);
   // A runner with recent failures is a last resort until a run succeeds there.
   return cost + kFailureCost * runner.mConsecutiveFailures;
 }
@@ -521,24 +543,26 @@
   return available;
 }
 
-/// Marks the runners of data centres that are hard to reach.
+/// Notes for each runner how start orders to its data centre fare.
 void
-UpdateHardToReach(Dispatcher& aDispatcher, MonotonicTime aNow)
+UpdateStartReach(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
-  std::vector<std::string_view> names;
+  std::map<std::string_view, StartReach> reaches;
+  bool anyHard = false;
   for (const auto& [name, contact] : aDispatcher.mStartContacts) {
-    if (IsHardToReach(aDispatcher, name, aNow)) {
-      names.emplace_back(name);
-    }
+    const StartReach reach = ReachOf(contact, aNow);
+    reaches.emplace(name, reach);
+    anyHard = anyHard || reach >= StartReach::LatelyUnanswered;
   }
-  if (names.empty() && !aDispatcher.mAnyHardToReach) {
+  if (!anyHard && !aDispatcher.mAnyHardToReach) {
     return;
   }
-  aDispatcher.mAnyHardToReach = !names.empty();
+  aDispatcher.mAnyHardToReach = anyHard;
   for (Runner& runner : aDispatcher.mRunners) {
-    runner.mHardToReach =
-      std::find(names.begin(), names.end(), runner.mSpec.mDataCentre) !=
-      names.end();
+    const auto found = reaches.find(runner.mSpec.mDataCentre);
+    runner.mStartReach = !anyHard                 ? StartReach::Answered
+                         : found != reaches.end() ? found->second
+                                                  : StartReach::Unproven;
   }
 }
 
@@ -721,7 +745,7 @@
     candidates.erase(std::unique(candidates.begin(), candidates.end()),
                      candidates.end());
   }
-  UpdateHardToReach(aDispatcher, aNow);
+  UpdateStartReach(aDispatcher, aNow);
   for (const RunnerIndex index : candidates) {
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
   }
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -245,6 +245,7 @@
   Task& task = TaskOf(aTask);
   CountUnansweredStart(aDispatcher, aDispatcher.mRunners[task.mRunner], -1);
   task.mPhase = TaskPhase::Running;
+  task.mStartUnanswered = false;
   aTask.mJob->mBegan = true;
   if (task.mInterruptedAt) {
     Emit(aDispatcher,
@@ -748,6 +749,8 @@
   if (task.mRunner != aRunner || task.mRun != aRun) {
     return;
   }
+  task.mStartUnanswered =
+    aResult == StartResult::Unknown || aResult == StartResult::NotSent;
   const bool stopping = task.mPhase == TaskPhase::Stopping;
   switch (aResult) {
     case StartResult::Started:
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -143,6 +143,15 @@
                   ///< everything that it ran has ended.
 };
 
+/// How start orders to a data centre fare.
+enum class StartReach : std::uint8_t
+{
+  Answered,         ///< The latest ones were answered, or nothing is known.
+  Unproven,         ///< None was answered lately, and others are hard to reach.
+  LatelyUnanswered, ///< Most got no answer, and none was answered since.
+  HardToReach       ///< Most of the last second got no answer.
+};
+
 /// State of a runner: its tasks, leases, reports and health.
 struct Runner
 {
@@ -161,9 +170,8 @@
   std::vector<ServingStepLoad> mServingSteps;
   /// Whether best-effort tasks get much less CPU time here than they demand.
   bool mBestEffortStarved = false;
-  /// Whether most start orders to its data centre get no answer, as of the
-  /// latest placement pass.
-  bool mHardToReach = false;
+  /// How start orders to its data centre fare, as of the latest placement pass.
+  StartReach mStartReach = StartReach::Answered;
   /// Whether a serving task here has not reported its tail latency yet.
   bool mTailLatencyUnknown = false;
   /// Tasks in the phases Starting, Running and Stopping on this runner.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -17,9 +17,14 @@
 /// Time after which a start order counts half as much for the contact with a
 /// data centre. It is about that of one attempt without an answer (0.9 s).
 constexpr Millis kContactHalfLife{ 1000 };
-/// Number of unanswered start orders from which on a data centre counts as hard
-/// to reach: a single one counts for a second, unless others are answered.
-constexpr double kMinUnansweredStarts = 0.5;
+/// Number of start orders from which on a data centre counts as hard to reach,
+/// or as answering: a single one counts for a second.
+constexpr double kMinStarts = 0.5;
+/// Tasks whose start got no answer, and long-running ones, avoid the data
+/// centre for this time. The run may be given up only when its lease has ended,
+/// 6.3 s after the order, and a later renewal of the shard is stored, which
+/// takes 2 s at most.
+constexpr Seconds kContactMemory{ 10 };
 
 /// @return the numbers as they count at @p aNow
 StartContact
@@ -28,7 +33,10 @@
   const std::chrono::duration<double> age = aNow - aContact.mUpdatedAt;
   const std::chrono::duration<double> halfLife = kContactHalfLife;
   const double weight = std::exp2(-std::max(0.0, age / halfLife));
-  return { aContact.mAnswered * weight, aContact.mUnanswered * weight, aNow };
+  return { aContact.mAnswered * weight,
+           aContact.mUnanswered * weight,
+           aNow,
+           aContact.mRememberedUntil };
 }
 
 /// Adds a runner that is not listed yet.
@@ -58,23 +66,30 @@
 {
   StartContact& contact = aDispatcher.mStartContacts[aRunner.mSpec.mDataCentre];
   contact = DecayedContact(contact, aNow);
-  const bool unanswered =
-    aResult == StartResult::NotSent || aResult == StartResult::Unknown;
-  (unanswered ? contact.mUnanswered : contact.mAnswered) += 1;
+  if (aResult != StartResult::NotSent && aResult != StartResult::Unknown) {
+    contact.mAnswered += 1;
+    contact.mRememberedUntil = {};
+    return;
+  }
+  contact.mUnanswered += 1;
+  if (contact.mUnanswered > contact.mAnswered) {
+    contact.mRememberedUntil = aNow + kContactMemory;
+  }
 }
 
-bool
-IsHardToReach(const Dispatcher& aDispatcher,
-              std::string_view aDataCentre,
-              MonotonicTime aNow)
+StartReach
+ReachOf(const StartContact& aContact, MonotonicTime aNow)
 {
-  const auto found = aDispatcher.mStartContacts.find(aDataCentre);
-  if (found == aDispatcher.mStartContacts.end()) {
-    return false;
+  const StartContact contact = DecayedContact(aContact, aNow);
+  if (contact.mUnanswered >= kMinStarts &&
+      contact.mUnanswered > contact.mAnswered) {
+    return StartReach::HardToReach;
+  }
+  if (aNow < contact.mRememberedUntil) {
+    return StartReach::LatelyUnanswered;
   }
-  const StartContact contact = DecayedContact(found->second, aNow);
-  return contact.mUnanswered >= kMinUnansweredStarts &&
-         contact.mUnanswered > contact.mAnswered;
+  return contact.mAnswered >= kMinStarts ? StartReach::Answered
+                                         : StartReach::Unproven;
 }
 
 std::int64_t
--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -278,6 +278,27 @@
   STRCMP_EQUAL("near", DataCentreOf(world, "job.0.0.0").c_str());
 }
 
+// Guards against long-running tasks that avoid a data centre although it
+// answers start orders again.
+TEST(PlacementOrder, UsesADataCentreThatAnswersAgain)
+{
+  DispatchWorld world;
+  world.ListRunners(12);
+  PutFirstRunnersBeyondALink(world);
+  world.mRoundTrips["far-a"] = Millis(700);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 8000) }));
+  world.AdvanceTime(Seconds(3));
+  world.mRoundTrips.clear();
+  StepSpec other = FiniteStep(1, 0);
+  other.mRequiredLabel = "far-a";
+  world.AddJob(MakeJob("other", { other }));
+  world.AdvanceTime(Millis(200));
+  // It fits on no runner that has another task.
+  world.AddJob(MakeJob("next", { LongRunningStep(1, 16000) }));
+  world.AdvanceTime(Millis(200));
+  STRCMP_EQUAL("far-a", DataCentreOf(world, "next.0.0.0").c_str());
+}
+
 // Guards against an owner that spends all its time on placement passes beside a
 // large backlog, one for each answer of a runner, and falls seconds behind with
 // everything else.
