Tests: Show a silent runner that is never reached across a slow link

A renewal that got no answer has closed its connection, so the next one opens a connection first. That takes two round trips, and it is given up 0.7 s after its long poll. From a round trip of 0.35 s on, it is never answered, although the renewals on an open connection are up to 0.7 s. ClusterSimulation gets paths with a round trip and a connection for renewals; the test of RunnerClient shows the time-out itself.

--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -65,6 +65,7 @@
     if (applies) {
       worst.mCut = worst.mCut || path.mCut;
       worst.mLateness = std::max(worst.mLateness, path.mLateness);
+      worst.mRoundTrip = std::max(worst.mRoundTrip, path.mRoundTrip);
     }
   }
   return worst;
@@ -197,6 +198,15 @@
   return port;
 }
 
+Millis
+ClusterSimulation::RenewalDelay(const Caller& aCaller,
+                                const std::string& aRunner) const
+{
+  const Millis roundTrip = PathTo(aCaller, aRunner).mRoundTrip;
+  const bool open = mOpenConnections.contains({ aCaller.mProcess, aRunner });
+  return std::max(kLatency, roundTrip / 2 + (open ? Millis(0) : roundTrip));
+}
+
 template<typename Result>
 void
 ClusterSimulation::SendOrder(
@@ -217,8 +227,14 @@
       return Result{};
     }
   };
-  mDeadlines.Add(mNow + aTimeout, [this, aCaller, aDone, answered, noAnswer] {
+  constexpr bool kRenews = std::is_same_v<Result, RenewalOutcome>;
+  const std::pair connection{ aCaller.mProcess, aRunner };
+  const Millis delay = kRenews ? RenewalDelay(aCaller, aRunner) : kLatency;
+  mDeadlines.Add(mNow + aTimeout, [=, this] {
     if (!std::exchange(*answered, true)) {
+      if (kRenews) {
+        mOpenConnections.erase(connection);
+      }
       Deliver(aCaller, [aDone, noAnswer] { aDone(noAnswer()); });
     }
   });
@@ -227,18 +243,21 @@
     return;
   }
   const bool late = path.mLateness > Millis(0);
-  const auto answer =
-    [this, aCaller, aRunner, aDone, answered, late](Result aResult) {
-      mDeadlines.Add(mNow + kLatency,
-                     [this, aCaller, aRunner, aDone, answered, late, aResult] {
-                       if (late || PathTo(aCaller, aRunner).mCut ||
-                           std::exchange(*answered, true)) {
-                         return;
-                       }
-                       Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
-                     });
-    };
-  mDeadlines.Add(mNow + (late ? path.mLateness : kLatency),
+  const Millis back =
+    kRenews ? std::max(kLatency, path.mRoundTrip / 2) : kLatency;
+  const auto answer = [=, this](Result aResult) {
+    mDeadlines.Add(mNow + back, [=, this] {
+      if (late || PathTo(aCaller, aRunner).mCut ||
+          std::exchange(*answered, true)) {
+        return;
+      }
+      if (kRenews) {
+        mOpenConnections.insert(connection);
+      }
+      Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
+    });
+  };
+  mDeadlines.Add(mNow + (late ? path.mLateness : delay),
                  [this, aCaller, aRunner, aCarryOut, answer, late] {
                    const auto runner = mRunners.find(aRunner);
                    // A late order is past the cut already.
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,9 @@
     bool mCut = false; ///< No order arrives, and no answer either.
     /// Orders are carried out after this time and get no answer; 0: in time.
     Millis mLateness{ 0 };
+    /// Time that a renewal and its answer take together. On a new connection
+    /// they take twice as long, because it is opened first.
+    Millis mRoundTrip{ 0 };
   };
   /// What happens first when a frozen node wakes.
   enum class OnWaking
@@ -182,6 +186,8 @@
   [[nodiscard]] bool IsCutFromStore(const Caller& aCaller) const;
   [[nodiscard]] Path PathTo(const Caller& aCaller,
                             const std::string& aRunner) const;
+  /// @return the time that a renewal takes to a runner
+  Millis RenewalDelay(const Caller& aCaller, const std::string& aRunner) const;
   /// Sends an order to a runner.
   /// @param aCarryOut is called at the runner with a function that answers
   template<typename Result>
@@ -218,6 +224,9 @@
   [[nodiscard]] MonotonicTime ClockOf(const SimulatedNode& aNode) const;
 
   std::uint64_t mNextProcess = 1;
+  /// Processes of nodes and runners between which the connection for renewals
+  /// is open. It is closed when a renewal gets no answer in time.
+  std::set<std::pair<std::uint64_t, std::string>> mOpenConnections;
 };
 
 } // namespace paddle
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -467,6 +467,22 @@
   LONGS_EQUAL(1, mCluster.mStarts);
 }
 
+// Guards against leases that end across a full link: each renewal of a silent
+// runner opens a connection and is given up just before its answer arrives.
+TEST(Node, ReachesASilentRunnerAcrossASlowLink)
+{
+  Begin();
+  mCluster.Submit("a", kJob, dispatch::StepKind::LongRunning);
+  const std::string runner = mCluster.RunnerOf(kTask);
+  // One renewal gets no answer, which closes its connection.
+  mCluster.SetPath("a", runner, { .mCut = true });
+  mCluster.AdvanceTime(Millis(1700));
+  mCluster.SetPath("a", runner, { .mRoundTrip = Millis(500) });
+  mCluster.AdvanceTime(Seconds(12));
+  LONGS_EQUAL(1, mCluster.mStarts);
+  STRCMP_EQUAL(runner.c_str(), mCluster.RunnerOf(kTask).c_str());
+}
+
 // Guards against a job that continues to run after its cancellation was
 // acknowledged.
 TEST(Node, StopsACancelledJob)
--- a/Tests/Platform/TestRepeatedAnswers.cpp
+++ b/Tests/Platform/TestRepeatedAnswers.cpp
@@ -163,3 +163,28 @@
   CHECK_TRUE(Start(started.substr(0, started.size() - 5) + started) ==
              RunnerResult::Unknown);
 }
+
+// Guards against renewals that are never answered across a full link: each one
+// opened a connection, and was given up before its answer could arrive.
+TEST(PlatformAnswers, OpeningAConnectionTakesNoTimeFromARenewal)
+{
+  constexpr Millis kOpening{ 20 };
+  RenewalOrder order;
+  order.mLongPollTimeout = Seconds(60);
+  const MonotonicTime sentAt = BootTime();
+  std::optional<RenewalOutcome> outcome;
+  mRunnerPort.mRenew(
+    { mPeer.Address(), "i-1" }, order, [&](const RenewalOutcome& aOutcome) {
+      outcome = aOutcome;
+    });
+  // The loop learns only then that the connection is open.
+  while (BootTime() < sentAt + kOpening) {
+  }
+  RunUntil([&] { return mRequests > 0; });
+  mDeadlines.Expire(sentAt + order.mLongPollTimeout + Millis(700) + kOpening -
+                    Millis(1));
+  CHECK_FALSE(outcome.has_value());
+  mDeadlines.Expire(BootTime() + order.mLongPollTimeout + Seconds(1));
+  CHECK_TRUE(outcome.has_value());
+  CHECK_TRUE(outcome->mResult == RunnerResult::Unknown);
+}
