LibAsyncHttp: Take no time from a renewal to open its connection

The time-out of a call included the opening of its connection. A renewal without an answer closes its connection, so each later one had to open another within the same 0.7 s, and a silent runner beyond a link with a round trip of over 0.35 s was never heard again: its leases ended and its tasks were lost. The time-out of renewals now starts anew once the connection is open, so that they bear the same round trip on a new connection as on an open one. A connection that can't be opened still ends after the same time.

Tried and left out: twice the time after a failure. It delays the first answer after a cut (RunnerList.NoTaskStartsBeforeAllRecordsAreRemoved fails).

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -159,6 +159,8 @@
   void ServeQueueAfterRest();
   /// Opens a connection and sends the call on it.
   void Open(PendingCall aPending);
+  /// Lets the time-out of the current call start anew.
+  void RestartDeadline(const ConnectionPtr& aConnection);
   /// Sends the call on a connection that is open and idle.
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
   void Write(const ConnectionPtr& aConnection);
@@ -386,11 +388,27 @@
       error_code ignored;
       connection->mSocket.set_option(tcp::no_delay(true), ignored);
       connection->mSocket.non_blocking(true, ignored);
+      if (connection->mCurrent->mCall.mTimeoutAfterOpening) {
+        self->RestartDeadline(connection);
+      }
       self->Write(connection);
       self->Read(connection);
     });
 }
 
+void
+HttpPool::State::RestartDeadline(const ConnectionPtr& aConnection)
+{
+  if (aConnection->mDeadline) {
+    mDeadlines.Cancel(*aConnection->mDeadline);
+  }
+  PendingCall& call = *aConnection->mCurrent;
+  call.mExpiresAt = BootTime() + call.mCall.mTimeout;
+  auto self = shared_from_this();
+  aConnection->mDeadline = mDeadlines.Add(
+    call.mExpiresAt, [self, aConnection] { self->Expire(aConnection); });
+}
+
 void
 HttpPool::State::Assign(const ConnectionPtr& aConnection, PendingCall aPending)
 {
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -50,6 +50,10 @@
   HttpHeaders mHeaders;
   std::string mBody;
   Millis mTimeout{ 1000 };
+  /// The time-out starts anew once a connection has been opened for the call.
+  /// Otherwise, repetitions on new connections may never be answered over a
+  /// slow link, because opening one takes as long as an answer.
+  bool mTimeoutAfterOpening = false;
   /// The peer may delay its answer until something changes, and the caller
   /// repeats the call after any failure.
   bool mLongPoll = false;
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -199,12 +199,12 @@
 }
 
 Millis
-ClusterSimulation::RenewalDelay(const Caller& aCaller,
-                                const std::string& aRunner) const
+ClusterSimulation::OpeningTime(const Caller& aCaller,
+                               const std::string& aRunner) const
 {
-  const Millis roundTrip = PathTo(aCaller, aRunner).mRoundTrip;
-  const bool open = mOpenConnections.contains({ aCaller.mProcess, aRunner });
-  return std::max(kLatency, roundTrip / 2 + (open ? Millis(0) : roundTrip));
+  return mOpenConnections.contains({ aCaller.mProcess, aRunner })
+           ? Millis(0)
+           : PathTo(aCaller, aRunner).mRoundTrip;
 }
 
 template<typename Result>
@@ -227,10 +227,16 @@
       return Result{};
     }
   };
+  const Path path = PathTo(aCaller, aRunner);
   constexpr bool kRenews = std::is_same_v<Result, RenewalOutcome>;
   const std::pair connection{ aCaller.mProcess, aRunner };
-  const Millis delay = kRenews ? RenewalDelay(aCaller, aRunner) : kLatency;
-  mDeadlines.Add(mNow + aTimeout, [=, this] {
+  const Millis opening = kRenews ? OpeningTime(aCaller, aRunner) : Millis(0);
+  const Millis oneWay =
+    kRenews ? std::max(kLatency, path.mRoundTrip / 2) : kLatency;
+  // The time-out of a renewal starts anew once its connection is open.
+  const bool opens = !path.mCut && opening <= aTimeout;
+  const Millis timeout = aTimeout + (opens ? opening : Millis(0));
+  mDeadlines.Add(mNow + timeout, [=, this] {
     if (!std::exchange(*answered, true)) {
       if (kRenews) {
         mOpenConnections.erase(connection);
@@ -238,15 +244,12 @@
       Deliver(aCaller, [aDone, noAnswer] { aDone(noAnswer()); });
     }
   });
-  const Path path = PathTo(aCaller, aRunner);
   if (path.mCut) {
     return;
   }
   const bool late = path.mLateness > Millis(0);
-  const Millis back =
-    kRenews ? std::max(kLatency, path.mRoundTrip / 2) : kLatency;
   const auto answer = [=, this](Result aResult) {
-    mDeadlines.Add(mNow + back, [=, this] {
+    mDeadlines.Add(mNow + oneWay, [=, this] {
       if (late || PathTo(aCaller, aRunner).mCut ||
           std::exchange(*answered, true)) {
         return;
@@ -257,7 +260,7 @@
       Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
     });
   };
-  mDeadlines.Add(mNow + (late ? path.mLateness : delay),
+  mDeadlines.Add(mNow + (late ? path.mLateness : opening + oneWay),
                  [this, aCaller, aRunner, aCarryOut, answer, late] {
                    const auto runner = mRunners.find(aRunner);
                    // A late order is past the cut already.
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -186,8 +186,9 @@
   [[nodiscard]] bool IsCutFromStore(const Caller& aCaller) const;
   [[nodiscard]] Path PathTo(const Caller& aCaller,
                             const std::string& aRunner) const;
-  /// @return the time that a renewal takes to a runner
-  Millis RenewalDelay(const Caller& aCaller, const std::string& aRunner) const;
+  /// @return the time until the connection for a renewal is open
+  [[nodiscard]] Millis OpeningTime(const Caller& aCaller,
+                                   const std::string& aRunner) const;
   /// Sends an order to a runner.
   /// @param aCarryOut is called at the runner with a function that answers
   template<typename Result>
