TestLibDispatch: Show a task that waits for a stop order's answer without bound

After a start order without an answer, its task waits until a stop order is answered, or until the leases of the runner have ended.

--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -165,12 +165,6 @@
           mUnsentStarts.push_back({ *start, mNow + kOrderTimeout });
           continue;
         }
-        const auto roundTrip = mRoundTrips.find(
-          mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre);
-        if (roundTrip != mRoundTrips.end()) {
-          SendSlowly(*start, roundTrip->second);
-          continue;
-        }
         if (mDropStarts || !runner.mAnswers) {
           mLostStarts.push_back(*start);
           HandleStartResult(mDispatcher,
@@ -183,6 +177,12 @@
                             mActions);
           continue;
         }
+        const auto roundTrip = mRoundTrips.find(
+          mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre);
+        if (roundTrip != mRoundTrips.end()) {
+          SendSlowly(*start, roundTrip->second);
+          continue;
+        }
         CarryOutStart(mDispatcher.mRunners[start->mRunner].mSpec.mId,
                       { FormatTaskName(name), start->mRun },
                       start->mLeaseEndMs);
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -81,6 +81,26 @@
   LONGS_EQUAL(1, world.RunningTasks());
 }
 
+// Guards against a task that waits without bound after a lost start order: no
+// stop order is answered in time across a full link, and renewals, which are
+// answered, extend the leases of the runner.
+TEST(Runners, UnansweredStopsHoldATaskForOneLease)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.mDropStarts = true;
+  world.mRoundTrips[world.mListed[0].mDataCentre] = Millis(700);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.mDropStarts = false;
+  STRCMP_EQUAL("r0",
+               world.mDispatcher.mRunners[world.mLostStarts.at(0).mRunner]
+                 .mSpec.mId.c_str());
+  // The lost run could start until its lease ends; then its task has 3 s.
+  world.AdvanceTime(world.mDispatcher.mSettings.mMaxLease + Seconds(3));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
 // Guards against a start order to the former process of a runner that the new
 // process carries out, while the task also runs on another runner.
 TEST(Runners, StopsUnansweredRunsAtARestartedRunner)
