LibDispatch: Bound the wait for a run that was lost before it began

A task whose start order got no answer waited for the answer to a stop order, or for the end of the runner's leases, which renewals extend. The lease in a start order is absolute, so that the run can't begin after it: a report of the runner from after its end that doesn't list the run settles it, whether a stop order was answered or not. The clock is that of the runner's process; after a restart, the end is not known.

--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -87,6 +87,9 @@
   double mCpuUseRatio = kDefaultCpuUseRatio;
   MonotonicTime mStartedAt;       ///< When the latest start order was sent.
   MonotonicTime mStartAnsweredAt; ///< When that order was acknowledged.
+  /// End of the lease in that order, on the clock of the runner's process: the
+  /// run can't begin later. 0: unknown.
+  std::int64_t mStartLeaseEndMs = 0;
   MonotonicTime mProgressChangedAt;
   MonotonicTime mStopSentAt;
   /// When this owner learned that the latest run of a long-running task ended.
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -386,8 +386,8 @@
   Runner& runner = aDispatcher.mRunners[aRunner];
   ++aDispatcher.mCounters.mStarts;
   CountUnansweredStart(aDispatcher, runner, 1);
-  aActions.push_back(
-    StartTask{ aRunner, aTask, aRun, GrantLease(aDispatcher, runner, aNow) });
+  task.mStartLeaseEndMs = GrantLease(aDispatcher, runner, aNow);
+  aActions.push_back(StartTask{ aRunner, aTask, aRun, task.mStartLeaseEndMs });
 }
 
 /// Whether a job can still meet its soft deadline. Within a priority, this
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -409,10 +409,15 @@
   std::vector<TaskRef> unlisted;
   for (const TaskRef& ref : aDispatcher.mRunners[aRunner].mTasks) {
     const Task& task = TaskOf(ref);
+    // Stop orders may get no answer while renewals do, which extend the leases
+    // of other runs for ever.
+    const bool beginsNoMore =
+      task.mStartLeaseEndMs > 0 && aReport.mClockMs >= task.mStartLeaseEndMs;
     const bool settled =
       (task.mPhase == TaskPhase::Running && task.mStartAnsweredAt < aSentAt) ||
-      (task.mPhase == TaskPhase::Stopping && task.mStopAnsweredAt &&
-       *task.mStopAnsweredAt < aSentAt);
+      (task.mPhase == TaskPhase::Stopping &&
+       (beginsNoMore ||
+        (task.mStopAnsweredAt && *task.mStopAnsweredAt < aSentAt)));
     if (!settled) {
       continue;
     }
@@ -496,6 +501,7 @@
   task.mRun = aRun;
   task.mStartedAt = aNow;
   task.mStartAnsweredAt = aNow;
+  task.mStartLeaseEndMs = 0;
   task.mProgressChangedAt = aNow;
   task.mPacePercent = 100;
   task.mPaceConfirmed = false;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -129,7 +129,8 @@
   std::vector<TaskRef> unanswered;
   bool mayRun = false;
   for (const TaskRef& ref : std::vector<TaskRef>(runner.mTasks)) {
-    const Task& task = TaskOf(ref);
+    Task& task = TaskOf(ref);
+    task.mStartLeaseEndMs = 0; // On the former process's clock.
     const bool startUnanswered =
       task.mPhase == TaskPhase::Starting ||
       (task.mPhase == TaskPhase::Stopping &&
