--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -245,6 +245,7 @@
   Task& task = TaskOf(aTask);
   CountUnansweredStart(aDispatcher, aDispatcher.mRunners[task.mRunner], -1);
   task.mPhase = TaskPhase::Running;
+  task.mStartUnanswered = false;
   aTask.mJob->mBegan = true;
   if (task.mInterruptedAt) {
     Emit(aDispatcher,
@@ -408,10 +409,15 @@
   std::vector<TaskRef> unlisted;
   for (const TaskRef& ref : aDispatcher.mRunners[aRunner].mTasks) {
     const Task& task = TaskOf(ref);
+    // Stop orders may get no answer while renewals do, which extend the leases
+    // of other runs for ever.
+    const bool beginsNoMore =
+      task.mStartLeaseEndMs > 0 && aReport.mClockMs >= task.mStartLeaseEndMs;
     const bool settled =
       (task.mPhase == TaskPhase::Running && task.mStartAnsweredAt < aSentAt) ||
-      (task.mPhase == TaskPhase::Stopping && task.mStopAnsweredAt &&
-       *task.mStopAnsweredAt < aSentAt);
+      (task.mPhase == TaskPhase::Stopping &&
+       (beginsNoMore ||
+        (task.mStopAnsweredAt && *task.mStopAnsweredAt < aSentAt)));
     if (!settled) {
       continue;
     }
@@ -495,6 +501,7 @@
   task.mRun = aRun;
   task.mStartedAt = aNow;
   task.mStartAnsweredAt = aNow;
+  task.mStartLeaseEndMs = 0;
   task.mProgressChangedAt = aNow;
   task.mPacePercent = 100;
   task.mPaceConfirmed = false;
@@ -748,6 +755,8 @@
   if (task.mRunner != aRunner || task.mRun != aRun) {
     return;
   }
+  task.mStartUnanswered =
+    aResult == StartResult::Unknown || aResult == StartResult::NotSent;
   const bool stopping = task.mPhase == TaskPhase::Stopping;
   switch (aResult) {
     case StartResult::Started:
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -65,6 +65,7 @@
     if (applies) {
       worst.mCut = worst.mCut || path.mCut;
       worst.mLateness = std::max(worst.mLateness, path.mLateness);
+      worst.mRoundTrip = std::max(worst.mRoundTrip, path.mRoundTrip);
     }
   }
   return worst;
@@ -197,6 +198,15 @@
   return port;
 }
 
+Millis
+ClusterSimulation::OpeningTime(const Caller& aCaller,
+                               const std::string& aRunner) const
+{
+  return mOpenConnections.contains({ aCaller.mProcess, aRunner })
+           ? Millis(0)
+           : PathTo(aCaller, aRunner).mRoundTrip;
+}
+
 template<typename Result>
 void
 ClusterSimulation::SendOrder(
@@ -217,28 +227,40 @@
       return Result{};
     }
   };
-  mDeadlines.Add(mNow + aTimeout, [this, aCaller, aDone, answered, noAnswer] {
+  const Path path = PathTo(aCaller, aRunner);
+  constexpr bool kRenews = std::is_same_v<Result, RenewalOutcome>;
+  const std::pair connection{ aCaller.mProcess, aRunner };
+  const Millis opening = kRenews ? OpeningTime(aCaller, aRunner) : Millis(0);
+  const Millis oneWay =
+    kRenews ? std::max(kLatency, path.mRoundTrip / 2) : kLatency;
+  // The time-out of a renewal starts anew once its connection is open.
+  const bool opens = !path.mCut && opening <= aTimeout;
+  const Millis timeout = aTimeout + (opens ? opening : Millis(0));
+  mDeadlines.Add(mNow + timeout, [=, this] {
     if (!std::exchange(*answered, true)) {
+      if (kRenews) {
+        mOpenConnections.erase(connection);
+      }
       Deliver(aCaller, [aDone, noAnswer] { aDone(noAnswer()); });
     }
   });
-  const Path path = PathTo(aCaller, aRunner);
   if (path.mCut) {
     return;
   }
   const bool late = path.mLateness > Millis(0);
-  const auto answer =
-    [this, aCaller, aRunner, aDone, answered, late](Result aResult) {
-      mDeadlines.Add(mNow + kLatency,
-                     [this, aCaller, aRunner, aDone, answered, late, aResult] {
-                       if (late || PathTo(aCaller, aRunner).mCut ||
-                           std::exchange(*answered, true)) {
-                         return;
-                       }
-                       Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
-                     });
-    };
-  mDeadlines.Add(mNow + (late ? path.mLateness : kLatency),
+  const auto answer = [=, this](Result aResult) {
+    mDeadlines.Add(mNow + oneWay, [=, this] {
+      if (late || PathTo(aCaller, aRunner).mCut ||
+          std::exchange(*answered, true)) {
+        return;
+      }
+      if (kRenews) {
+        mOpenConnections.insert(connection);
+      }
+      Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
+    });
+  };
+  mDeadlines.Add(mNow + (late ? path.mLateness : opening + oneWay),
                  [this, aCaller, aRunner, aCarryOut, answer, late] {
                    const auto runner = mRunners.find(aRunner);
                    // A late order is past the cut already.
