--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -365,6 +365,70 @@
   }
 }
 
+// Guards against a job in time that fits on no runner and thereby keeps late
+// jobs from running.
+TEST(PlacementOrder, AJobThatFitsNowhereDelaysNoLateJob)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
+  world.AddJob(MakeJob("late", { BestEffortStep(4, 4000, "image") }));
+  StepSpec nowhere = BestEffortStep(1, 4000, "image");
+  nowhere.mEstimatedDuration = Seconds(60);
+  nowhere.mRequiredLabel = "on no runner";
+  world.AddJob(MakeJob("nowhere", { nowhere }));
+  world.AdvanceTime(Seconds(10));
+  CHECK_TRUE(world.IsRunning("late.0.0.0"));
+}
+
+// Guards against late jobs that wait because those of another service do.
+TEST(PlacementOrder, JobsOfAnotherServiceDelayNoLateJob)
+{
+  DispatchWorld world;
+  std::vector<QueueSpec> queues{ world.mDispatcher.mQueues.at("queue") };
+  queues.push_back(queues[0]);
+  queues[1].mName = "other-queue";
+  queues[1].mService = "other";
+  SetQueues(world.mDispatcher, queues);
+  world.ListRunners(3);
+  world.mListed[2].mService = "other";
+  SetRunners(
+    world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  world.AdvanceTime(Seconds(1));
+  world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
+  world.AddJob(MakeJob("late", { BestEffortStep(4, 4000, "image") }));
+  StepSpec slow = BestEffortStep(4, 4000, "image");
+  slow.mEstimatedDuration = Seconds(60);
+  for (int i = 0; i < 3; ++i) {
+    JobSpec other = MakeJob("other" + std::to_string(i), { slow });
+    other.mQueue = "other-queue";
+    world.AddJob(other);
+  }
+  world.AdvanceTime(Seconds(10));
+  CHECK_TRUE(world.IsRunning("late.0.0.0"));
+}
+
+// Guards against late jobs that take the processors of jobs which arrive
+// later, and can still end in time, for the whole time of a backlog.
+TEST(PlacementOrder, LateJobsLeaveFreedProcessorsToJobsInTime)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
+  StepSpec small = BestEffortStep(1, 4000, "image");
+  small.mDemand.mMemoryMb = 500;
+  for (int i = 0; i < 100; ++i) {
+    world.AddJob(MakeJob("late" + std::to_string(i), { small }));
+  }
+  world.AdvanceTime(Seconds(6));
+  for (int i = 0; i < 8; ++i) {
+    world.End("running.0.0." + std::to_string(i), EndKind::Done);
+  }
+  world.AddJob(MakeJob("fresh", { small }));
+  world.AdvanceTime(Millis(300));
+  CHECK_TRUE(world.IsRunning("fresh.0.0.0"));
+}
+
 // Guards against late jobs that disturb serving tasks, or that take memory
 // which is not there.
 TEST(PlacementOrder, LateJobsAreKeptFromRunnersThatCannotTakeThem)
--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -802,3 +802,37 @@
   Advance(Seconds(15));
   STRCMP_EQUAL("", Behind(cut).c_str());
 }
+
+// Guards against all nodes of a large region that read from the store together
+// once the first ones of its order, which may be in one data centre, are lost.
+TEST(OperatorRelaySimulation, FewNodesReadFromTheStoreWhenADataCentreIsLost)
+{
+  EnlargeNorth();
+  ClusterView view;
+  NodeRow self;
+  for (const std::string& name : mNames) {
+    if (RegionOf(name) == "north") {
+      self = mCluster.mNodes.at(name).mContext.mSelf;
+      view.mNodes[name] = { self, 1, mCluster.mNow, mCluster.mNow };
+    }
+  }
+  for (std::size_t lost = 2; lost <= 6; ++lost) {
+    RelaySettings settings;
+    settings.mReaders = lost;
+    settings.mRowTimeout = Seconds(1000);
+    const std::vector<std::string> first =
+      RankReaders(view, self, settings, mCluster.mNow);
+    BecomeLarge();
+    for (const std::string& name : first) {
+      mCluster.KillNode(name);
+    }
+    Put(kLarge);
+    Advance(kLargeRegionBound);
+    STRCMP_EQUAL("", Behind(first).c_str());
+    CHECK_TRUE(NorthernStoreReaders() <= 4);
+    for (const std::string& name : first) {
+      Start(name);
+    }
+    Advance(Seconds(14));
+  }
+}
