--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -101,6 +101,30 @@
   LONGS_EQUAL(1, world.mMostRunsOfATask);
 }
 
+// Guards against a task that runs twice: its start order got no answer, no stop
+// order is answered, and the runner carries the start out shortly before the
+// lease in it ends, after reports that don't list the run.
+TEST(Runners, AnUnansweredRunMayBeginUntilItsLeaseEnds)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  // No order arrives there in time, while renewals are answered.
+  world.mRoundTrips[world.mListed[0].mDataCentre] = Seconds(60);
+  world.mDropStarts = true;
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.mDropStarts = false;
+  STRCMP_EQUAL("r0",
+               world.mDispatcher.mRunners[world.mLostStarts.at(0).mRunner]
+                 .mSpec.mId.c_str());
+  world.AdvanceTime(world.mDispatcher.mSettings.mMaxLease - Millis(500));
+  LONGS_EQUAL(1, world.mStarts);
+  const StartTask& lost = world.mLostStarts[0];
+  world.CarryOutStart(
+    "r0", { FormatTaskName(NameOf(lost.mTask)), lost.mRun }, lost.mLeaseEndMs);
+  world.AdvanceTime(Seconds(3));
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
 // Guards against a start order to the former process of a runner that the new
 // process carries out, while the task also runs on another runner.
 TEST(Runners, StopsUnansweredRunsAtARestartedRunner)
