--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -836,3 +836,29 @@
     Advance(Seconds(14));
   }
 }
+
+// Guards against all nodes of a large region that become readers in an outage
+// of the store, since none sees a heartbeat of another, and read from it
+// together at its end.
+TEST(OperatorRelaySimulation, FewNodesReadFromTheStoreAfterItsOutage)
+{
+  EnlargeNorth();
+  for (const int outage : { 4500, 9000 }) {
+    BecomeLarge();
+    for (const std::string& name : mNames) {
+      mCluster.CutFromStore(name, true);
+    }
+    Advance(Millis(outage));
+    Put(kVeryLarge);
+    for (const std::string& name : mNames) {
+      mCluster.CutFromStore(name, false);
+    }
+    mLink.mBytesPerMs = 2500; // 20 Mbit/s
+    mLink.mFreeAt = mCluster.mNow;
+    Advance(Seconds(8));
+    STRCMP_EQUAL("", Behind().c_str());
+    CHECK_TRUE(NorthernStoreReaders() <= 4);
+    mLink = { 1'000'000, mCluster.mNow };
+    Advance(Seconds(14));
+  }
+}
