--- a/Tests/LibDispatch/TestOrder.cpp
+++ b/Tests/LibDispatch/TestOrder.cpp
@@ -392,8 +392,7 @@
   SetQueues(world.mDispatcher, queues);
   world.ListRunners(3);
   world.mListed[2].mService = "other";
-  SetRunners(
-    world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
   world.AdvanceTime(Seconds(1));
   world.AddJob(MakeJob("running", { BestEffortStep(8, 4000, "image") }));
   world.AddJob(MakeJob("late", { BestEffortStep(4, 4000, "image") }));
