LibDispatch: Bound the overcommitted tasks of late jobs

One idle job that no runner suits, or jobs of another service, kept late jobs from running, and beside a serving task twelve tasks of an unknown image were started within 1.6 s.

Overcommitted tasks are marked now. They don't count in the processors that jobs in time find unused. The best-effort tasks of a runner demand three times the usable processors at most, and beside serving tasks each further one waits until the effect of the last is reported. Jobs in time are recorded by service, if a runner suits them but for its unused processors. Requests that fit nowhere are rated once a pass.

A report settles an unanswered start only when it is later than the lease in the order, not at the same millisecond.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -135,8 +135,8 @@
   std::vector<WaitingStep> mPlacementOrder;
   MonotonicTime mPlacementOrderAt;
   /// When a full pass last left a job with nothing running that could still
-  /// meet its objective.
-  MonotonicTime mIdleInTimeAt;
+  /// meet its objective, by service.
+  TextMap<MonotonicTime> mIdleInTimeAt;
   MonotonicTime mPassedAt;   ///< When the latest placement pass ran.
   MonotonicTime mFullPassAt; ///< When the latest one over all runners ran.
   /// Runners that get no other tasks, so that an interrupted long-running task
--- a/Libraries/LibDispatch/Interference.cpp
+++ b/Libraries/LibDispatch/Interference.cpp
@@ -417,7 +417,10 @@
         task.mPacePercent < 100 || !ReflectsCurrentPace(task, aNow)) {
       continue;
     }
-    demanded += static_cast<double>(SpecOf(ref).mDemand.mMilliCores);
+    // Overcommitted tasks take processors that others would use.
+    if (!task.mOvercommitted) {
+      demanded += static_cast<double>(SpecOf(ref).mDemand.mMilliCores);
+    }
     used += task.mReportedLoad;
   }
   return used < demanded * kStarvedCpuUseShare;
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -318,8 +318,8 @@
 WasRecentlyListed(const Runner& aRunner, MonotonicTime aNow);
 
 /// @return the processors, in thousandths of a core, that further best-effort
-///         tasks may use; negative if the present ones demand more than there
-///         is
+///         tasks may use; negative if the present ones, without overcommitted
+///         tasks, demand more than there is
 std::int64_t
 UnusedMilliCores(const Runner& aRunner);
 
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -108,6 +108,9 @@
   /// owner has not seen. Until the recovery after the takeover is complete, the
   /// task is not started.
   bool mMayRunUnseen = false;
+  /// Whether the run was started on a runner with too few unused processors,
+  /// because the job is late and nothing else of it ran.
+  bool mOvercommitted = false;
   /// Whether the latest start order got no answer or was not even sent.
   bool mStartUnanswered = false;
   /// Runner on which the latest run failed. The task avoids it next time.
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -65,10 +65,13 @@
 /// jobs can still meet their deadlines changes more slowly.
 constexpr Millis kOrderInterval{ 100 };
 /// Late jobs get tasks on runners without unused processors only after this
-/// time in which every job in time had something running. Such a task slows the
-/// others on its runner down for about two seconds, also those of jobs that
-/// arrive meanwhile.
+/// time in which every job in time had something running. Such tasks slow down
+/// those of jobs that arrive soon after.
 constexpr Millis kOvercommitDelay{ 2000 };
+/// The best-effort tasks of a runner, those of late jobs included, demand at
+/// most this multiple of the processors that they may use, so that none of them
+/// takes more than about three times as long.
+constexpr std::int64_t kMaxOvercommit = 3;
 /// Multiple of its time objective after which the end of a job is worth
 /// nothing.
 constexpr int kWorthlessAfterObjectives = 3;
@@ -248,6 +251,33 @@
   Yes
 };
 
+/// @return why the runner can't take a best-effort task beyond its unused
+///         processors
+Obstacle
+ObstacleOfOvercommit(const Runner& aRunner,
+                     std::int64_t aWantedMilliCores,
+                     MonotonicTime aNow)
+{
+  const std::int64_t demanded =
+    aRunner.mBestEffortMilliCores + aWantedMilliCores;
+  const std::int64_t usable = UnusedMilliCores(aRunner) +
+                              aRunner.mBestEffortMilliCores -
+                              aRunner.mOvercommittedMilliCores;
+  if (demanded > kMaxOvercommit * usable) {
+    return Obstacle::TooFewUnusedCores;
+  }
+  if (aRunner.mLongRunningTasks == 0) {
+    return Obstacle::None;
+  }
+  // Beside serving tasks, the effect of each further task is awaited, because
+  // that of a new image is not known.
+  const bool allReported = std::all_of(
+    aRunner.mTasks.begin(), aRunner.mTasks.end(), [&](const TaskRef& aRef) {
+      return !IsBestEffort(aRef) || ReflectsCurrentPace(TaskOf(aRef), aNow);
+    });
+  return allReported ? Obstacle::None : Obstacle::WouldInterfere;
+}
+
 /// @return the rating of a runner for a best-effort task
 PlacementRating
 BestEffortCost(const Dispatcher& aDispatcher,
@@ -256,15 +286,22 @@
                Overcommit aOvercommit,
                MonotonicTime aNow)
 {
-  const auto wanted = static_cast<double>(SpecOf(aTask).mDemand.mMilliCores);
-  const auto unused = static_cast<double>(UnusedMilliCores(aRunner));
-  if (aOvercommit == Overcommit::No &&
-      (unused < wanted * kMinUnusedShare || aRunner.mBestEffortStarved)) {
+  const std::int64_t wanted = SpecOf(aTask).mDemand.mMilliCores;
+  std::int64_t unused = UnusedMilliCores(aRunner);
+  if (aOvercommit == Overcommit::Yes) {
+    if (const Obstacle obstacle = ObstacleOfOvercommit(aRunner, wanted, aNow);
+        obstacle != Obstacle::None) {
+      return obstacle;
+    }
+    unused -= aRunner.mOvercommittedMilliCores;
+  } else if (static_cast<double>(unused) <
+               static_cast<double>(wanted) * kMinUnusedShare ||
+             aRunner.mBestEffortStarved) {
     return Obstacle::TooFewUnusedCores;
   }
   const double cost =
     kToleranceCost * InterferenceTolerance(aDispatcher, aRunner) -
-    unused / 1000 * kUnusedCoreGain;
+    static_cast<double>(unused) / 1000 * kUnusedCoreGain;
   if (aRunner.mLongRunningTasks == 0) {
     return cost;
   }
@@ -404,6 +441,17 @@
   aActions.push_back(StartTask{ aRunner, aTask, aRun, task.mStartLeaseEndMs });
 }
 
+/// Records that a task which was just started shares the processors of other
+/// best-effort tasks.
+void
+MarkOvercommitted(Dispatcher& aDispatcher, const TaskRef& aTask)
+{
+  Task& task = TaskOf(aTask);
+  task.mOvercommitted = true;
+  aDispatcher.mRunners[task.mRunner].mOvercommittedMilliCores +=
+    SpecOf(aTask).mDemand.mMilliCores;
+}
+
 /// Whether a job can still meet its soft deadline. Within a priority, this
 /// decides about the placement order before the arrival of the job, because a
 /// job that is late anyway must not make the next one late as well.
@@ -546,6 +594,9 @@
     }
     step.mTasks[i].mCheckpoint = checkpoint;
     Start(aDispatcher, ref, runner, run, aNow, starts);
+    if (aOvercommit == Overcommit::Yes) {
+      MarkOvercommitted(aDispatcher, ref);
+    }
   }
   aActions.insert(aActions.end(), starts.begin(), starts.end());
   return true;
@@ -720,24 +771,75 @@
   }
 }
 
-/// @return whether a best-effort job that can still meet its objective waits
-///         with nothing running
-bool
-AnyIdleJobInTime(const Dispatcher& aDispatcher, MonotonicTime aNow)
+/// @return the first task of the step that may be started, or nothing
+std::optional<TaskRef>
+FirstStartableTask(const Dispatcher& aDispatcher, const WaitingStep& aEntry)
 {
-  return std::any_of(aDispatcher.mWaitingSteps.begin(),
-                     aDispatcher.mWaitingSteps.end(),
-                     [&](const WaitingStep& aEntry) {
-                       return IsIdleBestEffort(aEntry) &&
-                              OutlookOf(aEntry, aNow) ==
-                                DeadlineOutlook::InTime;
-                     });
+  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
+  const auto task =
+    std::find_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+      return aTask.mPhase == TaskPhase::Waiting &&
+             !MayRunUnseen(aDispatcher, aTask);
+    });
+  if (task == tasks.end()) {
+    return {};
+  }
+  return TaskRef{ aEntry.mJob,
+                  aEntry.mOccurrence,
+                  aEntry.mStep,
+                  static_cast<std::uint32_t>(task - tasks.begin()) };
+}
+
+/// @return the queue of a job that this owner may start, or null
+const QueueSpec*
+FindStartableQueue(const Dispatcher& aDispatcher, const Job& aJob)
+{
+  return aJob.mTakenAt > aDispatcher.mUncontestedUntil
+           ? nullptr
+           : FindQueue(aDispatcher, aJob.mSpec.mQueue);
+}
+
+/// Records for which services a best-effort job that can still meet its
+/// objective waits with nothing running, although only unused processors are
+/// missing.
+void
+RecordIdleJobsInTime(Dispatcher& aDispatcher,
+                     std::span<const RunnerIndex> aCandidates,
+                     MonotonicTime aNow)
+{
+  UnplaceableRequests unplaceable;
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
+    if (queue == nullptr || !IsIdleBestEffort(entry) ||
+        OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
+      continue;
+    }
+    MonotonicTime& idleAt = aDispatcher.mIdleInTimeAt[queue->mService];
+    const StepSpec& spec = entry.mJob->mSpec.mSteps[entry.mStep];
+    if (idleAt == aNow || unplaceable.Covers(spec, queue->mService)) {
+      continue;
+    }
+    const std::optional<TaskRef> task = FirstStartableTask(aDispatcher, entry);
+    if (!task) {
+      continue;
+    }
+    if (ChooseRunner(aDispatcher,
+                     aCandidates,
+                     *task,
+                     queue->mService,
+                     Overcommit::Yes,
+                     aNow) == kNoRunner) {
+      unplaceable.Add(spec, queue->mService);
+    } else {
+      idleAt = aNow;
+    }
+  }
 }
 
 /// Starts a task of the step, or all tasks of a gang, also where too few
 /// processors are unused.
-/// @return whether anything was started
-bool
+/// @return the number of tasks that were started
+std::uint32_t
 StartOvercommitted(Dispatcher& aDispatcher,
                    std::span<const RunnerIndex> aCandidates,
                    const WaitingStep& aEntry,
@@ -752,55 +854,52 @@
                      aService,
                      Overcommit::Yes,
                      aNow,
-                     aActions);
+                     aActions)
+             ? static_cast<std::uint32_t>(StepOf(aEntry).mTasks.size())
+             : 0;
   }
-  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
-  const auto task =
-    std::find_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
-      return aTask.mPhase == TaskPhase::Waiting &&
-             !MayRunUnseen(aDispatcher, aTask);
-    });
-  if (task == tasks.end()) {
-    return false;
+  const std::optional<TaskRef> task = FirstStartableTask(aDispatcher, aEntry);
+  if (!task) {
+    return 0;
   }
-  const TaskRef ref{ aEntry.mJob,
-                     aEntry.mOccurrence,
-                     aEntry.mStep,
-                     static_cast<std::uint32_t>(task - tasks.begin()) };
   const RunnerIndex runner = ChooseRunner(
-    aDispatcher, aCandidates, ref, aService, Overcommit::Yes, aNow);
+    aDispatcher, aCandidates, *task, aService, Overcommit::Yes, aNow);
   if (runner == kNoRunner) {
-    return false;
+    return 0;
   }
-  Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
-  AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
-  return true;
+  Start(aDispatcher, *task, runner, aDispatcher.mNextRun++, aNow, aActions);
+  MarkOvercommitted(aDispatcher, *task);
+  AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], *task, aNow);
+  return 1;
 }
 
 /// Starts a task of each late job that has nothing running, unless jobs in time
-/// wait as well. Late jobs gain nothing by an order among them, and the last
-/// ones of it would have nothing running for as long as the backlog lasts.
+/// wait for the same service. Otherwise the jobs at the end of the placement
+/// order would have nothing running for as long as the backlog lasts.
 void
 StartIdleLateJobs(Dispatcher& aDispatcher,
                   std::span<const RunnerIndex> aCandidates,
                   MonotonicTime aNow,
                   Actions& aActions)
 {
-  if (AnyIdleJobInTime(aDispatcher, aNow)) {
-    aDispatcher.mIdleInTimeAt = aNow;
-  }
-  if (aNow - aDispatcher.mIdleInTimeAt < kOvercommitDelay) {
-    return;
-  }
+  RecordIdleJobsInTime(aDispatcher, aCandidates, aNow);
   std::uint32_t started = 0;
+  UnplaceableRequests unplaceable;
   for (const WaitingStep& entry : aDispatcher.mPlacementOrder) {
     if (!aDispatcher.mWaitingSteps.contains(entry)) {
       continue; // The step has been placed in this pass.
     }
     Job& job = *entry.mJob;
-    const QueueSpec* queue = FindQueue(aDispatcher, job.mSpec.mQueue);
-    if (queue == nullptr || job.mTakenAt > aDispatcher.mUncontestedUntil ||
-        !IsIdleBestEffort(entry)) {
+    const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
+    const QueueSpec* queue = FindStartableQueue(aDispatcher, job);
+    if (queue == nullptr || !IsIdleBestEffort(entry) ||
+        unplaceable.Covers(spec, queue->mService)) {
+      continue;
+    }
+    const auto idleAt = aDispatcher.mIdleInTimeAt.find(queue->mService);
+    const bool jobsInTimeWait = idleAt != aDispatcher.mIdleInTimeAt.end() &&
+                                aNow - idleAt->second < kOvercommitDelay;
+    if (jobsInTimeWait || OutlookOf(entry, aNow) == DeadlineOutlook::InTime) {
       continue;
     }
     if (started >= aDispatcher.mSettings.mMaxStartsPerPass ||
@@ -808,12 +907,15 @@
       aDispatcher.mPlacementDue = true;
       return;
     }
-    if (StartOvercommitted(
-          aDispatcher, aCandidates, entry, queue->mService, aNow, aActions)) {
-      ++started;
-      ++aDispatcher.mCounters.mOvercommittedStarts;
-      UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
+    const std::uint32_t tasks = StartOvercommitted(
+      aDispatcher, aCandidates, entry, queue->mService, aNow, aActions);
+    if (tasks == 0) {
+      unplaceable.Add(spec, queue->mService);
+      continue;
     }
+    started += tasks;
+    aDispatcher.mCounters.mOvercommittedStarts += tasks;
+    UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
   }
 }
 
@@ -957,6 +1059,9 @@
     }
   }
   if (full) {
+    for (const RunnerIndex held : aDispatcher.mHeldRunners) {
+      std::erase(candidates, held);
+    }
     StartIdleLateJobs(aDispatcher, candidates, aNow, aActions);
   }
 }
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace paddle::dispatch {
 
@@ -24,6 +25,9 @@
   runner.mReserved -= amount;
   if (spec.mReservation == Reservation::BestEffort) {
     runner.mBestEffortMilliCores -= spec.mDemand.mMilliCores;
+    if (std::exchange(task.mOvercommitted, false)) {
+      runner.mOvercommittedMilliCores -= spec.mDemand.mMilliCores;
+    }
     runner.mBestEffortEndedAt = aNow;
   }
   if (spec.mKind == StepKind::LongRunning) {
@@ -412,7 +416,7 @@
     // Stop orders may get no answer while renewals do, which extend the leases
     // of other runs for ever.
     const bool beginsNoMore =
-      task.mStartLeaseEndMs > 0 && aReport.mClockMs >= task.mStartLeaseEndMs;
+      task.mStartLeaseEndMs > 0 && aReport.mClockMs > task.mStartLeaseEndMs;
     const bool settled =
       (task.mPhase == TaskPhase::Running && task.mStartAnsweredAt < aSentAt) ||
       (task.mPhase == TaskPhase::Stopping &&
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -162,6 +162,8 @@
   Resources mReserved;
   /// Processors that its best-effort tasks demand.
   std::int64_t mBestEffortMilliCores = 0;
+  /// The part of these that overcommitted tasks demand.
+  std::int64_t mOvercommittedMilliCores = 0;
   std::int64_t mLongRunningMilliCores = 0; ///< Reserved by long-running tasks.
   std::uint32_t mLongRunningTasks = 0;     ///< Number of such tasks.
   std::uint32_t mUnansweredStarts = 0; ///< Number of tasks in phase Starting.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -99,7 +99,8 @@
     static_cast<double>(aRunner.mLongRunningMilliCores) *
     (1 - kLongRunningUseShare));
   return aRunner.mSpec.mCapacity.mMilliCores - aRunner.mReserved.mMilliCores +
-         idle - aRunner.mBestEffortMilliCores;
+         idle - aRunner.mBestEffortMilliCores +
+         aRunner.mOvercommittedMilliCores;
 }
 
 void
