LibAsyncHttp, LibNode: Name growing time-outs by what they are

Patience stood for a multiple of a time-out and for a time. The multiple is HttpCall::mTimeoutFactor now, its state ReadTimeoutBackOff, and the time RelaySettings::mMinTimeWithPeer. Comments say whether start orders are answered. Behaviour is unchanged.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -118,7 +118,7 @@
     std::size_t mReceivedBytes = 0;      ///< Of the current call's answer.
     bool mMayBeSent = false; ///< Some bytes of a request may have been sent.
     /// The first time-out of the current call, or of its present stall, is over
-    /// and HttpCall::mPatience applies.
+    /// and HttpCall::mTimeoutFactor applies.
     bool mExtended = false;
     bool mConnected = false;
     bool mClosed = false;
@@ -198,9 +198,10 @@
   /// @return whether the answer to the current call, or its further bytes, must
   ///         have been lost, because a later call was answered
   [[nodiscard]] bool IsOvertaken(const Connection& aConnection) const;
-  /// Gives the current call more time, once, if its patience allows.
+  /// Gives the current call more time, once, if HttpCall::mTimeoutFactor allows
+  /// it.
   /// @return whether it did
-  bool ExtendByPatience(const ConnectionPtr& aConnection);
+  bool ExtendByTimeoutFactor(const ConnectionPtr& aConnection);
   /// Records that a call was answered, and ends those that it has overtaken.
   void RecordAnswer(MonotonicTime aSentAt);
   /// @return whether bytes have arrived, or the connection has been established
@@ -218,7 +219,7 @@
   /// then the peer may just have been slow with that call. A newer connection
   /// says nothing about the older ones. An answer that has begun to arrive also
   /// goes on, until its own time-out for a stall, and so does a call with
-  /// HttpCall::mPatience.
+  /// HttpCall::mTimeoutFactor.
   /// @param aSilentSince when the call without an answer was sent, or when
   ///                     bytes of its answer last arrived
   /// @param aSilent      the connection of that call
@@ -691,10 +692,10 @@
 }
 
 bool
-HttpPool::State::ExtendByPatience(const ConnectionPtr& aConnection)
+HttpPool::State::ExtendByTimeoutFactor(const ConnectionPtr& aConnection)
 {
   Connection& connection = *aConnection;
-  if (!connection.mCurrent || connection.mCurrent->mCall.mPatience <= 1 ||
+  if (!connection.mCurrent || connection.mCurrent->mCall.mTimeoutFactor <= 1 ||
       connection.mExtended || IsOvertaken(connection)) {
     return false;
   }
@@ -703,9 +704,10 @@
     call.mCall.mTransferTimeouts;
   const MonotonicTime end =
     InTransfer(connection)
-      ? std::min(connection.mHeardAt + call.mCall.mPatience * transfer->mStall,
+      ? std::min(connection.mHeardAt +
+                   call.mCall.mTimeoutFactor * transfer->mStall,
                  call.mSentAt + transfer->mTotal)
-      : call.mStartedAt + call.mCall.mPatience * call.mCall.mTimeout;
+      : call.mStartedAt + call.mCall.mTimeoutFactor * call.mCall.mTimeout;
   connection.mExtended = true;
   call.mExpiresAt = std::max(call.mExpiresAt, end);
   auto self = shared_from_this();
@@ -758,7 +760,7 @@
                      [self, aConnection] { self->Expire(aConnection); });
     return;
   }
-  if (ExtendByPatience(aConnection)) {
+  if (ExtendByTimeoutFactor(aConnection)) {
     return;
   }
   if (aConnection->mConnected && aConnection->mCurrent) {
@@ -786,7 +788,7 @@
     if (!connection->mCurrent) {
       idle.push_back(connection);
     } else if (connection->mCurrent->mCall.mLongPoll &&
-               connection->mCurrent->mCall.mPatience <= 1 &&
+               connection->mCurrent->mCall.mTimeoutFactor <= 1 &&
                connection->mCurrent->mSentAt < aSilentSince &&
                !InTransfer(*connection)) {
       longPolls.push_back(connection);
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -71,7 +71,7 @@
   /// long as no later call was answered. Once one was, the answer to this call
   /// was lost: on a link that is merely full, it would have arrived before.
   /// Calls with a multiple don't end because others got no answer.
-  std::uint32_t mPatience = 1;
+  std::uint32_t mTimeoutFactor = 1;
   /// Time by which the peer may delay its answer to a long poll.
   Millis mAnswerDelay{ 0 };
   /// Called whenever bytes of the answer have arrived, with their number so
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -71,8 +71,8 @@
   std::uint64_t mQuarantines = 0;
 };
 
-/// How start orders to the runners of a data centre fare. The numbers decay, so
-/// that they describe the last seconds.
+/// Numbers of answered and unanswered start orders to a data centre. They
+/// decay, so that they describe the last seconds.
 struct StartContact
 {
   double mAnswered = 0;
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -168,7 +168,8 @@
                   StartResult aResult,
                   MonotonicTime aNow);
 
-/// @return how start orders to a data centre fare, where those to some data
+/// @return whether start orders to a data centre are answered, where those to
+/// some data
 ///         centre got no answer
 StartReach
 ReachOf(const StartContact& aContact, MonotonicTime aNow);
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -620,7 +620,8 @@
   return available;
 }
 
-/// Notes for each runner how start orders to its data centre fare.
+/// Records for each runner whether start orders to its data centre are
+/// answered.
 void
 UpdateStartReach(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -415,12 +415,12 @@
     const Task& task = TaskOf(ref);
     // Stop orders may get no answer while renewals do, which extend the leases
     // of other runs for ever.
-    const bool beginsNoMore =
+    const bool startOrderExpired =
       task.mStartLeaseEndMs > 0 && aReport.mClockMs > task.mStartLeaseEndMs;
     const bool settled =
       (task.mPhase == TaskPhase::Running && task.mStartAnsweredAt < aSentAt) ||
       (task.mPhase == TaskPhase::Stopping &&
-       (beginsNoMore ||
+       (startOrderExpired ||
         (task.mStopAnsweredAt && *task.mStopAnsweredAt < aSentAt)));
     if (!settled) {
       continue;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -143,7 +143,7 @@
                   ///< everything that it ran has ended.
 };
 
-/// How start orders to a data centre fare.
+/// Whether start orders to a data centre are answered.
 enum class StartReach : std::uint8_t
 {
   Answered,         ///< The latest ones were answered, or nothing is known.
@@ -172,7 +172,8 @@
   std::vector<ServingStepLoad> mServingSteps;
   /// Whether best-effort tasks get much less CPU time here than they demand.
   bool mBestEffortStarved = false;
-  /// How start orders to its data centre fare, as of the latest placement pass.
+  /// Whether start orders to its data centre are answered, as of the latest
+  /// placement pass.
   StartReach mStartReach = StartReach::Answered;
   /// Whether a serving task here has not reported its tail latency yet.
   bool mTailLatencyUnknown = false;
--- a/Libraries/LibNode/OperatorRelay.cpp
+++ b/Libraries/LibNode/OperatorRelay.cpp
@@ -243,7 +243,7 @@
   source.mCause = source.mStore ? SourceCause::Stale : SourceCause::Follower;
   const bool leavesPeer =
     stale && (aState.mPeer.empty() ||
-              aNow - aState.mPeerSince > aSettings.mPeerPatience);
+              aNow - aState.mPeerSince > aSettings.mMinTimeWithPeer);
   if (!mayReadStore && (leavesPeer || peers.empty())) {
     peers = std::move(nextPeers);
     source.mCause = SourceCause::NextReader;
--- a/Libraries/LibNode/OperatorRelay.h
+++ b/Libraries/LibNode/OperatorRelay.h
@@ -80,7 +80,7 @@
   /// A node with a stale copy leaves a peer for the next reader only this much
   /// after it has begun to ask it or has got large rows from it. The peer's own
   /// next read is sent and answered within 0.2 s each.
-  Millis mPeerPatience{ 500 };
+  Millis mMinTimeWithPeer{ 500 };
   /// A peer that was given up is not asked again for this long.
   Millis mAvoidTime{ 10'000 };
   /// A node whose row has not changed for this long is no reader. It is longer
--- a/Libraries/LibNode/ReadPatience.cpp
+++ b/Libraries/LibNode/ReadTimeoutBackOff.cpp
@@ -1,18 +1,18 @@
-#include <LibNode/ReadPatience.h>
+#include <LibNode/ReadTimeoutBackOff.h>
 
 #include <algorithm>
 
 namespace paddle {
 
 void
-RecordReadEnd(ReadPatience& aPatience, ReadEnd aEnd)
+RecordReadEnd(ReadTimeoutBackOff& aBackOff, ReadEnd aEnd)
 {
   switch (aEnd) {
     case ReadEnd::Answered:
-      aPatience.mFactor = 1;
+      aBackOff.mFactor = 1;
       return;
     case ReadEnd::Late:
-      aPatience.mFactor = std::min(2 * aPatience.mFactor, kMaxReadPatience);
+      aBackOff.mFactor = std::min(2 * aBackOff.mFactor, kMaxReadTimeoutFactor);
       return;
     case ReadEnd::Broken:
       return;
--- a/Tests/LibNode/TestReadPatience.cpp
+++ b/Tests/LibNode/TestReadTimeoutBackOff.cpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include <LibAsyncHttp/Deadlines.h>
-#include <LibNode/ReadPatience.h>
+#include <LibNode/ReadTimeoutBackOff.h>
 #include <LibTime/Time.h>
 
 #include <CppUTest/TestHarness.h>
@@ -28,11 +28,11 @@
 /// Nodes that start at the same time and read the same rows over one link,
 /// which carries one byte after the other, also those of reads that were given
 /// up.
-TEST_GROUP(ReadPatience)
+TEST_GROUP(ReadTimeoutBackOff)
 {
   struct Reader
   {
-    ReadPatience mPatience;
+    ReadTimeoutBackOff mTimeoutFactor;
     Millis mRetryDelay{ 0 };
     std::size_t mArrived = 0;
     bool mDone = false;
@@ -42,7 +42,7 @@
   MonotonicTime mNow{ Seconds(1000) };
   MonotonicTime mLinkFreeAt = mNow;
   std::size_t mBytesPerMs = 2500; ///< 20 Mbit/s.
-  bool mGrows = true;             ///< Patience is used.
+  bool mGrows = true;             ///< Repeated reads wait longer.
   std::vector<Reader> mReaders;
 
   void At(MonotonicTime aTime, const std::function<void()>& aAction)
@@ -56,7 +56,7 @@
   void Read(Reader & aReader)
   {
     aReader.mArrived = 0;
-    SendWindow(aReader, mNow + aReader.mPatience.mFactor * kFirstByte);
+    SendWindow(aReader, mNow + aReader.mTimeoutFactor.mFactor * kFirstByte);
   }
 
   /// @param aExpiresAt when the read is given up without a further byte
@@ -69,7 +69,7 @@
     if (begin > aExpiresAt) {
       At(aExpiresAt, [this, &aReader] {
         if (mGrows) {
-          RecordReadEnd(aReader.mPatience, ReadEnd::Late);
+          RecordReadEnd(aReader.mTimeoutFactor, ReadEnd::Late);
         }
         At(mNow + aReader.mRetryDelay, [this, &aReader] { Read(aReader); });
       });
@@ -81,7 +81,7 @@
         aReader.mDone = true;
         return;
       }
-      SendWindow(aReader, mNow + aReader.mPatience.mFactor * kStall);
+      SendWindow(aReader, mNow + aReader.mTimeoutFactor.mFactor * kStall);
     });
   }
 
@@ -107,24 +107,24 @@
 
 // Guards against time-outs that don't grow, grow without bound, or stay long
 // when reads succeed again.
-TEST(ReadPatience, GrowsWithLateReadsOnly)
+TEST(ReadTimeoutBackOff, GrowsWithLateReadsOnly)
 {
-  ReadPatience patience;
+  ReadTimeoutBackOff backOff;
   for (const std::uint32_t factor : { 1, 2, 4, 4 }) {
-    UNSIGNED_LONGS_EQUAL(factor, patience.mFactor);
+    UNSIGNED_LONGS_EQUAL(factor, backOff.mFactor);
     // A refused connection says nothing about the link.
-    RecordReadEnd(patience, ReadEnd::Broken);
-    UNSIGNED_LONGS_EQUAL(factor, patience.mFactor);
-    RecordReadEnd(patience, ReadEnd::Late);
+    RecordReadEnd(backOff, ReadEnd::Broken);
+    UNSIGNED_LONGS_EQUAL(factor, backOff.mFactor);
+    RecordReadEnd(backOff, ReadEnd::Late);
   }
-  RecordReadEnd(patience, ReadEnd::Answered);
-  UNSIGNED_LONGS_EQUAL(1, patience.mFactor);
+  RecordReadEnd(backOff, ReadEnd::Answered);
+  UNSIGNED_LONGS_EQUAL(1, backOff.mFactor);
 }
 
 // Guards against reads that repeat themselves for ever after nodes of a region
 // have started together: all of them read from the store. Without waste the
 // link takes 10 s for 18 answers.
-TEST(ReadPatience, ReadsOfARegionOverAFullLinkEnd)
+TEST(ReadTimeoutBackOff, ReadsOfARegionOverAFullLinkEnd)
 {
   LONGS_EQUAL(18, Finished(18, Seconds(20)));
   // Fixed time-outs are what kept the link full.
