--- /dev/null
+++ b/review/standins-2/CaseTimed.cpp
@@ -0,0 +1,97 @@
+#include "World.h"
+
+#include <cstring>
+#include <map>
+
+namespace {
+
+using review::EndSeen;
+using review::Runner;
+using review::SleepMs;
+using review::StartSeen;
+using review::World;
+
+} // namespace
+
+/// Timed submissions run while runners answer looks late and all node processes
+/// are killed and started again from time to time. With an argument of 0, no
+/// process is killed.
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount < 3) {
+    return 2;
+  }
+  const bool trouble = std::strcmp(aArguments[2], "0") != 0;
+  World world(aArguments[1]);
+  world.PutConfiguration();
+  std::vector<Runner*> runners;
+  runners.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    runners.push_back(
+      &world.AddRunner(i < 4 ? "zone-a" : "zone-b", { "a", "r1-0" }));
+  }
+  world.AddNode("zone-a");
+  world.AddNode("zone-b");
+  if (!world.AwaitReady(15000)) {
+    world.End(2);
+  }
+  int number = 0;
+  if (trouble) {
+    for (Runner* runner : runners) {
+      runner->AnswerLate(250, 450);
+    }
+  }
+  for (int round = 0; round < 12; ++round) {
+    for (int i = 0; i < 3; ++i) {
+      char id[17];
+      std::snprintf(id, sizeof(id), "%016x", ++number);
+      world.Plan(id, 0, { 150, "", 0 });
+      if (!world.Submit(
+            id,
+            R"([{"count":8,"cpu":200,"mem_mb":100,"anti_affinity":1,)"
+            R"("estimate_ms":150}])",
+            "work",
+            ",\"repeat_count\":30,\"interval_ms\":100,"
+            "\"initial_delay_ms\":" +
+              std::to_string(review::UnixMs() + 600))) {
+        world.End(2);
+      }
+    }
+    SleepMs(2200);
+    if (trouble) {
+      world.KillNode(0);
+      world.KillNode(1);
+      SleepMs(500);
+      world.RestartNode(0);
+      world.RestartNode(1);
+      SleepMs(1500);
+    }
+  }
+  SleepMs(15000);
+  world.EndNodes();
+  std::map<std::string, std::vector<StartSeen>> starts;
+  for (const StartSeen& start : world.Starts()) {
+    starts[start.mTask].push_back(start);
+  }
+  int broken = 0;
+  for (const EndSeen& end : world.SeenEnds()) {
+    if (end.mHow != "done" || end.mLapsed) {
+      continue;
+    }
+    for (const StartSeen& start : starts[end.mTask]) {
+      if (start.mAtMs > end.mEndedMs && start.mRun != end.mRun) {
+        ++broken;
+        world.mRecord.Write(
+          "TWICE broken: run " + std::to_string(end.mRun) + " of " + end.mTask +
+          " on " + end.mRunner + " has ended done, which was taken note of " +
+          std::to_string(end.mSeenMs - end.mEndedMs) + " ms later, and run " +
+          std::to_string(start.mRun) + " began on " + start.mRunner + " " +
+          std::to_string(start.mAtMs - end.mEndedMs) + " ms after that end");
+      }
+    }
+  }
+  world.mRecord.Write(std::to_string(world.Starts().size()) + " starts, " +
+                      std::to_string(broken) + " after a noted end");
+  world.End(broken > 0 ? 1 : 0);
+}
