--- a/review/10/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec target/review-2/kind "$folder/record.txt" "${TROUBLE:-1}"
+exec target/review-2/wide "$folder/record.txt" "${TROUBLE:-1}"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in Timed Repeat Gang Kind; do
+for name in Timed Repeat Gang Wide; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread \
     -o "target/review-2/$(tr '[:upper:]' '[:lower:]' <<<"$name")" \
     review/standins-2/{Http,World,Case$name}.cpp
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -734,7 +734,9 @@
        << "listen_addrs.control=" << address(control)
        << "bootstrap=true\nlimits.cpu_share=0.25\nlimits.cpu_cores=1\n"
           "limits.memory_mb=260\nlimits.max_fds=4100\n"
-          "limits.link_mbps=1000.0\nheartbeat_ms=1100\n"
+          "limits.link_mbps="
+       << mLinkMbps
+       << "\nheartbeat_ms=1100\n"
           "bounds.contact_ms=4000\nbounds.grace_s=6\n"
           "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=400\n"
           "bounds.gang_timeout_ms=3000\nbounds.visible_ms=3000\n"
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -249,6 +249,7 @@
 
   Record mRecord;
   Store mStore;
+  int mLinkMbps = 1000; ///< Of the nodes that are added from now on.
 
 private:
   struct Node
