--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -677,6 +677,17 @@
 World::World(const std::string& aRecord)
   : mRecord(aRecord)
 {
+  // A run that is broken off also ends the node processes.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::thread([this, signals] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    End(2);
+  }).detach();
   mStorePort = Serve(
     [this](const HttpRequest& aRequest) { return mStore.Handle(aRequest); });
   std::string folder = "/tmp/review-XXXXXX";
@@ -763,6 +774,12 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, log.c_str(), O_CREAT | O_WRONLY | O_APPEND, kMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  sigset_t none;
+  sigemptyset(&none);
+  posix_spawnattr_setsigmask(&attributes, &none);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
   // The command of the deploy file, which the program is started with.
   std::string program = "target/savorypaddle-node";
   std::string environment = "SAVORYPADDLE_CONFIG=" + aNode.mSettings;
@@ -771,13 +788,14 @@
   if (::posix_spawn(&aNode.mPid,
                     program.c_str(),
                     &actions,
-                    nullptr,
+                    &attributes,
                     arguments,
                     variables) != 0) {
     std::perror("savorypaddle-node");
     std::exit(2);
   }
   posix_spawn_file_actions_destroy(&actions);
+  posix_spawnattr_destroy(&attributes);
   mRecord.Write("node " + aNode.mName + " is started");
 }
 
