LibDispatch: Keep the ends of tasks that the owner may yet learn of

Cause: an owner begins an occurrence and starts its tasks before that is stored. If it is killed then, and a runner answers its successor between the beginning of service and the first tick, the successor knows nothing of the occurrence. It dropped the ends, acknowledged them, and began the occurrence anew.

An end counted as stored if its task was unknown. That holds only for jobs that have ended. Now a report that shows a run of an occurrence makes the owner begin it first. An end whose task may become known is kept, and is neither applied nor acknowledged until it is, or until the inbox has been read beyond the report. The same gap for jobs that are in the inbox and not read yet, for clocks that differ, and for occurrences whose progress does not fit is closed by the same rule. A run that was reported before its job was known no longer counts as a waiting task.

Tests: seven of Takeover.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -6,6 +6,7 @@
 AcknowledgeStored(const Dispatcher& aDispatcher, Runner& aRunner)
 {
   while (!aRunner.mUnstoredEnds.empty() &&
+         aRunner.mUnstoredEnds.front().mCommitSequence != kNoCommit &&
          aRunner.mUnstoredEnds.front().mCommitSequence <=
            aDispatcher.mStoredThrough &&
          !aDispatcher.mRejectedJobs.contains(
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -127,6 +127,13 @@
   /// earlier owner may have started unseen are placed only from then on.
   bool mRecovered = false;
 
+  /// All jobs that were accepted before this time are known, unless they have
+  /// ended. A run of an unknown job that was reported later may be one of a job
+  /// that another owner has read from the inbox before this one.
+  MonotonicTime mJobsKnownAsOf = MonotonicTime::max();
+  /// Number of ends in Runner::mUnattributedEnds of all runners.
+  std::size_t mUnattributedEndCount = 0;
+
   std::vector<Runner> mRunners;
   TextMap<RunnerIndex> mRunnerById;
   /// Number of runners that service discovery listed last.
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -107,6 +107,14 @@
               std::uint32_t aOccurrence,
               std::uint32_t aStep);
 
+/// Begins the occurrences up to one of which a runner reports a run: an earlier
+/// owner has begun it, and that may not be stored.
+void
+BeginOccurrencesThrough(Dispatcher& aDispatcher,
+                        Job& aJob,
+                        std::uint32_t aOccurrence,
+                        MonotonicTime aNow);
+
 /// Begins the occurrences that are due.
 void
 BeginOccurrences(Dispatcher& aDispatcher,
@@ -126,6 +134,12 @@
        MonotonicTime aNow,
        Actions& aActions);
 
+/// Applies the ends whose tasks have become known, and gives those up whose
+/// tasks are certainly those of jobs that have ended. It must run before any
+/// task is started.
+void
+AttributeEnds(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions);
+
 /// Updates which of the runner's ends the next renewal acknowledges: those that
 /// are stored.
 void
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -111,6 +111,8 @@
         return false;
       }
       MarkSeen(ref);
+      --StepOf(ref).mWaitingTasks;
+      aJob.mBegan = true;
       // A stop order may be under way, so the run counts as being stopped.
       task.mRun = aOrphan.mRun;
       task.mReported = true;
@@ -119,11 +121,52 @@
       task.mStopSentAt = aOrphan.mStopSentAt;
       task.mStartedAt = aNow;
       AssignToRunner(aDispatcher, index, ref);
+      UpdateWaiting(aDispatcher, aJob, ref.mOccurrence, ref.mStep);
       return true;
     });
   }
 }
 
+/// Begins the next occurrence, unless the progress of all unfinished ones would
+/// be too large.
+/// @return whether it has begun
+bool
+BeginNextOccurrence(Dispatcher& aDispatcher, Job& aJob, MonotonicTime aNow)
+{
+  if (!aJob.mOccurrences.empty() &&
+      ProgressBytesBound(aJob.mSpec, aJob.mOccurrences.size() + 1) >
+        kMaxProgressBytes) {
+    if (!aJob.mOccurrenceHeld) {
+      Emit(aDispatcher,
+           "occurrence_held",
+           &aJob,
+           "unfinished=" + std::to_string(aJob.mOccurrences.size()) +
+             " cause=progress_bytes");
+    }
+    aJob.mOccurrenceHeld = true;
+    return false;
+  }
+  aJob.mOccurrenceHeld = false;
+  const std::uint32_t number = aJob.mOccurrencesBegun++;
+  Occurrence occurrence = MakeOccurrence(aDispatcher, aJob);
+  const bool timed = aJob.mSpec.mOccurrences > 0;
+  occurrence.mBegunAt = timed ? aNow : aJob.mAcceptedAt;
+  occurrence.mSoftDeadline =
+    SoftDeadlineOf(aDispatcher, aJob, occurrence.mBegunAt);
+  aJob.mOccurrences.emplace(number, std::move(occurrence));
+  if (timed) {
+    if (aJob.mActiveRuns == 0 && aJob.mOccurrences.size() == 1) {
+      aJob.mIdleSince = aNow;
+    }
+    MarkDirty(aDispatcher, aJob);
+  }
+  MarkReadySteps(aDispatcher, aJob, number, aNow);
+  if (timed) {
+    AdoptOrphans(aDispatcher, aJob, aNow);
+  }
+  return true;
+}
+
 } // namespace
 
 bool
@@ -285,34 +328,32 @@
     if (aJob.mSpec.mOccurrences > 0 && due > aUnixMs) {
       return;
     }
-    if (!aJob.mOccurrences.empty() &&
-        ProgressBytesBound(aJob.mSpec, aJob.mOccurrences.size() + 1) >
-          kMaxProgressBytes) {
-      if (!aJob.mOccurrenceHeld) {
-        Emit(aDispatcher,
-             "occurrence_held",
-             &aJob,
-             "unfinished=" + std::to_string(aJob.mOccurrences.size()) +
-               " cause=progress_bytes");
-      }
-      aJob.mOccurrenceHeld = true;
+    if (!BeginNextOccurrence(aDispatcher, aJob, aNow)) {
       return;
     }
-    aJob.mOccurrenceHeld = false;
-    const std::uint32_t number = aJob.mOccurrencesBegun++;
-    Occurrence occurrence = MakeOccurrence(aDispatcher, aJob);
-    const bool timed = aJob.mSpec.mOccurrences > 0;
-    occurrence.mBegunAt = timed ? aNow : aJob.mAcceptedAt;
-    occurrence.mSoftDeadline =
-      SoftDeadlineOf(aDispatcher, aJob, occurrence.mBegunAt);
-    aJob.mOccurrences.emplace(number, std::move(occurrence));
-    if (timed) {
-      if (aJob.mActiveRuns == 0 && aJob.mOccurrences.size() == 1) {
-        aJob.mIdleSince = aNow;
-      }
-      MarkDirty(aDispatcher, aJob);
+  }
+}
+
+void
+BeginOccurrencesThrough(Dispatcher& aDispatcher,
+                        Job& aJob,
+                        std::uint32_t aOccurrence,
+                        MonotonicTime aNow)
+{
+  if (aJob.mPhase != JobPhase::Active ||
+      aOccurrence >= aJob.mSpec.mOccurrences) {
+    return;
+  }
+  while (aJob.mOccurrencesBegun <= aOccurrence) {
+    const std::uint32_t number = aJob.mOccurrencesBegun;
+    if (!BeginNextOccurrence(aDispatcher, aJob, aNow)) {
+      return;
     }
-    MarkReadySteps(aDispatcher, aJob, number, aNow);
+    Emit(aDispatcher,
+         "occurrence_inferred",
+         &aJob,
+         "occurrence=" + std::to_string(number) +
+           " seen=" + std::to_string(aOccurrence));
   }
 }
 
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -56,6 +56,7 @@
 void
 PlaceWaiting(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
 {
+  AttributeEnds(aDispatcher, aNow, aActions);
   if (aNow >= aDispatcher.mStartsUntil) {
     aDispatcher.mPlacementDue = true;
     return;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -252,6 +252,70 @@
     aDispatcher, ref, outcome, aEnd.mRun, aEnd.mCheckpoint, aNow, aActions);
 }
 
+/// @return whether this owner may yet learn of a task that it does not know:
+///         its occurrence has not begun here, or its job was accepted so late
+///         that it has not been read
+bool
+MayBecomeKnown(const Dispatcher& aDispatcher,
+               const TaskName& aTask,
+               MonotonicTime aReportedAt)
+{
+  const auto found = aDispatcher.mJobs.find(aTask.mJob);
+  if (found == aDispatcher.mJobs.end()) {
+    return aReportedAt >= aDispatcher.mJobsKnownAsOf;
+  }
+  const Job& job = *found->second;
+  return job.mPhase == JobPhase::Active &&
+         aTask.mOccurrence >= job.mOccurrencesBegun &&
+         aTask.mOccurrence < job.mSpec.mOccurrences &&
+         aTask.mStep < job.mSpec.mSteps.size() &&
+         aTask.mIndex < job.mSpec.mSteps[aTask.mStep].mTaskCount;
+}
+
+/// Begins the occurrences of which a runner reports runs.
+void
+BeginReportedOccurrences(Dispatcher& aDispatcher,
+                         const RunnerReport& aReport,
+                         MonotonicTime aNow)
+{
+  const auto begin = [&](const TaskName& aTask) {
+    const auto found = aDispatcher.mJobs.find(aTask.mJob);
+    if (found != aDispatcher.mJobs.end() &&
+        aTask.mOccurrence >= found->second->mOccurrencesBegun) {
+      BeginOccurrencesThrough(
+        aDispatcher, *found->second, aTask.mOccurrence, aNow);
+    }
+  };
+  for (const EndEntry& end : aReport.mEnds) {
+    begin(end.mTask);
+  }
+  for (const RunningEntry& entry : aReport.mRunning) {
+    begin(entry.mTask);
+  }
+}
+
+/// Applies an end that a runner reports, and notes which commit stores it.
+/// @return the number of that commit, see UnstoredEnd::mCommitSequence, and the
+///         job's arrival number
+UnstoredEnd
+ApplyAndNoteEnd(Dispatcher& aDispatcher,
+                RunnerIndex aRunner,
+                const EndEntry& aEnd,
+                MonotonicTime aNow,
+                Actions& aActions)
+{
+  ApplyEnd(aDispatcher, aRunner, aEnd, aNow, aActions);
+  // An end that changes nothing may be superfluous only because of changes
+  // that are not stored yet. A later owner would need the end without them.
+  const auto job = aDispatcher.mJobs.find(aEnd.mTask.mJob);
+  if (job == aDispatcher.mJobs.end()) {
+    return { aEnd.mNumber, 0, 0 };
+  }
+  return { aEnd.mNumber,
+           job->second->mChangeSequence,
+           job->second->mArrivalNumber };
+}
+
 /// Marks a task running whose runner has accepted the start order.
 void
 MarkStarted(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
@@ -522,6 +586,38 @@
 
 } // namespace
 
+void
+AttributeEnds(Dispatcher& aDispatcher, MonotonicTime aNow, Actions& aActions)
+{
+  if (aDispatcher.mUnattributedEndCount == 0) {
+    return;
+  }
+  for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
+    Runner& runner = aDispatcher.mRunners[i];
+    const std::size_t before = runner.mUnattributedEnds.size();
+    std::erase_if(
+      runner.mUnattributedEnds, [&](const UnattributedEnd& aUnattributed) {
+        const EndEntry& end = aUnattributed.mEnd;
+        if (MayBecomeKnown(aDispatcher, end.mTask, aUnattributed.mReportedAt)) {
+          return false;
+        }
+        const auto unstored =
+          std::find_if(runner.mUnstoredEnds.begin(),
+                       runner.mUnstoredEnds.end(),
+                       [&](const UnstoredEnd& aUnstored) {
+                         return aUnstored.mNumber == end.mNumber;
+                       });
+        *unstored = ApplyAndNoteEnd(aDispatcher, i, end, aNow, aActions);
+        return true;
+      });
+    const std::size_t after = runner.mUnattributedEnds.size();
+    aDispatcher.mUnattributedEndCount -= before - after;
+    if (after < before) {
+      AcknowledgeStored(aDispatcher, runner);
+    }
+  }
+}
+
 void
 FailExhaustedJobs(Dispatcher& aDispatcher,
                   MonotonicTime aNow,
@@ -773,19 +869,25 @@
   }
   UpdateLeaseExpiry(aDispatcher, runner);
 
+  BeginReportedOccurrences(aDispatcher, aReport, aNow);
   for (const EndEntry& end : aReport.mEnds) {
     if (end.mNumber <= runner.mHighestAppliedEnd) {
       continue;
     }
-    ApplyEnd(aDispatcher, aRunner, end, aNow, aActions);
     runner.mHighestAppliedEnd = end.mNumber;
-    // An end that changes nothing may be superfluous only because of changes
-    // that are not stored yet. A later owner would need the end without them.
-    const auto job = aDispatcher.mJobs.find(end.mTask.mJob);
-    const bool known = job != aDispatcher.mJobs.end();
-    runner.mUnstoredEnds.push_back({ end.mNumber,
-                                     known ? job->second->mChangeSequence : 0,
-                                     known ? job->second->mArrivalNumber : 0 });
+    if (MayBecomeKnown(aDispatcher, end.mTask, aNow)) {
+      Emit(aDispatcher,
+           "end_unattributed",
+           nullptr,
+           "task=" + FormatTaskName(end.mTask) + " run=" +
+             std::to_string(end.mRun) + " runner=" + runner.mSpec.mId);
+      runner.mUnattributedEnds.push_back({ end, aNow });
+      ++aDispatcher.mUnattributedEndCount;
+      runner.mUnstoredEnds.push_back({ end.mNumber, kNoCommit, 0 });
+      continue;
+    }
+    runner.mUnstoredEnds.push_back(
+      ApplyAndNoteEnd(aDispatcher, aRunner, end, aNow, aActions));
   }
   AcknowledgeStored(aDispatcher, runner);
 
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -62,12 +62,16 @@
   GangIncomplete   ///< Some members of the gang did not start in time.
 };
 
-/// An end that has been applied to its task but is not acknowledged.
+/// Stands for the commit of an end whose task is not known yet.
+inline constexpr std::uint64_t kNoCommit = UINT64_MAX;
+
+/// An end that is not acknowledged.
 struct UnstoredEnd
 {
   std::int64_t mNumber = 0; ///< See EndEntry::mNumber.
   /// Sequence number of the commit that stores it, together with all earlier
-  /// changes of its job; 0 if the store needs neither.
+  /// changes of its job; 0 if the store needs neither; kNoCommit if it has not
+  /// been applied to a task.
   std::uint64_t mCommitSequence = 0;
   std::uint64_t mJobArrivalNumber = 0; ///< See Job::mArrivalNumber.
 };
@@ -92,6 +96,13 @@
   std::string mCheckpoint;
 };
 
+/// An end of a task that this owner does not know, but may yet learn of.
+struct UnattributedEnd
+{
+  EndEntry mEnd;
+  MonotonicTime mReportedAt;
+};
+
 /// A runner's answer to a lease renewal.
 struct RunnerReport
 {
@@ -217,12 +228,15 @@
   /// it.
   std::optional<MonotonicTime> mRecordedLeasesExpireAt;
 
-  /// Highest number of a reported end that has been applied to its task.
+  /// Highest number of a reported end that has been applied to its task, or is
+  /// one of mUnattributedEnds.
   std::int64_t mHighestAppliedEnd = 0;
   /// Highest number of an end whose commit is stored. The next renewal
   /// acknowledges the ends up to it.
   std::int64_t mHighestStoredEnd = 0;
   std::deque<UnstoredEnd> mUnstoredEnds; ///< In the order of their numbers.
+  /// Those of them that are applied as soon as their task is known.
+  std::vector<UnattributedEnd> mUnattributedEnds;
 
   std::vector<OrphanRun> mOrphans;
 
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -150,6 +150,8 @@
   }
   runner.mOrphans.clear();
   runner.mUnstoredEnds.clear();
+  aDispatcher.mUnattributedEndCount -= runner.mUnattributedEnds.size();
+  runner.mUnattributedEnds.clear();
   runner.mHighestAppliedEnd = 0;
   runner.mHighestStoredEnd = 0;
   runner.mClockMs = 0;
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -81,7 +81,7 @@
     InboxTable(mClaim.mShard),
     mInboxVersion,
     kInboxChangeTimeout,
-    [self](const ReadOutcome& aRead) {
+    [self, sentAt = mContext.Now()](const ReadOutcome& aRead) {
       if (self->mOwnershipLost || self->mSteppingDown) {
         return;
       }
@@ -106,6 +106,9 @@
       self->HoldWideJobs();
       self->mInboxVersion = std::max(self->mInboxVersion, aRead.mVersion);
       self->mInboxAsOfMs = std::max(self->mInboxAsOfMs, aRead.mClockMs);
+      if (!aRead.mMore) {
+        self->mDispatcher.mJobsKnownAsOf = sentAt;
+      }
       self->WaitForInboxChanges();
       if (!aRead.mRows.empty() &&
           self->MayCommandRunners(self->mContext.Now())) {
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -355,6 +355,7 @@
   std::int64_t mInboxAsOfMs = 0;
   /// The same for the present full read, of which pages are missing.
   std::int64_t mInboxReadAsOfMs = 0;
+  MonotonicTime mInboxReadSentAt; ///< When the last full read was begun.
 
   /// Version of the commit sequence row. Every transaction on this shard's
   /// progress checks this version and replaces the row, so that a delayed
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -186,6 +186,7 @@
 void
 ShardOwner::State::ReadInbox()
 {
+  mInboxReadSentAt = mContext.Now();
   mInboxPartitionsLeft = mContext.mPartitions.JobPartitionCount();
   for (std::uint32_t i = 0; i < mContext.mPartitions.JobPartitionCount(); ++i) {
     ReadInboxPartition(mContext.mPartitions.JobPartition(i), {});
@@ -242,6 +243,7 @@
 ShardOwner::State::HandleInboxRead()
 {
   mInboxAsOfMs = std::exchange(mInboxReadAsOfMs, 0);
+  mDispatcher.mJobsKnownAsOf = mInboxReadSentAt;
   if (mStage == ShardStage::ReadingJobs) {
     LoadJobs();
     return;
--- a/Tests/LibDispatch/TestTakeover.cpp
+++ b/Tests/LibDispatch/TestTakeover.cpp
@@ -96,6 +96,30 @@
   return aWorld.mDispatcher.mRunnerById.at(runner);
 }
 
+/// @return a job of one task that runs three times, for the first time now
+JobSpec
+MakeRepeatedJob(const DispatchWorld& aWorld)
+{
+  JobSpec job = MakeJob("job", { FiniteStep(1, 4000) });
+  job.mOccurrences = 3;
+  job.mFirstDueMs =
+    std::chrono::duration_cast<Millis>(aWorld.mNow.time_since_epoch()).count();
+  job.mIntervalMs = 60000;
+  return job;
+}
+
+/// Lets a runner report that a run is done.
+void
+ReportDone(DispatchWorld& aWorld,
+           const std::string& aRunner,
+           std::string_view aTask)
+{
+  DispatchWorld::FakeRunner& runner = aWorld.mRunners[aRunner];
+  runner.mEnds.push_back(
+    { runner.mNextEnd++, *ParseTaskName(aTask), 1, EndKind::Done, {} });
+  aWorld.Report();
+}
+
 /// @return the number up to which the next renewal acknowledges ends
 std::int64_t
 AcknowledgedEnd(DispatchWorld& aWorld, RunnerIndex aRunner)
@@ -752,3 +776,126 @@
   world.Tick();
   LONGS_EQUAL(3, held.mOccurrencesBegun);
 }
+
+// Guards against dropping and acknowledging the end of a task whose occurrence
+// the earlier owner had begun without storing that, if the runner's answer
+// comes before the first tick: the task would run twice.
+TEST(Takeover, KeepsAnEndOfAnOccurrenceWhoseBeginningIsNotStored)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeRepeatedJob(world));
+  world.Tick();
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  world.End("job.0.0.0", EndKind::Done);
+  world.TakeOver(2);
+  world.Report();
+  world.AdvanceTime(Seconds(5));
+  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(1, world.mStored.at("job").mOccurrencesDone);
+}
+
+// Guards against stopping a task of such an occurrence that still runs.
+TEST(Takeover, KeepsARunOfAnOccurrenceWhoseBeginningIsNotStored)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.AddJob(MakeRepeatedJob(world));
+  world.Tick();
+  world.TakeOver(2);
+  world.Report();
+  world.AdvanceTime(Seconds(5));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  LONGS_EQUAL(1, world.mStarts);
+}
+
+// Guards against starting the same occurrence twice if this owner's clock is
+// behind that of the earlier owner.
+TEST(Takeover, KeepsAnEndOfAnOccurrenceThatIsNotDueYet)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  JobSpec job = MakeRepeatedJob(world);
+  job.mFirstDueMs += 1000;
+  world.AddJob(job, PriorRuns::Possible);
+  ReportDone(world, "r0", "job.0.0.0");
+  world.AdvanceTime(Seconds(5));
+  LONGS_EQUAL(0, world.mStarts);
+  LONGS_EQUAL(1, world.mStored.at("job").mOccurrencesDone);
+}
+
+// Guards against acknowledging an end of an occurrence that can't begin yet,
+// because the progress of all unfinished ones would be too large.
+TEST(Takeover, KeepsAnEndOfAnOccurrenceWhoseProgressDoesNotFit)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  // The runner only reports.
+  world.mListed[0].mDraining = true;
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  JobSpec job = MakeJob("job", { FiniteStep(3000, 20000) });
+  job.mOccurrences = 4;
+  job.mIntervalMs = 1;
+  world.AddJob(job);
+  world.Tick();
+  Job& held = *world.mDispatcher.mJobs.find("job")->second;
+  LONGS_EQUAL(2, held.mOccurrencesBegun);
+  ReportDone(world, "r0", "job.2.0.5");
+  world.Commit();
+  LONGS_EQUAL(0, AcknowledgedEnd(world, 0));
+  held.mOccurrences.erase(0);
+  world.Tick();
+  CHECK_TRUE(held.mOccurrences.at(2).mSteps[0].mTasks[5].mPhase ==
+             TaskPhase::Done);
+  LONGS_EQUAL(0, AcknowledgedEnd(world, 0));
+  world.Commit();
+  LONGS_EQUAL(1, AcknowledgedEnd(world, 0));
+}
+
+// Guards against acknowledging an end of a job that the earlier owner had read
+// from the inbox and this owner has not: the task would run twice.
+TEST(Takeover, KeepsAnEndOfAJobThatIsNotReadYet)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.mDispatcher.mJobsKnownAsOf = world.mNow;
+  ReportDone(world, "r0", "job.0.0.0");
+  LONGS_EQUAL(0, AcknowledgedEnd(world, 0));
+  world.AddJob(MakeJob("job", { FiniteStep(2, 4000) }));
+  world.AdvanceTime(Millis(200));
+  LONGS_EQUAL(1, world.mStarts);
+  CHECK_TRUE(world.IsRunning("job.0.0.1"));
+  LONGS_EQUAL(1, AcknowledgedEnd(world, 0));
+}
+
+// Guards against keeping the ends of jobs that have ended for good.
+TEST(Takeover, AcknowledgesAnEndOfAnUnknownJobOnceAllJobsAreRead)
+{
+  DispatchWorld world;
+  world.ListRunners(4);
+  world.mDispatcher.mJobsKnownAsOf = world.mNow;
+  ReportDone(world, "r0", "job.0.0.0");
+  world.mDispatcher.mJobsKnownAsOf = world.mNow + Millis(1);
+  world.Tick();
+  LONGS_EQUAL(1, AcknowledgedEnd(world, 0));
+}
+
+// Guards against counting a task as waiting while a run of it, which was
+// reported before its job was known, is being stopped.
+TEST(Takeover, CountsNoWaitingTaskWhileAReportedRunIsStopped)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.mRunners["r0"].mRunning.push_back({ "job.0.0.0", 1 });
+  // The stop order has not been carried out yet.
+  world.mRoundTrips["zone0"] = Millis(400);
+  world.Report();
+  world.AddJob(MakeJob("job", { FiniteStep(1, 4000) }));
+  const Step& step =
+    world.mDispatcher.mJobs.find("job")->second->mOccurrences.at(0).mSteps[0];
+  LONGS_EQUAL(0, step.mWaitingTasks);
+  CHECK_TRUE(world.mDispatcher.mWaitingSteps.empty());
+  world.AdvanceTime(Seconds(2));
+  LONGS_EQUAL(1, world.mStarts);
+  LONGS_EQUAL(0, step.mWaitingTasks);
+}
