platform: Refuse what a job can't carry out as it was sent

Cause: ParseJob() cut repeat_count down to the bound of another field. Fractions, texts and values beyond the type were taken for 0, flags of another type for false, and of two members of a name the first counted.

Now each field is carried out as sent or answered 400 with its name and what is allowed. repeat_count goes up to the largest number of an occurrence, and the time of the last occurrence must be representable.

Tests: four of JobLimits.

--- a/Tests/Platform/TestJobLimits.cpp
+++ b/Tests/Platform/TestJobLimits.cpp
@@ -44,6 +44,20 @@
   return payload;
 }
 
+/// @return the body of a request for one task, with a further member
+std::string
+BodyWith(const std::string& aMember)
+{
+  return R"({"spec":"x","steps":[{"count":1}],)" + aMember + "}";
+}
+
+/// @return the body of a request for one step with these members
+std::string
+BodyOfStep(const std::string& aMembers)
+{
+  return R"({"spec":"x","steps":[{)" + aMembers + "}]}";
+}
+
 /// @return the error, or an empty text if the job is accepted
 std::string
 ErrorFor(const std::string& aBody)
@@ -108,3 +122,105 @@
     CHECK_TRUE(largest > 60000);
   }
 }
+
+// Guards against accepting a repeated job and running it less often: its
+// clients were told that it was completed.
+TEST(JobLimits, KeepsTheNumberOfOccurrences)
+{
+  for (const std::uint32_t count : { 1U, 10000U, 10001U, UINT32_MAX }) {
+    const auto job = platform::ParseJob(
+      kId, "q", BodyWith("\"repeat_count\":" + std::to_string(count)));
+    CHECK_TRUE(Succeeded(job));
+    CHECK_TRUE(ValueOf(job).mOccurrences == count);
+    const auto stored =
+      ParseAcceptedJob(FormatAcceptedJob({ ValueOf(job), 1700000000000 }));
+    CHECK_TRUE(stored && stored->mSpec.mOccurrences == count);
+  }
+}
+
+// Guards against carrying out something else than the client has sent, in a
+// field of the schedule: it was cut down, or taken for 0.
+TEST(JobLimits, RefusesAScheduleThatCanNotBeCarriedOut)
+{
+  STRCMP_EQUAL("repeat_count: allowed is a whole number from 0 to 4294967295",
+               ErrorFor(BodyWith(R"("repeat_count":4294967296)")).c_str());
+  for (const char* value : { "-1",
+                             "2.5",
+                             "\"3\"",
+                             "null",
+                             "true",
+                             "[1]",
+                             "18446744073709551616" }) {
+    for (const char* name :
+         { "repeat_count", "initial_delay_ms", "interval_ms" }) {
+      const std::string error = ErrorFor(
+        BodyWith("\"" + std::string(name) + "\":" + std::string(value)));
+      STRCMP_CONTAINS((std::string(name) + ": allowed is a whole").c_str(),
+                      error.c_str());
+    }
+  }
+  const std::string start = R"("repeat_count":1001,"interval_ms":)";
+  STRCMP_EQUAL("", ErrorFor(BodyWith(start + "9007199254740")).c_str());
+  STRCMP_CONTAINS("interval_ms: allowed is an interval with which",
+                  ErrorFor(BodyWith(start + "9007199254741")).c_str());
+}
+
+// Guards against accepting a value that a field of a step can't have, and
+// running the step as if it had been left out.
+TEST(JobLimits, RefusesInvalidFieldsOfSteps)
+{
+  for (const char* name : { "cpu",
+                            "mem_mb",
+                            "gpu",
+                            "estimate_ms",
+                            "anti_affinity",
+                            "may_miss",
+                            "target_ms" }) {
+    for (const char* value :
+         { "-1", "0.5", "\"3\"", "null", "false", "1000000001" }) {
+      STRCMP_EQUAL(("steps[0]." + std::string(name) +
+                    ": allowed is a whole number from 0 to 1000000000")
+                     .c_str(),
+                   ErrorFor(BodyOfStep(R"("count":1,")" + std::string(name) +
+                                       "\":" + value))
+                     .c_str());
+    }
+  }
+  for (const char* name : { "long_running",
+                            "fills",
+                            "checkpoints",
+                            "gang",
+                            "same_rack",
+                            "speculative" }) {
+    for (const char* value : { "1", "\"true\"", "null" }) {
+      STRCMP_EQUAL(
+        ("steps[0]." + std::string(name) + ": allowed is true or false")
+          .c_str(),
+        ErrorFor(
+          BodyOfStep(R"("count":1,")" + std::string(name) + "\":" + value))
+          .c_str());
+    }
+  }
+  for (const char* name : { "requires", "data_rack", "image" }) {
+    STRCMP_EQUAL(
+      ("steps[0]." + std::string(name) + ": allowed is a text").c_str(),
+      ErrorFor(BodyOfStep(R"("count":1,")" + std::string(name) + "\":7"))
+        .c_str());
+  }
+  for (const char* count : { "0", "-1", "1.5", "\"1\"", "10001" }) {
+    STRCMP_EQUAL(
+      "steps[0].count: allowed is a whole number from 1 to 10000",
+      ErrorFor(BodyOfStep("\"count\":" + std::string(count))).c_str());
+  }
+  STRCMP_EQUAL("", ErrorFor(BodyOfStep(R"("count":1.0,"cpu":500.0)")).c_str());
+}
+
+// Guards against choosing one of two values that a client has sent.
+TEST(JobLimits, RefusesRepeatedMembers)
+{
+  STRCMP_EQUAL(
+    "repeat_count: allowed is one member of this name",
+    ErrorFor(BodyWith(R"("repeat_count":1,"repeat_count":2)")).c_str());
+  STRCMP_EQUAL("steps[0].cpu: allowed is one member of this name",
+               ErrorFor(BodyOfStep(R"("count":1,"cpu":1,"cpu":2)")).c_str());
+}
