LibNode: Hand tasks of long-running steps over to shards with room

Cause: a step was placed in one shard, and only a job of which nothing runs could move. Once some tasks of a wide step ran, the others waited for room in that shard for good, whatever other shards had.

An owner hands tasks of a long-running step over for which there has been no room for 1 s, by one transaction under its chain row. The other shard runs them as a part of the job, under their names, and gives back what it has no room for. The home shard keeps the job and cancels the parts. Nothing is handed over while a node of an earlier version is there; such a version reads tasks elsewhere as done.

The row of a node takes 13 bytes more, which RowsHaveTheDocumentedSizes checks as strictly as before.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -90,6 +90,7 @@
   progress.mBegan = aJob.mBegan;
   progress.mOccurrencesBegun = aJob.mOccurrencesBegun;
   progress.mOccurrencesDone = aJob.mOccurrencesDone;
+  progress.mHomeShard = aJob.mHomeShard;
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     std::vector<StepProgress>& steps = progress.mOccurrences[number];
     for (const Step& step : occurrence.mSteps) {
@@ -100,6 +101,9 @@
         if (task.mPhase == TaskPhase::Done) {
           continue;
         }
+        if (task.mPhase == TaskPhase::Elsewhere) {
+          stored.mElsewhere.emplace(t, task.mShard);
+        }
         if (!task.mFailedRuns.empty()) {
           stored.mFailedRuns.emplace(t, task.mFailedRuns);
         }
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -107,6 +107,10 @@
               std::uint32_t aOccurrence,
               std::uint32_t aStep);
 
+/// Adopts the runs of a job that runners reported before its tasks were known.
+void
+AdoptOrphans(Dispatcher& aDispatcher, Job& aJob, MonotonicTime aNow);
+
 /// Begins the occurrences up to one of which a runner reports a run: an earlier
 /// owner has begun it, and that may not be stored.
 void
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -26,7 +26,8 @@
   Running,
   Stopping, ///< The task may still run. Stop orders are repeated until its run
             ///< is known to have ended.
-  Done
+  Done,
+  Elsewhere ///< Another shard has the task, see Task::mShard.
 };
 
 /// Stands for a failed run of which only the count is stored, because the
@@ -119,7 +120,8 @@
   /// Number of runs of a long-running task that failed early, one after the
   /// other.
   std::uint32_t mEarlyFailures = 0;
-  std::string mCheckpoint; ///< Latest checkpoint, or empty.
+  std::string mCheckpoint;  ///< Latest checkpoint, or empty.
+  std::uint32_t mShard = 0; ///< Shard that has the task in phase Elsewhere.
 };
 
 /// State of one step of one occurrence.
@@ -133,6 +135,9 @@
   MonotonicTime mReadySince;
   /// Since when some members of a gang run while others wait.
   std::optional<MonotonicTime> mIncompleteSince;
+  /// Since when placement passes over all runners have found no room for a
+  /// waiting task.
+  std::optional<MonotonicTime> mNoRoomSince;
   /// Sum of the estimated durations along the longest path from this step to
   /// the end of the job.
   Millis mRemainingCriticalPath{ 0 };
@@ -196,6 +201,11 @@
   bool mAwaitsMove = false;
   /// Number of times that the job was handed over to another shard.
   std::uint32_t mMoves = 0;
+  /// Shard to which the job belongs, if only some of its tasks were handed over
+  /// to this one. That shard cancels them, and takes those back for which this
+  /// one has no room.
+  std::optional<std::uint32_t> mHomeShard;
+  std::uint32_t mTasksElsewhere = 0; ///< Number of tasks in phase Elsewhere.
   /// The job is not handed over before this time, because an attempt failed or
   /// no shard had room for it.
   MonotonicTime mMoveRetryAt;
@@ -232,6 +242,8 @@
   /// Numbers of the failed runs, by task index, see Task::mFailedRuns.
   std::map<std::uint32_t, std::vector<std::int64_t>> mFailedRuns;
   std::map<std::uint32_t, std::string> mCheckpoints; ///< By task index.
+  /// Shards that have tasks in phase Elsewhere, by task index.
+  std::map<std::uint32_t, std::uint32_t> mElsewhere{};
 };
 
 /// The part of a job's progress that is stored.
@@ -242,6 +254,7 @@
   std::uint32_t mOccurrencesBegun = 0;
   std::uint32_t mOccurrencesDone = 0;
   std::map<std::uint32_t, std::vector<StepProgress>> mOccurrences;
+  std::optional<std::uint32_t> mHomeShard{}; ///< See Job::mHomeShard.
 };
 
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/JobMoves.cpp
+++ b/Libraries/LibDispatch/JobMoves.cpp
@@ -29,6 +29,7 @@
   return aDispatcher.mRecovered && !aJob.mInherited &&
          aJob.mPhase == JobPhase::Active && aJob.mActiveRuns == 0 &&
          aJob.mSpec.mOccurrences == 0 && !aJob.mDirty && !aJob.mHeld &&
+         !aJob.mHomeShard && aJob.mTasksElsewhere == 0 &&
          !aDispatcher.mRejectedJobs.contains(aJob.mArrivalNumber);
 }
 
--- a/Libraries/LibDispatch/JobMoves.h
+++ b/Libraries/LibDispatch/JobMoves.h
@@ -7,8 +7,9 @@
 namespace paddle::dispatch {
 
 /// @return whether the job may be handed over to another shard: nothing of it
-///         runs or may still run, all its progress is stored, and it runs once.
-///         Scheduled jobs stay, because occurrences begin at any time.
+///         runs or may still run, all its progress is stored, it runs once, and
+///         no task is in another shard. Scheduled jobs stay, because
+///         occurrences begin at any time.
 bool
 MayMove(const Dispatcher& aDispatcher, const Job& aJob);
 
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -59,7 +59,8 @@
 
 /// Restores the stored progress of an occurrence.
 void
-ApplyProgress(Occurrence& aOccurrence,
+ApplyProgress(Job& aJob,
+              Occurrence& aOccurrence,
               const std::vector<StepProgress>& aProgress)
 {
   for (std::size_t i = 0;
@@ -86,47 +87,21 @@
         step.mTasks[index].mCheckpoint = checkpoint;
       }
     }
+    for (const auto& [index, shard] : stored.mElsewhere) {
+      if (index < step.mTasks.size() &&
+          step.mTasks[index].mPhase == TaskPhase::Waiting) {
+        step.mTasks[index].mPhase = TaskPhase::Elsewhere;
+        step.mTasks[index].mShard = shard;
+        --step.mWaitingTasks;
+        ++aJob.mTasksElsewhere;
+      }
+    }
     if (step.mDoneTasks == step.mTasks.size()) {
       ++aOccurrence.mStepsDone;
     }
   }
 }
 
-/// Adopts the runs of a job that runners reported before the job was added.
-void
-AdoptOrphans(Dispatcher& aDispatcher, Job& aJob, MonotonicTime aNow)
-{
-  for (RunnerIndex index = 0; index < aDispatcher.mRunners.size(); ++index) {
-    Runner& runner = aDispatcher.mRunners[index];
-    std::erase_if(runner.mOrphans, [&](const OrphanRun& aOrphan) {
-      if (aOrphan.mTask.mJob != aJob.mSpec.mId) {
-        return false;
-      }
-      const TaskRef ref = FindTask(aDispatcher, aOrphan.mTask);
-      if (ref.mJob == nullptr) {
-        return false;
-      }
-      Task& task = TaskOf(ref);
-      if (task.mPhase != TaskPhase::Waiting) {
-        return false;
-      }
-      MarkSeen(ref);
-      --StepOf(ref).mWaitingTasks;
-      aJob.mBegan = true;
-      // A stop order may be under way, so the run counts as being stopped.
-      task.mRun = aOrphan.mRun;
-      task.mReported = true;
-      task.mPhase = TaskPhase::Stopping;
-      task.mStopCause = StopCause::Moved;
-      task.mStopSentAt = aOrphan.mStopSentAt;
-      task.mStartedAt = aNow;
-      AssignToRunner(aDispatcher, index, ref);
-      UpdateWaiting(aDispatcher, aJob, ref.mOccurrence, ref.mStep);
-      return true;
-    });
-  }
-}
-
 /// Begins the next occurrence, unless the progress of all unfinished ones would
 /// be too large.
 /// @return whether it has begun
@@ -169,6 +144,40 @@
 
 } // namespace
 
+void
+AdoptOrphans(Dispatcher& aDispatcher, Job& aJob, MonotonicTime aNow)
+{
+  for (RunnerIndex index = 0; index < aDispatcher.mRunners.size(); ++index) {
+    Runner& runner = aDispatcher.mRunners[index];
+    std::erase_if(runner.mOrphans, [&](const OrphanRun& aOrphan) {
+      if (aOrphan.mTask.mJob != aJob.mSpec.mId) {
+        return false;
+      }
+      const TaskRef ref = FindTask(aDispatcher, aOrphan.mTask);
+      if (ref.mJob == nullptr) {
+        return false;
+      }
+      Task& task = TaskOf(ref);
+      if (task.mPhase != TaskPhase::Waiting) {
+        return false;
+      }
+      MarkSeen(ref);
+      --StepOf(ref).mWaitingTasks;
+      aJob.mBegan = true;
+      // A stop order may be under way, so the run counts as being stopped.
+      task.mRun = aOrphan.mRun;
+      task.mReported = true;
+      task.mPhase = TaskPhase::Stopping;
+      task.mStopCause = StopCause::Moved;
+      task.mStopSentAt = aOrphan.mStopSentAt;
+      task.mStartedAt = aNow;
+      AssignToRunner(aDispatcher, index, ref);
+      UpdateWaiting(aDispatcher, aJob, ref.mOccurrence, ref.mStep);
+      return true;
+    });
+  }
+}
+
 bool
 MayRunUnseen(const Dispatcher& aDispatcher, const Task& aTask)
 {
@@ -280,6 +289,9 @@
     }
   } else {
     aDispatcher.mWaitingSteps.erase(entry);
+    if (occurrence != aJob.mOccurrences.end()) {
+      occurrence->second.mSteps[aStep].mNoRoomSince.reset();
+    }
   }
 }
 
@@ -297,12 +309,14 @@
     }
     const std::vector<std::uint32_t>& predecessors =
       aJob.mSpec.mSteps[i].mPredecessors;
-    const bool ready = std::all_of(
+    const bool predecessorsDone = std::all_of(
       predecessors.begin(), predecessors.end(), [&](std::uint32_t aBefore) {
         const Step& before = occurrence.mSteps[aBefore];
         return before.mDoneTasks == before.mTasks.size();
       });
-    if (!ready) {
+    // Tasks are handed over only once their step is ready. This shard does not
+    // learn of the ends of other steps.
+    if (!predecessorsDone && !aJob.mHomeShard) {
       continue;
     }
     step.mReady = true;
@@ -382,6 +396,7 @@
     aDispatcher.mAttemptsUnchecked = true;
     job.mPhase = aProgress->mPhase;
     job.mBegan = aProgress->mBegan;
+    job.mHomeShard = aProgress->mHomeShard;
     job.mOccurrencesBegun = aProgress->mOccurrencesBegun;
     job.mOccurrencesDone = aProgress->mOccurrencesDone;
     for (const auto& [number, steps] : aProgress->mOccurrences) {
@@ -389,7 +404,7 @@
       // When it was due isn't known here.
       occurrence.mBegunAt = job.mSpec.mOccurrences > 0 ? aNow : aAcceptedAt;
       occurrence.mSoftDeadline = SoftDeadlineOf(aDispatcher, job, aAcceptedAt);
-      ApplyProgress(occurrence, steps);
+      ApplyProgress(job, occurrence, steps);
       job.mOccurrences.emplace(number, std::move(occurrence));
       MarkReadySteps(aDispatcher, job, number, aNow);
     }
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -51,6 +51,15 @@
   }
 }
 
+/// Notes that a pass over all runners has found no room for a task of the step.
+void
+NoteNoRoom(Step& aStep, MonotonicTime aNow)
+{
+  if (!aStep.mNoRoomSince) {
+    aStep.mNoRoomSince = aNow;
+  }
+}
+
 } // namespace
 
 void
@@ -88,6 +97,11 @@
     full ? AvailableRunners(aDispatcher, aNow)
          : std::exchange(aDispatcher.mFreedRunners, {});
   if (candidates.empty() || aDispatcher.mWaitingSteps.empty()) {
+    if (full) {
+      for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+        NoteNoRoom(StepOf(entry), aNow);
+      }
+    }
     aDispatcher.mPlacementDue =
       aDispatcher.mPlacementDue && !aDispatcher.mWaitingSteps.empty();
     return;
@@ -142,6 +156,9 @@
     const bool mayHold = full && interrupted && !spec.mGang &&
                          spec.mReservation == Reservation::Reserved;
     if (unplaceable.Covers(spec, queue->mService)) {
+      if (full) {
+        NoteNoRoom(step, aNow);
+      }
       if (mayHold) {
         HoldRunnersFor(aDispatcher,
                        candidates,
@@ -176,6 +193,9 @@
           aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
         if (runner == kNoRunner) {
           unplaceable.Add(spec, queue->mService);
+          if (full) {
+            NoteNoRoom(step, aNow);
+          }
           if (mayHold) {
             HoldRunnersFor(aDispatcher,
                            candidates,
@@ -188,6 +208,7 @@
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
         AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
+        step.mNoRoomSince.reset();
         ++started;
       }
     }
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -210,6 +210,9 @@
     return;
   }
   Task& task = TaskOf(ref);
+  if (task.mPhase == TaskPhase::Elsewhere) {
+    return; // All runs had ended here before the task was handed over.
+  }
   if (task.mPhase == TaskPhase::Done) {
     Emit(
       aDispatcher,
@@ -485,6 +488,9 @@
                      MonotonicTime aNow)
 {
   Job& job = *aTask.mJob;
+  if (job.mHomeShard) {
+    return; // The home shard keeps the other steps.
+  }
   const std::vector<StepSpec>& specs = job.mSpec.mSteps;
   Occurrence& occurrence = job.mOccurrences.at(aTask.mOccurrence);
   // Predecessors have lower numbers, so one pass finds them all.
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -34,6 +34,7 @@
   row.mLinkMbps = (*value)["link_mbps"].asInt64();
   row.mHeartbeatCount = (*value)["beat"].asUInt64();
   row.mPeerAddress = (*value)["peer_address"].asString();
+  row.mKnowsParts = (*value)["parts"].asBool();
   return row;
 }
 
@@ -207,6 +208,9 @@
   if (!aRow.mPeerAddress.empty()) {
     value["peer_address"] = aRow.mPeerAddress;
   }
+  if (aRow.mKnowsParts) {
+    value["parts"] = true;
+  }
   return WriteJson(value);
 }
 
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -40,6 +40,9 @@
   /// Address at which other nodes ask this one for the operator's rows. Empty:
   /// it can't be asked; an earlier version of this program may run there.
   std::string mPeerAddress;
+  /// Whether the node knows of parts of jobs, see LibDispatch/JobParts.h.
+  /// Earlier versions would not cancel them.
+  bool mKnowsParts = false;
 };
 
 /// A shard's row in the cluster table. The shard's owner renews its lease by
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -276,6 +276,69 @@
   }
 }
 
+/// @return the index that is the name of a member
+std::uint32_t
+IndexOf(const std::string& aName)
+{
+  return static_cast<std::uint32_t>(std::strtoul(aName.c_str(), nullptr, 10));
+}
+
+/// Reads checkpoints by the index of their task.
+void
+ReadCheckpoints(const Json::Value& aSaved,
+                std::map<std::uint32_t, std::string>& aCheckpoints)
+{
+  if (!aSaved.isObject()) {
+    return;
+  }
+  for (const std::string& index : aSaved.getMemberNames()) {
+    aCheckpoints.emplace(IndexOf(index), aSaved[index].asString());
+  }
+}
+
+/// Adds the tasks that other shards have: for each of these shards its number
+/// and a digit for each task. Versions that don't know of them must not start
+/// them, so they count as done as well.
+void
+PutElsewhere(Json::Value& aEntry,
+             const dispatch::StepProgress& aStep,
+             std::string& aDone)
+{
+  std::map<std::uint32_t, std::string> digits;
+  for (const auto& [index, shard] : aStep.mElsewhere) {
+    std::string& ofShard = digits[shard];
+    ofShard.resize(aDone.size(), '0');
+    ofShard.at(index) = '1';
+  }
+  for (const auto& [index, shard] : aStep.mElsewhere) {
+    aDone.at(index) = '1';
+  }
+  for (const auto& [shard, tasks] : digits) {
+    Json::Value pair(Json::arrayValue);
+    pair.append(shard);
+    pair.append(tasks);
+    aEntry["elsewhere"].append(pair);
+  }
+}
+
+/// Reads the tasks that PutElsewhere() has added, after the flags of those that
+/// are done.
+void
+ReadElsewhere(const Json::Value& aEntry, dispatch::StepProgress& aStep)
+{
+  for (const Json::Value& pair : aEntry["elsewhere"]) {
+    const std::uint32_t shard = pair[0].asUInt();
+    const std::string tasks = pair[1].asString();
+    const std::size_t count = std::min(tasks.size(), aStep.mDone.size());
+    for (std::uint32_t i = 0; i < count; ++i) {
+      if (tasks[i] == '1') {
+        aStep.mDone[i] = false;
+        aStep.mElsewhere.emplace(i, shard);
+      }
+    }
+  }
+}
+
 /// @return the progress without the checkpoints
 Json::Value
 ProgressToJson(const dispatch::JobProgress& aProgress, FailedRuns aForm)
@@ -288,6 +351,9 @@
   const std::int64_t lastRun =
     aForm == FailedRuns::Compact ? LastFailedRun(aProgress) : 0;
   PutNumber(value, "last_failed_run", lastRun);
+  if (aProgress.mHomeShard) {
+    value["home"] = *aProgress.mHomeShard;
+  }
   for (const auto& [number, steps] : aProgress.mOccurrences) {
     Json::Value list(Json::arrayValue);
     for (const dispatch::StepProgress& step : steps) {
@@ -296,6 +362,7 @@
       for (const bool taskDone : step.mDone) {
         done += taskDone ? '1' : '0';
       }
+      PutElsewhere(entry, step, done);
       entry["done"] = done;
       if (aForm == FailedRuns::Compact) {
         PutText(entry, "failed", FormatCompactRuns(step, lastRun));
@@ -412,6 +479,41 @@
   return {};
 }
 
+std::string
+FormatTaskHandOver(const TaskHandOver& aTasks)
+{
+  Json::Value value(Json::objectValue);
+  value["job"] = aTasks.mJob;
+  value["from"] = aTasks.mFromShard;
+  value["step"] = aTasks.mStep;
+  value["tasks"] = Json::Value(Json::arrayValue);
+  for (const std::uint32_t index : aTasks.mTasks) {
+    value["tasks"].append(index);
+  }
+  for (const auto& [index, checkpoint] : aTasks.mCheckpoints) {
+    value["saved"][std::to_string(index)] = checkpoint;
+  }
+  return WriteJson(value);
+}
+
+std::optional<TaskHandOver>
+ParseTaskHandOver(std::string_view aText)
+{
+  const std::optional<Json::Value> value = ParseJsonObject(aText);
+  if (!value) {
+    return {};
+  }
+  TaskHandOver handOver;
+  handOver.mJob = (*value)["job"].asString();
+  handOver.mFromShard = (*value)["from"].asUInt();
+  handOver.mStep = (*value)["step"].asUInt();
+  for (const Json::Value& index : (*value)["tasks"]) {
+    handOver.mTasks.push_back(index.asUInt());
+  }
+  ReadCheckpoints((*value)["saved"], handOver.mCheckpoints);
+  return handOver;
+}
+
 std::string
 FormatStatus(const JobStatus& aStatus)
 {
@@ -470,37 +572,33 @@
   progress.mBegan = (*value)["began"].asBool();
   progress.mOccurrencesBegun = (*value)["occurrences_begun"].asUInt();
   progress.mOccurrencesDone = (*value)["occurrences_done"].asUInt();
+  if ((*value)["home"].isUInt()) {
+    progress.mHomeShard = (*value)["home"].asUInt();
+  }
   const Json::Value& occurrences = (*value)["occurrences"];
   if (!occurrences.isObject()) {
     return progress;
   }
   const std::int64_t lastRun = (*value)["last_failed_run"].asInt64();
-  const auto indexOf = [](const std::string& aName) {
-    return static_cast<std::uint32_t>(std::strtoul(aName.c_str(), nullptr, 10));
-  };
   for (const std::string& name : occurrences.getMemberNames()) {
     std::vector<dispatch::StepProgress>& steps =
-      progress.mOccurrences[indexOf(name)];
+      progress.mOccurrences[IndexOf(name)];
     for (const Json::Value& entry : occurrences[name]) {
       dispatch::StepProgress step;
       for (const char done : entry["done"].asString()) {
         step.mDone.push_back(done == '1');
       }
+      ReadElsewhere(entry, step);
       const Json::Value& failedRuns = entry["failed_runs"];
       if (failedRuns.isObject()) {
         for (const std::string& index : failedRuns.getMemberNames()) {
           for (const Json::Value& run : failedRuns[index]) {
-            step.mFailedRuns[indexOf(index)].push_back(run.asInt64());
+            step.mFailedRuns[IndexOf(index)].push_back(run.asInt64());
           }
         }
       }
       ReadCompactRuns(entry["failed"].asString(), lastRun, step);
-      const Json::Value& saved = entry["saved"];
-      if (saved.isObject()) {
-        for (const std::string& index : saved.getMemberNames()) {
-          step.mCheckpoints.emplace(indexOf(index), saved[index].asString());
-        }
-      }
+      ReadCheckpoints(entry["saved"], step.mCheckpoints);
       steps.push_back(std::move(step));
     }
   }
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <json/value.h>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -52,6 +53,23 @@
 std::optional<LimitViolation>
 FindJobViolation(const dispatch::JobSpec& aJob, const StoreLimits& aLimits);
 
+/// Tasks that one shard hands over to another, as its owner stores them in the
+/// inbox of the other.
+struct TaskHandOver
+{
+  std::string mJob;
+  std::uint32_t mFromShard = 0;
+  std::uint32_t mStep = 0;
+  std::vector<std::uint32_t> mTasks;                   ///< Their indexes.
+  std::map<std::uint32_t, std::string> mCheckpoints{}; ///< By task index.
+};
+
+/// Formats the row of tasks that are handed over.
+std::string
+FormatTaskHandOver(const TaskHandOver& aTasks);
+std::optional<TaskHandOver>
+ParseTaskHandOver(std::string_view aText);
+
 /// Formats the row of a job in the status table.
 std::string
 FormatStatus(const JobStatus& aStatus);
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -89,6 +89,7 @@
   : mContext(aContext)
   , mClientFrontEnd(aContext, mView)
 {
+  mContext.mSelf.mKnowsParts = true;
 }
 
 Node::~Node()
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -1,3 +1,4 @@
+#include <LibDispatch/JobParts.h>
 #include <LibNode/InterferenceRow.h>
 #include <LibNode/JobRows.h>
 #include <LibNode/ShardState.h>
@@ -81,6 +82,7 @@
   mCommit = dispatch::TakeCommit(mDispatcher);
   mCommitPhases.clear();
   mRejectedInCommit.clear();
+  mTakenRowsInCommit.clear();
   // What was rejected before gets a transaction of its own.
   std::vector<PendingTransaction::Part> rejectedBefore;
   TransactionSize size;
@@ -97,6 +99,10 @@
     const dispatch::Job& job = *mCommit->mJobs[i];
     mCommitPhases.push_back(job.mPhase);
     PendingTransaction::Part part = MakeJobPart(i, aNow);
+    const auto taken = mTakenRows.find(job.mSpec.mId);
+    if (taken != mTakenRows.end()) {
+      mTakenRowsInCommit[job.mSpec.mId] = taken->second.size();
+    }
     if (mDispatcher.mRejectedJobs.contains(job.mArrivalNumber)) {
       rejectedBefore.push_back(std::move(part));
     } else {
@@ -140,6 +146,7 @@
         progressPartition,
         kJobPrefix + id,
         FormatProgress(dispatch::ProgressOf(job)) });
+    AddTakenRows(part.mEntries, id);
     return part;
   }
   const JobStatus status{
@@ -147,12 +154,22 @@
   };
   const std::string inbox = InboxTable(mClaim.mShard);
   const std::string partition = mContext.mPartitions.OfJob(id);
-  part.mEntries.mPuts.push_back(
-    { kStatusTable, partition, id, FormatStatus(status) });
+  if (!job.mHomeShard) {
+    part.mEntries.mPuts.push_back(
+      { kStatusTable, partition, id, FormatStatus(status) });
+    for (const std::uint32_t shard : dispatch::OtherShardsOf(job)) {
+      part.mEntries.mPuts.push_back(
+        { InboxTable(shard), partition, kCancelPrefix + id, "{}" });
+    }
+  }
   part.mEntries.mRemovals.push_back(
     { progress, progressPartition, kJobPrefix + id });
-  part.mEntries.mRemovals.push_back({ inbox, partition, kAcceptedPrefix + id });
+  part.mEntries.mRemovals.push_back(
+    { inbox,
+      partition,
+      (job.mHomeShard ? kPartPrefix : kAcceptedPrefix) + id });
   part.mEntries.mRemovals.push_back({ inbox, partition, kCancelPrefix + id });
+  AddTakenRows(part.mEntries, id);
   Log(LogLevel::Info,
       "job_ended",
       "job=" + id + " phase=" +
@@ -294,10 +311,17 @@
     if (mRejectedInCommit.contains(i)) {
       continue;
     }
+    const std::string& id = mCommit->mJobs[i]->mSpec.mId;
     stored.mJobs.push_back(mCommit->mJobs[i]);
     phases.push_back(mCommitPhases[i]);
+    const auto taken = mTakenRowsInCommit.find(id);
+    if (taken != mTakenRowsInCommit.end()) {
+      ForgetTakenRows(id, taken->second);
+    }
     if (mCommitPhases[i] != dispatch::JobPhase::Active) {
-      RememberEnded(mCommit->mJobs[i]->mSpec.mId);
+      RememberEnded(id);
+      mRefusals.erase(id);
+      mPartVersions.erase(id);
     }
   }
   mCommit.reset();
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -16,6 +16,25 @@
 
 } // namespace
 
+void
+ShardOwner::State::ApplyInboxRows(std::span<const StoreRow> aRows,
+                                  dispatch::PriorRuns aHistory)
+{
+  const auto order = [](const StoreRow& aRow) {
+    const std::string_view key = aRow.mKey;
+    return key.starts_with(kCancelPrefix)  ? 2
+           : key.starts_with(kTasksPrefix) ? 1
+                                           : 0;
+  };
+  for (const int present : { 0, 1, 2 }) {
+    for (const StoreRow& row : aRows) {
+      if (order(row) == present) {
+        ApplyInboxRow(row, aHistory);
+      }
+    }
+  }
+}
+
 void
 ShardOwner::State::ApplyInboxRow(const StoreRow& aRow,
                                  dispatch::PriorRuns aHistory)
@@ -34,7 +53,11 @@
     PerformActions(actions);
     return;
   }
-  if (!key.starts_with(kAcceptedPrefix)) {
+  if (key.starts_with(kTasksPrefix)) {
+    TakeTasks(aRow, aHistory);
+    return;
+  }
+  if (!key.starts_with(kAcceptedPrefix) && !key.starts_with(kPartPrefix)) {
     return;
   }
   std::optional<AcceptedJob> job = ParseAcceptedJob(aRow.mValue);
@@ -42,33 +65,49 @@
     Log(LogLevel::Error, "unreadable_job", "key=" + aRow.mKey);
     return;
   }
-  if (mDispatcher.mJobs.contains(job->mSpec.mId) ||
-      mEndedJobs.contains(job->mSpec.mId)) {
+  AddJob(aRow, std::move(*job), aHistory);
+}
+
+void
+ShardOwner::State::AddJob(const StoreRow& aRow,
+                          AcceptedJob aJob,
+                          dispatch::PriorRuns aHistory)
+{
+  const MonotonicTime now = mContext.Now();
+  const std::string id = aJob.mSpec.mId;
+  const auto moved = mMovedJobs.find(id);
+  if (mEndedJobs.contains(id) ||
+      (moved != mMovedJobs.end() && aRow.mVersion <= moved->second)) {
     return;
   }
-  const std::string id = job->mSpec.mId;
-  const auto moved = mMovedJobs.find(id);
-  if (moved != mMovedJobs.end() && aRow.mVersion <= moved->second) {
+  const bool isPart = std::string_view(aRow.mKey).starts_with(kPartPrefix);
+  if (isPart) {
+    std::int64_t& version = mPartVersions[id];
+    version = std::max(version, aRow.mVersion);
+  }
+  if (mDispatcher.mJobs.contains(id)) {
     return;
   }
-  std::optional<dispatch::JobProgress> progress = std::move(job->mProgress);
+  std::optional<dispatch::JobProgress> progress = std::move(aJob.mProgress);
   const auto stored = mStoredProgress.find(id);
   if (stored != mStoredProgress.end()) {
     progress = ParseProgress(stored->second);
   }
   // The clocks of hosts differ, so the age is limited to a plausible range.
   const std::int64_t ageMs =
-    std::clamp<std::int64_t>(UnixMs() - job->mAcceptedUnixMs, 0, 60000);
+    std::clamp<std::int64_t>(UnixMs() - aJob.mAcceptedUnixMs, 0, 60000);
   dispatch::AddJob(mDispatcher,
-                   std::move(job->mSpec),
+                   std::move(aJob.mSpec),
                    progress ? &*progress : nullptr,
                    aHistory,
                    now - Millis(ageMs),
                    now);
-  mDispatcher.mJobs.find(id)->second->mMoves = job->mMoves;
-  mUncheckedJobs.push_back(id);
+  mDispatcher.mJobs.find(id)->second->mMoves = aJob.mMoves;
+  if (!isPart) {
+    mUncheckedJobs.push_back(id);
+  }
   Log(LogLevel::Info,
-      "job_taken",
+      isPart ? "part_taken" : "job_taken",
       "job=" + id + " age_ms=" + std::to_string(ageMs) +
         " version=" + std::to_string(aRow.mVersion));
 }
@@ -100,9 +139,7 @@
                                        [self] { self->WaitForInboxChanges(); });
         return;
       }
-      for (const StoreRow& row : aRead.mRows) {
-        self->ApplyInboxRow(row, dispatch::PriorRuns::None);
-      }
+      self->ApplyInboxRows(aRead.mRows, dispatch::PriorRuns::None);
       self->HoldWideJobs();
       self->mInboxVersion = std::max(self->mInboxVersion, aRead.mVersion);
       self->mInboxAsOfMs = std::max(self->mInboxAsOfMs, aRead.mClockMs);
--- a/Libraries/LibNode/ShardMoves.cpp
+++ b/Libraries/LibNode/ShardMoves.cpp
@@ -1,4 +1,5 @@
 #include <LibNode/JobRows.h>
+#include <LibNode/RunnerSlots.h>
 #include <LibNode/ShardState.h>
 #include <LibTime/BootClock.h>
 
@@ -6,6 +7,7 @@
 #include <utility>
 
 #include <LibDispatch/JobMoves.h>
+#include <LibDispatch/JobParts.h>
 
 namespace paddle {
 
@@ -40,47 +42,6 @@
 /// bring them back are read within seconds.
 constexpr std::size_t kMaxRememberedMoves = 5000;
 
-/// @return whether the runner could run tasks of the step if it were empty
-bool
-CanRun(const dispatch::RunnerSpec& aRunner,
-       const dispatch::StepSpec& aStep,
-       const std::string& aService)
-{
-  const auto& labels = aRunner.mLabels;
-  const dispatch::Resources& capacity = aRunner.mCapacity;
-  return aRunner.mService == aService && !aRunner.mDraining &&
-         (aStep.mRequiredLabel.empty() ||
-          std::find(labels.begin(), labels.end(), aStep.mRequiredLabel) !=
-            labels.end()) &&
-         aStep.mDemand.mMilliCores <= capacity.mMilliCores &&
-         aStep.mDemand.mMemoryMb <= capacity.mMemoryMb &&
-         aStep.mDemand.mAccelerators <= capacity.mAccelerators;
-}
-
-/// @return the number of tasks of the step that the runner could run at a time
-///         if it were empty
-std::uint64_t
-Slots(const dispatch::RunnerSpec& aRunner,
-      const dispatch::StepSpec& aStep,
-      const std::string& aService)
-{
-  if (!CanRun(aRunner, aStep, aService)) {
-    return 0;
-  }
-  std::int64_t slots =
-    aStep.mMaxTasksPerRunner > 0 ? aStep.mMaxTasksPerRunner : INT64_MAX;
-  const auto bound = [&](std::int64_t aCapacity, std::int64_t aDemand) {
-    slots = aDemand > 0 ? std::min(slots, aCapacity / aDemand) : slots;
-  };
-  if (aStep.mReservation == dispatch::Reservation::Reserved) {
-    bound(aRunner.mCapacity.mMilliCores, aStep.mDemand.mMilliCores);
-  }
-  bound(aRunner.mCapacity.mMemoryMb, aStep.mDemand.mMemoryMb);
-  bound(aRunner.mCapacity.mAccelerators, aStep.mDemand.mAccelerators);
-  return static_cast<std::uint64_t>(
-    std::min<std::int64_t>(slots, aStep.mTaskCount));
-}
-
 /// @return whether all tasks of the step have to run at the same time
 bool
 RunsAsAWhole(const dispatch::StepSpec& aStep)
@@ -184,14 +145,10 @@
     return {};
   }
   // Slots by step, then by shard.
-  std::vector<std::vector<std::uint64_t>> slots(
-    aJob.mSpec.mSteps.size(),
-    std::vector<std::uint64_t>(mView->mShardCount, 0));
-  for (const dispatch::RunnerSpec& runner : *mAllRunners) {
-    const std::uint32_t shard = ShardOfRunner(runner.mId, mView->mShardCount);
-    for (std::size_t i = 0; i < slots.size(); ++i) {
-      slots[i][shard] += Slots(runner, aJob.mSpec.mSteps[i], service);
-    }
+  std::vector<std::vector<std::uint64_t>> slots;
+  for (const dispatch::StepSpec& step : aJob.mSpec.mSteps) {
+    slots.push_back(
+      SlotsByShard(*mAllRunners, step, service, mView->mShardCount));
   }
   std::optional<std::uint32_t> best;
   double bestShare = 0;
@@ -278,6 +235,7 @@
     return;
   }
   MoveWideJobs(aNow);
+  ConsiderParts(aNow);
   if (mMove || mView->mShardCount < 2 || aNow < mNextMoveAt) {
     return;
   }
@@ -372,20 +330,31 @@
     return; // The end of the transaction or the next tick makes up for it.
   }
   const auto found = mDispatcher.mJobs.find(mMove->mJob);
+  const bool whole = mMove->mTasks.empty();
   if (!MayCommandRunners(aNow) || found == mDispatcher.mJobs.end() ||
-      !dispatch::MayMove(mDispatcher, *found->second)) {
+      (whole && !dispatch::MayMove(mDispatcher, *found->second))) {
     GiveUpMove("started");
     return;
   }
   dispatch::Job& job = *found->second;
-  StoreTransaction move = MakeMove(job);
-  if (FindLimitViolation(move, mContext.mSettings.mStoreLimits)) {
+  std::optional<StoreTransaction> move =
+    whole ? MakeMove(job) : MakeTaskMove(job);
+  if (!move) {
+    GiveUpMove("started");
+    return;
+  }
+  if (FindLimitViolation(*move, mContext.mSettings.mStoreLimits)) {
+    if (!whole) {
+      UndoTaskMove(job);
+    }
     GiveUpMove("bound");
     return;
   }
-  dispatch::HoldJob(mDispatcher, job);
+  if (whole) {
+    dispatch::HoldJob(mDispatcher, job);
+  }
   mMove->mSent = true;
-  mTransactions.emplace_back().mParts.push_back({ std::move(move), {} });
+  mTransactions.emplace_back().mParts.push_back({ std::move(*move), {} });
   SendNextTransaction();
 }
 
@@ -434,11 +403,31 @@
 void
 ShardOwner::State::HandleMoved(std::int64_t aVersion)
 {
-  const std::string id = mMove->mJob;
-  Log(LogLevel::Notice,
-      "job_moved",
-      "job=" + id + " to=" + std::to_string(mMove->mTarget));
-  mMove.reset();
+  const JobMove move = *std::exchange(mMove, {});
+  const std::string& id = move.mJob;
+  if (!move.mTasks.empty()) {
+    ForgetTakenRows(id, move.mTakenRows);
+    Log(LogLevel::Notice,
+        "tasks_moved",
+        "job=" + id + " to=" + std::to_string(move.mTarget) +
+          " step=" + std::to_string(move.mStep) +
+          " tasks=" + std::to_string(move.mTasks.size()) +
+          " first=" + std::to_string(move.mTasks.front()));
+    if (!move.mEndsPart) {
+      return;
+    }
+    if (mPartVersions[id] > aVersion) {
+      // Further tasks were handed over since, and have been read.
+      dispatch::NoteChange(mDispatcher, *mDispatcher.mJobs.find(id)->second);
+      return;
+    }
+    mPartVersions.erase(id);
+  } else {
+    Log(LogLevel::Notice,
+        "job_moved",
+        "job=" + id + " to=" + std::to_string(move.mTarget));
+  }
+  mRefusals.erase(id);
   if (!mMovedJobs.contains(id)) {
     mMovedOrder.push_back(id);
   }
@@ -460,13 +449,15 @@
 ShardOwner::State::GiveUpMove(std::string_view aCause)
 {
   Log(LogLevel::Info,
-      "job_not_moved",
+      mMove->mTasks.empty() ? "job_not_moved" : "tasks_not_moved",
       "job=" + mMove->mJob + " cause=" + std::string(aCause));
   const auto found = mDispatcher.mJobs.find(mMove->mJob);
   if (found != mDispatcher.mJobs.end()) {
     found->second->mMoveRetryAt = mContext.Now() + kMoveRetryPause;
-    if (mMove->mSent) {
+    if (mMove->mSent && mMove->mTasks.empty()) {
       dispatch::ResumeJob(mDispatcher, *found->second);
+    } else if (mMove->mSent) {
+      UndoTaskMove(*found->second);
     }
   }
   mMove.reset();
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include <LibDispatch/Dispatcher.h>
+#include <LibNode/JobRows.h>
 #include <LibNode/NodeContext.h>
 #include <LibNode/RunnerRows.h>
 #include <LibNode/ShardOwner.h>
@@ -30,6 +32,10 @@
 /// Prefixes of the keys in a shard's inbox: accepted jobs and cancellations.
 inline constexpr const char* kAcceptedPrefix = "accepted/";
 inline constexpr const char* kCancelPrefix = "cancel/";
+/// The same for parts of jobs of other shards, and for tasks that another shard
+/// hands over or gives back. Versions that don't know of parts ignore them.
+inline constexpr const char* kPartPrefix = "part/";
+inline constexpr const char* kTasksPrefix = "tasks/";
 /// Table with a status row for each job, from which any node answers clients.
 inline constexpr const char* kStatusTable = "jobs";
 
@@ -87,12 +93,18 @@
   std::vector<RunnerRowChange> mListChanges;
 };
 
-/// A job that is to be handed over to another shard.
+/// A job, or tasks of one, that are to be handed over to another shard.
 struct JobMove
 {
   std::string mJob;
   std::uint32_t mTarget = 0; ///< The other shard.
-  int mReadsLeft = 0;        ///< Number of reads that have no answer yet.
+  /// Indexes of the tasks of step mStep; none: the whole job is handed over.
+  std::vector<std::uint32_t> mTasks{};
+  std::uint32_t mStep = 0;
+  bool mEndsPart = false; ///< No task of a part is left in this shard.
+  /// Number of the job's rows in mTakenRows that the transaction removes.
+  std::size_t mTakenRows = 0;
+  int mReadsLeft = 0; ///< Number of reads that have no answer yet.
   bool mReadFailed = false;
   /// Version of the job's status row, which a cancellation changes.
   std::int64_t mStatusVersion = 0;
@@ -111,6 +123,13 @@
   MonotonicTime mMovableSince; ///< Zero: runs of earlier owners are unknown.
 };
 
+/// What a shard has answered that was to run tasks of a job.
+struct ShardRefusal
+{
+  MonotonicTime mRetryAt; ///< The shard gets no task of the job before.
+  std::uint32_t mCount = 0;
+};
+
 /// State of a shard's owner. The handlers of its calls share it, so that it
 /// lives until the last of them was called.
 struct ShardOwner::State : std::enable_shared_from_this<State>
@@ -166,9 +185,17 @@
   // The inbox (ShardInbox.cpp).
   /// Waits for changes of the inbox, applies them, and waits for the next.
   void WaitForInboxChanges();
-  /// Adds or cancels the job of a row.
-  /// @param aHistory whether an earlier owner may have started the job's tasks
+  /// Applies the rows: jobs first, since the other rows refer to them, and
+  /// cancellations last.
+  /// @param aHistory whether an earlier owner may have started the jobs' tasks
+  void ApplyInboxRows(std::span<const StoreRow> aRows,
+                      dispatch::PriorRuns aHistory);
+  /// Adds or cancels the job of a row, or takes its tasks.
   void ApplyInboxRow(const StoreRow& aRow, dispatch::PriorRuns aHistory);
+  /// Adds the job of a row, or the part of one, unless it is known or gone.
+  void AddJob(const StoreRow& aRow,
+              AcceptedJob aJob,
+              dispatch::PriorRuns aHistory);
 
   // Runners (ShardRunners.cpp).
   /// Passes the listed runners on to the dispatcher once their ids are stored,
@@ -289,6 +316,34 @@
   /// Lets the job go on here, because it certainly was not handed over.
   void GiveUpMove(std::string_view aCause);
 
+  // Tasks of long-running steps that this shard has no room for
+  // (ShardParts.cpp). They are handed over like jobs, see
+  // LibDispatch/JobParts.h.
+  /// Chooses tasks to hand over to another shard, or to give back.
+  void ConsiderParts(MonotonicTime aNow);
+  /// @return whether all nodes know of parts
+  [[nodiscard]] bool AllNodesKnowParts(MonotonicTime aNow) const;
+  /// Chooses the shard that can probably take most of the tasks.
+  /// @param aTasks reduced to as many as it can take
+  [[nodiscard]] std::optional<std::uint32_t> ChoosePartTarget(
+    const dispatch::Job& aJob,
+    std::uint32_t aStep,
+    std::vector<std::uint32_t>& aTasks,
+    MonotonicTime aNow) const;
+  /// Makes the entries of the transaction for mMove, from whose sending on the
+  /// tasks count as being in the other shard.
+  /// @return the entries; nothing if none of the tasks waits any more
+  std::optional<StoreTransaction> MakeTaskMove(dispatch::Job& aJob);
+  /// Lets the tasks of mMove wait here again.
+  void UndoTaskMove(dispatch::Job& aJob);
+  /// Takes the tasks of a row of the inbox.
+  void TakeTasks(const StoreRow& aRow, dispatch::PriorRuns aHistory);
+  /// Adds the removal of the rows whose tasks the job's progress includes.
+  void AddTakenRows(StoreTransaction& aTransaction,
+                    const std::string& aJob) const;
+  /// Forgets the job's rows that have been removed.
+  void ForgetTakenRows(const std::string& aJob, std::size_t aCount);
+
   void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
   /// Ends all work on the shard, because this node no longer owns it.
   void LoseOwnership(std::string_view aReason);
@@ -394,6 +449,20 @@
   /// back.
   std::unordered_map<std::string, std::int64_t> mMovedJobs;
   std::deque<std::string> mMovedOrder; ///< The same jobs, the oldest first.
+  /// Versions of the rows of parts, by job.
+  std::unordered_map<std::string, std::int64_t> mPartVersions;
+  /// Keys of rows whose tasks were taken, by job, until they are removed in a
+  /// transaction with the job's progress.
+  std::unordered_map<std::string, std::vector<std::string>> mTakenRows;
+  /// Number of these that the present commit removes.
+  std::unordered_map<std::string, std::size_t> mTakenRowsInCommit;
+  /// Keys of the rows that were taken last, the oldest first. A read that was
+  /// in flight when they were removed may still return them.
+  std::set<std::string> mKnownTaskRows;
+  std::deque<std::string> mKnownTaskRowOrder;
+  /// Shards that gave tasks back, by job and shard.
+  std::unordered_map<std::string, std::map<std::uint32_t, ShardRefusal>>
+    mRefusals;
   /// When jobs that had not begun were moved, and their queues.
   std::deque<std::pair<MonotonicTime, std::string>> mMovedPending;
   /// The cluster and the runners of all shards, see SetCluster().
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -249,9 +249,7 @@
     return;
   }
   // This read replaces the changes that the store no longer has.
-  for (const StoreRow& row : std::exchange(mInboxRows, {})) {
-    ApplyInboxRow(row, dispatch::PriorRuns::None);
-  }
+  ApplyInboxRows(std::exchange(mInboxRows, {}), dispatch::PriorRuns::None);
   HoldWideJobs();
   WaitForInboxChanges();
 }
@@ -262,9 +260,7 @@
   const bool neverOwned = mClaim.mRowVersion == 0;
   const dispatch::PriorRuns history =
     neverOwned ? dispatch::PriorRuns::None : dispatch::PriorRuns::Possible;
-  for (const StoreRow& row : mInboxRows) {
-    ApplyInboxRow(row, history);
-  }
+  ApplyInboxRows(mInboxRows, history);
   dispatch::AdoptRecordedRuns(mDispatcher, mContext.Now());
   Log(LogLevel::Notice,
       "shard_read",
--- a/Tests/LibNode/FakeStore.cpp
+++ b/Tests/LibNode/FakeStore.cpp
@@ -257,4 +257,15 @@
     }));
 }
 
+std::size_t
+FakeStore::RowsWithPrefix(const std::string& aTable,
+                          const std::string& aPrefix) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRows.begin(), mRows.end(), [&](const auto& aEntry) {
+      return std::get<0>(aEntry.first) == aTable &&
+             std::get<2>(aEntry.first).starts_with(aPrefix);
+    }));
+}
+
 } // namespace paddle
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -30,6 +30,9 @@
                                   const std::string& aKey) const;
   /// @return the number of rows in the table
   [[nodiscard]] std::size_t Rows(const std::string& aTable) const;
+  /// @return the number of rows in the table whose keys begin with a prefix
+  [[nodiscard]] std::size_t RowsWithPrefix(const std::string& aTable,
+                                           const std::string& aPrefix) const;
 
   /// Number of next transactions that are applied but whose answers are lost.
   int mLoseNextAnswers = 0;
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -207,9 +207,9 @@
 TEST(Cluster, RowsHaveTheDocumentedSizes)
 {
   const std::string name(60, 'n');
-  const NodeRow node{ name,      name,      name,       INT64_MAX,
-                      INT64_MAX, INT64_MAX, UINT64_MAX, name };
-  LONGS_EQUAL(426, FormatNodeRow(node).size());
+  const NodeRow node{ name,      name,       name, INT64_MAX, INT64_MAX,
+                      INT64_MAX, UINT64_MAX, name, true };
+  LONGS_EQUAL(439, FormatNodeRow(node).size());
   const JobStatus status{
     UINT32_MAX, name, dispatch::JobPhase::Cancelled, true
   };
