LibDispatch: End a runner's tasks once another process has its address

Cause: of the 66 runners in the stored list 44 processes had ended, so that the new owner reached no majority, and waited 12.4 s for the leases of an owner that might be isolated. The next processes at their addresses answered 421 to each renewal; that was treated like no answer.

Such an answer shows that the runner's process has ended: its tasks run again at once, and it counts for the majority, as it answers no earlier owner any more. runner_listed states the address, which showed it.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -312,6 +312,15 @@
              MonotonicTime aNow,
              Actions& aActions);
 
+/// Handles that another process has the address of a runner, so that the
+/// runner's own has ended with everything on it, and no order to it is carried
+/// out any more.
+void
+HandleReplaced(Dispatcher& aDispatcher,
+               RunnerIndex aRunner,
+               MonotonicTime aNow,
+               Actions& aActions);
+
 /// Handles a renewal that got no answer.
 void
 HandleNoReport(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -200,7 +200,7 @@
            "runner_listed",
            nullptr,
            "runner=" + spec.mId + " zone=" + spec.mDataCentre +
-             " rack=" + spec.mRack);
+             " rack=" + spec.mRack + " address=" + spec.mAddress);
       continue;
     }
     Runner& runner = aDispatcher.mRunners[found->second];
@@ -293,6 +293,29 @@
   }
 }
 
+void
+HandleReplaced(Dispatcher& aDispatcher,
+               RunnerIndex aRunner,
+               MonotonicTime aNow,
+               Actions& aActions)
+{
+  Runner& runner = aDispatcher.mRunners[aRunner];
+  if (runner.mPhase == RunnerPhase::LeaseExpired) {
+    return;
+  }
+  Emit(aDispatcher,
+       "runner_replaced",
+       nullptr,
+       "runner=" + runner.mSpec.mId +
+         " tasks=" + std::to_string(runner.mTasks.size()));
+  runner.mPhase = RunnerPhase::LeaseExpired;
+  runner.mInherited = false;
+  runner.mEndsAwaited = false;
+  runner.mPossibleRuns.reset();
+  EndAllRuns(aDispatcher, runner, aNow, aActions);
+  aDispatcher.mPlacementDue = true;
+}
+
 MonotonicTime
 EarlierLeasesEnd(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -75,17 +75,38 @@
                             plan.mLeaseEndMs,
                             plan.mLongPollTimeout };
   auto self = shared_from_this();
+  RunnerTarget target = TargetOf(aRunner);
   mContext.mRunners.mRenew(
-    TargetOf(aRunner),
+    target,
     order,
-    [self, aRunner, aNow, longPollTimeout = plan.mLongPollTimeout](
-      const RenewalOutcome& aOutcome) {
-      if (!self->mOwnershipLost) {
-        self->HandleRenewal(aRunner, aOutcome, aNow, longPollTimeout);
+    [self,
+     aRunner,
+     aNow,
+     address = target.mAddress,
+     longPollTimeout = plan.mLongPollTimeout](const RenewalOutcome& aOutcome) {
+      if (self->mOwnershipLost) {
+        return;
       }
+      // The runner itself may have a new process at another address by now.
+      if (aOutcome.mResult == RunnerResult::WrongRunner &&
+          self->TargetOf(aRunner).mAddress == address) {
+        self->HandleReplaced(aRunner);
+      }
+      self->HandleRenewal(aRunner, aOutcome, aNow, longPollTimeout);
     });
 }
 
+void
+ShardOwner::State::HandleReplaced(dispatch::RunnerIndex aRunner)
+{
+  const MonotonicTime now = mContext.Now();
+  dispatch::Actions actions;
+  dispatch::HandleReplaced(mDispatcher, aRunner, now, actions);
+  PerformActions(actions);
+  // It can't answer an earlier owner any more.
+  CountFencedRunner(aRunner, INT64_MAX, now);
+}
+
 void
 ShardOwner::State::HandleRenewal(dispatch::RunnerIndex aRunner,
                                  const RenewalOutcome& aOutcome,
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -166,7 +166,7 @@
   /// Passes on to the dispatcher how long it must wait for unreachable runners.
   void UpdateEarlierLeases();
   /// Counts a runner that has answered under this epoch, so that it rejects
-  /// earlier owners, towards the majority.
+  /// earlier owners, or whose process has ended, towards the majority.
   void CountFencedRunner(dispatch::RunnerIndex aRunner,
                          std::int64_t aIncarnation,
                          MonotonicTime aNow);
@@ -203,6 +203,8 @@
   void ApplyRunners();
   /// Sends a lease renewal to a runner.
   void Renew(dispatch::RunnerIndex aRunner, MonotonicTime aNow);
+  /// Handles that another process has the address of a runner.
+  void HandleReplaced(dispatch::RunnerIndex aRunner);
   /// Handles the answer of a runner to a renewal, or that there was none.
   /// @param aSentAt          when the renewal was sent
   /// @param aLongPollTimeout how long the runner could delay its answer
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -265,7 +265,18 @@
                    const auto runner = mRunners.find(aRunner);
                    // A late order is past the cut already.
                    const bool cut = !late && PathTo(aCaller, aRunner).mCut;
-                   if (runner != mRunners.end() && runner->second.mUp && !cut) {
+                   if (runner == mRunners.end() || cut) {
+                     return;
+                   }
+                   if (runner->second.mReplaced) {
+                     Result rejected{};
+                     if constexpr (kRenews) {
+                       rejected.mResult = RunnerResult::WrongRunner;
+                     } else {
+                       rejected = RunnerResult::WrongRunner;
+                     }
+                     answer(rejected);
+                   } else if (runner->second.mUp) {
                      aCarryOut(runner->second, answer);
                    }
                  });
@@ -636,6 +647,17 @@
   runner = std::move(next);
 }
 
+void
+ClusterSimulation::ReplaceRunner(const std::string& aRunner,
+                                 const std::string& aBy,
+                                 Millis aListedFor)
+{
+  RemoveRunner(aRunner, aListedFor);
+  mRunners.at(aRunner).mReplaced = true;
+  FakeRunner& next = mRunners[aBy];
+  next.mClockSetAt = mNow;
+}
+
 void
 ClusterSimulation::AdvanceTime(Millis aTime)
 {
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -43,6 +43,8 @@
     std::int64_t mClockSetMs = 0;
     double mClockRate = 1; ///< Below 1: the clock is slow.
     bool mUp = true;
+    /// Another runner's process is at its address, which rejects all orders.
+    bool mReplaced = false;
     bool mListed = true; ///< In the list of runners that nodes read.
     bool mDraining = false;
     std::string mRack; ///< A long name makes the stored list long.
@@ -115,6 +117,13 @@
   /// if any. It has a new incarnation and knows nothing of before.
   void RestartRunner(const std::string& aRunner);
 
+  /// Ends the runner's process and starts that of another runner at its
+  /// address.
+  /// @param aListedFor time after which it is dropped from the list of runners
+  void ReplaceRunner(const std::string& aRunner,
+                     const std::string& aBy,
+                     Millis aListedFor);
+
   /// Advances the clock in steps of 25 ms, with a tick of all nodes in each.
   void AdvanceTime(Millis aTime);
   /// Advances the clock until the shard has an owner, but at most by
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -315,6 +315,45 @@
   mFailures.Check();
 }
 
+// Guards against waiting for the leases of an owner that may be isolated, while
+// more than half of the runners of its list are gone and others are at their
+// addresses: its tasks did not run again for 15 s.
+TEST(TakeoverSimulation, ReplacedRunnersDelayNoRecovery)
+{
+  for (const std::size_t replaced : { 1U, 4U, 6U }) {
+    Scenario scenario;
+    ClusterSimulation& cluster = scenario.mCluster;
+    cluster.CutFromStore(scenario.mOwner, true);
+    for (std::size_t i = 0; i < replaced; ++i) {
+      cluster.ReplaceRunner(
+        "r" + std::to_string(i), "next" + std::to_string(i), Seconds(3));
+    }
+    cluster.FreezeNode(scenario.mOwner);
+    const MonotonicTime since = cluster.mNow;
+    scenario.AwaitOwnerAfter(scenario.mEpoch);
+    STRCMP_EQUAL(
+      "",
+      scenario.CheckRunning(scenario.mTasks, since, cluster.mNow + Seconds(1))
+        .c_str());
+    STRCMP_EQUAL("", cluster.Overlap().c_str());
+  }
+}
+
+// Guards against waiting for the leases of a runner whose owner learns that
+// another process has its address.
+TEST(TakeoverSimulation, TasksOfAReplacedRunnerRunAgainAtOnce)
+{
+  Scenario scenario;
+  ClusterSimulation& cluster = scenario.mCluster;
+  const MonotonicTime since = cluster.mNow;
+  cluster.ReplaceRunner(scenario.mRunner, "next", Seconds(3));
+  STRCMP_EQUAL(
+    "",
+    scenario.CheckRunning(scenario.mTasks, since, cluster.mNow + Seconds(2))
+      .c_str());
+  STRCMP_EQUAL("", cluster.Overlap().c_str());
+}
+
 // Guards against a next owner that uses no runner for 15 s because the stored
 // list is empty, of which no majority can be reached.
 TEST(TakeoverSimulation, AnEmptyListDelaysNoStart)
