LibDispatch: Start gangs that are wide for the runners that suit them

Cause: a runner gets no task while it has 12 start orders without an answer, and the orders for a gang are all counted before the first is sent. So no gang started that had more than 12 members for each runner.

The orders for other members of the same gang no longer count towards that limit; orders of other jobs do.

--- a/Libraries/LibDispatch/RunnerRating.cpp
+++ b/Libraries/LibDispatch/RunnerRating.cpp
@@ -250,6 +250,7 @@
 Obstacle
 ObstacleOfRunner(const Dispatcher& aDispatcher,
                  const Runner& aRunner,
+                 std::uint32_t aExemptStarts,
                  MonotonicTime aNow)
 {
   if (aRunner.mPhase != RunnerPhase::Live || !aRunner.mListed ||
@@ -267,7 +268,8 @@
       (aRunner.mOnProbation && HasProbationTask(aRunner))) {
     return Obstacle::Paused;
   }
-  if (aRunner.mUnansweredStarts >= aDispatcher.mSettings.mMaxUnansweredStarts) {
+  if (aRunner.mUnansweredStarts >=
+      aDispatcher.mSettings.mMaxUnansweredStarts + aExemptStarts) {
     return Obstacle::Paused;
   }
   if (!aRunner.mOrphans.empty()) {
@@ -284,7 +286,7 @@
 {
   std::vector<RunnerIndex> available;
   for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
-    if (ObstacleOfRunner(aDispatcher, aDispatcher.mRunners[i], aNow) ==
+    if (ObstacleOfRunner(aDispatcher, aDispatcher.mRunners[i], 0, aNow) ==
         Obstacle::None) {
       available.push_back(i);
     }
@@ -309,7 +311,10 @@
   if (runner.mSpec.mService != aService) {
     return Obstacle::OtherService;
   }
-  if (const Obstacle obstacle = ObstacleOfRunner(aDispatcher, runner, aNow);
+  // A gang starts as a whole, so the orders for its other members don't count.
+  const std::uint32_t exempt = spec.mGang ? CountOfStep(runner, aTask) : 0;
+  if (const Obstacle obstacle =
+        ObstacleOfRunner(aDispatcher, runner, exempt, aNow);
       obstacle != Obstacle::None) {
     return obstacle;
   }
--- a/Libraries/LibDispatch/RunnerRating.h
+++ b/Libraries/LibDispatch/RunnerRating.h
@@ -60,10 +60,13 @@
 std::uint32_t
 CountOfStep(const Runner& aRunner, const TaskRef& aTask);
 
+/// @param aExemptStarts number of start orders without an answer that don't
+///                      count towards the runner's limit
 /// @return what keeps the runner from taking any task now
 Obstacle
 ObstacleOfRunner(const Dispatcher& aDispatcher,
                  const Runner& aRunner,
+                 std::uint32_t aExemptStarts,
                  MonotonicTime aNow);
 
 /// @return the runners that can take tasks now
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -483,3 +483,30 @@
   fail(Seconds(3));
   CHECK_TRUE(world.mDispatcher.mJobs.at("job")->mBegan);
 }
+
+// Guards against a gang that never starts because the orders for its first
+// members reach the limit of unanswered starts of the few runners that suit it.
+TEST(Runners, AWideGangStartsOnFewRunners)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  StepSpec step = FiniteStep(36, 400);
+  step.mGang = true;
+  world.AddJob(MakeJob("job", { step }));
+  LONGS_EQUAL(36, world.RunningTasks());
+}
+
+// Guards against exempting the orders of other jobs from that limit.
+TEST(Runners, AGangWaitsForUnansweredStartsOfOtherJobs)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  world.mRoundTrips["zone0"] = Millis(400);
+  world.AddJob(MakeJob("first", { FiniteStep(12, 100) }));
+  StepSpec step = FiniteStep(2, 100);
+  step.mGang = true;
+  world.AddJob(MakeJob("gang", { step }));
+  LONGS_EQUAL(12, world.mStarts);
+  world.AdvanceTime(Seconds(2));
+  LONGS_EQUAL(14, world.mStarts);
+}
