--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -99,7 +99,9 @@
   if (candidates.empty() || aDispatcher.mWaitingSteps.empty()) {
     if (full) {
       for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
-        NoteNoRoom(StepOf(entry), aNow);
+        if (entry.mKind == StepKind::LongRunning) {
+          NoteNoRoom(StepOf(entry), aNow);
+        }
       }
     }
     aDispatcher.mPlacementDue =
