LibDispatch: Start nothing by the labels of a former process

A runner that restarts under its id may be of another kind.

The description counts as outdated until the list shows the present process, and the runner gets no task before that.

--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -169,6 +169,9 @@
   RunnerSpec mSpec;
   RunnerPhase mPhase = RunnerPhase::AwaitingReport;
   bool mListed = false; ///< Whether service discovery lists it.
+  /// Whether mSpec is that of a former process. The present one may have other
+  /// labels and another capacity, so no task is started on it.
+  bool mSpecOutdated = false;
   /// Resources that its tasks reserve. Best-effort tasks reserve no processors.
   Resources mReserved;
   /// Processors that its best-effort tasks demand.
--- a/Libraries/LibDispatch/RunnerRating.cpp
+++ b/Libraries/LibDispatch/RunnerRating.cpp
@@ -254,7 +254,8 @@
                  MonotonicTime aNow)
 {
   if (aRunner.mPhase != RunnerPhase::Live || !aRunner.mListed ||
-      aRunner.mSpec.mDraining || aRunner.mSilent || aRunner.mRecordStored ||
+      aRunner.mSpec.mDraining || aRunner.mSpecOutdated || aRunner.mSilent ||
+      aRunner.mRecordStored ||
       aNow - aRunner.mClockReadAt >=
         aDispatcher.mSettings.mMaxClockReadingAge) {
     return Obstacle::NotLive;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -166,6 +166,7 @@
   runner.mQuarantines = 0;
   runner.mOnProbation = false;
   runner.mSpec.mIncarnation = aIncarnation;
+  runner.mSpecOutdated = true;
   runner.mRestartSeenAt = aNow;
   runner.mPhase = RunnerPhase::AwaitingReport;
   for (const TaskRef& ref : unanswered) {
@@ -216,6 +217,7 @@
       Emit(aDispatcher, "runner_draining", nullptr, "runner=" + spec.mId);
     }
     runner.mSpec = spec;
+    runner.mSpecOutdated = false;
     runner.mListed = true;
   }
   for (const Runner& runner : aDispatcher.mRunners) {
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -510,3 +510,29 @@
   world.AdvanceTime(Seconds(2));
   LONGS_EQUAL(14, world.mStarts);
 }
+
+// Guards against starting a task by the labels and the capacity of a former
+// process: the present one may be of another kind, which only service discovery
+// tells.
+TEST(Runners, ARestartedRunnerGetsNoTaskByItsFormerLabels)
+{
+  DispatchWorld world;
+  world.ListRunners(1);
+  // The runner's report shows the new process before it is listed.
+  ++world.mRunners["r0"].mIncarnation;
+  world.Report();
+  StepSpec step = FiniteStep(1, 1000);
+  step.mRequiredLabel = "a";
+  world.AddJob(MakeJob("job", { step }));
+  world.AdvanceTime(Seconds(2));
+  LONGS_EQUAL(0, world.mStarts);
+  world.mListed[0].mIncarnation = world.mRunners["r0"].mIncarnation;
+  world.mListed[0].mLabels = { "b" };
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(0, world.mStarts);
+  world.mListed[0].mLabels = { "a" };
+  SetRunners(world.mDispatcher, world.mListed, world.mNow, world.mActions);
+  world.AdvanceTime(Seconds(1));
+  LONGS_EQUAL(1, world.mStarts);
+}
