LibDispatch: Hold room for long-running tasks of leaving runners

Cause: such a task is moved if there is room elsewhere. In a full service there is none, since small finite tasks take each place that becomes free, and room was made only once the task was lost: one lease and some 3.5 s later. Nor was any task moved while an interrupted one waited.

Now a runner is held for each task of a leaving runner that fits nowhere, for at most an eighth of the runners. Runners that are held for interrupted tasks take no moved ones, which replaces the wait for them.

Test: HoldsRoomForTasksThatFitNowhere (on the code before the task is still on its leaving runner after 4 s).

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -161,6 +161,9 @@
   /// or an overdue job that fits on no runner finds room there, as of the
   /// latest full pass.
   std::vector<RunnerIndex> mHeldRunners;
+  /// Runners that get no other tasks but interrupted ones, so that long-running
+  /// tasks of leaving runners find room there before these have left.
+  std::vector<RunnerIndex> mHeldForMoves;
   std::uint64_t mNextArrivalNumber = 1;
   MonotonicTime mExplainedAt; ///< When waiting steps were last logged.
   MonotonicTime mPlacedAt;    ///< When a full placement pass was last ordered.
--- a/Libraries/LibDispatch/HeldRunners.cpp
+++ b/Libraries/LibDispatch/HeldRunners.cpp
@@ -31,9 +31,11 @@
 
 /// @return the runner on which the least has to end before a task fits that
 ///         fits nowhere now, or kNoRunner if the task never will
+/// @param aHeld runners that are held for other tasks
 RunnerIndex
 ChooseRunnerToHold(const Dispatcher& aDispatcher,
                    std::span<const RunnerIndex> aCandidates,
+                   std::span<const RunnerIndex> aHeld,
                    const TaskRef& aTask,
                    const std::string& aService,
                    MonotonicTime aNow)
@@ -61,7 +63,6 @@
   RunnerIndex best = kNoRunner;
   std::int64_t bestFree = 0;
   for (const RunnerIndex index : aCandidates) {
-    const std::vector<RunnerIndex>& held = aDispatcher.mHeldRunners;
     const Runner& runner = aDispatcher.mRunners[index];
     const PlacementRating rating =
       RateRunner(aDispatcher, index, aTask, aService, Overcommit::No, aNow);
@@ -71,7 +72,7 @@
       (*obstacle == Obstacle::Cores || *obstacle == Obstacle::Memory ||
        *obstacle == Obstacle::Accelerators);
     if (!full || !suits(runner) ||
-        std::find(held.begin(), held.end(), index) != held.end()) {
+        std::find(aHeld.begin(), aHeld.end(), index) != aHeld.end()) {
       continue;
     }
     const std::int64_t free =
@@ -84,8 +85,35 @@
   return best;
 }
 
+/// @return the largest number of runners that may be held at the same time
+std::size_t
+MostHeldRunners(std::span<const RunnerIndex> aCandidates)
+{
+  return std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
+}
+
 } // namespace
 
+HoldResult
+HoldRunnerForMove(Dispatcher& aDispatcher,
+                  std::span<const RunnerIndex> aCandidates,
+                  const TaskRef& aTask,
+                  const std::string& aService,
+                  MonotonicTime aNow)
+{
+  std::vector<RunnerIndex>& held = aDispatcher.mHeldForMoves;
+  if (held.size() >= MostHeldRunners(aCandidates)) {
+    return HoldResult::LimitReached;
+  }
+  const RunnerIndex runner =
+    ChooseRunnerToHold(aDispatcher, aCandidates, held, aTask, aService, aNow);
+  if (runner == kNoRunner) {
+    return HoldResult::NoneSuits;
+  }
+  held.push_back(runner);
+  return HoldResult::Held;
+}
+
 void
 HoldRunnersFor(Dispatcher& aDispatcher,
                std::span<const RunnerIndex> aCandidates,
@@ -95,8 +123,7 @@
                MonotonicTime aNow)
 {
   const Step& step = StepOf(aEntry);
-  const std::size_t most =
-    std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
+  const std::size_t most = MostHeldRunners(aCandidates);
   std::size_t tasks = 0;
   for (std::uint32_t i = 0; i < step.mTasks.size() && tasks < aMostTasks; ++i) {
     if (aDispatcher.mHeldRunners.size() >= most) {
@@ -107,8 +134,8 @@
       continue;
     }
     const TaskRef ref{ aEntry.mJob, aEntry.mOccurrence, aEntry.mStep, i };
-    const RunnerIndex runner =
-      ChooseRunnerToHold(aDispatcher, aCandidates, ref, aService, aNow);
+    const RunnerIndex runner = ChooseRunnerToHold(
+      aDispatcher, aCandidates, aDispatcher.mHeldRunners, ref, aService, aNow);
     if (runner == kNoRunner) {
       return;
     }
@@ -124,6 +151,9 @@
   for (const RunnerIndex held : aDispatcher.mHeldRunners) {
     std::erase(aCandidates, held);
   }
+  for (const RunnerIndex held : aDispatcher.mHeldForMoves) {
+    std::erase(aCandidates, held);
+  }
 }
 
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/HeldRunners.h
+++ b/Libraries/LibDispatch/HeldRunners.h
@@ -19,6 +19,22 @@
                std::size_t aMostTasks,
                MonotonicTime aNow);
 
+/// Result of holding a runner for one task.
+enum class HoldResult
+{
+  Held,
+  NoneSuits, ///< No runner will have room for the task soon.
+  LimitReached
+};
+
+/// Holds a runner for a task of a leaving runner that fits nowhere.
+HoldResult
+HoldRunnerForMove(Dispatcher& aDispatcher,
+                  std::span<const RunnerIndex> aCandidates,
+                  const TaskRef& aTask,
+                  const std::string& aService,
+                  MonotonicTime aNow);
+
 /// Removes the runners that are held for other tasks.
 void
 ExcludeHeldRunners(const Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/LeavingRunners.cpp
+++ b/Libraries/LibDispatch/LeavingRunners.cpp
@@ -1,11 +1,10 @@
 #include <LibDispatch/Internal.h>
 
-#include <algorithm>
-#include <set>
-#include <string_view>
 #include <utility>
 #include <vector>
 
+#include <LibDispatch/HeldRunners.h>
+#include <LibDispatch/PlacementOrder.h>
 #include <LibDispatch/RunnerRating.h>
 
 namespace paddle::dispatch {
@@ -16,34 +15,6 @@
 /// runners at the same time. A stop takes up to 900 ms and a runner leaves 2.5
 /// s to 4 s after its notice, so that three rounds fit.
 constexpr std::size_t kMaxMovesInFlight = 96;
-/// Tasks are not moved from leaving runners while one waits that was
-/// interrupted within this time. One that waits for longer may fit on no runner
-/// at all.
-constexpr Seconds kRoomForLostTasks{ 5 };
-
-/// @return the services of which a long-running task was interrupted lately and
-///         waits for room, which it needs before tasks that still run
-std::set<std::string_view>
-ServicesWithLostTasks(const Dispatcher& aDispatcher, MonotonicTime aNow)
-{
-  std::set<std::string_view> services;
-  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
-    const QueueSpec* queue = FindQueue(aDispatcher, entry.mJob->mSpec.mQueue);
-    if (queue == nullptr || entry.mKind != StepKind::LongRunning) {
-      continue;
-    }
-    const std::vector<Task>& tasks = StepOf(entry).mTasks;
-    const bool waits =
-      std::any_of(tasks.begin(), tasks.end(), [&](const Task& aTask) {
-        return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
-               aNow - *aTask.mInterruptedAt < kRoomForLostTasks;
-      });
-    if (waits) {
-      services.insert(queue->mService);
-    }
-  }
-  return services;
-}
 
 /// @return the tasks that run on leaving runners and could run elsewhere
 /// @param aMoving receives the number of tasks that are being moved already
@@ -82,15 +53,18 @@
                        MonotonicTime aNow,
                        Actions& aActions)
 {
+  aDispatcher.mHeldForMoves.clear();
   std::size_t moving = 0;
   const std::vector<TaskRef> tasks = TasksOnLeavingRunners(aDispatcher, moving);
   if (tasks.empty() || aNow >= aDispatcher.mStartsUntil) {
     return;
   }
-  const std::set<std::string_view> shortOfRoom =
-    ServicesWithLostTasks(aDispatcher, aNow);
-  const std::vector<RunnerIndex> candidates =
-    AvailableRunners(aDispatcher, aNow);
+  std::vector<RunnerIndex> candidates = AvailableRunners(aDispatcher, aNow);
+  // Tasks that were interrupted need room before those that still run.
+  ExcludeHeldRunners(aDispatcher, candidates);
+  UnplaceableRequests unplaceable;
+  UnplaceableRequests unholdable; // Those for which no runner can be held.
+  bool mayHold = true;
   // What is kept for a task counts as used for those after it.
   std::vector<std::pair<RunnerIndex, Resources>> kept;
   for (const TaskRef& ref : tasks) {
@@ -98,15 +72,35 @@
     if (moving == kMaxMovesInFlight) {
       break;
     }
-    if (queue == nullptr || shortOfRoom.contains(queue->mService)) {
+    if (queue == nullptr) {
       continue;
     }
-    const RunnerIndex target = ChooseRunner(
-      aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
+    const StepSpec& spec = SpecOf(ref);
+    const bool covered = unplaceable.Covers(spec, queue->mService);
+    const RunnerIndex target = covered ? kNoRunner
+                                       : ChooseRunner(aDispatcher,
+                                                      candidates,
+                                                      ref,
+                                                      queue->mService,
+                                                      Overcommit::No,
+                                                      aNow);
     if (target == kNoRunner) {
-      continue; // It works on until its runner leaves.
+      // It works on until there is room, or until its runner leaves.
+      if (!covered) {
+        unplaceable.Add(spec, queue->mService);
+      }
+      if (!mayHold || unholdable.Covers(spec, queue->mService)) {
+        continue;
+      }
+      const HoldResult result =
+        HoldRunnerForMove(aDispatcher, candidates, ref, queue->mService, aNow);
+      mayHold = result != HoldResult::LimitReached;
+      if (result == HoldResult::NoneSuits) {
+        unholdable.Add(spec, queue->mService);
+      }
+      continue;
     }
-    const Resources& demand = SpecOf(ref).mDemand;
+    const Resources& demand = spec.mDemand;
     aDispatcher.mRunners[target].mReserved += demand;
     kept.emplace_back(target, demand);
     ++moving;
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -121,6 +121,15 @@
     return;
   }
   if (aOutcome.mResult != RunnerResult::Done) {
+    if (renewal.mBackOff == Millis(0) &&
+        !mDispatcher.mRunners[aRunner].mTasks.empty()) {
+      Log(LogLevel::Info,
+          "runner_silent",
+          "runner=" + mDispatcher.mRunners[aRunner].mSpec.mId + " result=" +
+            std::string(NameOf(aOutcome.mResult)) + " sent_ms_ago=" +
+            std::to_string(
+              std::chrono::duration_cast<Millis>(now - aSentAt).count()));
+    }
     dispatch::HandleNoReport(mDispatcher, aRunner, now);
     renewal.mBackOff =
       std::clamp(renewal.mBackOff * 2, kFirstBackOff, kLongestBackOff);
--- a/Tests/LibDispatch/TestLeavingRunners.cpp
+++ b/Tests/LibDispatch/TestLeavingRunners.cpp
@@ -143,3 +143,47 @@
   world.AdvanceTime(Seconds(1));
   LONGS_EQUAL(starts, world.mStarts);
 }
+
+// Guards against a long-running task that is away for a lease and longer after
+// its runner has left as announced: all other runners were kept full by small
+// finite tasks, of which one starts as soon as another ends.
+TEST(LeavingRunners, HoldsRoomForTasksThatFitNowhere)
+{
+  DispatchWorld world;
+  world.ListRunners(9);
+  // Each other runner takes three of the finite tasks.
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 12000) }));
+  world.AdvanceTime(Seconds(1));
+  const std::string leaving = world.RunnerOf("job.0.0.0");
+  int jobs = 0;
+  const auto keepFull = [&](Millis aTime) {
+    for (Millis passed(0); passed < aTime; passed += Millis(500)) {
+      for (int i = 0; i < 4; ++i) {
+        world.AddJob(
+          MakeJob("finite" + std::to_string(jobs++), { FiniteStep(6, 5000) }));
+      }
+      // The oldest task of each runner ends.
+      for (auto& [id, runner] : world.mRunners) {
+        const auto finite =
+          std::find_if(runner.mRunning.begin(),
+                       runner.mRunning.end(),
+                       [](const DispatchWorld::Run& aRun) {
+                         return aRun.mTask.starts_with("finite");
+                       });
+        if (finite != runner.mRunning.end()) {
+          world.End(std::string(finite->mTask), EndKind::Done);
+        }
+      }
+      world.AdvanceTime(Millis(500));
+    }
+  };
+  keepFull(Seconds(3));
+  STRCMP_EQUAL(leaving.c_str(), world.RunnerOf("job.0.0.0").c_str());
+  Drain(world, leaving);
+  keepFull(Seconds(4));
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(world.RunnerOf("job.0.0.0") != leaving);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+  // The room is held only as long as it is needed.
+  CHECK_TRUE(world.mDispatcher.mHeldForMoves.empty());
+}
