LibDispatch, LibNode: Bound what is held and looked at for moves

Found by reading the change: with fewer than eight runners one was still held for a task of a leaving runner, so that small tasks that fit nowhere else would have waited as long as that runner drains, although the task still runs. Nothing is held there now. An owner looks for a shard for five steps without room at a time, since each takes a look at all runners.

Test: HoldsNoRoomAmongFewRunners.

--- a/Libraries/LibDispatch/HeldRunners.cpp
+++ b/Libraries/LibDispatch/HeldRunners.cpp
@@ -85,13 +85,6 @@
   return best;
 }
 
-/// @return the largest number of runners that may be held at the same time
-std::size_t
-MostHeldRunners(std::span<const RunnerIndex> aCandidates)
-{
-  return std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
-}
-
 } // namespace
 
 HoldResult
@@ -102,7 +95,9 @@
                   MonotonicTime aNow)
 {
   std::vector<RunnerIndex>& held = aDispatcher.mHeldForMoves;
-  if (held.size() >= MostHeldRunners(aCandidates)) {
+  // Where there are few runners, holding one would cost other tasks too much:
+  // the task still runs, and may never fit.
+  if (held.size() >= aCandidates.size() / kRunnersPerHeldRunner) {
     return HoldResult::LimitReached;
   }
   const RunnerIndex runner =
@@ -123,7 +118,8 @@
                MonotonicTime aNow)
 {
   const Step& step = StepOf(aEntry);
-  const std::size_t most = MostHeldRunners(aCandidates);
+  const std::size_t most =
+    std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
   std::size_t tasks = 0;
   for (std::uint32_t i = 0; i < step.mTasks.size() && tasks < aMostTasks; ++i) {
     if (aDispatcher.mHeldRunners.size() >= most) {
--- a/Libraries/LibNode/ShardParts.cpp
+++ b/Libraries/LibNode/ShardParts.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kNoRoomBeforeReturn{ 1500 };
 /// No shard is looked for again for this long after none had room.
 constexpr Millis kRetryPause{ 1000 };
+/// Largest number of steps for which a shard is looked for at a time. Each
+/// takes a look at all runners, and is not considered again for kRetryPause.
+constexpr int kMaxConsidered = 5;
 /// A shard that gave tasks back gets none of the job for this long. Each
 /// further time doubles it.
 constexpr Millis kRefusalPause{ 4000 };
@@ -51,6 +54,7 @@
   if (mMove || mView->mShardCount < 2 || !AllNodesKnowParts(aNow)) {
     return;
   }
+  int considered = 0;
   for (dispatch::StepWithoutRoom& step :
        dispatch::StepsWithoutRoom(mDispatcher, kNoRoomBeforeHandOver, aNow)) {
     dispatch::Job& job = *step.mJob;
@@ -60,6 +64,9 @@
     if (job.mHomeShard && aNow - step.mSince <= kNoRoomBeforeReturn) {
       continue;
     }
+    if (++considered > kMaxConsidered) {
+      return;
+    }
     if (job.mMoves == 0 && dispatch::MayMove(mDispatcher, job) &&
         ChooseMoveTarget(job)) {
       continue; // It is soon handed over as a whole.
--- a/Tests/LibDispatch/TestLeavingRunners.cpp
+++ b/Tests/LibDispatch/TestLeavingRunners.cpp
@@ -187,3 +187,23 @@
   // The room is held only as long as it is needed.
   CHECK_TRUE(world.mDispatcher.mHeldForMoves.empty());
 }
+
+// Guards against keeping one of few runners free for a task that still runs:
+// small tasks that fit nowhere else would wait as long as its runner drains.
+TEST(LeavingRunners, HoldsNoRoomAmongFewRunners)
+{
+  DispatchWorld world;
+  world.ListRunners(2);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 12000) }));
+  world.AdvanceTime(Seconds(1));
+  const std::string leaving = world.RunnerOf("job.0.0.0");
+  world.AddJob(MakeJob("long", { FiniteStep(1, 10000) }));
+  world.AdvanceTime(Seconds(1));
+  CHECK_TRUE(world.RunnerOf("long.0.0.0") != leaving);
+  Drain(world, leaving);
+  world.AdvanceTime(Seconds(1));
+  world.AddJob(MakeJob("small", { FiniteStep(1, 2000) }));
+  world.AdvanceTime(Millis(200));
+  CHECK_TRUE(world.IsRunning("small.0.0.0"));
+  CHECK_TRUE(world.RunnerOf("job.0.0.0") == leaving);
+}
