--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -142,6 +142,8 @@
   std::uint32_t mLongRunningRunnerCount = 0;
   TextMap<std::unique_ptr<Job>> mJobs;
   TextMap<QueueSpec> mQueues;
+  /// The client accounts of the configuration; empty if it has none.
+  TextMap<AccountSpec> mAccounts;
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
   TextMap<StartContact> mStartContacts; ///< By data centre.
   /// Whether the start orders to any data centre got or get no answer.
@@ -206,6 +208,10 @@
 void
 SetQueues(Dispatcher& aDispatcher, std::span<const QueueSpec> aQueues);
 
+/// Replaces the configuration of all client accounts.
+void
+SetAccounts(Dispatcher& aDispatcher, std::span<const AccountSpec> aAccounts);
+
 /// Sets the data centres that are out of service, in which no task is started.
 void
 SetEvacuatedDataCentres(Dispatcher& aDispatcher,
--- a/Libraries/LibDispatch/JobSpec.h
+++ b/Libraries/LibDispatch/JobSpec.h
@@ -87,6 +87,8 @@
 {
   std::string mId;
   std::string mQueue;
+  /// Client account that submitted the job; empty: none, as on a public route.
+  std::string mAccount{};
   std::string mPayload; ///< Opaque text that is passed to each task.
   std::vector<StepSpec> mSteps;
   /// Number of times that the steps run; 0: once, immediately.
@@ -95,6 +97,18 @@
   std::int64_t mIntervalMs = 0; ///< Time between two occurrences.
 };
 
+/// What the configuration says about a client account's use of runners.
+struct AccountSpec
+{
+  std::string mName;
+  /// Share of the account when all runners are full, relative to the others;
+  /// also the number of jobs a second to which the account is entitled.
+  double mWeight = 1;
+  /// What the account may have running on all runners of all shards together;
+  /// 0: no limit on this resource.
+  Resources mCap{};
+};
+
 /// What the configuration says about a queue.
 struct QueueSpec
 {
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -425,6 +425,16 @@
   }
 }
 
+void
+SetAccounts(Dispatcher& aDispatcher, std::span<const AccountSpec> aAccounts)
+{
+  aDispatcher.mAccounts.clear();
+  for (const AccountSpec& account : aAccounts) {
+    aDispatcher.mAccounts.emplace(account.mName, account);
+  }
+  aDispatcher.mPlacementDue = true;
+}
+
 void
 SetEvacuatedDataCentres(Dispatcher& aDispatcher,
                         std::span<const std::string> aDataCentres)
--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -20,6 +20,14 @@
   std::string mHost;
   std::string mPathPrefix;
   dispatch::QueueSpec mQueue;
+  bool mPublic = false; ///< Requests need no key of a client account.
+};
+
+/// A client account, whose clients prove themselves by one of its keys.
+struct ClientAccount
+{
+  std::vector<std::string> mKeys;
+  dispatch::AccountSpec mSpec;
 };
 
 /// Limits on what clients may send.
@@ -36,6 +44,7 @@
 {
   std::int64_t mVersion = 0;
   std::vector<Route> mRoutes;
+  std::vector<ClientAccount> mAccounts;
   ClientLimits mLimits;
 };
 
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -418,6 +418,7 @@
   Json::Value value(Json::objectValue);
   value["id"] = aJob.mSpec.mId;
   value["queue"] = aJob.mSpec.mQueue;
+  PutText(value, "account", aJob.mSpec.mAccount);
   value["payload"] = aJob.mSpec.mPayload;
   value["accepted_unix_ms"] = Json::Int64(aJob.mAcceptedUnixMs);
   PutNumber(value, "occurrences", aJob.mSpec.mOccurrences);
@@ -446,6 +447,7 @@
   AcceptedJob job;
   job.mSpec.mId = (*value)["id"].asString();
   job.mSpec.mQueue = (*value)["queue"].asString();
+  job.mSpec.mAccount = (*value)["account"].asString();
   job.mSpec.mPayload = (*value)["payload"].asString();
   job.mAcceptedUnixMs = (*value)["accepted_unix_ms"].asInt64();
   job.mSpec.mOccurrences = (*value)["occurrences"].asUInt();
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -201,6 +201,11 @@
     queues.push_back(route.mQueue);
   }
   dispatch::SetQueues(mState->mDispatcher, queues);
+  std::vector<dispatch::AccountSpec> accounts;
+  for (const ClientAccount& account : aConfiguration.mAccounts) {
+    accounts.push_back(account.mSpec);
+  }
+  dispatch::SetAccounts(mState->mDispatcher, accounts);
 }
 
 void
