LibDispatch: Count what the runs of each client account take

Change: AccountUse, kept where a run is assigned to a runner and removed from it, so that stopping runs and starts without an answer count as well. Measured: LibDispatch builds; nothing reads the counts yet.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <LibDispatch/AccountUse.h>
 #include <LibDispatch/Actions.h>
 #include <LibDispatch/DispatchSettings.h>
 #include <LibDispatch/Interference.h>
@@ -144,6 +145,8 @@
   TextMap<QueueSpec> mQueues;
   /// The client accounts of the configuration; empty if it has none.
   TextMap<AccountSpec> mAccounts;
+  /// By account; only of jobs that name one.
+  TextMap<AccountUse> mAccountUse;
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
   TextMap<StartContact> mStartContacts; ///< By data centre.
   /// Whether the start orders to any data centre got or get no answer.
--- a/Libraries/LibDispatch/JobSpec.h
+++ b/Libraries/LibDispatch/JobSpec.h
@@ -14,6 +14,8 @@
   std::int64_t mMilliCores = 0;
   std::int64_t mMemoryMb = 0;
   std::int64_t mAccelerators = 0;
+
+  bool operator==(const Resources&) const = default;
 };
 
 inline Resources&
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -15,6 +15,15 @@
 /// attempt takes 0.9 s.
 constexpr Millis kLatestSend{ 1000 };
 
+/// @return the use of the job's account, or null if it has none
+AccountUse*
+UseOfJob(Dispatcher& aDispatcher, const Job& aJob)
+{
+  return aJob.mSpec.mAccount.empty()
+           ? nullptr
+           : &aDispatcher.mAccountUse[aJob.mSpec.mAccount];
+}
+
 /// Removes a task from its runner and from the resources in use there.
 void
 RemoveFromRunner(Dispatcher& aDispatcher,
@@ -26,6 +35,12 @@
   const StepSpec& spec = SpecOf(aTask);
   const Resources amount = ReservedResources(spec);
   runner.mReserved -= amount;
+  if (AccountUse* use = UseOfJob(aDispatcher, *aTask.mJob)) {
+    use->mReserved -= amount;
+    if (spec.mReservation == Reservation::BestEffort) {
+      use->mBestEffortMilliCores -= spec.mDemand.mMilliCores;
+    }
+  }
   if (spec.mReservation == Reservation::BestEffort) {
     runner.mBestEffortMilliCores -= spec.mDemand.mMilliCores;
     if (std::exchange(task.mOvercommitted, false)) {
@@ -700,6 +715,12 @@
   const StepSpec& spec = SpecOf(aTask);
   const Resources amount = ReservedResources(spec);
   runner.mReserved += amount;
+  if (AccountUse* use = UseOfJob(aDispatcher, *aTask.mJob)) {
+    use->mReserved += amount;
+    if (spec.mReservation == Reservation::BestEffort) {
+      use->mBestEffortMilliCores += spec.mDemand.mMilliCores;
+    }
+  }
   if (spec.mReservation == Reservation::BestEffort) {
     runner.mBestEffortMilliCores += spec.mDemand.mMilliCores;
   }
