LibDispatch: Start copies of tasks on silent runners where clients allow them

Cause: a finite task on a silent runner waits for the end of its leases (up to 10 s) and for an end that may not have been heard (12 s), also if its client allows copies to run in parallel. Change: after 0.6 s of silence such a task waits for another runner; its former run becomes one that the owner does not know, so its runner gets no other task until it has ended, and the first copy that is done counts. Not for accounts with a cap, whose use would be counted too low. A runner with nothing but such a run is given up when its leases have ended.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -72,6 +72,9 @@
   /// Starts of jobs that had nothing running for too long, see IdleJobs.h.
   std::uint64_t mOverdueStarts = 0;
   std::uint64_t mQuarantines = 0;
+  /// Tasks that were started again while their first run may go on, see
+  /// Speculation.h.
+  std::uint64_t mCopies = 0;
 };
 
 /// Starts that overdue jobs may take before all others, see IdleJobs.h.
--- a/Libraries/LibDispatch/JobSpec.h
+++ b/Libraries/LibDispatch/JobSpec.h
@@ -65,8 +65,7 @@
   Reservation mReservation = Reservation::Reserved;
   bool mWritesCheckpoints = false; ///< A task can resume from a checkpoint.
   bool mGang = false; ///< All tasks start together and end together.
-  // FIXME: Placement ignores mSameRack, mSpeculationAllowed and
-  // mMaxInterruptedTasks.
+  // FIXME: Placement ignores mSameRack and mMaxInterruptedTasks.
   bool mSameRack = false; ///< The tasks run slower when spread over racks.
   /// A second copy of a slow task may run in parallel.
   bool mSpeculationAllowed = false;
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include <LibDispatch/Speculation.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -244,6 +246,12 @@
                        aEnd.mRun > task.mRun;
   // The ends of several runs arrive in any order, because they are on different
   // runners.
+  const bool firstCopyDone = !current && aEnd.mKind == EndKind::Done &&
+                             aEnd.mRun < task.mRun &&
+                             MayRunCopies(aDispatcher, ref);
+  if (firstCopyDone) {
+    GiveUpRun(aDispatcher, ref, aNow, aActions);
+  }
   const bool former = task.mPhase == TaskPhase::Waiting &&
                       (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
   if (!current && !former) {
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/Speculation.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -73,12 +75,12 @@
   const MonotonicTime uncontested = std::min(aNow, aDispatcher.mRenewedAt);
   for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
     Runner& runner = aDispatcher.mRunners[i];
-    const bool silent =
-      (runner.mPhase == RunnerPhase::Live && !runner.mTasks.empty() &&
-       runner.mLeasesExpireAt <= uncontested) ||
-      (runner.mPhase == RunnerPhase::AwaitingReport &&
-       uncontested > runner.mLeasesExpireAt &&
-       uncontested > EarlierLeasesEnd(aDispatcher, i));
+    const bool silent = (runner.mPhase == RunnerPhase::Live &&
+                         (!runner.mTasks.empty() || !runner.mOrphans.empty()) &&
+                         runner.mLeasesExpireAt <= uncontested) ||
+                        (runner.mPhase == RunnerPhase::AwaitingReport &&
+                         uncontested > runner.mLeasesExpireAt &&
+                         uncontested > EarlierLeasesEnd(aDispatcher, i));
     if (!silent) {
       continue;
     }
@@ -302,6 +304,7 @@
            Actions& aActions)
 {
   ExpireSilentRunners(aDispatcher, aNow, aActions);
+  CopyTasksOfSilentRunners(aDispatcher, aNow, aActions);
   RepeatStops(aDispatcher, aNow, aActions);
   CheckRecovered(aDispatcher);
   for (const auto& [id, job] : aDispatcher.mJobs) {
