--- a/Tests/LibDispatch/TestSpeculation.cpp
+++ b/Tests/LibDispatch/TestSpeculation.cpp
@@ -29,7 +29,7 @@
   aWorld.ListRunners(2);
   aWorld.AddJob(MakeJob("job", { std::move(aStep) }));
   aWorld.AdvanceTime(Seconds(1));
-  const std::string runner = aWorld.RunnerOf("job.0.0.0");
+  std::string runner = aWorld.RunnerOf("job.0.0.0");
   aWorld.mRunners[runner].mAnswers = false;
   return runner;
 }
