--- a/Libraries/LibNode/DirectoryPort.h
+++ b/Libraries/LibNode/DirectoryPort.h
@@ -45,7 +45,7 @@
   std::int64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<ClientAccount> mAccounts;
-  ClientLimits mLimits;
+  ClientLimits mLimits{};
 };
 
 /// Everything that the operator has published, as of one read.
