PlatformAdapter: Read client accounts and the revocation bound

An answer of the store that leaves rows out, or whose version is missing so that its rows are not used, counted as a confirmation of the copy. Change: accounts and public routes are parsed. A configuration with an invalid account is rejected as a whole; the error, which is logged, names the account and the field and no key. bounds.strict_revoke needs a bounds.revoke_ms above the margin. An incomplete answer is a failed read, or makes the next read a full one.

--- a/Libraries/LibNode/StorePort.cpp
+++ b/Libraries/LibNode/StorePort.cpp
@@ -49,6 +49,7 @@
                           ReadPage(aRead, read.mRows.back().mKey + '\0');
                           return;
                         }
+                        read.mMore = aPage.mMore;
                         aRead->mDone(std::move(read));
                       });
 }
--- a/Libraries/LibNode/StorePort.h
+++ b/Libraries/LibNode/StorePort.h
@@ -126,7 +126,8 @@
 /// @param aDone called with the rows of all pages, the lowest version of a
 /// page,
 ///              from which on no change is missed, and the clock of the last
-///              page; or with a failed read if any page fails
+///              page; or with a failed read if any page fails. mMore is only
+///              set if the store announced more rows after a page without rows.
 void
 ReadAllPages(const StorePort& aStore,
              const std::string& aTable,
--- a/Tests/Platform/TestDirectory.cpp
+++ b/Tests/Platform/TestDirectory.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "../LibNode/FakeStore.h"
@@ -73,11 +74,12 @@
 TEST(Directory, ReadsAConfiguration)
 {
   const auto configuration = platform::ParseConfiguration(kConfiguration);
-  CHECK_TRUE(configuration.has_value());
-  LONGS_EQUAL(1, configuration->mRoutes.size());
-  LONGS_EQUAL(2, configuration->mRoutes[0].mQueue.mPriority);
-  LONGS_EQUAL(1000, configuration->mLimits.mBodyBytes);
-  CHECK_FALSE(platform::ParseConfiguration("{\"routes\":[]}").has_value());
+  CHECK_TRUE(Succeeded(configuration));
+  const Configuration& read = ValueOf(configuration);
+  LONGS_EQUAL(1, read.mRoutes.size());
+  LONGS_EQUAL(2, read.mRoutes[0].mQueue.mPriority);
+  LONGS_EQUAL(1000, read.mLimits.mBodyBytes);
+  CHECK_FALSE(Succeeded(platform::ParseConfiguration("{\"routes\":[]}")));
 }
 
 // Guards against polling the whole configuration instead of its changes. With a
@@ -335,3 +337,173 @@
   CHECK_TRUE(result == ReadResult::Failed);
   UNSIGNED_LONGS_EQUAL(1234, received);
 }
+
+namespace {
+
+/// @param aAccounts the JSON values of the accounts
+std::string
+WithAccounts(const std::string& aAccounts)
+{
+  return R"({"version":7,"routes":[],"tenants":)" + aAccounts + "}";
+}
+
+/// @return the error of a configuration with these accounts
+std::string
+ErrorWith(const std::string& aAccounts)
+{
+  const auto read = platform::ParseConfiguration(WithAccounts(aAccounts));
+  return Succeeded(read) ? "" : ErrorOf(read).mMessage;
+}
+
+} // namespace
+
+// Guards against an account's part that ends up in the wrong place, and against
+// a route that is public although the configuration does not say so.
+TEST(Directory, ReadsAccounts)
+{
+  const auto read = platform::ParseConfiguration(
+    R"({"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/p/",)"
+    R"("service":"s"},{"name":"r","host":"h","path_prefix":"/r/","service":)"
+    R"("s","public":true},{"name":"t","host":"h","path_prefix":"/t/",)"
+    R"("service":"s","public":"true"}],"tenants":[{"name":"kaje80",)"
+    R"("api_keys":["k1","k2","k1"],"priority":1,"weight":18,"cap":{"cpu":)"
+    R"(6142779,"mem_mb":11449191,"gpu":3},"allowed_regions":[],"later":{}},)"
+    R"({"name":"other","weight":0.5,"cap":{"cpu":7}},)"
+    R"({"name":"third","api_keys":null,"weight":1,"cap":null}]})");
+  CHECK_TRUE(Succeeded(read));
+  const Configuration& configuration = ValueOf(read);
+  CHECK_FALSE(configuration.mRoutes[0].mPublic);
+  CHECK_TRUE(configuration.mRoutes[1].mPublic);
+  CHECK_FALSE(configuration.mRoutes[2].mPublic);
+  LONGS_EQUAL(3, configuration.mAccounts.size());
+  const ClientAccount& first = configuration.mAccounts[0];
+  STRCMP_EQUAL("kaje80", first.mSpec.mName.c_str());
+  LONGS_EQUAL(3, first.mKeys.size());
+  DOUBLES_EQUAL(18, first.mSpec.mWeight, 0);
+  LONGS_EQUAL(6142779, first.mSpec.mCap.mMilliCores);
+  LONGS_EQUAL(11449191, first.mSpec.mCap.mMemoryMb);
+  LONGS_EQUAL(3, first.mSpec.mCap.mAccelerators);
+  const dispatch::AccountSpec& second = configuration.mAccounts[1].mSpec;
+  LONGS_EQUAL(7, second.mCap.mMilliCores);
+  LONGS_EQUAL(0, second.mCap.mMemoryMb);
+  for (const char* none : { "[]", "null" }) {
+    const auto empty = platform::ParseConfiguration(WithAccounts(none));
+    CHECK_TRUE(Succeeded(empty) && ValueOf(empty).mAccounts.empty());
+  }
+}
+
+// Guards against an invalid account that comes into force, and against an error
+// that does not tell which field of which account it is, or that tells a key.
+TEST(Directory, RejectsInvalidAccounts)
+{
+  const std::string good = R"({"name":"a","api_keys":["secret"],"weight":1})";
+  const auto with = [](const std::string& aMembers) {
+    return "[{\"name\":\"a\"," + aMembers + "}]";
+  };
+  const std::string keys =
+    "tenants[0] (a).api_keys: allowed is a list of texts "
+    "of 1 to 512 bytes";
+  const std::string weight =
+    "tenants[0] (a).weight: allowed is a number above 0";
+  const std::string name =
+    "tenants[0].name: allowed is a text of 1 to 128 bytes";
+  for (const auto& [accounts, error] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "{}", "tenants: allowed is a list" },
+         { "[17]", "tenants[0]: allowed is an object" },
+         { R"([{"weight":1}])", name },
+         { R"([{"name":"","weight":1}])", name },
+         { R"([{"name":5,"weight":1}])", name },
+         { R"([{"name":")" + std::string(129, 'n') + R"(","weight":1}])",
+           name },
+         { "[" + good + R"(,{"name":"a","weight":1}])",
+           "tenants[1] (a).name: allowed is a name that no other account has" },
+         { "[" + good +
+             R"(,{"name":"b","weight":1,"api_keys":["x","secret"]}])",
+           "tenants[1] (b).api_keys: allowed is a key that no other account "
+           "has; a has one of them" },
+         { with(R"("weight":1,"api_keys":"secret")"), keys },
+         { with(R"("weight":1,"api_keys":["secret",17])"), keys },
+         { with(R"("weight":1,"api_keys":[""])"), keys },
+         { with(R"("weight":1,"api_keys":["secret)" + std::string(507, 's') +
+                R"("])"),
+           keys },
+         { with(R"("weight":0)"), weight },
+         { with(R"("weight":-2)"), weight },
+         { with(R"("weight":"5")"), weight },
+         { with(R"("cap":{})"), weight },
+         { with(R"("weight":1,"cap":[])"),
+           "tenants[0] (a).cap: allowed is an object" },
+         { with(R"("weight":1,"cap":{"cpu":-1})"),
+           "tenants[0] (a).cap.cpu: allowed is a whole number from 0 on" },
+         { with(R"("weight":1,"cap":{"mem_mb":"5"})"),
+           "tenants[0] (a).cap.mem_mb: allowed is a whole number from 0 on" },
+         { with(R"("weight":1,"cap":{"gpu":1.5})"),
+           "tenants[0] (a).cap.gpu: allowed is a whole number from 0 on" } }) {
+    STRCMP_EQUAL(error.c_str(), ErrorWith(accounts).c_str());
+  }
+  STRCMP_EQUAL("", ErrorWith("[" + good + "]").c_str());
+}
+
+// Guards against a rejected configuration without a line that says why.
+TEST(Directory, ReportsWhyAConfigurationIsRejected)
+{
+  FakeStore store;
+  StorePort port = store.Port();
+  std::vector<std::string> problems;
+  DirectoryPort directory = platform::MakeDirectoryPort(
+    port, [&](const std::string& aProblem) { problems.push_back(aProblem); });
+  Put(port, store, "config", kConfiguration);
+  CHECK_TRUE(ReadOnce(directory, store).mConfiguration.has_value());
+  Put(port, store, "config", WithAccounts(R"([{"name":"a b"}])"));
+  CHECK_FALSE(ReadOnce(directory, store).mConfiguration.has_value());
+  LONGS_EQUAL(1, problems.size());
+  STRCMP_EQUAL("row=config cause=unreadable_configuration "
+               "error=\"tenants[0] (a b).weight: allowed is a number above 0\"",
+               problems[0].c_str());
+}
+
+// Guards against an answer that confirms more than it has: one that leaves rows
+// out, or that does not tell its version, so that its rows are not used.
+TEST(Directory, AnIncompleteAnswerConfirmsNothing)
+{
+  ReadOutcome answer;
+  answer.mResult = ReadResult::Read;
+  answer.mVersion = 5;
+  answer.mRows.push_back({ "op", "", "config", kConfiguration, 5, false });
+  StorePort port;
+  port.mRead = [&](const std::string&,
+                   const std::string&,
+                   const std::string&,
+                   const std::string&,
+                   const ReadHandler& aDone) { aDone(answer); };
+  port.mWaitForChanges =
+    [&](const std::string&, std::int64_t, Millis, const ReadHandler& aDone) {
+      aDone(answer);
+    };
+  DirectoryPort directory =
+    platform::MakeDirectoryPort(port, [](const std::string&) {});
+  const auto read = [&] {
+    ReadResult result = ReadResult::Read;
+    directory.mReadOperatorState(
+      Millis(100),
+      [&](ReadResult aResult, const OperatorState&) { result = aResult; });
+    return result;
+  };
+  const auto with = [&](std::int64_t aVersion, bool aMore) {
+    answer.mVersion = aVersion;
+    answer.mMore = aMore;
+    return read();
+  };
+  CHECK_TRUE(with(0, false) == ReadResult::Failed);
+  const std::vector<StoreRow> rows = std::exchange(answer.mRows, {});
+  CHECK_TRUE(with(5, true) == ReadResult::Failed);
+  answer.mRows = rows;
+  CHECK_TRUE(with(5, false) == ReadResult::Read);
+  // From now on, the port waits for changes.
+  CHECK_TRUE(with(0, false) == ReadResult::Failed);
+  CHECK_TRUE(with(4, false) == ReadResult::Failed);
+  CHECK_TRUE(with(6, true) == ReadResult::HistoryGone);
+  LONGS_EQUAL(5, directory.mOperatorRowsAfter(INT64_MAX).mVersion);
+  CHECK_TRUE(with(6, false) == ReadResult::Read);
+}
--- a/Tests/Platform/TestMessages.cpp
+++ b/Tests/Platform/TestMessages.cpp
@@ -54,6 +54,25 @@
   }
 }
 
+// Guards against strict revocation without a bound, or with one that admits no
+// key at any time, and against a bound that acts although it is not demanded.
+TEST(Messages, ReadsTheRevocationBound)
+{
+  const auto read = [](const std::string& aLines) {
+    return platform::ParseSettings(kSettings + aLines);
+  };
+  const std::string strict = "\nbounds.strict_revoke=true\n";
+  const auto bound = read(strict + "bounds.revoke_ms=5000\n");
+  CHECK_TRUE(ValueOf(bound).mRevocationBound == Millis(5000));
+  CHECK_FALSE(ValueOf(read("\nbounds.revoke_ms=5000\n")).mRevocationBound);
+  for (const char* text : { "", "250", "soon", "-5000", "5000.5", "1e300" }) {
+    const auto invalid =
+      read(strict + "bounds.revoke_ms=" + std::string(text) + "\n");
+    CHECK_FALSE(Succeeded(invalid));
+    STRCMP_CONTAINS("bounds.revoke_ms", ErrorOf(invalid).mMessage.c_str());
+  }
+}
+
 // Guards against fields of a job's steps that are ignored or mixed up.
 TEST(Messages, ReadsAJobWithAllItsFields)
 {
@@ -136,7 +155,7 @@
       Succeeded(platform::ParseJob("0123456789abcdef", "q", inSteps)));
     CHECK_FALSE(platform::ParseRunnerReport(nested).has_value());
     CHECK_FALSE(platform::ParseRunnerEntry("i-1", nested).has_value());
-    CHECK_FALSE(platform::ParseConfiguration(nested).has_value());
+    CHECK_FALSE(Succeeded(platform::ParseConfiguration(nested)));
     CHECK_FALSE(ParseJsonObject(nested).has_value());
     CHECK_FALSE(ParseStatus(nested).has_value());
   }
