LibNode: Serve jobs of a client account to this account only

Change: status rows name the account, which each rewrite keeps; the member is left out when empty, and earlier versions ignore it. Status, cancellation and a submission with a taken id are answered OtherAccount to others, also from the remembered statuses of ended jobs. Submissions are counted by account.

--- a/Libraries/LibNode/ClientFrontEnd.cpp
+++ b/Libraries/LibNode/ClientFrontEnd.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <xxhash.h>
 
+#include <LibNode/RefusedRequest.h>
 #include <LibNode/ShardState.h>
 #include <LibTime/BootClock.h>
 
@@ -26,18 +27,29 @@
 constexpr std::size_t kMaxRememberedStatuses = 20000;
 
 /// @param aRows the rows that made a submission's check fail
-/// @return the version of the job's tombstone, or 0 if it has none
-std::int64_t
-TombstoneVersion(std::span<const StoreRow> aRows, std::string_view aJob)
+/// @return the job's status row, or null if there is none
+const StoreRow*
+FindStatusRow(std::span<const StoreRow> aRows, std::string_view aJob)
 {
-  for (const StoreRow& row : aRows) {
-    if (row.mTable != kStatusTable || row.mKey != aJob) {
-      continue;
-    }
-    const std::optional<JobStatus> status = ParseStatus(row.mValue);
-    return status && status->mTombstone ? row.mVersion : 0;
+  const auto row =
+    std::find_if(aRows.begin(), aRows.end(), [&](const StoreRow& aRow) {
+      return aRow.mTable == kStatusTable && aRow.mKey == aJob;
+    });
+  return row == aRows.end() ? nullptr : &*row;
+}
+
+/// @param aAccount account that the job belongs to; empty: none
+/// @return Accepted if the caller may learn of the job or cancel it, otherwise
+///         the answer to the request
+ClientAnswer
+CheckAccess(const Caller& aCaller, const std::string& aAccount)
+{
+  if (aAccount.empty() || aCaller.mAccess == JobAccess::All ||
+      aCaller.mAccount == aAccount) {
+    return ClientAnswer::Accepted;
   }
-  return 0;
+  return aCaller.mAccess == JobAccess::Undecided ? ClientAnswer::NotAccepted
+                                                 : ClientAnswer::OtherAccount;
 }
 
 } // namespace
@@ -61,6 +73,7 @@
     /// Version of the tombstone that a cancellation has left; 0: there is none.
     std::int64_t mTombstoneVersion = 0;
     std::function<void(ClientAnswer)> mAnswer;
+    Caller mCaller;
   };
 
   /// A cancellation that is being stored.
@@ -69,6 +82,7 @@
     std::string mJob;
     MonotonicTime mDeadline;
     std::function<void(ClientAnswer)> mAnswer;
+    Caller mCaller;
   };
 
   /// @return the shard that is to run a job, or nothing if no shard is known
@@ -93,6 +107,7 @@
   /// Reads the status again after a delay, or answers Unavailable if the client
   /// would wait too long.
   void RetryCancel(const std::shared_ptr<Cancellation>& aCancellation);
+  void CountSubmission(const std::string& aAccount, ClientAnswer aAnswer);
   /// Keeps the status of an ended job, which can't change any more.
   void RememberEndedJob(const std::string& aJob, const JobStatus& aStatus);
   void Log(std::string_view aEvent, const std::string& aFields);
@@ -161,7 +176,9 @@
                           aSubmission->mJob.mSpec.mQueue,
                           cancelled ? dispatch::JobPhase::Cancelled
                                     : dispatch::JobPhase::Active,
-                          false };
+                          false,
+                          /*mTombstone=*/false,
+                          aSubmission->mJob.mSpec.mAccount };
   StoreTransaction transaction;
   const std::string partition = mContext.mPartitions.OfJob(id);
   transaction.mChecks.push_back(
@@ -195,6 +212,7 @@
     Log("submit",
         "job=" + id + " queue=" + aSubmission->mJob.mSpec.mQueue + " shard=" +
           std::to_string(aSubmission->mShard) + " result=" + aResult);
+    CountSubmission(aSubmission->mJob.mSpec.mAccount, aAnswer);
     aSubmission->mAnswer(aAnswer);
   };
   switch (aOutcome.mResult) {
@@ -202,13 +220,24 @@
       finish(ClientAnswer::Accepted, "accepted");
       return;
     case StoreResult::Conflict: {
-      const std::int64_t tombstone = TombstoneVersion(aOutcome.mCurrent, id);
-      if (tombstone == 0) {
-        finish(ClientAnswer::Accepted, "accepted_before");
+      const StoreRow* row = FindStatusRow(aOutcome.mCurrent, id);
+      const std::optional<JobStatus> status =
+        row != nullptr ? ParseStatus(row->mValue) : std::nullopt;
+      if (!status || !status->mTombstone) {
+        const ClientAnswer answer = CheckAccess(
+          aSubmission->mCaller, status ? status->mAccount : std::string());
+        if (answer == ClientAnswer::Accepted) {
+          finish(answer, "accepted_before");
+        } else if (answer == ClientAnswer::OtherAccount) {
+          finish(answer, "other_account");
+        } else {
+          // The job may be the caller's own, which was accepted before.
+          finish(ClientAnswer::Unknown, "account_undecided");
+        }
         return;
       }
       Log("submit", "job=" + id + " result=cancelled_before");
-      aSubmission->mTombstoneVersion = tombstone;
+      aSubmission->mTombstoneVersion = row->mVersion;
       break;
     }
     case StoreResult::Rejected:
@@ -238,6 +267,23 @@
     next, [self, aSubmission] { self->SendSubmission(aSubmission); });
 }
 
+void
+ClientFrontEnd::State::CountSubmission(const std::string& aAccount,
+                                       ClientAnswer aAnswer)
+{
+  const bool refused = aAnswer == ClientAnswer::NotAccepted ||
+                       aAnswer == ClientAnswer::Rejected ||
+                       aAnswer == ClientAnswer::OtherAccount;
+  if (aAccount.empty() || (!refused && aAnswer != ClientAnswer::Accepted)) {
+    return;
+  }
+  // A name and its value are separated by a space on the page of metrics.
+  std::string name = PrintableText(aAccount);
+  std::replace(name.begin(), name.end(), ' ', '?');
+  mContext.mMetrics->Count(
+    (refused ? "account_refused_" : "account_accepted_") + name);
+}
+
 void
 ClientFrontEnd::State::RememberEndedJob(const std::string& aJob,
                                         const JobStatus& aStatus)
@@ -299,6 +345,17 @@
         aCancellation->mAnswer(ClientAnswer::NoSuchJob);
         return;
       }
+      const ClientAnswer access =
+        CheckAccess(aCancellation->mCaller, status->mAccount);
+      if (access != ClientAnswer::Accepted) {
+        self->Log("cancel",
+                  "job=" + aCancellation->mJob + " result=" +
+                    (access == ClientAnswer::OtherAccount
+                       ? "other_account"
+                       : "account_undecided"));
+        aCancellation->mAnswer(access);
+        return;
+      }
       if (status->mPhase != dispatch::JobPhase::Active) {
         aCancellation->mAnswer(ClientAnswer::Accepted);
         return;
@@ -376,11 +433,13 @@
 
 void
 ClientFrontEnd::Submit(dispatch::JobSpec aJob,
-                       std::function<void(ClientAnswer)> aAnswer)
+                       std::function<void(ClientAnswer)> aAnswer,
+                       Caller aCaller)
 {
   const std::optional<std::uint32_t> shard = mState->ChooseShard(aJob);
   if (!shard) {
     mState->Log("submit", "job=" + aJob.mId + " result=no_shard");
+    CountSubmission(aJob.mAccount, ClientAnswer::NotAccepted);
     aAnswer(ClientAnswer::NotAccepted);
     return;
   }
@@ -390,27 +449,38 @@
   submission->mDeadline =
     mState->mContext.Now() + mState->mContext.mSettings.mClientTimeout;
   submission->mAnswer = std::move(aAnswer);
+  submission->mCaller = std::move(aCaller);
   mState->SendSubmission(submission);
 }
 
 void
 ClientFrontEnd::Cancel(const std::string& aJob,
-                       std::function<void(ClientAnswer)> aAnswer)
+                       std::function<void(ClientAnswer)> aAnswer,
+                       Caller aCaller)
 {
   mState->ReadForCancel(
     std::make_shared<State::Cancellation>(State::Cancellation{
       aJob,
       mState->mContext.Now() + mState->mContext.mSettings.mClientTimeout,
-      std::move(aAnswer) }));
+      std::move(aAnswer),
+      std::move(aCaller) }));
 }
 
 void
 ClientFrontEnd::Status(const std::string& aJob,
-                       std::function<void(StatusAnswer)> aAnswer)
+                       std::function<void(StatusAnswer)> aAnswer,
+                       Caller aCaller)
 {
+  const auto tell = [](const Caller& aTo,
+                       const JobStatus& aStatus,
+                       const std::function<void(StatusAnswer)>& aReceiver) {
+    const ClientAnswer access = CheckAccess(aTo, aStatus.mAccount);
+    aReceiver(access == ClientAnswer::Accepted ? StatusAnswer{ access, aStatus }
+                                               : StatusAnswer{ access, {} });
+  };
   const auto ended = mState->mEndedStatuses.find(aJob);
   if (ended != mState->mEndedStatuses.end()) {
-    aAnswer({ ClientAnswer::Accepted, ended->second });
+    tell(aCaller, ended->second, aAnswer);
     return;
   }
   auto state = mState;
@@ -419,7 +489,11 @@
     mState->mContext.mPartitions.OfJob(aJob),
     aJob,
     aJob + '\0',
-    [state, aJob, answer = std::move(aAnswer)](ReadOutcome aRead) {
+    [state,
+     aJob,
+     tell,
+     caller = std::move(aCaller),
+     answer = std::move(aAnswer)](ReadOutcome aRead) {
       if (aRead.mResult != ReadResult::Read) {
         state->Log("status", "job=" + aJob + " result=store_unavailable");
         answer({ ClientAnswer::Unavailable, {} });
@@ -445,10 +519,17 @@
       if (status->mPhase != dispatch::JobPhase::Active) {
         state->RememberEndedJob(aJob, *status);
       }
-      answer({ ClientAnswer::Accepted, *status });
+      tell(caller, *status, answer);
     });
 }
 
+void
+ClientFrontEnd::CountSubmission(const std::string& aAccount,
+                                ClientAnswer aAnswer)
+{
+  mState->CountSubmission(aAccount, aAnswer);
+}
+
 std::optional<std::uint64_t>
 ClientFrontEnd::Pending(const std::string& aQueue) const
 {
--- a/Libraries/LibNode/ClientFrontEnd.h
+++ b/Libraries/LibNode/ClientFrontEnd.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include <LibNode/ClientKeys.h>
 #include <LibNode/Cluster.h>
 #include <LibNode/JobRows.h>
 #include <LibNode/NodeContext.h>
@@ -27,7 +28,9 @@
   NoSuchJob,
   /// The job may be stored: the client must submit it again with the same id.
   Unknown,
-  Unavailable ///< The status of the job can't be read now.
+  Unavailable, ///< The status of the job can't be read now.
+  NoValidKey,  ///< The request has no key of a client account.
+  OtherAccount ///< The job belongs to another client account.
 };
 
 struct StatusAnswer
@@ -49,17 +52,28 @@
   ClientFrontEnd(const ClientFrontEnd&) = delete;
   ClientFrontEnd& operator=(const ClientFrontEnd&) = delete;
 
-  /// Stores a job for the owner of a shard.
+  /// Stores a job for the owner of a shard. The job belongs to the account that
+  /// it names.
   /// @param aAnswer is called once the outcome is known, or when the longest
   ///                time that a client waits has passed
+  /// @param aCaller learns whether the job's id is taken by a job of another
+  ///                account
   void Submit(dispatch::JobSpec aJob,
-              std::function<void(ClientAnswer)> aAnswer);
+              std::function<void(ClientAnswer)> aAnswer,
+              Caller aCaller = {});
   /// Stores that a job is cancelled; its shard's owner then stops its tasks.
+  /// Jobs of other accounts than the caller's are not cancelled.
   void Cancel(const std::string& aJob,
-              std::function<void(ClientAnswer)> aAnswer);
-  /// Reads the status of a job.
+              std::function<void(ClientAnswer)> aAnswer,
+              Caller aCaller = {});
+  /// Reads the status of a job. That of a job of another account than the
+  /// caller's is not told.
   void Status(const std::string& aJob,
-              std::function<void(StatusAnswer)> aAnswer);
+              std::function<void(StatusAnswer)> aAnswer,
+              Caller aCaller = {});
+  /// Counts a submission in the metrics of its account.
+  /// @param aAccount empty: none; the submission is not counted
+  void CountSubmission(const std::string& aAccount, ClientAnswer aAnswer);
   /// @return the number of accepted jobs of the queue of which no task has been
   ///         started, as the shards' owners last published it; nothing if a
   ///         part of it is older than NodeSettings::mMaxPendingAge, as while an
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -525,6 +525,7 @@
   value["phase"] = NameOf(aStatus.mPhase);
   PutFlag(value, "began", aStatus.mBegan);
   PutFlag(value, "tombstone", aStatus.mTombstone);
+  PutText(value, "account", aStatus.mAccount);
   return WriteJson(value);
 }
 
@@ -539,7 +540,8 @@
                     (*value)["queue"].asString(),
                     PhaseFromName((*value)["phase"].asString()),
                     (*value)["began"].asBool(),
-                    (*value)["tombstone"].asBool() };
+                    (*value)["tombstone"].asBool(),
+                    (*value)["account"].asString() };
 }
 
 std::string
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -38,6 +38,9 @@
   /// The job was cancelled before a submission was stored. The row makes the
   /// check of a submission fail that is carried out later.
   bool mTombstone = false;
+  /// Client account that the job belongs to; empty: none, as in rows of earlier
+  /// versions.
+  std::string mAccount{};
 };
 
 /// Formats the row of a job in a shard's inbox.
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -149,9 +149,9 @@
     AddTakenRows(part.mEntries, id);
     return part;
   }
-  const JobStatus status{
-    mClaim.mShard, job.mSpec.mQueue, job.mPhase, job.mBegan
-  };
+  const JobStatus status{ mClaim.mShard,        job.mSpec.mQueue,
+                          job.mPhase,           job.mBegan,
+                          /*mTombstone=*/false, job.mSpec.mAccount };
   const std::string inbox = InboxTable(mClaim.mShard);
   const std::string partition = mContext.mPartitions.OfJob(id);
   if (!job.mHomeShard) {
--- a/Libraries/LibNode/ShardMoves.cpp
+++ b/Libraries/LibNode/ShardMoves.cpp
@@ -369,9 +369,12 @@
     std::chrono::duration_cast<Millis>(mContext.Now() - aJob.mAcceptedAt);
   AcceptedJob accepted{ aJob.mSpec, UnixMs() - ageMs.count() };
   accepted.mMoves = aJob.mMoves + 1;
-  const JobStatus status{
-    target, aJob.mSpec.mQueue, dispatch::JobPhase::Active, aJob.mBegan
-  };
+  const JobStatus status{ target,
+                          aJob.mSpec.mQueue,
+                          dispatch::JobPhase::Active,
+                          aJob.mBegan,
+                          /*mTombstone=*/false,
+                          aJob.mSpec.mAccount };
   StoreTransaction move;
   move.mChecks.push_back(
     { kStatusTable, partition, id, mMove->mStatusVersion });
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -214,6 +214,9 @@
     UINT32_MAX, name, dispatch::JobPhase::Cancelled, true
   };
   LONGS_EQUAL(124, FormatStatus(status).size());
+  JobStatus ofAccount = status;
+  ofAccount.mAccount = name;
+  LONGS_EQUAL(197, FormatStatus(ofAccount).size());
   ShardRow shard;
   shard.mShard = UINT32_MAX;
   shard.mOwner = name;
--- a/Tests/LibNode/TestJobMoves.cpp
+++ b/Tests/LibNode/TestJobMoves.cpp
@@ -39,6 +39,32 @@
   CheckCompletes(mTask);
 }
 
+// Guards against a job that loses its client account with a move, so that every
+// account may cancel it, and its runs count for none.
+TEST(JobMoves, AMovedJobKeepsItsAccount)
+{
+  Fill();
+  dispatch::JobSpec job;
+  job.mId = mJob;
+  job.mQueue = "queue";
+  job.mAccount = "a";
+  job.mSteps.emplace_back().mTaskCount = 1;
+  job.mSteps[0].mDemand = { 1000, 1000, 0 };
+  mSubmittedAt = mCluster.mNow;
+  mCluster.mNodes.at("a").mNode->FrontEnd().Submit(std::move(job),
+                                                   [](ClientAnswer) {});
+  mCluster.AdvanceTime(Seconds(6));
+  CheckStarted(Seconds(6), mTask);
+  const JobStatus moved = mCluster.Status("a", mJob).mStatus;
+  LONGS_EQUAL(1, moved.mShard);
+  STRCMP_EQUAL("a", moved.mAccount.c_str());
+  const auto accepted = ParseAcceptedJob(
+    mCluster.mStore.Value(InboxTable(1), kAcceptedPrefix + mJob));
+  STRCMP_EQUAL("a", accepted->mSpec.mAccount.c_str());
+  CheckCompletes(mTask);
+  STRCMP_EQUAL("a", mCluster.Status("a", mJob).mStatus.mAccount.c_str());
+}
+
 // Guards against moving jobs that can be started where they are, or of which
 // something runs: the other tasks of a job that is wider than its shard follow.
 TEST(JobMoves, AJobOfWhichATaskRunsStays)
--- a/Tests/LibNode/TestJobRows.cpp
+++ b/Tests/LibNode/TestJobRows.cpp
@@ -224,3 +224,15 @@
   STRCMP_EQUAL(FormatProgress(*job.mProgress).c_str(),
                FormatProgress(*read->mProgress).c_str());
 }
+
+// Guards against a job whose account is lost with a rewrite of its status row,
+// and against rows without an account that earlier versions can't read as such.
+TEST(JobRows, AStatusNamesTheAccount)
+{
+  JobStatus status{ 3, "q", JobPhase::Active, true, false, "a" };
+  STRCMP_EQUAL("a", ParseStatus(FormatStatus(status))->mAccount.c_str());
+  status.mAccount.clear();
+  const std::string text = FormatStatus(status);
+  CHECK_TRUE(text.find("account") == std::string::npos);
+  STRCMP_EQUAL("", ParseStatus(text)->mAccount.c_str());
+}
