LibNode, PlatformAdapter: Require keys of client accounts

Change: calls on routes that are not public need a key of an account: 401 with WWW-Authenticate, 403 for another account's job, 503 with Retry-After while the copy is stale or, with strict revocation, too old. The age is evaluated for each call. A read that waits for a change counts from its sending, so a calm copy is up to 2.4 s old; with a revocation bound below 4.9 s the waits are shorter. Without accounts nothing changes.

--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -25,6 +25,12 @@
 constexpr Millis kShortestOperatorReadDelay{ 100 };
 constexpr Millis kLongestOperatorReadDelay{ 1500 };
 
+/// A read that waits for a change and gets no answer costs this much beyond its
+/// wait: the margin until it is given up (0.7 s), and delays until the next.
+constexpr Millis kLostReadTime{ 1050 };
+/// Shortest wait for a change for the sake of keys.
+constexpr Millis kShortestKeyWait{ 100 };
+
 /// Bound of the delay before a failed read of the operator's table is repeated,
 /// without the part that differs between nodes. After an outage, a node reads
 /// 1.35 s late at most, where a configuration has to be in force after 2.5 s.
@@ -46,6 +52,10 @@
 /// without a change is answered, and 3.9 s with the longest delay between them.
 constexpr Millis kMaxConfigurationAge{ 3000 };
 
+/// While every read is answered, the copy does not become older, also with the
+/// longest delay between two reads.
+constexpr Millis kLongestCalmAge{ 5000 };
+
 /// @param aBytes size of the change that was read
 /// @return the delay before the next read
 Millis
@@ -140,6 +150,9 @@
   }
   AnswerHeldRequests(aNow, false);
   CheckConfigurationAge(aNow);
+  for (const LeftOutRefusals& leftOut : TakeLeftOut(mRefusalLimit, aNow)) {
+    Log(LogLevel::Info, "request_refused", FormatLeftOut(leftOut));
+  }
   const bool ownsOrMayLayOut = !mShards.empty() || mView.mShardCount == 0;
   if (!mRunnerReadInFlight && aNow >= mNextRunnerReadAt && ownsOrMayLayOut) {
     ReadRunners();
@@ -411,6 +424,23 @@
   }
 }
 
+Millis
+Node::OperatorReadWait() const
+{
+  if (OthersRely(mSource.mCause)) {
+    return mContext.mSettings.mRelay.mReaderWait;
+  }
+  const std::optional<Millis>& maxAge = mContext.mSettings.mMaxKeyCopyAge;
+  if (!maxAge || !mKeys.mAccountsListed) {
+    return kOperatorChangeWait;
+  }
+  // A read without a change is answered after its wait, and its confirmation
+  // counts from its sending. The copy thus reaches the age of two waits, and of
+  // three waits and kLostReadTime if one read between them is lost.
+  return std::clamp(
+    (*maxAge - kLostReadTime) / 3, kShortestKeyWait, kOperatorChangeWait);
+}
+
 void
 Node::ReadOperator()
 {
@@ -418,8 +448,7 @@
   mOperatorReadSentAt = mContext.Now();
   std::weak_ptr<bool> alive = mAlive;
   mContext.mDirectory.mReadOperatorState(
-    OthersRely(mSource.mCause) ? mContext.mSettings.mRelay.mReaderWait
-                               : kOperatorChangeWait,
+    OperatorReadWait(),
     [this, alive, sentAt = mOperatorReadSentAt](ReadResult aResult,
                                                 OperatorState aState) {
       if (!alive.expired()) {
@@ -455,7 +484,11 @@
           " " + FormatConfigurationCopy(before));
     return;
   }
-  const Millis delay = OperatorReadDelay(aState.mChangedBytes);
+  Millis delay = OperatorReadDelay(aState.mChangedBytes);
+  if (mKeys.mAccountsListed && mContext.mSettings.mMaxKeyCopyAge) {
+    // The delay leaves bandwidth to others, but must not make the copy too old.
+    delay = std::min(delay, *mContext.mSettings.mMaxKeyCopyAge / 4);
+  }
   mNextOperatorReadAt = now + delay;
   FinishOperatorRead(
     std::move(aState), aSentAt, "store", "read_ms=" + readTime);
@@ -512,6 +545,7 @@
           " routes=" + std::to_string(read->mRoutes.size()) + " " +
           std::string(aReadFields));
     mConfiguration = std::move(read);
+    mKeys = MakeClientKeys(mConfiguration->mAccounts);
     for (auto& [number, shard] : mShards) {
       shard->SetConfiguration(*mConfiguration);
     }
@@ -529,19 +563,35 @@
   }
 }
 
-void
-Node::CheckConfigurationAge(MonotonicTime aNow)
+bool
+Node::CopyIsOverdue(MonotonicTime aNow) const
 {
   const ConfigurationCopy copy = ConfigurationInForce();
   const bool unanswered = mOperatorReadFailures > 0 ||
                           (mOperatorReadInFlight &&
                            aNow - mOperatorReadSentAt > kMaxConfigurationAge);
-  if (mConfigurationStaleSince || !unanswered || !copy.mAge ||
-      *copy.mAge <= kMaxConfigurationAge) {
+  return unanswered && copy.mAge && *copy.mAge > kMaxConfigurationAge;
+}
+
+bool
+Node::MayLackKeys() const
+{
+  // A node that has just woken may not have ticked since, and the answer that
+  // it has handled may be as old as its sleep.
+  return mConfigurationStaleSince || CopyIsOverdue(mContext.Now()) ||
+         ConfigurationInForce().mAge.value_or(Millis(0)) > kLongestCalmAge;
+}
+
+void
+Node::CheckConfigurationAge(MonotonicTime aNow)
+{
+  if (mConfigurationStaleSince || !CopyIsOverdue(aNow)) {
     return;
   }
   mConfigurationStaleSince = aNow;
-  Log(LogLevel::Notice, "configuration_stale", FormatConfigurationCopy(copy));
+  Log(LogLevel::Notice,
+      "configuration_stale",
+      FormatConfigurationCopy(ConfigurationInForce()));
 }
 
 void
@@ -641,9 +691,34 @@
                                   : ClientAnswer::NoSuchRoute;
 }
 
+CallDecision
+Node::DecideCall(const Route& aRoute,
+                 std::span<const std::string_view> aAuthorization) const
+{
+  return paddle::DecideCall(mKeys,
+                            aRoute,
+                            aAuthorization,
+                            { ConfigurationInForce().mAge,
+                              mContext.mSettings.mMaxKeyCopyAge,
+                              MayLackKeys() });
+}
+
+ClientAnswer
+Node::AnswerRefusedCall(CallVerdict aVerdict) const
+{
+  return aVerdict == CallVerdict::CopyTooOld || MayLackKeys()
+           ? ClientAnswer::NotAccepted
+           : ClientAnswer::NoValidKey;
+}
+
 void
 Node::LogRefusal(const RefusedRequest& aRequest)
 {
+  if (IsLimitedByAccount(aRequest.mCause) &&
+      !TakeLine(
+        mRefusalLimit, aRequest.mCause, aRequest.mAccount, mContext.Now())) {
+    return;
+  }
   Log(LogLevel::Info,
       "request_refused",
       FormatRefusedRequest(aRequest, ConfigurationInForce()));
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <LibNode/ClientFrontEnd.h>
+#include <LibNode/ClientKeys.h>
 #include <LibNode/Cluster.h>
 #include <LibNode/NodeContext.h>
 #include <LibNode/RefusedRequest.h>
@@ -52,13 +54,25 @@
   /// @return NoSuchRoute, or NotAccepted if the client should come back
   [[nodiscard]] ClientAnswer AnswerUnknownRoute() const;
 
+  /// Decides by the configuration in force, and by its age now, whether a call
+  /// is served.
+  /// @param aAuthorization values of all Authorization header fields
+  [[nodiscard]] CallDecision DecideCall(
+    const Route& aRoute,
+    std::span<const std::string_view> aAuthorization) const;
+  /// @param aVerdict another one than Admitted
+  /// @return NoValidKey, or NotAccepted if the client should come back: while
+  ///         the copy is stale or too old, another node may know better
+  [[nodiscard]] ClientAnswer AnswerRefusedCall(CallVerdict aVerdict) const;
+
   /// Answers a peer's request for the operator's rows: at once if any have
   /// changed, otherwise when the store confirms the copy or the wait is over.
   /// @param aReply gets the body of the answer; may be called later
   void ServeOperatorRows(const RelayRequest& aRequest,
                          std::function<void(std::string)> aReply);
 
-  /// Logs a refused request with the version that refused it.
+  /// Logs a refused request with the version that refused it, or counts it as
+  /// left out, see IsLimitedByAccount().
   void LogRefusal(const RefusedRequest& aRequest);
 
 private:
@@ -136,6 +150,12 @@
   /// Answers the requests whose wait is over, or all.
   void AnswerHeldRequests(MonotonicTime aNow, bool aAll);
 
+  /// @return the longest wait for a change, of a read that is sent now
+  [[nodiscard]] Millis OperatorReadWait() const;
+  /// @return whether the copy is old and no read is answered at present
+  [[nodiscard]] bool CopyIsOverdue(MonotonicTime aNow) const;
+  /// @return whether a newer version may have keys that the copy lacks
+  [[nodiscard]] bool MayLackKeys() const;
   /// Logs when the copy of the configuration has become stale.
   void CheckConfigurationAge(MonotonicTime aNow);
   /// Reads the list of runners, and passes it on to the owned shards.
@@ -159,6 +179,8 @@
   ClientFrontEnd mClientFrontEnd;
   std::map<std::uint32_t, std::unique_ptr<ShardOwner>> mShards;
   std::optional<Configuration> mConfiguration;
+  ClientKeys mKeys; ///< Of its accounts.
+  RefusalLimit mRefusalLimit;
   /// When the last read of the operator's state that was answered was sent.
   std::optional<MonotonicTime> mConfigurationConfirmedAt;
   /// When the copy was found to be stale; nothing while it is current.
--- a/Libraries/LibNode/NodeContext.h
+++ b/Libraries/LibNode/NodeContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <LibAsyncHttp/Deadlines.h>
@@ -85,6 +86,10 @@
   /// The number of waiting jobs is not given to clients if it leaves out jobs
   /// that were accepted longer ago. The deployment sets it.
   Millis mMaxPendingAge{ 4500 };
+  /// The copy of the configuration admits keys of client accounts only while it
+  /// is younger; nothing: at any age. The deployment sets it with strict
+  /// revocation, see kRevocationMargin.
+  std::optional<Millis> mMaxKeyCopyAge;
   /// Clients whose request was refused are asked to repeat it after this time.
   Seconds mRetryAfter{ 1 };
 };
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -265,6 +265,7 @@
   mContext.mSettings.mDispatch = aSettings.mDispatch;
   mContext.mSettings.mMaxPendingAge =
     aSettings.mJobVisibleTime + kPendingAgeBeyondVisible;
+  mContext.mSettings.mMaxKeyCopyAge = MaxKeyCopyAge(aSettings.mRevocationBound);
 }
 
 void
--- a/Tests/Platform/TestOperatorRelay.cpp
+++ b/Tests/Platform/TestOperatorRelay.cpp
@@ -592,6 +592,30 @@
   }
 }
 
+// Guards against a node that wakes and takes the answer of a peer, which was
+// sent before a change, for a confirmation as of now. It may have been frozen
+// before or after its peer had answered.
+TEST(OperatorRelaySimulation, AWokenFollowerTakesNoOldConfirmation)
+{
+  for (const auto order : { ClusterSimulation::OnWaking::TickFirst,
+                            ClusterSimulation::OnWaking::AnswersFirst }) {
+    for (int phase = 0; phase < 600; phase += 75) {
+      BecomeLarge();
+      Advance(Millis(phase));
+      mCluster.FreezeNode("north2");
+      mCluster.FreezeNode("south3");
+      Advance(Millis(600));
+      Put(kLarge);
+      Advance(Millis(400));
+      mCluster.WakeNode("north2", order);
+      mCluster.WakeNode("south3", order);
+      Advance(kBound);
+      STRCMP_EQUAL("", Behind().c_str());
+      Advance(Seconds(12));
+    }
+  }
+}
+
 // Guards against a damaged answer that is applied or that delays a change, and
 // against one without a line in the log.
 TEST(OperatorRelaySimulation, DamagedAnswersAreRefused)
