LibDispatch: Start tasks of an account only within its budget

Change: AccountBudget. Each start (placement, gangs, idle and overdue jobs) and each runner that is held asks the budget first; with one shard it is the cap. Use includes what runs may take that this owner does not know: whole runners that have not answered, runners with orphans, and recorded runs that could not be adopted. So that the processors of a runner bound that, the tasks of one account with a cap on processors demand no more of a runner than it has. Steps at their budget are passed over without a note of missing room, hold no runner, and do not make their job move. Tasks above a lowered budget are not moved from leaving runners. An overdue task keeps budget until it fits. Without caps, decisions are as before.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -147,6 +147,10 @@
   TextMap<AccountSpec> mAccounts;
   /// By account; only of jobs that name one.
   TextMap<AccountUse> mAccountUse;
+  /// Of the accounts that have a cap.
+  TextMap<AccountBudget> mAccountBudgets;
+  BudgetSource mBudgetSource = BudgetSource::Caps;
+  MonotonicTime mWaitsLoggedAt; ///< When LogAccountWaits() last looked.
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
   TextMap<StartContact> mStartContacts; ///< By data centre.
   /// Whether the start orders to any data centre got or get no answer.
--- a/Libraries/LibDispatch/Explaining.cpp
+++ b/Libraries/LibDispatch/Explaining.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/RunnerRating.h>
 
 namespace paddle::dispatch {
@@ -17,6 +19,27 @@
 /// The log explains only steps that have waited for longer than this.
 constexpr Millis kExplainAfter{ 2500 };
 
+/// Logs that a step waits for the budget of its account.
+void
+ExplainBudget(const Dispatcher& aDispatcher,
+              const Job& aJob,
+              const TaskRef& aTask,
+              std::uint32_t aWaiting)
+{
+  const AccountBudget& budget = *aJob.mBudget;
+  Emit(aDispatcher,
+       "step_waits",
+       &aJob,
+       "task=" + FormatTaskName(NameOf(aTask)) +
+         " waiting=" + std::to_string(aWaiting) +
+         " cause=account_cap account=" + aJob.mSpec.mAccount +
+         " demand=" + FormatResources(SpecOf(aTask).mDemand) +
+         " use=" + FormatResources(CappedUse(*budget.mUse)) +
+         " assumed=" + FormatResources(budget.mAssumed) +
+         " budget=" + FormatResources(budget.mBudget) +
+         " cap=" + FormatResources(budget.mCap));
+}
+
 } // namespace
 
 void
@@ -26,6 +49,8 @@
     SummarizeServingLoad(aDispatcher, runner, aNow);
   }
   std::size_t explained = 0;
+  // One step of an account that waits for its budget stands for all of them.
+  std::set<const AccountBudget*> budgets;
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const Step& step = StepOf(entry);
     const QueueSpec* queue = FindQueue(aDispatcher, entry.mJob->mSpec.mQueue);
@@ -43,6 +68,13 @@
                        entry.mOccurrence,
                        entry.mStep,
                        static_cast<std::uint32_t>(task - step.mTasks.begin()) };
+    if (!MayStartNext(entry)) {
+      if (budgets.size() < kMaxExplainedSteps &&
+          budgets.insert(entry.mJob->mBudget).second) {
+        ExplainBudget(aDispatcher, *entry.mJob, ref, step.mWaitingTasks);
+      }
+      continue;
+    }
     std::array<std::uint32_t, kObstacleNames.size()> counts{};
     for (RunnerIndex i = 0; i < aDispatcher.mRunners.size(); ++i) {
       const PlacementRating rating =
--- a/Libraries/LibDispatch/HeldRunners.cpp
+++ b/Libraries/LibDispatch/HeldRunners.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <variant>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/RunnerRating.h>
 
 namespace paddle::dispatch {
@@ -109,7 +110,7 @@
   return HoldResult::Held;
 }
 
-void
+std::size_t
 HoldRunnersFor(Dispatcher& aDispatcher,
                std::span<const RunnerIndex> aCandidates,
                const WaitingStep& aEntry,
@@ -120,10 +121,14 @@
   const Step& step = StepOf(aEntry);
   const std::size_t most =
     std::max<std::size_t>(1, aCandidates.size() / kRunnersPerHeldRunner);
+  const std::size_t mostTasks =
+    TasksWithinBudget(*aEntry.mJob,
+                      aEntry.mJob->mSpec.mSteps[aEntry.mStep],
+                      std::min(aMostTasks, step.mTasks.size()));
   std::size_t tasks = 0;
-  for (std::uint32_t i = 0; i < step.mTasks.size() && tasks < aMostTasks; ++i) {
+  for (std::uint32_t i = 0; i < step.mTasks.size() && tasks < mostTasks; ++i) {
     if (aDispatcher.mHeldRunners.size() >= most) {
-      return;
+      return tasks;
     }
     const Task& task = step.mTasks[i];
     if (task.mPhase != TaskPhase::Waiting || MayRunUnseen(aDispatcher, task)) {
@@ -133,11 +138,12 @@
     const RunnerIndex runner = ChooseRunnerToHold(
       aDispatcher, aCandidates, aDispatcher.mHeldRunners, ref, aService, aNow);
     if (runner == kNoRunner) {
-      return;
+      return tasks;
     }
     aDispatcher.mHeldRunners.push_back(runner);
     ++tasks;
   }
+  return tasks;
 }
 
 void
--- a/Libraries/LibDispatch/HeldRunners.h
+++ b/Libraries/LibDispatch/HeldRunners.h
@@ -9,9 +9,11 @@
 
 namespace paddle::dispatch {
 
-/// Holds a runner for each waiting task of a step that fits nowhere, and for
-/// @p aMostTasks of them at most.
-void
+/// Holds a runner for each waiting task of a step that fits nowhere, for
+/// @p aMostTasks of them at most, and only for those that the budget of their
+/// account allows to start.
+/// @return the number of runners that it holds
+std::size_t
 HoldRunnersFor(Dispatcher& aDispatcher,
                std::span<const RunnerIndex> aCandidates,
                const WaitingStep& aEntry,
--- a/Libraries/LibDispatch/IdleJobs.cpp
+++ b/Libraries/LibDispatch/IdleJobs.cpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/PlacementOrder.h>
 #include <LibDispatch/RunnerRating.h>
@@ -80,16 +81,17 @@
                      std::span<const RunnerIndex> aCandidates,
                      MonotonicTime aNow)
 {
-  UnplaceableRequests unplaceable;
+  UnplaceableOfPass unplaceable;
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
-    if (queue == nullptr || !IsIdleBestEffort(entry) ||
+    if (queue == nullptr || !IsIdleBestEffort(entry) || !MayStartNext(entry) ||
         OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
       continue;
     }
     MonotonicTime& idleAt = aDispatcher.mIdleInTimeAt[queue->mService];
     const StepSpec& spec = entry.mJob->mSpec.mSteps[entry.mStep];
-    if (idleAt == aNow || unplaceable.Covers(spec, queue->mService)) {
+    if (idleAt == aNow ||
+        unplaceable.Covers(*entry.mJob, spec, queue->mService)) {
       continue;
     }
     const std::optional<TaskRef> task = FirstStartableTask(aDispatcher, entry);
@@ -102,7 +104,7 @@
                      queue->mService,
                      Overcommit::Yes,
                      aNow) == kNoRunner) {
-      unplaceable.Add(spec, queue->mService);
+      unplaceable.Add(*entry.mJob, spec, queue->mService);
     } else {
       idleAt = aNow;
     }
@@ -192,7 +194,7 @@
 struct PlacementAttempt
 {
   Overcommit mOvercommit = Overcommit::No;
-  UnplaceableRequests mUnplaceable;
+  UnplaceableOfPass mUnplaceable;
 };
 
 /// Starts a task of the step in the first way that finds a runner.
@@ -210,8 +212,11 @@
   if (!FirstStartableTask(aDispatcher, aEntry)) {
     return 0; // Runs of all its tasks may be left from an earlier owner.
   }
+  if (!MayStartNext(aEntry)) {
+    return 0;
+  }
   for (PlacementAttempt& attempt : aAttempts) {
-    if (attempt.mUnplaceable.Covers(spec, aService)) {
+    if (attempt.mUnplaceable.Covers(*aEntry.mJob, spec, aService)) {
       continue;
     }
     const std::uint32_t started = StartOne(aDispatcher,
@@ -224,7 +229,7 @@
     if (started > 0) {
       return started;
     }
-    attempt.mUnplaceable.Add(spec, aService);
+    attempt.mUnplaceable.Add(*aEntry.mJob, spec, aService);
   }
   return 0;
 }
@@ -303,7 +308,7 @@
   }
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
-    if (queue != nullptr && IsIdleBestEffort(entry) &&
+    if (queue != nullptr && IsIdleBestEffort(entry) && MayStartNext(entry) &&
         AgeOf(entry, aNow) < kYoungAge) {
       loads[queue->mService].mYoungJobsWait = true;
     }
@@ -372,7 +377,8 @@
   for (const WaitingStep& entry : aOverdue) {
     const std::optional<TaskRef> task = FirstStartableTask(aDispatcher, entry);
     // FIXME: No runners are held for a gang.
-    if (!task || entry.mJob->mSpec.mSteps[entry.mStep].mGang) {
+    if (!task || entry.mJob->mSpec.mSteps[entry.mStep].mGang ||
+        !MayStartNext(entry)) {
       continue;
     }
     if (++considered > kMaxConsideredForHold) {
@@ -411,6 +417,7 @@
   if (overdue.empty()) {
     return 0;
   }
+  KeepBudgetForFirst(aDispatcher, overdue);
   HoldRunnerForOverdueJob(aDispatcher, aCandidates, overdue, aNow);
   std::vector<RunnerIndex> candidates(aCandidates.begin(), aCandidates.end());
   ExcludeHeldRunners(aDispatcher, candidates);
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -14,6 +14,8 @@
 
 namespace paddle::dispatch {
 
+struct AccountBudget;
+
 /// Index of a runner in Dispatcher::mRunners.
 using RunnerIndex = std::uint32_t;
 inline constexpr RunnerIndex kNoRunner = UINT32_MAX;
@@ -169,6 +171,11 @@
 {
   JobSpec mSpec;
   JobPhase mPhase = JobPhase::Active;
+  /// Budget of the job's account, in Dispatcher::mAccountBudgets; null: the
+  /// account has no cap, or the job has no account.
+  AccountBudget* mBudget = nullptr;
+  /// When a step of the job was last passed over because of that budget.
+  MonotonicTime mBudgetWaitedAt;
   MonotonicTime mAcceptedAt;
   MonotonicTime mTakenAt; ///< When this owner learned of the job.
   /// Occurrences that have begun, by number. One that has ended is removed when
--- a/Libraries/LibDispatch/JobMoves.cpp
+++ b/Libraries/LibDispatch/JobMoves.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/Internal.h>
 
 namespace paddle::dispatch {
@@ -33,6 +34,12 @@
          !aDispatcher.mRejectedJobs.contains(aJob.mArrivalNumber);
 }
 
+MonotonicTime
+IdleForRoomSince(const Job& aJob)
+{
+  return std::max(aJob.mIdleSince, aJob.mBudgetWaitedAt);
+}
+
 std::vector<Job*>
 IdleJobsThatMayMove(Dispatcher& aDispatcher,
                     Millis aIdleTime,
@@ -41,7 +48,8 @@
   std::vector<Job*> jobs;
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     Job& job = *entry.mJob;
-    if (aNow - job.mIdleSince > aIdleTime && MayMove(aDispatcher, job)) {
+    if (aNow - IdleForRoomSince(job) > aIdleTime && MayStartNext(entry) &&
+        MayMove(aDispatcher, job)) {
       jobs.push_back(&job);
     }
   }
--- a/Libraries/LibDispatch/JobMoves.h
+++ b/Libraries/LibDispatch/JobMoves.h
@@ -13,8 +13,15 @@
 bool
 MayMove(const Dispatcher& aDispatcher, const Job& aJob);
 
+/// @return since when the job has had nothing running, without the time in
+/// which
+///         it waited for the budget of its account
+MonotonicTime
+IdleForRoomSince(const Job& aJob);
+
 /// @return the jobs that may be moved and that have waited with nothing running
-///         for longer than @p aIdleTime, the one that has waited longest first
+///         for longer than @p aIdleTime, the one that has waited longest first;
+///         not those that wait for the budget of their account
 std::vector<Job*>
 IdleJobsThatMayMove(Dispatcher& aDispatcher,
                     Millis aIdleTime,
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -391,6 +393,7 @@
   job.mArrivalNumber = aDispatcher.mNextArrivalNumber++;
   job.mInherited = aPriorRuns == PriorRuns::Possible && !aDispatcher.mRecovered;
   job.mMayHaveRunBefore = aPriorRuns == PriorRuns::Possible;
+  job.mBudget = FindBudget(aDispatcher, job.mSpec.mAccount);
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
   if (aProgress != nullptr) {
     aDispatcher.mAttemptsUnchecked = true;
--- a/Libraries/LibDispatch/LeavingRunners.cpp
+++ b/Libraries/LibDispatch/LeavingRunners.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/PlacementOrder.h>
 #include <LibDispatch/RunnerRating.h>
@@ -59,10 +60,11 @@
   if (tasks.empty() || aNow >= aDispatcher.mStartsUntil) {
     return;
   }
+  const BudgetPass budgets(aDispatcher, aNow);
   std::vector<RunnerIndex> candidates = AvailableRunners(aDispatcher, aNow);
   // Tasks that were interrupted need room before those that still run.
   ExcludeHeldRunners(aDispatcher, candidates);
-  UnplaceableRequests unplaceable;
+  UnplaceableOfPass unplaceable;
   UnplaceableRequests unholdable; // Those for which no runner can be held.
   bool mayHold = true;
   // What is kept for a task counts as used for those after it.
@@ -72,11 +74,12 @@
     if (moving == kMaxMovesInFlight) {
       break;
     }
-    if (queue == nullptr) {
+    // A task of an account above its budget would not start again.
+    if (queue == nullptr || !MayRestart(ref)) {
       continue;
     }
     const StepSpec& spec = SpecOf(ref);
-    const bool covered = unplaceable.Covers(spec, queue->mService);
+    const bool covered = unplaceable.Covers(*ref.mJob, spec, queue->mService);
     const RunnerIndex target = covered ? kNoRunner
                                        : ChooseRunner(aDispatcher,
                                                       candidates,
@@ -87,7 +90,7 @@
     if (target == kNoRunner) {
       // It works on until there is room, or until its runner leaves.
       if (!covered) {
-        unplaceable.Add(spec, queue->mService);
+        unplaceable.Add(*ref.mJob, spec, queue->mService);
       }
       if (!mayHold || unholdable.Covers(spec, queue->mService)) {
         continue;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <utility>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/IdleJobs.h>
 #include <LibDispatch/PlacementOrder.h>
@@ -96,10 +98,15 @@
   std::vector<RunnerIndex> candidates =
     full ? AvailableRunners(aDispatcher, aNow)
          : std::exchange(aDispatcher.mFreedRunners, {});
+  std::optional<BudgetPass> budgets;
+  if (!aDispatcher.mWaitingSteps.empty() && (full || !candidates.empty())) {
+    budgets.emplace(aDispatcher, aNow);
+  }
   if (candidates.empty() || aDispatcher.mWaitingSteps.empty()) {
     if (full) {
       for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
-        if (entry.mKind == StepKind::LongRunning) {
+        if (!PassOverForBudget(entry, aNow) &&
+            entry.mKind == StepKind::LongRunning) {
           NoteNoRoom(StepOf(entry), aNow);
         }
       }
@@ -124,7 +131,7 @@
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
   }
   std::uint32_t started = 0;
-  UnplaceableRequests unplaceable;
+  UnplaceableOfPass unplaceable;
   if (full) {
     aDispatcher.mHeldRunners.clear();
   }
@@ -155,20 +162,28 @@
         continue;
       }
     }
+    if (PassOverForBudget(entry, aNow)) {
+      continue;
+    }
     const bool mayHold = full && interrupted && !spec.mGang &&
                          spec.mReservation == Reservation::Reserved;
-    if (unplaceable.Covers(spec, queue->mService)) {
+    const auto noteNoRoom = [&] {
       if (full) {
         NoteNoRoom(step, aNow);
       }
-      if (mayHold) {
-        HoldRunnersFor(aDispatcher,
-                       candidates,
-                       entry,
-                       queue->mService,
-                       step.mTasks.size(),
-                       aNow);
+      const std::size_t held = mayHold ? HoldRunnersFor(aDispatcher,
+                                                        candidates,
+                                                        entry,
+                                                        queue->mService,
+                                                        step.mTasks.size(),
+                                                        aNow)
+                                       : 0;
+      if (interrupted) {
+        KeepBudget(entry, held, aNow);
       }
+    };
+    if (unplaceable.Covers(job, spec, queue->mService)) {
+      noteNoRoom();
       continue;
     }
     if (spec.mGang) {
@@ -180,6 +195,8 @@
                     aNow,
                     aActions)) {
         started += static_cast<std::uint32_t>(step.mTasks.size());
+      } else if (interrupted) {
+        KeepBudget(entry, 0, aNow);
       }
     } else {
       for (std::uint32_t i = 0;
@@ -190,22 +207,15 @@
             MayRunUnseen(aDispatcher, step.mTasks[i])) {
           continue;
         }
+        if (PassOverForBudget(entry, aNow)) {
+          break;
+        }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
         const RunnerIndex runner = ChooseRunner(
           aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
         if (runner == kNoRunner) {
-          unplaceable.Add(spec, queue->mService);
-          if (full) {
-            NoteNoRoom(step, aNow);
-          }
-          if (mayHold) {
-            HoldRunnersFor(aDispatcher,
-                           candidates,
-                           entry,
-                           queue->mService,
-                           step.mTasks.size(),
-                           aNow);
-          }
+          unplaceable.Add(job, spec, queue->mService);
+          noteNoRoom();
           break;
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -37,6 +37,9 @@
   runner.mReserved -= amount;
   if (AccountUse* use = UseOfJob(aDispatcher, *aTask.mJob)) {
     use->mReserved -= amount;
+    if (spec.mKind == StepKind::LongRunning) {
+      use->mLongRunning -= spec.mDemand;
+    }
     if (spec.mReservation == Reservation::BestEffort) {
       use->mBestEffortMilliCores -= spec.mDemand.mMilliCores;
     }
@@ -717,6 +720,9 @@
   runner.mReserved += amount;
   if (AccountUse* use = UseOfJob(aDispatcher, *aTask.mJob)) {
     use->mReserved += amount;
+    if (spec.mKind == StepKind::LongRunning) {
+      use->mLongRunning += spec.mDemand;
+    }
     if (spec.mReservation == Reservation::BestEffort) {
       use->mBestEffortMilliCores += spec.mDemand.mMilliCores;
     }
@@ -884,6 +890,7 @@
   }
   runner.mSilent = false;
   runner.mEndsAwaited = false;
+  runner.mRecordNotAdopted = false;
   runner.mClockMs = aReport.mClockMs;
   runner.mClockReadAt = aNow;
   runner.mClockRequestedAt = aSentAt;
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -227,6 +227,10 @@
   /// Runs in the record of an earlier owner, until they are adopted.
   std::optional<std::vector<PossibleRun>> mPossibleRuns;
   bool mRecordFinal = false; ///< See InheritedRunner::mRecordFinal.
+  /// Whether a run in that record could not be adopted, because its task is not
+  /// known or has ended. It may go on until the runner answers or its leases
+  /// have ended.
+  bool mRecordNotAdopted = false;
   /// Time by which all leases of earlier owners have ended, if one has stored
   /// it.
   std::optional<MonotonicTime> mRecordedLeasesExpireAt;
--- a/Libraries/LibDispatch/RunnerRating.cpp
+++ b/Libraries/LibDispatch/RunnerRating.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -326,6 +328,9 @@
       CountOfStep(runner, aTask) >= spec.mMaxTasksPerRunner) {
     return Obstacle::MaxTasksPerRunner;
   }
+  if (ExceedsRunner(runner, aTask)) {
+    return Obstacle::AccountPart;
+  }
   double cost = 0;
   if (spec.mReservation == Reservation::Reserved) {
     cost = ReservedCost(aDispatcher, runner, aTask);
--- a/Libraries/LibDispatch/RunnerRating.h
+++ b/Libraries/LibDispatch/RunnerRating.h
@@ -28,15 +28,17 @@
   Accelerators,
   MaxTasksPerRunner,
   TooFewUnusedCores, ///< It has too little CPU time for a best-effort task.
-  WouldInterfere     ///< The task would interfere with serving tasks.
+  WouldInterfere,    ///< The task would interfere with serving tasks.
+  AccountPart        ///< Tasks of the account demand all of its processors, see
+                     ///< ExceedsRunner().
 };
 
 /// Names of the obstacles in the log, in the order of the enum.
-inline constexpr std::array<std::string_view, 13> kObstacleNames = {
-  "none",    "other_service", "not_live",        "paused",
-  "orphans", "evacuated",     "label",           "cores",
-  "memory",  "accelerators",  "most_per_runner", "little_unused",
-  "disturbs"
+inline constexpr std::array<std::string_view, 14> kObstacleNames = {
+  "none",     "other_service", "not_live",        "paused",
+  "orphans",  "evacuated",     "label",           "cores",
+  "memory",   "accelerators",  "most_per_runner", "little_unused",
+  "disturbs", "account_part"
 };
 
 /// Cost of a runner for a task, or the reason why it can't take the task.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <functional>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -149,6 +151,7 @@
     EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
   }
   runner.mOrphans.clear();
+  runner.mRecordNotAdopted = false;
   runner.mUnstoredEnds.clear();
   aDispatcher.mUnattributedEndCount -= runner.mUnattributedEnds.size();
   runner.mUnattributedEnds.clear();
@@ -265,11 +268,12 @@
     runner.mInherited = false;
     for (const PossibleRun& run : runs) {
       const TaskRef ref = FindTask(aDispatcher, run.mTask);
-      if (ref.mJob != nullptr &&
-          AdoptRun(aDispatcher, index, ref, run.mRun, aNow) &&
-          runner.mRecordFinal) {
+      const bool adopted = ref.mJob != nullptr &&
+                           AdoptRun(aDispatcher, index, ref, run.mRun, aNow);
+      if (adopted && runner.mRecordFinal) {
         MarkSeen(ref);
       }
+      runner.mRecordNotAdopted = runner.mRecordNotAdopted || !adopted;
     }
     Emit(aDispatcher,
          "record_adopted",
@@ -314,6 +318,7 @@
   runner.mInherited = false;
   runner.mEndsAwaited = false;
   runner.mPossibleRuns.reset();
+  runner.mRecordNotAdopted = false;
   EndAllRuns(aDispatcher, runner, aNow, aActions);
   aDispatcher.mPlacementDue = true;
 }
@@ -432,6 +437,7 @@
   for (const AccountSpec& account : aAccounts) {
     aDispatcher.mAccounts.emplace(account.mName, account);
   }
+  UpdateBudgets(aDispatcher);
   aDispatcher.mPlacementDue = true;
 }
 
@@ -578,7 +584,8 @@
 {
   std::uint64_t waiting = 0;
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
-    waiting += StepOf(entry).mWaitingTasks;
+    // Load control does not keep tasks back that wait for their budget.
+    waiting += MayStartNext(entry) ? StepOf(entry).mWaitingTasks : 0;
   }
   return StartWait(aDispatcher.mOrderLimit, waiting);
 }
--- a/Libraries/LibDispatch/TaskStarts.cpp
+++ b/Libraries/LibDispatch/TaskStarts.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 void
@@ -57,6 +59,9 @@
     // Some members of the former run have not ended yet.
     return false;
   }
+  if (!MayStartNext(aWaiting)) {
+    return false;
+  }
   if (std::any_of(
         step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
           return MayRunUnseen(aDispatcher, aTask);
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -318,6 +320,7 @@
     StopIncompleteGangs(aDispatcher, aNow, aActions);
   }
   PlaceWaiting(aDispatcher, aNow, aActions);
+  LogAccountWaits(aDispatcher, aNow);
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
     aDispatcher.mExplainedAt = aNow;
     ExplainWaiting(aDispatcher, aNow);
--- a/Libraries/LibNode/ShardMoves.cpp
+++ b/Libraries/LibNode/ShardMoves.cpp
@@ -245,7 +245,8 @@
        dispatch::IdleJobsThatMayMove(mDispatcher, kIdleBeforeMove, aNow)) {
     const Millis wait =
       kIdleBeforeMove * (1 << std::min(job->mMoves, kMaxDoublings));
-    if (aNow - job->mIdleSince <= wait || aNow < job->mMoveRetryAt) {
+    if (aNow - dispatch::IdleForRoomSince(*job) <= wait ||
+        aNow < job->mMoveRetryAt) {
       continue;
     }
     if (++considered > kMaxConsidered) {
