--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -237,6 +237,7 @@
 {
   FakeRunner& runner = mRunners.at(aRunner);
   const std::string task = FormatTaskName(aTask);
+  runner.mStopped.emplace(task, aRun);
   const auto found = std::find_if(
     runner.mRunning.begin(), runner.mRunning.end(), [&](const Run& aOther) {
       return aOther.mTask == task && aOther.mRun == aRun;
@@ -458,6 +459,7 @@
   FakeRunner& runner = mRunners.at(aRunner);
   runner.mRunning.clear();
   runner.mEnds.clear();
+  runner.mStopped.clear();
   runner.mNextEnd = 1;
   runner.mLeaseEndMs = 0;
   ++runner.mIncarnation;
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -28,6 +28,8 @@
     std::vector<EndEntry> mEnds;
     std::int64_t mNextEnd = 1;
     std::int64_t mIncarnation = 1;
+    /// Tasks and runs that it was ordered to stop.
+    std::set<std::pair<std::string, std::int64_t>> mStopped;
     bool mAnswers = true; ///< Whether the runner answers any order.
     /// Rate of the runner's clock. At 0.98, its leases last longer.
     double mClockRate = 1;
