--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/Speculation.h>
 
 namespace paddle::dispatch {
@@ -321,6 +322,7 @@
     StopIncompleteGangs(aDispatcher, aNow, aActions);
   }
   PlaceWaiting(aDispatcher, aNow, aActions);
+  LogAccountWaits(aDispatcher, aNow);
   if (aNow - aDispatcher.mExplainedAt >= kExplainInterval) {
     aDispatcher.mExplainedAt = aNow;
     ExplainWaiting(aDispatcher, aNow);
