LibDispatch, LibNode: Share the room between client accounts

Change: a token bucket for each account marks jobs beyond its entitlement as surplus; they are placed after all others, and among them the account with the lowest dominant share relative to its weight goes first. That is decided for each task when it is placed, by what is in use then. Surplus tasks leave room for tasks within the entitlements: a runner is held for those that fit nowhere, and processors that best-effort tasks of entitled jobs demand are not reserved. A new owner replays the entitlements by the times of acceptance. Without accounts nothing is surplus, and the order is the former one. Ruled out: the order alone. Adding the demand of each step to a projected share while ordering would also count steps that fit nowhere.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <LibDispatch/AccountShares.h>
 #include <LibDispatch/AccountUse.h>
 #include <LibDispatch/Actions.h>
 #include <LibDispatch/DispatchSettings.h>
@@ -51,6 +52,25 @@
   bool operator<(const WaitingStep& aOther) const;
 };
 
+/// The surplus steps of an account and a priority, which are adjacent in
+/// Dispatcher::mPlacementOrder. Their jobs arrived beyond the entitlement of
+/// the account.
+struct SurplusRange
+{
+  std::string mAccount;
+  std::int32_t mPriority = 0;
+  std::size_t mBegin = 0;
+  std::size_t mEnd = 0;
+};
+
+/// When a full pass last left a job with nothing running that could still meet
+/// its objective.
+struct IdleInTime
+{
+  MonotonicTime mEntitledAt; ///< Of jobs that are not surplus.
+  MonotonicTime mSurplusAt;
+};
+
 /// Numbers of events since this process took the shard.
 struct DispatchCounters
 {
@@ -72,6 +92,10 @@
   /// Starts of jobs that had nothing running for too long, see IdleJobs.h.
   std::uint64_t mOverdueStarts = 0;
   std::uint64_t mQuarantines = 0;
+  /// Jobs that arrived beyond the entitlement of their account, and start
+  /// orders of tasks of such jobs, see AccountShares.h.
+  std::uint64_t mSurplusJobs = 0;
+  std::uint64_t mSurplusStarts = 0;
 };
 
 /// Starts that overdue jobs may take before all others, see IdleJobs.h.
@@ -147,6 +171,15 @@
   TextMap<AccountSpec> mAccounts;
   /// By account; only of jobs that name one.
   TextMap<AccountUse> mAccountUse;
+  /// Number of shards among which the entitlement of an account is divided.
+  std::uint32_t mShardCount = 1;
+  TextMap<Entitlement> mEntitlements; ///< By account.
+  /// Jobs with an account of which it is not decided whether they are surplus.
+  std::vector<std::string> mNewAccountJobs;
+  TextMap<ShareWaitLog> mShareWaitLogs; ///< By account.
+  /// Starts of all jobs, and of surplus ones, when LogShareWaits() last ran.
+  std::uint64_t mStartsSeen = 0;
+  std::uint64_t mSurplusStartsSeen = 0;
   std::set<std::string, std::less<>> mEvacuatedDataCentres;
   TextMap<StartContact> mStartContacts; ///< By data centre.
   /// Whether the start orders to any data centre got or get no answer.
@@ -156,9 +189,10 @@
   /// mPlacementOrderAt.
   std::vector<WaitingStep> mPlacementOrder;
   MonotonicTime mPlacementOrderAt;
-  /// When a full pass last left a job with nothing running that could still
-  /// meet its objective, by service.
-  TextMap<MonotonicTime> mIdleInTimeAt;
+  /// The surplus steps at the end of mPlacementOrder, by priority. Which
+  /// account goes first among them is decided when they are placed.
+  std::vector<SurplusRange> mSurplusRanges;
+  TextMap<IdleInTime> mIdleInTimeAt; ///< By service.
   OverdueAllowance mOverdueAllowance;
   MonotonicTime mPassedAt;   ///< When the latest placement pass ran.
   MonotonicTime mFullPassAt; ///< When the latest one over all runners ran.
@@ -169,6 +203,10 @@
   /// Runners that get no other tasks but interrupted ones, so that long-running
   /// tasks of leaving runners find room there before these have left.
   std::vector<RunnerIndex> mHeldForMoves;
+  /// Runners that get no surplus tasks, so that a task within the entitlement
+  /// of its account that fits on no runner finds room there, as of the latest
+  /// full pass.
+  std::vector<RunnerIndex> mHeldForEntitled;
   std::uint64_t mNextArrivalNumber = 1;
   MonotonicTime mExplainedAt; ///< When waiting steps were last logged.
   MonotonicTime mPlacedAt;    ///< When a full placement pass was last ordered.
--- a/Libraries/LibDispatch/Explaining.cpp
+++ b/Libraries/LibDispatch/Explaining.cpp
@@ -52,6 +52,9 @@
     }
     std::string details = "task=" + FormatTaskName(NameOf(ref)) +
                           " waiting=" + std::to_string(step.mWaitingTasks);
+    if (IsSurplus(aDispatcher, *entry.mJob)) {
+      details += " surplus_of=" + entry.mJob->mSpec.mAccount;
+    }
     const auto held = std::count_if(
       step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
         return aTask.mPhase == TaskPhase::Waiting &&
--- a/Libraries/LibDispatch/IdleJobs.cpp
+++ b/Libraries/LibDispatch/IdleJobs.cpp
@@ -87,7 +87,9 @@
         OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
       continue;
     }
-    MonotonicTime& idleAt = aDispatcher.mIdleInTimeAt[queue->mService];
+    IdleInTime& idle = aDispatcher.mIdleInTimeAt[queue->mService];
+    MonotonicTime& idleAt =
+      IsSurplus(aDispatcher, *entry.mJob) ? idle.mSurplusAt : idle.mEntitledAt;
     const StepSpec& spec = entry.mJob->mSpec.mSteps[entry.mStep];
     if (idleAt == aNow || unplaceable.Covers(spec, queue->mService)) {
       continue;
@@ -253,7 +255,9 @@
   RecordIdleJobsInTime(aDispatcher, aCandidates, aNow);
   std::uint32_t started = 0;
   std::array<PlacementAttempt, 1> attempts{ { { Overcommit::Yes, {} } } };
-  for (const WaitingStep& entry : aDispatcher.mPlacementOrder) {
+  PlacementCursor cursor(aDispatcher, aNow);
+  while (const WaitingStep* next = cursor.Next()) {
+    const WaitingStep& entry = *next;
     if (!aDispatcher.mWaitingSteps.contains(entry)) {
       continue; // The step has been placed in this pass.
     }
@@ -261,9 +265,13 @@
     if (queue == nullptr || !IsIdleBestEffort(entry)) {
       continue;
     }
-    const auto idleAt = aDispatcher.mIdleInTimeAt.find(queue->mService);
-    const bool jobsInTimeWait = idleAt != aDispatcher.mIdleInTimeAt.end() &&
-                                aNow - idleAt->second < kOvercommitDelay;
+    const auto idle = aDispatcher.mIdleInTimeAt.find(queue->mService);
+    // Surplus jobs must not keep a job back that isn't surplus.
+    const bool jobsInTimeWait =
+      idle != aDispatcher.mIdleInTimeAt.end() &&
+      (aNow - idle->second.mEntitledAt < kOvercommitDelay ||
+       (IsSurplus(aDispatcher, *entry.mJob) &&
+        aNow - idle->second.mSurplusAt < kOvercommitDelay));
     if (jobsInTimeWait || OutlookOf(entry, aNow) == DeadlineOutlook::InTime) {
       continue;
     }
@@ -286,6 +294,7 @@
   std::int64_t mReservedMemoryMb = 0;
   std::int64_t mTotalMemoryMb = 0;
   bool mYoungJobsWait = false;
+  bool mYoungSurplusJobsWait = false;
 };
 
 /// @return the load by service
@@ -305,7 +314,9 @@
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     if (queue != nullptr && IsIdleBestEffort(entry) &&
         AgeOf(entry, aNow) < kYoungAge) {
-      loads[queue->mService].mYoungJobsWait = true;
+      ServiceLoad& load = loads[queue->mService];
+      (IsSurplus(aDispatcher, *entry.mJob) ? load.mYoungSurplusJobsWait
+                                           : load.mYoungJobsWait) = true;
     }
   }
   return loads;
@@ -319,13 +330,16 @@
                  MonotonicTime aNow,
                  Actions& aActions)
 {
-  const std::vector<WaitingStep> old =
+  std::vector<WaitingStep> old =
     LongestIdleFirst(aDispatcher, [&](const WaitingStep& aEntry) {
       return IsIdleBestEffort(aEntry) && AgeOf(aEntry, aNow) >= kOldAge;
     });
   if (old.empty()) {
     return;
   }
+  std::stable_partition(old.begin(), old.end(), [&](const WaitingStep& aEntry) {
+    return !IsSurplus(aDispatcher, *aEntry.mJob);
+  });
   std::map<std::string_view, ServiceLoad> loads =
     ServiceLoads(aDispatcher, aCandidates, aNow);
   std::uint32_t started = 0;
@@ -335,8 +349,10 @@
   for (const WaitingStep& entry : old) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     ServiceLoad& load = loads[queue->mService];
-    const Seconds oldAge =
-      load.mYoungJobsWait ? kOldAgeBesideYoungJobs : kOldAge;
+    const bool youngJobsWait =
+      load.mYoungJobsWait ||
+      (IsSurplus(aDispatcher, *entry.mJob) && load.mYoungSurplusJobsWait);
+    const Seconds oldAge = youngJobsWait ? kOldAgeBesideYoungJobs : kOldAge;
     if (entry.mJob->mActiveRuns > 0 || AgeOf(entry, aNow) < oldAge ||
         load.mReservedMemoryMb * 100 >=
           load.mTotalMemoryMb * kMaxSharedMemoryPercent) {
@@ -350,7 +366,7 @@
                       aCandidates,
                       entry,
                       queue->mService,
-                      std::span(attempts).first(load.mYoungJobsWait ? 1 : 2),
+                      std::span(attempts).first(youngJobsWait ? 1 : 2),
                       aNow,
                       aActions);
     started += tasks;
--- a/Libraries/LibDispatch/IdleJobs.h
+++ b/Libraries/LibDispatch/IdleJobs.h
@@ -19,6 +19,11 @@
 //   and may start beside serving tasks that it disturbs. Overdue jobs get a
 //   small share of all starts.
 //
+// Where the configuration lists client accounts, the first two rules consider
+// surplus jobs after all others, and jobs that are not surplus don't wait for
+// surplus ones that are in time or young (AccountShares.h). Overdue jobs are
+// started regardless of that, so that the bound holds for surplus jobs, too.
+//
 // What delays an overdue job further are runners without memory for its task,
 // of which one is held, and runners that may take no task at all. A task that
 // shares processors starts at a low pace and is throttled before other tasks,
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -184,6 +184,11 @@
   MonotonicTime mIdleSince;
   /// Number in the order in which this owner took in its jobs.
   std::uint64_t mArrivalNumber = 0;
+  /// When the job counts towards the entitlement of its account, see
+  /// AccountShares.h.
+  MonotonicTime mArrivedAt;
+  /// Whether the job arrived beyond that entitlement.
+  bool mSurplus = false;
   /// Whether an earlier owner may have started tasks of the job. It is cleared
   /// when the recovery after the takeover is complete.
   bool mInherited = false;
--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -391,6 +391,10 @@
   job.mArrivalNumber = aDispatcher.mNextArrivalNumber++;
   job.mInherited = aPriorRuns == PriorRuns::Possible && !aDispatcher.mRecovered;
   job.mMayHaveRunBefore = aPriorRuns == PriorRuns::Possible;
+  job.mArrivedAt = aAcceptedAt;
+  if (!job.mSpec.mAccount.empty()) {
+    aDispatcher.mNewAccountJobs.push_back(job.mSpec.mId);
+  }
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
   if (aProgress != nullptr) {
     aDispatcher.mAttemptsUnchecked = true;
--- a/Libraries/LibDispatch/PlacementOrder.cpp
+++ b/Libraries/LibDispatch/PlacementOrder.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <compare>
+#include <map>
+#include <string_view>
+#include <tuple>
 
 namespace paddle::dispatch {
 
@@ -18,7 +21,12 @@
   /// without service until they run again, and all of them together need no
   /// more than they used before.
   bool mNotInterrupted = true;
+  /// Work within the entitlement of an account must not wait for surplus work
+  /// of others, whatever their priorities.
+  bool mSurplus = false;
   std::int32_t mPriority = 0;
+  /// Keeps the surplus steps of an account adjacent; 0 for all other steps.
+  std::size_t mAccount = 0;
   DeadlineOutlook mOutlook = DeadlineOutlook::InTime;
   std::size_t mIndex = 0; ///< In Dispatcher::mWaitingSteps.
 
@@ -60,26 +68,138 @@
   });
 }
 
-std::vector<WaitingStep>
-PlacementOrder(const Dispatcher& aDispatcher, MonotonicTime aNow)
+void
+UpdatePlacementOrder(Dispatcher& aDispatcher, MonotonicTime aNow)
 {
+  LogShareWaits(aDispatcher, aNow);
+  MarkSurplusJobs(aDispatcher);
   std::vector<WaitingStep> waiting(aDispatcher.mWaitingSteps.begin(),
                                    aDispatcher.mWaitingSteps.end());
   std::vector<PlacementRank> ranks;
   ranks.reserve(waiting.size());
+  std::map<std::string_view, std::size_t> accounts;
   for (std::size_t i = 0; i < waiting.size(); ++i) {
-    ranks.push_back({ !HasInterruptedTask(aDispatcher, waiting[i]),
-                      waiting[i].mPriority,
-                      OutlookOf(waiting[i], aNow),
-                      i });
+    PlacementRank rank{ .mNotInterrupted =
+                          !HasInterruptedTask(aDispatcher, waiting[i]),
+                        .mPriority = waiting[i].mPriority,
+                        .mOutlook = OutlookOf(waiting[i], aNow),
+                        .mIndex = i };
+    if (rank.mNotInterrupted && IsSurplus(aDispatcher, *waiting[i].mJob)) {
+      rank.mSurplus = true;
+      rank.mAccount =
+        accounts.emplace(waiting[i].mJob->mSpec.mAccount, accounts.size() + 1)
+          .first->second;
+    }
+    ranks.push_back(rank);
   }
   std::sort(ranks.begin(), ranks.end());
-  std::vector<WaitingStep> ordered;
+  std::vector<WaitingStep>& ordered = aDispatcher.mPlacementOrder;
+  std::vector<SurplusRange>& ranges = aDispatcher.mSurplusRanges;
+  ordered.clear();
   ordered.reserve(waiting.size());
+  ranges.clear();
   for (const PlacementRank& rank : ranks) {
-    ordered.push_back(waiting[rank.mIndex]);
+    const WaitingStep& entry = waiting[rank.mIndex];
+    if (rank.mSurplus) {
+      const std::string& account = entry.mJob->mSpec.mAccount;
+      if (ranges.empty() || ranges.back().mPriority != rank.mPriority ||
+          ranges.back().mAccount != account) {
+        ranges.push_back(
+          { account, rank.mPriority, ordered.size(), ordered.size() });
+      }
+      ++ranges.back().mEnd;
+    }
+    ordered.push_back(entry);
+  }
+  aDispatcher.mPlacementOrderAt = aNow;
+}
+
+PlacementCursor::PlacementCursor(const Dispatcher& aDispatcher,
+                                 MonotonicTime aNow)
+  : mDispatcher(&aDispatcher)
+  , mSurplusBegin(aDispatcher.mSurplusRanges.empty()
+                    ? aDispatcher.mPlacementOrder.size()
+                    : aDispatcher.mSurplusRanges.front().mBegin)
+{
+  if (!aDispatcher.mSurplusRanges.empty()) {
+    mTotals = ShareTotalsOf(aDispatcher, aNow);
+  }
+}
+
+bool
+PlacementCursor::Queue::operator>(const Queue& aOther) const
+{
+  return std::tie(mShare, mRange) > std::tie(aOther.mShare, aOther.mRange);
+}
+
+void
+PlacementCursor::UpdateShare(Queue& aQueue) const
+{
+  aQueue.mShare = WeightedShare(
+    *mDispatcher, mDispatcher->mSurplusRanges[aQueue.mRange].mAccount, mTotals);
+  aQueue.mStarts = mDispatcher->mCounters.mStarts;
+}
+
+const WaitingStep*
+PlacementCursor::Next()
+{
+  if (mNext < mSurplusBegin) {
+    return &mDispatcher->mPlacementOrder[mNext++];
+  }
+  return NextSurplus();
+}
+
+void
+PlacementCursor::PutBack()
+{
+  if (!mLatest) {
+    return;
+  }
+  Queue queue = *mLatest;
+  mLatest.reset();
+  if (mDispatcher->mCounters.mStarts == mStartsBefore ||
+      !mDispatcher->mWaitingSteps.contains(
+        mDispatcher->mPlacementOrder[queue.mNext])) {
+    ++queue.mNext;
+  }
+  if (queue.mNext < mDispatcher->mSurplusRanges[queue.mRange].mEnd) {
+    mQueues.push(queue);
+  }
+}
+
+const WaitingStep*
+PlacementCursor::NextSurplus()
+{
+  const std::vector<SurplusRange>& ranges = mDispatcher->mSurplusRanges;
+  PutBack();
+  while (true) {
+    if (mQueues.empty()) {
+      if (mNextRange == ranges.size()) {
+        return nullptr;
+      }
+      const std::int32_t priority = ranges[mNextRange].mPriority;
+      for (; mNextRange < ranges.size() &&
+             ranges[mNextRange].mPriority == priority;
+           ++mNextRange) {
+        Queue queue{ .mRange = mNextRange, .mNext = ranges[mNextRange].mBegin };
+        UpdateShare(queue);
+        mQueues.push(queue);
+      }
+    }
+    Queue queue = mQueues.top();
+    mQueues.pop();
+    // The account with the lowest share may have started tasks since then; a
+    // share never falls within a pass.
+    if (queue.mStarts != mDispatcher->mCounters.mStarts) {
+      UpdateShare(queue);
+      mQueues.push(queue);
+      continue;
+    }
+    mLatest = queue;
+    mStartsBefore = mDispatcher->mCounters.mStarts;
+    mAtSurplus = true;
+    return &mDispatcher->mPlacementOrder[queue.mNext];
   }
-  return ordered;
 }
 
 std::optional<TaskRef>
--- a/Libraries/LibDispatch/PlacementOrder.h
+++ b/Libraries/LibDispatch/PlacementOrder.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <queue>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,61 @@
 bool
 HasInterruptedTask(const Dispatcher& aDispatcher, const WaitingStep& aEntry);
 
-/// @return the waiting steps in the order in which they are placed
-std::vector<WaitingStep>
-PlacementOrder(const Dispatcher& aDispatcher, MonotonicTime aNow);
+/// Updates the order in which the waiting steps are placed: interrupted
+/// long-running ones, those of jobs within the entitlement of their account,
+/// and the surplus ones, see AccountShares.h. Without accounts, no job is
+/// surplus.
+void
+UpdatePlacementOrder(Dispatcher& aDispatcher, MonotonicTime aNow);
+
+/// Goes through the placement order. Among the surplus steps of a priority it
+/// takes the next one of the account with the lowest dominant share relative to
+/// its weight, by what is in use at that moment. Tasks that were started since
+/// the previous step are included, so that the order holds within a pass; steps
+/// that fit nowhere don't count.
+class PlacementCursor
+{
+public:
+  PlacementCursor(const Dispatcher& aDispatcher, MonotonicTime aNow);
+
+  /// @return the next step, which may have ceased to wait, or null after the
+  ///         last one. A surplus step of which a task has been started is
+  ///         returned again when its account has the lowest share again.
+  const WaitingStep* Next();
+
+  /// @return whether the latest step is surplus. Only one of its tasks, or its
+  ///         gang, should be placed before the next call of Next().
+  [[nodiscard]] bool AtSurplus() const { return mAtSurplus; }
+
+private:
+  /// Surplus steps of an account and priority that are not placed yet.
+  struct Queue
+  {
+    double mShare = 0;
+    /// Starts of all jobs when mShare was computed.
+    std::uint64_t mStarts = 0;
+    std::size_t mRange = 0; ///< In Dispatcher::mSurplusRanges.
+    std::size_t mNext = 0;  ///< In Dispatcher::mPlacementOrder.
+    /// Accounts with the same share go in the order of their first steps.
+    bool operator>(const Queue& aOther) const;
+  };
+
+  const WaitingStep* NextSurplus();
+  /// Puts the account of the latest step back, without the step if it waits no
+  /// more or nothing has been started.
+  void PutBack();
+  void UpdateShare(Queue& aQueue) const;
+
+  const Dispatcher* mDispatcher;
+  std::size_t mNext = 0; ///< In Dispatcher::mPlacementOrder.
+  std::size_t mSurplusBegin;
+  bool mAtSurplus = false;
+  ShareTotals mTotals;
+  std::size_t mNextRange = 0; ///< First one of the next priority.
+  std::priority_queue<Queue, std::vector<Queue>, std::greater<>> mQueues;
+  std::optional<Queue> mLatest;
+  std::uint64_t mStartsBefore = 0; ///< When the latest step was returned.
+};
 
 /// @return the first task of the step that may be started, or nothing
 std::optional<TaskRef>
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -131,10 +132,16 @@
   // The interrupted steps come first and may use the held runners.
   bool heldExcluded = false;
   if (full || aNow - aDispatcher.mPlacementOrderAt >= kOrderInterval) {
-    aDispatcher.mPlacementOrder = PlacementOrder(aDispatcher, aNow);
-    aDispatcher.mPlacementOrderAt = aNow;
+    UpdatePlacementOrder(aDispatcher, aNow);
   }
-  for (const WaitingStep& entry : aDispatcher.mPlacementOrder) {
+  // Steps within the entitlements that fit nowhere. Surplus steps come last,
+  // and leave room for them.
+  std::vector<WaitingStep> entitledWithoutRoom;
+  std::optional<SurplusRoom> surplusRoom;
+  PlacementCursor cursor(aDispatcher, aNow);
+  while (const WaitingStep* next = cursor.Next()) {
+    const WaitingStep& entry = *next;
+    const bool surplus = cursor.AtSurplus();
     if (!aDispatcher.mWaitingSteps.contains(entry)) {
       continue; // The step has been placed, or its job has ended.
     }
@@ -155,8 +162,17 @@
         continue;
       }
     }
+    if (surplus && !surplusRoom) {
+      if (full) {
+        HoldRunnersForEntitled(
+          aDispatcher, candidates, entitledWithoutRoom, aNow);
+      }
+      surplusRoom = RoomForSurplus(aDispatcher, candidates);
+    }
     const bool mayHold = full && interrupted && !spec.mGang &&
                          spec.mReservation == Reservation::Reserved;
+    const bool leavesRoom = full && !aDispatcher.mSurplusRanges.empty() &&
+                            !surplus && !interrupted && !spec.mGang;
     if (unplaceable.Covers(spec, queue->mService)) {
       if (full) {
         NoteNoRoom(step, aNow);
@@ -169,11 +185,19 @@
                        step.mTasks.size(),
                        aNow);
       }
+      if (leavesRoom) {
+        entitledWithoutRoom.push_back(entry);
+      }
       continue;
     }
+    const std::vector<RunnerIndex> forSurplus =
+      surplus ? RunnersForSurplus(aDispatcher, *surplusRoom, spec)
+              : std::vector<RunnerIndex>();
+    const std::span<const RunnerIndex> suitable =
+      surplus ? forSurplus : candidates;
     if (spec.mGang) {
       if (StartGang(aDispatcher,
-                    candidates,
+                    suitable,
                     entry,
                     queue->mService,
                     Overcommit::No,
@@ -192,7 +216,7 @@
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
         const RunnerIndex runner = ChooseRunner(
-          aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
+          aDispatcher, suitable, ref, queue->mService, Overcommit::No, aNow);
         if (runner == kNoRunner) {
           unplaceable.Add(spec, queue->mService);
           if (full) {
@@ -206,12 +230,18 @@
                            step.mTasks.size(),
                            aNow);
           }
+          if (leavesRoom) {
+            entitledWithoutRoom.push_back(entry);
+          }
           break;
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
         AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
         step.mNoRoomSince.reset();
         ++started;
+        if (surplus) {
+          break; // Another account may have the lowest share now.
+        }
       }
     }
     UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
--- a/Libraries/LibDispatch/TaskStarts.cpp
+++ b/Libraries/LibDispatch/TaskStarts.cpp
@@ -28,6 +28,9 @@
   AssignToRunner(aDispatcher, aRunner, aTask);
   Runner& runner = aDispatcher.mRunners[aRunner];
   ++aDispatcher.mCounters.mStarts;
+  if (IsSurplus(aDispatcher, *aTask.mJob)) {
+    ++aDispatcher.mCounters.mSurplusStarts;
+  }
   CountUnansweredStart(aDispatcher, runner, 1);
   task.mStartLeaseEndMs = GrantLease(aDispatcher, runner, aNow);
   aActions.push_back(StartTask{ aRunner, aTask, aRun, task.mStartLeaseEndMs });
@@ -71,7 +74,7 @@
   }
   Actions starts;
   const MonotonicTime idleSince = job.mIdleSince;
-  const std::uint64_t startsBefore = aDispatcher.mCounters.mStarts;
+  const DispatchCounters countersBefore = aDispatcher.mCounters;
   const std::int64_t run = aDispatcher.mNextRun++;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     const TaskRef ref{ &job, aWaiting.mOccurrence, aWaiting.mStep, i };
@@ -89,7 +92,8 @@
       }
       // No order was sent.
       job.mIdleSince = idleSince;
-      aDispatcher.mCounters.mStarts = startsBefore;
+      aDispatcher.mCounters.mStarts = countersBefore.mStarts;
+      aDispatcher.mCounters.mSurplusStarts = countersBefore.mSurplusStarts;
       return false;
     }
     step.mTasks[i].mCheckpoint = checkpoint;
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -188,6 +188,12 @@
       idleSince = std::min(idleSince, entry.mJob->mIdleSince);
     }
   }
+  const std::string surplus =
+    aDispatcher.mAccounts.empty()
+      ? ""
+      : " surplus_jobs=" + std::to_string(aDispatcher.mCounters.mSurplusJobs) +
+          " surplus_starts=" +
+          std::to_string(aDispatcher.mCounters.mSurplusStarts);
   Emit(aDispatcher,
        "room",
        nullptr,
@@ -206,7 +212,8 @@
            std::chrono::duration_cast<Millis>(aNow - idleSince).count()) +
          " overcommitted=" +
          std::to_string(aDispatcher.mCounters.mOvercommittedStarts) +
-         " overdue=" + std::to_string(aDispatcher.mCounters.mOverdueStarts));
+         " overdue=" + std::to_string(aDispatcher.mCounters.mOverdueStarts) +
+         surplus);
 }
 
 /// Logs for which runners the dispatcher waits before it starts tasks elsewhere
--- a/Libraries/LibNode/ShardInbox.cpp
+++ b/Libraries/LibNode/ShardInbox.cpp
@@ -14,6 +14,10 @@
 /// gives up, after 2.5 s.
 constexpr Millis kInboxChangeTimeout{ 1200 };
 
+/// Jobs that are older when an earlier owner's backlog is read count as having
+/// arrived at the same time. The value only keeps times representable.
+constexpr std::int64_t kLongestBacklogMs = 30LL * 24 * 3600 * 1000;
+
 } // namespace
 
 void
@@ -94,15 +98,23 @@
     progress = ParseProgress(stored->second);
   }
   // The clocks of hosts differ, so the age is limited to a plausible range.
-  const std::int64_t ageMs =
-    std::clamp<std::int64_t>(UnixMs() - aJob.mAcceptedUnixMs, 0, 60000);
+  const std::int64_t ageByClockMs = UnixMs() - aJob.mAcceptedUnixMs;
+  const std::int64_t ageMs = std::clamp<std::int64_t>(ageByClockMs, 0, 60000);
   dispatch::AddJob(mDispatcher,
                    std::move(aJob.mSpec),
                    progress ? &*progress : nullptr,
                    aHistory,
                    now - Millis(ageMs),
                    now);
-  mDispatcher.mJobs.find(id)->second->mMoves = aJob.mMoves;
+  dispatch::Job& added = *mDispatcher.mJobs.find(id)->second;
+  added.mMoves = aJob.mMoves;
+  if (mStage == ShardStage::ReadingJobs) {
+    // A backlog that is older than the limit above must not count as a burst
+    // towards the entitlement of its account.
+    added.mArrivedAt =
+      now -
+      Millis(std::clamp<std::int64_t>(ageByClockMs, 0, kLongestBacklogMs));
+  }
   if (!isPart) {
     mUncheckedJobs.push_back(id);
   }
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -227,6 +227,7 @@
 ShardOwner::SetRunners(const std::vector<dispatch::RunnerSpec>& aRunners,
                        std::uint32_t aShards)
 {
+  mState->mDispatcher.mShardCount = aShards;
   mState->mShardRunners.clear();
   for (const dispatch::RunnerSpec& runner : aRunners) {
     if (ShardOfRunner(runner.mId, aShards) == mState->mClaim.mShard) {
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -107,12 +107,17 @@
 DispatchWorld::TakeOver(std::int64_t aEpoch)
 {
   const std::vector<QueueSpec> queues{ mDispatcher.mQueues.at("queue") };
+  std::vector<AccountSpec> accounts;
+  for (const auto& [name, account] : mDispatcher.mAccounts) {
+    accounts.push_back(account);
+  }
   mDispatcher = Dispatcher{};
   mActions.clear();
   mDispatcher.mEpoch = aEpoch;
   mDispatcher.mNextRun = (aEpoch << 20) + 1;
   mDispatcher.mEarlierLeasesUntil = mNow + Seconds(18);
   SetQueues(mDispatcher, queues);
+  SetAccounts(mDispatcher, accounts);
   for (const RunnerSpec& spec : mListed) {
     AddInheritedRunner(mDispatcher,
                        { spec,
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -172,6 +172,7 @@
   EventLog mLog{ "test", { 0, 0, 0 } };
   Metrics mMetrics;
   MonotonicTime mNow{ Seconds(1000) };
+  std::vector<ClientAccount> mAccounts; ///< Of the configuration.
   RowPartitions mPartitions; ///< For the nodes that are started from now on.
   int mStarts = 0;           ///< Number of starts that runners carried out.
   std::int64_t mNextIncarnation = 1;
