--- a/Libraries/LibDispatch/Jobs.cpp
+++ b/Libraries/LibDispatch/Jobs.cpp
@@ -394,6 +394,10 @@
   job.mInherited = aPriorRuns == PriorRuns::Possible && !aDispatcher.mRecovered;
   job.mMayHaveRunBefore = aPriorRuns == PriorRuns::Possible;
   job.mBudget = FindBudget(aDispatcher, job.mSpec.mAccount);
+  job.mArrivedAt = aAcceptedAt;
+  if (!job.mSpec.mAccount.empty()) {
+    aDispatcher.mNewAccountJobs.push_back(job.mSpec.mId);
+  }
   aDispatcher.mJobs.emplace(job.mSpec.mId, std::move(owned));
   if (aProgress != nullptr) {
     aDispatcher.mAttemptsUnchecked = true;
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -138,10 +138,16 @@
   // The interrupted steps come first and may use the held runners.
   bool heldExcluded = false;
   if (full || aNow - aDispatcher.mPlacementOrderAt >= kOrderInterval) {
-    aDispatcher.mPlacementOrder = PlacementOrder(aDispatcher, aNow);
-    aDispatcher.mPlacementOrderAt = aNow;
+    UpdatePlacementOrder(aDispatcher, aNow);
   }
-  for (const WaitingStep& entry : aDispatcher.mPlacementOrder) {
+  // Steps within the entitlements that fit nowhere. Surplus steps come last,
+  // and leave room for them.
+  std::vector<WaitingStep> entitledWithoutRoom;
+  std::optional<SurplusRoom> surplusRoom;
+  PlacementCursor cursor(aDispatcher, aNow);
+  while (const WaitingStep* next = cursor.Next()) {
+    const WaitingStep& entry = *next;
+    const bool surplus = cursor.AtSurplus();
     if (!aDispatcher.mWaitingSteps.contains(entry)) {
       continue; // The step has been placed, or its job has ended.
     }
@@ -165,8 +171,17 @@
     if (PassOverForBudget(entry, aNow)) {
       continue;
     }
+    if (surplus && !surplusRoom) {
+      if (full) {
+        HoldRunnersForEntitled(
+          aDispatcher, candidates, entitledWithoutRoom, aNow);
+      }
+      surplusRoom = RoomForSurplus(aDispatcher, candidates);
+    }
     const bool mayHold = full && interrupted && !spec.mGang &&
                          spec.mReservation == Reservation::Reserved;
+    const bool leavesRoom = full && !aDispatcher.mSurplusRanges.empty() &&
+                            !surplus && !interrupted && !spec.mGang;
     const auto noteNoRoom = [&] {
       if (full) {
         NoteNoRoom(step, aNow);
@@ -181,14 +196,22 @@
       if (interrupted) {
         KeepBudget(entry, held, aNow);
       }
+      if (leavesRoom) {
+        entitledWithoutRoom.push_back(entry);
+      }
     };
     if (unplaceable.Covers(job, spec, queue->mService)) {
       noteNoRoom();
       continue;
     }
+    const std::vector<RunnerIndex> forSurplus =
+      surplus ? RunnersForSurplus(aDispatcher, *surplusRoom, spec)
+              : std::vector<RunnerIndex>();
+    const std::span<const RunnerIndex> suitable =
+      surplus ? forSurplus : candidates;
     if (spec.mGang) {
       if (StartGang(aDispatcher,
-                    candidates,
+                    suitable,
                     entry,
                     queue->mService,
                     Overcommit::No,
@@ -212,7 +235,7 @@
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
         const RunnerIndex runner = ChooseRunner(
-          aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
+          aDispatcher, suitable, ref, queue->mService, Overcommit::No, aNow);
         if (runner == kNoRunner) {
           unplaceable.Add(job, spec, queue->mService);
           noteNoRoom();
@@ -222,6 +245,9 @@
         AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
         step.mNoRoomSince.reset();
         ++started;
+        if (surplus) {
+          break; // Another account may have the lowest share now.
+        }
       }
     }
     UpdateWaiting(aDispatcher, job, entry.mOccurrence, entry.mStep);
