LibAsyncHttp: Bound what connections make a process buffer

Cause: the limits on requests applied to complete ones only. A trailer section, a chunk extension and bodies that don't end were buffered until the request time-out; a trailer field beyond 64 KiB ended the process by an exception of the parser; each invented method got metrics of its own; each of three servers took 2000 connections. Change: MessageReader counts what Beast's parser takes and leaves, for requests and for answers of peers, and offers trailers only once their end has arrived. ConnectionBudget, shared by all servers of a process, closes connections beyond an eighth of the host's memory (limits.memory_mb) and half of its descriptors (limits.max_fds), and answers 503 while the requests being handled would take another eighth. A connection reads at most 16 KiB behind a request that is being handled, and has no buffer of its own while it is idle. A refused request is answered once and its rest dropped. Metrics name known methods only.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <LibAsyncHttp/HttpPool.h>
+#include <LibAsyncHttp/MessageReader.h>
 #include <LibTime/BootClock.h>
 
 #include <algorithm>
@@ -11,24 +12,22 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <optional>
 #include <poll.h>
+#include <string_view>
 #include <vector>
 
 namespace paddle {
 
 namespace {
 
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// Largest body of an answer that is accepted. An answer of the table store
-/// holds up to 1 MB of rows, encoded in base64 and with their keys.
-constexpr std::uint64_t kMaxAnswerBytes = 8UL << 20;
+/// Longest head of an answer, as for requests. Those of the platform take less
+/// than 1 KB.
+constexpr std::size_t kAnswerHeadBytes = 16384;
 /// Time between an answer and the next call on its connection. Peers read their
 /// clocks in milliseconds, and a clock may be 2% slow, so that the reading in
 /// the next answer is certainly later.
@@ -43,7 +42,7 @@
 /// is answered before it, shows that the other one was lost. A read that the
 /// store is slow with takes 250 ms.
 constexpr Millis kReorderMargin{ 250 };
-/// Size of a connection's read buffer.
+/// Most bytes that are read at once.
 constexpr std::size_t kReadBufferBytes = 16384;
 
 /// @return the request as it is sent
@@ -110,9 +109,8 @@
     {
     }
     tcp::socket mSocket;
-    std::array<char, kReadBufferBytes> mBuffer{};
-    std::size_t mBufferedBytes = 0; ///< Bytes in mBuffer not parsed yet.
-    std::optional<http::response_parser<http::string_body>> mParser;
+    std::string mInput; ///< Bytes received that no answer has taken yet.
+    std::optional<AnswerReader> mReader; ///< While there is a current call.
     std::string mOutgoing;
     std::optional<PendingCall> mCurrent; ///< Empty while idle.
     std::size_t mReceivedBytes = 0;      ///< Of the current call's answer.
@@ -175,11 +173,14 @@
   /// Prepares the connection for the first byte of an answer.
   static void ExpectAnswer(Connection& aConnection);
   void Read(const ConnectionPtr& aConnection);
+  /// Handles input that has been read.
+  void Receive(const ConnectionPtr& aConnection, std::string_view aInput);
   /// Replaces the time-out of a call whose answer has begun to arrive, if the
   /// call has time-outs for that.
   void ExtendDeadline(const ConnectionPtr& aConnection);
-  /// Parses the buffered bytes; finishes the call once its answer is complete.
-  void Consume(const ConnectionPtr& aConnection);
+  /// Lets the answer take input; finishes the call once it is complete.
+  /// @param aInput new bytes, which follow those in Connection::mInput
+  void Consume(const ConnectionPtr& aConnection, std::string_view aInput);
   /// Completes the current call and reuses or closes the connection.
   void Finish(const ConnectionPtr& aConnection,
               HttpAnswer aAnswer,
@@ -450,9 +451,9 @@
 void
 HttpPool::State::ExpectAnswer(Connection& aConnection)
 {
-  aConnection.mParser.emplace();
-  aConnection.mParser->body_limit(kMaxAnswerBytes);
-  aConnection.mReceivedBytes = aConnection.mBufferedBytes;
+  aConnection.mReader.emplace(MessageLimits{
+    kAnswerHeadBytes, aConnection.mCurrent->mCall.mMaxAnswerBytes });
+  aConnection.mReceivedBytes = aConnection.mInput.size();
 }
 
 void
@@ -490,30 +491,31 @@
       if (aConnection->mClosed) {
         return;
       }
-      Connection& connection = *aConnection;
+      std::array<char, kReadBufferBytes> buffer;
       std::size_t count = 0;
       if (!aError) {
-        count = connection.mSocket.read_some(
-          boost::asio::buffer(connection.mBuffer.data() +
-                                connection.mBufferedBytes,
-                              kReadBufferBytes - connection.mBufferedBytes),
-          aError);
+        count =
+          aConnection->mSocket.read_some(boost::asio::buffer(buffer), aError);
       }
       if (aError == boost::asio::error::would_block) {
         self->Read(aConnection);
-        return;
-      }
-      if (aError) {
+      } else if (aError) {
         self->Fail(aConnection);
-        return;
+      } else {
+        self->Receive(aConnection, { buffer.data(), count });
       }
-      connection.mBufferedBytes += count;
-      connection.mReceivedBytes += count;
-      connection.mHeardAt = BootTime();
-      self->Consume(aConnection);
     });
 }
 
+void
+HttpPool::State::Receive(const ConnectionPtr& aConnection,
+                         std::string_view aInput)
+{
+  aConnection->mReceivedBytes += aInput.size();
+  aConnection->mHeardAt = BootTime();
+  Consume(aConnection, aInput);
+}
+
 void
 HttpPool::State::ExtendDeadline(const ConnectionPtr& aConnection)
 {
@@ -543,7 +545,8 @@
 }
 
 void
-HttpPool::State::Consume(const ConnectionPtr& aConnection)
+HttpPool::State::Consume(const ConnectionPtr& aConnection,
+                         std::string_view aInput)
 {
   Connection& connection = *aConnection;
   if (!connection.mCurrent) {
@@ -552,40 +555,18 @@
     Fail(aConnection);
     return;
   }
-  std::size_t used = 0;
-  while (used < connection.mBufferedBytes && !connection.mParser->is_done()) {
-    error_code error;
-    const std::size_t taken = connection.mParser->put(
-      boost::asio::const_buffer(connection.mBuffer.data() + used,
-                                connection.mBufferedBytes - used),
-      error);
-    used += taken;
-    if (error == http::error::need_more) {
-      break;
-    }
-    // NOTE: The parser stops after the header. It would reserve memory for the
-    // stated length before it checks its limit.
-    const bool tooLong =
-      connection.mParser->is_header_done() &&
-      connection.mParser->content_length().value_or(0) > kMaxAnswerBytes;
-    if (error || tooLong) {
-      Fail(aConnection);
-      return;
-    }
-    if (taken == 0) {
-      break;
-    }
+  AnswerReader& reader = *connection.mReader;
+  if (connection.mInput.empty()) {
+    connection.mInput.append(aInput.substr(reader.Take(aInput)));
+  } else {
+    connection.mInput.append(aInput);
+    connection.mInput.erase(0, reader.Take(connection.mInput));
   }
-  std::copy(connection.mBuffer.begin() + static_cast<std::ptrdiff_t>(used),
-            connection.mBuffer.begin() +
-              static_cast<std::ptrdiff_t>(connection.mBufferedBytes),
-            connection.mBuffer.begin());
-  connection.mBufferedBytes -= used;
-  if (!connection.mParser->is_done()) {
-    if (connection.mBufferedBytes == kReadBufferBytes) {
-      Fail(aConnection);
-      return;
-    }
+  if (reader.Fault()) {
+    Fail(aConnection);
+    return;
+  }
+  if (!reader.Complete()) {
     ExtendDeadline(aConnection);
     if (connection.mCurrent->mCall.mOnProgress) {
       connection.mCurrent->mCall.mOnProgress(connection.mReceivedBytes);
@@ -594,25 +575,25 @@
     return;
   }
   HttpAnswer answer;
-  answer.mStatus = static_cast<int>(connection.mParser->get().result_int());
-  answer.mBody = std::move(connection.mParser->get().body());
+  answer.mStatus = static_cast<int>(reader.Content().result_int());
+  answer.mBody = std::move(reader.Content().body());
   answer.mReceivedBytes = connection.mReceivedBytes;
-  answer.mCallId = std::string(connection.mParser->get()[kCallIdHeader]);
+  answer.mCallId = std::string(reader.Content()[kCallIdHeader]);
+  const bool keepAlive = reader.KeepAlive();
   const AnswerCheck& check = connection.mCurrent->mCall.mCheckAnswer;
   const AnswerOrigin origin =
     check ? check(answer, connection.mHistory) : AnswerOrigin::Unproved;
   if (origin == AnswerOrigin::Earlier) {
     ExpectAnswer(connection);
-    if (connection.mBufferedBytes > 0) {
-      Consume(aConnection);
+    if (!connection.mInput.empty()) {
+      Consume(aConnection, {});
     } else {
       Read(aConnection);
     }
     return;
   }
-  Finish(aConnection,
-         std::move(answer),
-         connection.mParser->keep_alive() && origin == AnswerOrigin::Own);
+  Finish(
+    aConnection, std::move(answer), keepAlive && origin == AnswerOrigin::Own);
 }
 
 void
@@ -628,8 +609,9 @@
   const AnswerHandler done = std::move(connection.mCurrent->mDone);
   const MonotonicTime sentAt = connection.mCurrent->mSentAt;
   connection.mCurrent.reset();
+  connection.mReader.reset();
   RecordAnswer(sentAt);
-  if (!aReusable || mStopped || connection.mBufferedBytes > 0) {
+  if (!aReusable || mStopped || !connection.mInput.empty()) {
     Close(aConnection);
   } else {
     Read(aConnection);
--- a/Libraries/LibAsyncHttp/HttpServer.cpp
+++ b/Libraries/LibAsyncHttp/HttpServer.cpp
@@ -3,15 +3,16 @@
 #include <utility>
 
 #include <LibAsyncHttp/HttpServer.h>
+#include <LibAsyncHttp/MessageReader.h>
 #include <LibTime/BootClock.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <set>
+#include <string_view>
 
 namespace paddle {
 
@@ -21,7 +22,21 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kReadBufferBytes = 4096;
+/// Most bytes that are read at once.
+constexpr std::size_t kReadBufferBytes = 16384;
+/// Most input that is read behind a request whose response is not written yet.
+/// Such input is read to notice when the caller closes the connection; then the
+/// kernel holds the caller back.
+constexpr std::size_t kPipelinedBytes = 16384;
+/// A buffer of input that is larger than this is freed when it becomes empty.
+constexpr std::size_t kKeptBufferBytes = 1024;
+/// After a request was refused, up to this much of its rest is read and
+/// dropped, for up to this time. Closing the connection before would make the
+/// kernel send a reset, and the caller might lose the response.
+constexpr std::size_t kDroppedBytes = 262144;
+constexpr Millis kDropTime{ 1000 };
+/// A request that can't be handled beside others may be sent again after this.
+constexpr const char* kRetryAfterSeconds = "1";
 /// Delay before the next accept after a failed one, so that the loop does not
 /// spin while the process has no free file descriptors.
 constexpr Millis kAcceptRetryDelay{ 50 };
@@ -66,16 +81,22 @@
   return text;
 }
 
-/// @return the status code for a request that can't be parsed
+/// @return the status code for a request with a fault, after counting it
 int
-StatusOfParseError(const error_code& aError)
+CountFault(MessageFault aFault, BudgetCounts& aCounts)
 {
-  if (aError == http::error::body_limit) {
-    return 413;
-  }
-  if (aError == http::error::header_limit) {
-    return 431;
+  switch (aFault) {
+    case MessageFault::BodyTooLong:
+      ++aCounts.mBodyTooLong;
+      return 413;
+    case MessageFault::HeadTooLong:
+      ++aCounts.mHeadTooLong;
+      return 431;
+    case MessageFault::Malformed:
+    case MessageFault::FramingTooLong:
+      break;
   }
+  ++aCounts.mMalformed;
   return 400;
 }
 
@@ -83,6 +104,16 @@
 
 struct AsyncHttpServer::State : std::enable_shared_from_this<State>
 {
+  /// What a connection is doing.
+  enum class Step
+  {
+    Idle,      ///< No byte of the next request has arrived.
+    Receiving, ///< A request arrives.
+    Handling,  ///< The handler has not replied yet.
+    Replying,  ///< The response is being written.
+    Dropping   ///< The rest of a refused request is read and dropped.
+  };
+
   struct Connection
   {
     explicit Connection(tcp::socket aSocket)
@@ -90,52 +121,77 @@
     {
     }
     tcp::socket mSocket;
-    std::array<char, kReadBufferBytes> mBuffer{};
-    std::string mUnparsed; ///< Bytes received but not parsed yet.
-    std::optional<http::request_parser<http::string_body>> mParser;
+    std::string mInput; ///< Bytes received that no request has taken yet.
+    std::optional<RequestReader> mReader; ///< Of the request that arrives.
     std::string mOutgoing;
-    bool mHandling = false; ///< The handler has not replied yet.
-    /// The response is being written. The parser still holds its request.
-    bool mReplying = false;
+    Step mStep = Step::Idle;
     bool mClosed = false;
-    bool mCloseAfterReply = false;
-    bool mReading = false; ///< A read is pending.
+    bool mEnded = false;   ///< The caller has shut down its sending side.
+    bool mReading = false; ///< Waits until the socket is readable.
+    std::size_t mHandledBodyBytes = 0;
+    std::size_t mDroppedBytes = 0;
+    MonotonicTime mWaitingSince; ///< For a complete request.
+    ConnectionBudget::Id mId = 0;
     std::optional<Deadlines::Key> mDeadline;
 
-    /// @return whether a request has been parsed whose response is not written
-    [[nodiscard]] bool Busy() const { return mHandling || mReplying; }
+    /// @return whether a request has been taken whose response is not written
+    [[nodiscard]] bool Busy() const
+    {
+      return mStep == Step::Handling || mStep == Step::Replying;
+    }
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   State(boost::asio::io_context& aLoop,
         Deadlines& aDeadlines,
         const HttpLimits& aLimits,
-        IncomingRequestHandler aHandler)
+        IncomingRequestHandler aHandler,
+        std::shared_ptr<ConnectionBudget> aBudget)
     : mAcceptor(aLoop)
     , mDeadlines(aDeadlines)
     , mLimits(aLimits)
     , mHandler(std::move(aHandler))
+    , mBudget(aBudget ? std::move(aBudget)
+                      : std::make_shared<ConnectionBudget>(BudgetLimits{}))
   {
   }
 
   void Accept();
+  /// Serves a new connection, unless there is no place for it.
+  void Add(tcp::socket aSocket);
   /// Prepares a connection for its next request.
   void Begin(const ConnectionPtr& aConnection);
   /// Closes the connection after @p aAfter; replaces its earlier deadline.
   void SetDeadline(const ConnectionPtr& aConnection, Millis aAfter);
+  void CancelDeadline(Connection& aConnection);
+  /// Waits for input, unless it is being waited for or must not be read now.
   void Read(const ConnectionPtr& aConnection);
-  /// Parses the received bytes; handles the request once it is complete.
-  void Consume(const ConnectionPtr& aConnection);
+  /// Handles the end of input, or an error.
+  void HandleReadError(const ConnectionPtr& aConnection, error_code aError);
+  /// Handles input that has been read.
+  void Receive(const ConnectionPtr& aConnection, std::string_view aInput);
+  /// Drops input behind a refused request.
+  void Drop(const ConnectionPtr& aConnection, std::size_t aCount);
+  /// Lets the request take input; handles the request once it is complete.
+  /// @param aInput new bytes, which follow those in Connection::mInput
+  void Consume(const ConnectionPtr& aConnection, std::string_view aInput);
   void Handle(const ConnectionPtr& aConnection);
+  /// Writes a response.
+  /// @param aKeepAlive whether the connection may stay open after it
   void Reply(const ConnectionPtr& aConnection,
              const HttpReply& aReply,
              bool aKeepAlive);
+  /// Answers a request that is not taken as a whole, and ends the connection.
+  void Refuse(const ConnectionPtr& aConnection, int aStatus);
+  /// Tells the budget what the connection takes. It may close the connection.
+  void UpdateBudget(Connection& aConnection);
   void Close(const ConnectionPtr& aConnection);
 
   tcp::acceptor mAcceptor;
   Deadlines& mDeadlines;
   HttpLimits mLimits;
   IncomingRequestHandler mHandler;
+  std::shared_ptr<ConnectionBudget> mBudget;
   std::set<ConnectionPtr> mConnections;
   std::size_t mActive = 0; ///< Requests without a reply from the handler.
   bool mDraining = false;
@@ -155,30 +211,50 @@
                            [self] { self->Accept(); });
       return;
     }
-    if (self->mConnections.size() < self->mLimits.mMaxConnections) {
-      error_code ignored;
-      aSocket.set_option(tcp::no_delay(true), ignored);
-      auto connection = std::make_shared<Connection>(std::move(aSocket));
-      self->mConnections.insert(connection);
-      self->Begin(connection);
-    }
+    self->Add(std::move(aSocket));
     self->Accept();
   });
 }
 
+void
+AsyncHttpServer::State::Add(tcp::socket aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.non_blocking(true, ignored);
+  auto connection = std::make_shared<Connection>(std::move(aSocket));
+  std::weak_ptr<State> weakSelf = shared_from_this();
+  const std::weak_ptr<Connection> weak = connection;
+  const std::optional<ConnectionBudget::Id> id =
+    mBudget->Add(BootTime(), [weakSelf, weak] {
+      const auto self = weakSelf.lock();
+      const auto closed = weak.lock();
+      if (self && closed) {
+        self->Close(closed);
+      }
+    });
+  if (!id) {
+    return;
+  }
+  connection->mId = *id;
+  mConnections.insert(connection);
+  Begin(connection);
+}
+
 void
 AsyncHttpServer::State::Begin(const ConnectionPtr& aConnection)
 {
-  aConnection->mReplying = false;
-  aConnection->mParser.emplace();
-  aConnection->mParser->header_limit(mLimits.mHeaderBytes);
-  aConnection->mParser->body_limit(mLimits.mBodyBytes);
-  aConnection->mParser->eager(true);
+  aConnection->mStep = Step::Idle;
+  aConnection->mWaitingSince = BootTime();
+  UpdateBudget(*aConnection);
+  if (aConnection->mClosed) {
+    return;
+  }
   SetDeadline(aConnection, mLimits.mIdleTimeout);
-  if (aConnection->mUnparsed.empty()) {
+  if (aConnection->mInput.empty()) {
     Read(aConnection);
   } else {
-    Consume(aConnection);
+    Consume(aConnection, {});
   }
 }
 
@@ -186,9 +262,7 @@
 AsyncHttpServer::State::SetDeadline(const ConnectionPtr& aConnection,
                                     Millis aAfter)
 {
-  if (aConnection->mDeadline) {
-    mDeadlines.Cancel(*aConnection->mDeadline);
-  }
+  CancelDeadline(*aConnection);
   auto self = shared_from_this();
   aConnection->mDeadline =
     mDeadlines.Add(BootTime() + aAfter, [self, aConnection] {
@@ -197,69 +271,139 @@
     });
 }
 
+void
+AsyncHttpServer::State::CancelDeadline(Connection& aConnection)
+{
+  if (aConnection.mDeadline) {
+    mDeadlines.Cancel(*aConnection.mDeadline);
+    aConnection.mDeadline.reset();
+  }
+}
+
 void
 AsyncHttpServer::State::Read(const ConnectionPtr& aConnection)
 {
-  if (aConnection->mReading) {
+  if (aConnection->mReading ||
+      (aConnection->Busy() &&
+       (aConnection->mEnded || aConnection->mInput.size() >= kPipelinedBytes ||
+        !mBudget->MayReadAhead()))) {
     return;
   }
   aConnection->mReading = true;
   auto self = shared_from_this();
-  aConnection->mSocket.async_read_some(
-    boost::asio::buffer(aConnection->mBuffer),
-    [self, aConnection](error_code aError, std::size_t aCount) {
-      aConnection->mReading = false;
-      if (aConnection->mClosed) {
+  // NOTE: Reading into a buffer of the stack once there is input saves a buffer
+  // for each connection.
+  aConnection->mSocket.async_wait(
+    tcp::socket::wait_read, [self, aConnection](error_code aError) {
+      Connection& connection = *aConnection;
+      connection.mReading = false;
+      if (connection.mClosed) {
         return;
       }
-      if (aError) {
-        // NOTE: A caller may shut down its sending side and still wait for the
-        // response, so a request that is being handled is not aborted.
-        if (aConnection->Busy() && aError == boost::asio::error::eof) {
-          aConnection->mCloseAfterReply = true;
+      std::array<char, kReadBufferBytes> buffer;
+      std::size_t count = 0;
+      if (!aError) {
+        const std::size_t room =
+          connection.Busy()
+            ? kPipelinedBytes -
+                std::min(kPipelinedBytes, connection.mInput.size())
+            : kReadBufferBytes;
+        if (room == 0) {
           return;
         }
-        self->Close(aConnection);
-        return;
-      }
-      if (aConnection->mUnparsed.empty() && !aConnection->Busy()) {
-        self->SetDeadline(aConnection, self->mLimits.mRequestTimeout);
+        count = connection.mSocket.read_some(
+          boost::asio::buffer(buffer.data(), room), aError);
       }
-      aConnection->mUnparsed.append(aConnection->mBuffer.data(), aCount);
-      if (!aConnection->Busy()) {
-        self->Consume(aConnection);
+      if (aError == boost::asio::error::would_block) {
+        self->Read(aConnection);
+      } else if (aError) {
+        self->HandleReadError(aConnection, aError);
+      } else {
+        self->Receive(aConnection, { buffer.data(), count });
       }
     });
 }
 
 void
-AsyncHttpServer::State::Consume(const ConnectionPtr& aConnection)
+AsyncHttpServer::State::HandleReadError(const ConnectionPtr& aConnection,
+                                        error_code aError)
 {
-  Connection& connection = *aConnection;
-  std::size_t used = 0;
-  while (used < connection.mUnparsed.size() && !connection.mParser->is_done()) {
-    error_code error;
-    const std::size_t taken = connection.mParser->put(
-      boost::asio::const_buffer(connection.mUnparsed.data() + used,
-                                connection.mUnparsed.size() - used),
-      error);
-    used += taken;
-    if (error == http::error::need_more) {
-      break;
-    }
-    if (error) {
-      Reply(aConnection, { StatusOfParseError(error), {}, {}, {} }, false);
-      return;
-    }
-    if (taken == 0) {
-      break;
+  // NOTE: A caller may shut down its sending side and still wait for the
+  // response, so a request that is being handled is not aborted.
+  if (aConnection->Busy() && aError == boost::asio::error::eof) {
+    aConnection->mEnded = true;
+    return;
+  }
+  Close(aConnection);
+}
+
+void
+AsyncHttpServer::State::Receive(const ConnectionPtr& aConnection,
+                                std::string_view aInput)
+{
+  if (aConnection->mStep == Step::Dropping) {
+    Drop(aConnection, aInput.size());
+  } else if (aConnection->Busy()) {
+    aConnection->mInput.append(aInput);
+    UpdateBudget(*aConnection);
+    if (!aConnection->mClosed) {
+      Read(aConnection);
     }
+  } else {
+    Consume(aConnection, aInput);
   }
-  connection.mUnparsed.erase(0, used);
-  if (connection.mParser->is_done()) {
+}
+
+void
+AsyncHttpServer::State::Drop(const ConnectionPtr& aConnection,
+                             std::size_t aCount)
+{
+  aConnection->mDroppedBytes += aCount;
+  if (aConnection->mDroppedBytes > kDroppedBytes) {
+    Close(aConnection);
+  } else {
+    Read(aConnection);
+  }
+}
+
+void
+AsyncHttpServer::State::Consume(const ConnectionPtr& aConnection,
+                                std::string_view aInput)
+{
+  Connection& connection = *aConnection;
+  const bool first = connection.mStep == Step::Idle;
+  if (first) {
+    connection.mStep = Step::Receiving;
+    connection.mReader.emplace(
+      MessageLimits{ mLimits.mHeaderBytes, mLimits.mBodyBytes });
+  }
+  RequestReader& reader = *connection.mReader;
+  const std::size_t bodyBytes = reader.BodyBytes();
+  if (connection.mInput.empty()) {
+    connection.mInput.append(aInput.substr(reader.Take(aInput)));
+  } else {
+    connection.mInput.append(aInput);
+    connection.mInput.erase(0, reader.Take(connection.mInput));
+  }
+  if (connection.mInput.empty() &&
+      connection.mInput.capacity() > kKeptBufferBytes) {
+    connection.mInput = std::string();
+  }
+  if (reader.Fault()) {
+    Refuse(aConnection, CountFault(*reader.Fault(), mBudget->mCounts));
+    return;
+  }
+  if (reader.Complete()) {
     Handle(aConnection);
     return;
   }
+  UpdateBudget(connection);
+  if (connection.mClosed) {
+    return;
+  }
+  if (first || reader.BodyBytes() > bodyBytes) {
+    SetDeadline(aConnection, mLimits.mRequestTimeout);
+  }
   Read(aConnection);
 }
 
@@ -267,17 +411,24 @@
 AsyncHttpServer::State::Handle(const ConnectionPtr& aConnection)
 {
   Connection& connection = *aConnection;
-  if (connection.mDeadline) {
-    mDeadlines.Cancel(*connection.mDeadline);
-    connection.mDeadline.reset();
-  }
-  auto& message = connection.mParser->get();
+  CancelDeadline(connection);
+  RequestReader::Message& message = connection.mReader->Content();
   const bool hasBothLengths = message.count(http::field::content_length) > 0 &&
                               message.count(http::field::transfer_encoding) > 0;
   if (hasBothLengths || message.count(http::field::content_length) > 1) {
     // A request whose length is given twice could be split differently by a
     // proxy and by this server (request smuggling).
-    Reply(aConnection, { 400, {}, {}, {} }, false);
+    Refuse(aConnection, CountFault(MessageFault::Malformed, mBudget->mCounts));
+    return;
+  }
+  const bool keepAlive = connection.mReader->KeepAlive();
+  const std::size_t bodyBytes = message.body().size();
+  if (!mBudget->MayHandle(bodyBytes)) {
+    ++mBudget->mCounts.mNotBegun;
+    connection.mReader.reset();
+    Reply(aConnection,
+          { 503, {}, {}, { { "Retry-After", kRetryAfterSeconds } } },
+          keepAlive);
     return;
   }
   HttpIncomingRequest incoming;
@@ -289,8 +440,13 @@
                                    std::string(field.value()));
   }
   incoming.mBody = std::move(message.body());
-  const bool keepAlive = message.keep_alive();
-  connection.mHandling = true;
+  connection.mReader.reset();
+  connection.mStep = Step::Handling;
+  connection.mHandledBodyBytes = bodyBytes;
+  UpdateBudget(connection);
+  if (connection.mClosed) {
+    return;
+  }
   ++mActive;
   std::weak_ptr<State> weak = shared_from_this();
   mHandler(std::move(incoming),
@@ -300,14 +456,14 @@
                return;
              }
              --self->mActive;
-             aConnection->mHandling = false;
+             aConnection->mHandledBodyBytes = 0;
              if (!aConnection->mClosed) {
                self->Reply(aConnection, aReply, keepAlive);
              }
            });
   // NOTE: The connection is read also while the request is handled, to notice
   // when the caller closes it.
-  if (!connection.mClosed && connection.mHandling) {
+  if (!connection.mClosed && connection.mStep == Step::Handling) {
     Read(aConnection);
   }
 }
@@ -317,10 +473,14 @@
                               const HttpReply& aReply,
                               bool aKeepAlive)
 {
-  const bool keepAlive =
-    aKeepAlive && !mDraining && !aConnection->mCloseAfterReply;
-  aConnection->mReplying = true;
+  const bool keepAlive = aKeepAlive && !mDraining &&
+                         !(aConnection->mEnded && aConnection->mInput.empty());
+  aConnection->mStep = Step::Replying;
   aConnection->mOutgoing = Serialize(aReply, keepAlive);
+  UpdateBudget(*aConnection);
+  if (aConnection->mClosed) {
+    return;
+  }
   SetDeadline(aConnection, mLimits.mRequestTimeout);
   auto self = shared_from_this();
   boost::asio::async_write(
@@ -338,10 +498,56 @@
         self->Close(aConnection);
         return;
       }
+      aConnection->mOutgoing = std::string();
       self->Begin(aConnection);
     });
 }
 
+void
+AsyncHttpServer::State::Refuse(const ConnectionPtr& aConnection, int aStatus)
+{
+  aConnection->mReader.reset();
+  aConnection->mInput = std::string();
+  aConnection->mStep = Step::Dropping;
+  aConnection->mOutgoing = Serialize({ aStatus, {}, {}, {} }, false);
+  UpdateBudget(*aConnection);
+  if (aConnection->mClosed) {
+    return;
+  }
+  SetDeadline(aConnection, kDropTime);
+  auto self = shared_from_this();
+  boost::asio::async_write(aConnection->mSocket,
+                           boost::asio::buffer(aConnection->mOutgoing),
+                           [self, aConnection](error_code aError, std::size_t) {
+                             if (aConnection->mClosed) {
+                               return;
+                             }
+                             if (aError) {
+                               self->Close(aConnection);
+                               return;
+                             }
+                             error_code ignored;
+                             aConnection->mSocket.shutdown(
+                               tcp::socket::shutdown_send, ignored);
+                             self->Read(aConnection);
+                           });
+}
+
+void
+AsyncHttpServer::State::UpdateBudget(Connection& aConnection)
+{
+  ConnectionUse use;
+  use.mPhase = aConnection.mStep == Step::Handling   ? ConnectionPhase::Handling
+               : aConnection.mStep == Step::Replying ? ConnectionPhase::Replying
+                                                     : ConnectionPhase::Waiting;
+  use.mBufferedBytes =
+    aConnection.mInput.capacity() + aConnection.mOutgoing.capacity() +
+    (aConnection.mReader ? aConnection.mReader->MemoryBytes() : 0);
+  use.mHandledBodyBytes = aConnection.mHandledBodyBytes;
+  use.mWaitingSince = aConnection.mWaitingSince;
+  mBudget->Update(aConnection.mId, use);
+}
+
 void
 AsyncHttpServer::State::Close(const ConnectionPtr& aConnection)
 {
@@ -349,21 +555,26 @@
     return;
   }
   aConnection->mClosed = true;
-  if (aConnection->mDeadline) {
-    mDeadlines.Cancel(*aConnection->mDeadline);
-    aConnection->mDeadline.reset();
-  }
+  CancelDeadline(*aConnection);
   error_code ignored;
   aConnection->mSocket.close(ignored);
+  // NOTE: The handler may hold the connection until it replies.
+  aConnection->mInput = std::string();
+  aConnection->mReader.reset();
+  mBudget->Remove(aConnection->mId);
   mConnections.erase(aConnection);
 }
 
 AsyncHttpServer::AsyncHttpServer(boost::asio::io_context& aLoop,
                                  Deadlines& aDeadlines,
                                  const HttpLimits& aLimits,
-                                 IncomingRequestHandler aHandler)
-  : mState(
-      std::make_shared<State>(aLoop, aDeadlines, aLimits, std::move(aHandler)))
+                                 IncomingRequestHandler aHandler,
+                                 std::shared_ptr<ConnectionBudget> aBudget)
+  : mState(std::make_shared<State>(aLoop,
+                                   aDeadlines,
+                                   aLimits,
+                                   std::move(aHandler),
+                                   std::move(aBudget)))
 {
 }
 
@@ -417,8 +628,7 @@
   mState->mDraining = true;
   const std::set<State::ConnectionPtr> connections = mState->mConnections;
   for (const State::ConnectionPtr& connection : connections) {
-    if (!connection->mHandling && connection->mUnparsed.empty() &&
-        connection->mParser && !connection->mParser->got_some()) {
+    if (connection->mStep == State::Step::Idle) {
       mState->Close(connection);
     }
   }
--- a/Libraries/LibAsyncHttp/HttpServer.h
+++ b/Libraries/LibAsyncHttp/HttpServer.h
@@ -8,25 +8,25 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <LibAsyncHttp/ConnectionBudget.h>
 #include <LibAsyncHttp/Deadlines.h>
 #include <LibAsyncHttp/HttpTypes.h>
 #include <LibTime/Outcome.h>
 
 namespace paddle {
 
-/// Limits on what callers may send and on how many may connect.
+/// Limits on what one caller may send. MessageReader has those that follow from
+/// them, and ConnectionBudget those on all callers together.
 struct HttpLimits
 {
+  /// Of the header fields, and of the trailers behind a chunked body.
   std::uint32_t mHeaderBytes = 16384;
   std::uint64_t mBodyBytes = 262144;
   /// Time for a request to arrive completely after its first byte, and for its
-  /// response to be written.
+  /// response to be written. It starts anew whenever bytes of the body arrive.
   Millis mRequestTimeout{ 3000 };
   /// Time that a connection may stay open without a byte of the next request.
   Millis mIdleTimeout{ 15000 };
-  /// Half of the file descriptors of the smallest host; the other half is for
-  /// connections to runners.
-  std::size_t mMaxConnections = 2000;
 };
 
 /// Handles one request. It must call the ReplyHandler once, now or later.
@@ -34,15 +34,19 @@
   std::function<void(HttpIncomingRequest, ReplyHandler)>;
 
 /// An HTTP/1.1 server on one event loop. It handles the requests of one
-/// connection one after another. It answers input that it can't parse as a
-/// request with an error status and closes the connection.
+/// connection one after another. It answers input that is no request within the
+/// limits with an error status and closes the connection; the handler is only
+/// called for complete requests.
 class AsyncHttpServer
 {
 public:
+  /// @param aBudget shared by all servers of the process; without one, the
+  ///                server has one of its own
   AsyncHttpServer(boost::asio::io_context& aLoop,
                   Deadlines& aDeadlines,
                   const HttpLimits& aLimits,
-                  IncomingRequestHandler aHandler);
+                  IncomingRequestHandler aHandler,
+                  std::shared_ptr<ConnectionBudget> aBudget = nullptr);
   ~AsyncHttpServer();
   AsyncHttpServer(const AsyncHttpServer&) = delete;
   AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -74,6 +74,10 @@
   std::uint32_t mTimeoutFactor = 1;
   /// Time by which the peer may delay its answer to a long poll.
   Millis mAnswerDelay{ 0 };
+  /// Largest body of the answer, in bytes; a larger one is no answer. The
+  /// default is for rows of the store: up to 1 MB of them, encoded in base64
+  /// and with their keys, and for a copy of the operator's rows.
+  std::uint64_t mMaxAnswerBytes = 8UL << 20;
   /// Called whenever bytes of the answer have arrived, with their number so
   /// far, but not with the last ones. It must not send or close anything.
   std::function<void(std::size_t aReceivedBytes)> mOnProgress = nullptr;
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <memory>
+#include <string_view>
 
+#include <LibAsyncHttp/ConnectionBudget.h>
 #include <LibAsyncHttp/HttpServer.h>
 #include <LibBase/ProcessSignals.h>
 #include <LibNode/Node.h>
@@ -40,6 +42,22 @@
 /// second of it is left for the answer to arrive.
 constexpr Millis kPendingAgeBeyondVisible{ 1500 };
 
+/// Shortest time between two log lines about refused callers.
+constexpr Millis kRefusalLogInterval{ 1000 };
+
+/// @return the method as part of a metric's name. Clients choose methods, and
+///         each name takes memory for ever.
+std::string_view
+MetricNameOf(std::string_view aMethod)
+{
+  for (const std::string_view known : { "GET", "POST", "DELETE" }) {
+    if (aMethod == known) {
+      return known;
+    }
+  }
+  return "other";
+}
+
 /// The node's process: an event loop with the node, its connections and its
 /// servers.
 class Process
@@ -60,6 +78,8 @@
   void ApplyLimits(const platform::Settings& aSettings);
   /// Applies the limits on client requests after a change of the configuration.
   void UpdateLimits();
+  /// Counts the refused callers in the metrics, and logs them.
+  void ReportRefusals(MonotonicTime aNow);
   /// @return whether a draining process may exit
   [[nodiscard]] bool MayExit(MonotonicTime aNow) const;
 
@@ -75,6 +95,9 @@
   platform::StoreClient mStore;
   platform::RunnerClient mRunners;
   PeerClient mPeers;
+  std::shared_ptr<ConnectionBudget> mBudget; ///< Of all servers.
+  BudgetCounts mReported; ///< What the log and the metrics show.
+  MonotonicTime mRefusalsLoggedAt;
   AsyncHttpServer mPeerCalls; ///< Serves the calls of other nodes.
   AsyncHttpServer mClients;   ///< Serves the requests of clients.
   AsyncHttpServer mReadiness; ///< Serves readiness checks and metrics.
@@ -108,26 +131,31 @@
                           BootTime());
              })
   , mPeers(mLoop, mDeadlines)
+  , mBudget(std::make_shared<ConnectionBudget>(BudgetLimits{}))
   , mPeerCalls(
       mLoop,
       mDeadlines,
       {},
       [this](const HttpIncomingRequest& aRequest, ReplyHandler aReply) {
         HandlePeerCall(*mNode, aRequest, std::move(aReply));
-      })
-  , mClients(mLoop,
-             mDeadlines,
-             {},
-             [this](const HttpIncomingRequest& aRequest, ReplyHandler aReply) {
-               ServeClients(aRequest, std::move(aReply));
-             })
+      },
+      mBudget)
+  , mClients(
+      mLoop,
+      mDeadlines,
+      {},
+      [this](const HttpIncomingRequest& aRequest, ReplyHandler aReply) {
+        ServeClients(aRequest, std::move(aReply));
+      },
+      mBudget)
   , mReadiness(
       mLoop,
       mDeadlines,
       {},
       [this](const HttpIncomingRequest& aRequest, const ReplyHandler& aReply) {
         ServeReadiness(aRequest, aReply);
-      })
+      },
+      mBudget)
 {
   mContext.mSelf.mName = mSettings.mNodeName;
   mContext.mSelf.mDataCentre = mSettings.mDataCentre;
@@ -160,12 +188,13 @@
     *mNode,
     mContext.mSettings,
     aRequest,
-    [this, begin, method = aRequest.mMethod, reply = std::move(aReply)](
-      HttpReply aAnswer) {
-      mMetrics.Observe("client_" + method,
+    [this,
+     begin,
+     name = "client_" + std::string(MetricNameOf(aRequest.mMethod)),
+     reply = std::move(aReply)](HttpReply aAnswer) {
+      mMetrics.Observe(name,
                        std::chrono::duration_cast<Micros>(BootTime() - begin));
-      mMetrics.Count("client_" + method + "_" +
-                     std::to_string(aAnswer.mStatus));
+      mMetrics.Count(name + "_" + std::to_string(aAnswer.mStatus));
       reply(std::move(aAnswer));
     });
 }
@@ -210,6 +239,35 @@
   mPeerCalls.SetLimits(http);
 }
 
+void
+Process::ReportRefusals(MonotonicTime aNow)
+{
+  const BudgetCounts& counts = mBudget->mCounts;
+  if (counts == mReported || aNow - mRefusalsLoggedAt < kRefusalLogInterval) {
+    return;
+  }
+  mRefusalsLoggedAt = aNow;
+  std::string fields;
+  for (const auto& [name, member] :
+       { std::pair{ "closed_for_memory", &BudgetCounts::mClosedForMemory },
+         std::pair{ "closed_for_others", &BudgetCounts::mClosedForOthers },
+         std::pair{ "not_accepted", &BudgetCounts::mNotAccepted },
+         std::pair{ "not_begun", &BudgetCounts::mNotBegun },
+         std::pair{ "malformed", &BudgetCounts::mMalformed },
+         std::pair{ "body_too_long", &BudgetCounts::mBodyTooLong },
+         std::pair{ "head_too_long", &BudgetCounts::mHeadTooLong } }) {
+    const std::uint64_t count = counts.*member - mReported.*member;
+    if (count > 0) {
+      mMetrics.Count(std::string("connections_") + name, count);
+      fields += name + ("=" + std::to_string(count)) + " ";
+    }
+  }
+  fields += "connections=" + std::to_string(mBudget->Connections()) +
+            " buffered_bytes=" + std::to_string(mBudget->BufferedBytes());
+  mLog.Write(LogLevel::Warning, "callers_refused", fields, aNow);
+  mReported = counts;
+}
+
 bool
 Process::MayExit(MonotonicTime aNow) const
 {
@@ -236,6 +294,7 @@
     mDeadlines.Expire(now);
     mNode->Tick(now);
     UpdateLimits();
+    ReportRefusals(now);
     mLog.Flush(now);
     if (mDraining && MayExit(now)) {
       mLog.Write(LogLevel::Notice, "stopped", {}, now);
@@ -265,6 +324,8 @@
   mContext.mSettings.mDispatch = aSettings.mDispatch;
   mContext.mSettings.mMaxPendingAge =
     aSettings.mJobVisibleTime + kPendingAgeBeyondVisible;
+  mBudget->SetLimits(
+    BudgetOf(aSettings.mMemoryBytes, aSettings.mMaxDescriptors));
 }
 
 void
