LibHttp: Bound request bodies, and what a reply makes the client buffer

Cause: the gateway's server took bodies of any announced length (16 clients with 4 MB each: 120 MB resident), and its client buffered trailers without a bound; a trailer field beyond 64 KiB raised an exception of the parser. Change: bodies of at most 8 MB each (413) and 64 MB together (503); the client buffers at most 64 KiB that the parser does not take. What is left: cxxtools has no hook before a request line or a header field is complete, and buffers both without a bound. It takes chunked bodies for empty ones, as before.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -29,13 +29,20 @@
 /// returns all rows of a prefix in one.
 constexpr std::uint64_t kMaxReplyBytes = 256UL << 20;
 
+/// Most bytes that are buffered for a reply until the parser takes them: its
+/// trailers, and a chunk header with its extensions, as long as they are not
+/// complete. The parser's own limit on the head is 8 KiB, and its lengths of
+/// fields have 16 bits.
+constexpr std::size_t kMaxBufferedBytes = 64UL << 10;
+
 /// A connection with an event loop of its own, so that each operation on it can
 /// be waited for until a deadline.
 struct Connection
 {
   boost::asio::io_context mLoop{ 1 };
   tcp::socket mSocket{ mLoop };
-  boost::beast::flat_buffer mBuffer; ///< Bytes received but not parsed yet.
+  /// Bytes received but not parsed yet.
+  boost::beast::flat_buffer mBuffer{ kMaxBufferedBytes };
   MonotonicTime mLastUsed;
 };
 
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <cxxtools/http/service.h>
 #include <cxxtools/regex.h>
 #include <exception>
+#include <stdexcept>
 #include <thread>
 
 #include <LibBase/Log.h>
@@ -19,6 +20,25 @@
 
 using InFlightCount = std::atomic<unsigned>;
 
+/// What the bodies of the requests of one server take, and may take.
+struct BodyBudget
+{
+  std::size_t mMaxBodyBytes = 0;
+  std::size_t mMaxBodiesBytes = 0;
+  std::atomic<std::size_t> mBytes{ 0 }; ///< Of all requests.
+};
+
+/// Ends a request whose body is not taken.
+struct BodyRefused : std::runtime_error
+{
+  explicit BodyRefused(unsigned aStatus)
+    : std::runtime_error("body refused")
+    , mStatus(aStatus)
+  {
+  }
+  unsigned mStatus;
+};
+
 /// cxxtools ends threads beyond this number when they are idle. With 5, a
 /// gateway that handled 2,000 requests a second started a new thread for most
 /// of them.
@@ -50,12 +70,46 @@
 public:
   HandlerResponder(cxxtools::http::Service& aService,
                    const HttpHandler& aHandler,
-                   InFlightCount& aInFlight)
+                   InFlightCount& aInFlight,
+                   BodyBudget& aBodies)
     : Responder(aService)
     , mHandler(aHandler)
     , mInFlight(aInFlight)
+    , mBodies(aBodies)
   {
   }
+  ~HandlerResponder() override { mBodies.mBytes -= mBodyBytes; }
+  HandlerResponder(const HandlerResponder&) = delete;
+  HandlerResponder& operator=(const HandlerResponder&) = delete;
+
+  std::size_t readBody(std::istream& aInput) override
+  {
+    const std::size_t count = Responder::readBody(aInput);
+    mBodyBytes += count;
+    const std::size_t all = mBodies.mBytes += count;
+    if (mBodyBytes > mBodies.mMaxBodyBytes) {
+      throw BodyRefused(413);
+    }
+    if (all > mBodies.mMaxBodiesBytes && all > mBodyBytes) {
+      throw BodyRefused(503);
+    }
+    return count;
+  }
+
+  void replyError(std::ostream& aOut,
+                  cxxtools::http::Request& aRequest,
+                  cxxtools::http::Reply& aReply,
+                  const std::exception& aError) override
+  {
+    const auto* refused = dynamic_cast<const BodyRefused*>(&aError);
+    if (refused == nullptr) {
+      Responder::replyError(aOut, aRequest, aReply, aError);
+      return;
+    }
+    // The rest of the body is not read.
+    aReply.httpReturn(refused->mStatus, "Error");
+    aReply.setHeader("Connection", "close");
+  }
 
   void reply(std::ostream& aOut,
              cxxtools::http::Request& aRequest,
@@ -87,15 +141,20 @@
 
   const HttpHandler& mHandler;
   InFlightCount& mInFlight;
+  BodyBudget& mBodies;
+  std::size_t mBodyBytes = 0; ///< Received of this request.
 };
 
 /// Creates a HandlerResponder for each request, as cxxtools requires.
 class HandlerService : public cxxtools::http::Service
 {
 public:
-  HandlerService(HttpHandler aHandler, InFlightCount& aInFlight)
+  HandlerService(HttpHandler aHandler,
+                 InFlightCount& aInFlight,
+                 BodyBudget& aBodies)
     : mHandler(std::move(aHandler))
     , mInFlight(aInFlight)
+    , mBodies(aBodies)
   {
   }
 
@@ -103,7 +162,7 @@
   cxxtools::http::Responder* createResponder(
     const cxxtools::http::Request&) override
   {
-    return new HandlerResponder(*this, mHandler, mInFlight);
+    return new HandlerResponder(*this, mHandler, mInFlight, mBodies);
   }
 
   void releaseResponder(cxxtools::http::Responder* aResponder) override
@@ -114,6 +173,7 @@
 private:
   HttpHandler mHandler;
   InFlightCount& mInFlight;
+  BodyBudget& mBodies;
 };
 
 } // namespace
@@ -121,11 +181,12 @@
 struct HttpServer::State
 {
   explicit State(HttpHandler aHandler)
-    : mService(std::move(aHandler), mInFlight)
+    : mService(std::move(aHandler), mInFlight, mBodies)
   {
   }
 
   InFlightCount mInFlight{ 0 };
+  BodyBudget mBodies;
   cxxtools::EventLoop mLoop;
   HandlerService mService;
   std::unique_ptr<cxxtools::http::Server> mServer;
@@ -149,6 +210,8 @@
 HttpServer::Start(const HttpServerSettings& aSettings, HttpHandler aHandler)
 {
   auto state = std::make_unique<State>(std::move(aHandler));
+  state->mBodies.mMaxBodyBytes = aSettings.mMaxBodyBytes;
+  state->mBodies.mMaxBodiesBytes = aSettings.mMaxBodiesBytes;
   state->mServer = std::make_unique<cxxtools::http::Server>(state->mLoop);
   state->mServer->minThreads(std::min(aSettings.mMaxThreads, kMaxIdleThreads));
   state->mServer->maxThreads(aSettings.mMaxThreads);
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -15,6 +16,13 @@
 {
   std::vector<Endpoint> mListen; ///< Addresses to listen on.
   unsigned mMaxThreads = 200;    ///< Each request in flight takes one thread.
+  /// Largest body of a request, in bytes; a larger one is answered with 413.
+  /// The project's own calls take at most 1 MB, a transaction of the table
+  /// service.
+  std::size_t mMaxBodyBytes = 8UL << 20;
+  /// Most bytes of bodies that are being received or handled at the same time;
+  /// a request beyond them is answered with 503, unless it is the only one.
+  std::size_t mMaxBodiesBytes = 64UL << 20;
 };
 
 /// An HTTP server. The destructor stops it; call DrainAndStop() before if
--- a/Tests/LibHttp/TestHttpClient.cpp
+++ b/Tests/LibHttp/TestHttpClient.cpp
@@ -257,6 +257,29 @@
   }
 }
 
+// Guards against trailers that are buffered without a bound, and against an
+// exception of the parser, whose lengths of fields have 16 bits.
+TEST(HttpClient, TakesNoAnswerWithTrailersOfExcessiveLength)
+{
+  std::string fields;
+  while (fields.size() < 200'000) {
+    fields += "name: value\r\n";
+  }
+  for (const std::string& trailers :
+       { fields, "a: " + std::string(100'000, 'b') + "\r\n" }) {
+    const ScriptedServer server(
+      [&](const std::string&) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" +
+               trailers + "\r\n";
+      },
+      Millis(0));
+    HttpClient client({});
+    const auto reply = client.Execute(
+      { "127.0.0.1", kPort }, HttpRequest{}, kTimeout, ConnectionUse::Fresh);
+    CHECK_FALSE(Succeeded(reply));
+  }
+}
+
 // Guards against a client that ends the process when there is no file
 // descriptor left for another connection.
 TEST(HttpClient, FailsWithoutFileDescriptors)
