--- a/Libraries/LibDispatch/AccountBudget.cpp
+++ b/Libraries/LibDispatch/AccountBudget.cpp
@@ -17,24 +17,19 @@
 constexpr Seconds kWaitsLogInterval{ 1 };
 constexpr std::size_t kMaxLoggedAccounts = 20;
 
-/// The members of Resources, which are compared one by one.
-constexpr std::int64_t Resources::*kMembers[] = { &Resources::mMilliCores,
-                                                  &Resources::mMemoryMb,
-                                                  &Resources::mAccelerators };
-
 bool
 HasAny(const Resources& aAmount)
 {
-  return std::any_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
-    return aAmount.*aOf > 0;
-  });
+  return std::any_of(kResourceMembers.begin(),
+                     kResourceMembers.end(),
+                     [&](auto aOf) { return aAmount.*aOf > 0; });
 }
 
 /// Adds what a number of tasks of a step demand.
 void
 AddTasks(Resources& aTotal, const StepSpec& aSpec, std::size_t aTasks)
 {
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     aTotal.*of += static_cast<std::int64_t>(aTasks) * aSpec.mDemand.*of;
   }
 }
@@ -69,7 +64,7 @@
 {
   Resources largest;
   for (const Runner& runner : aDispatcher.mRunners) {
-    for (const auto of : kMembers) {
+    for (const auto of : kResourceMembers) {
       largest.*of = std::max(largest.*of, runner.mSpec.mCapacity.*of);
     }
   }
@@ -134,7 +129,7 @@
     }
     AccountBudget& budget = budgets[name];
     budget.mUse = &aDispatcher.mAccountUse[name];
-    for (const auto of : kMembers) {
+    for (const auto of : kResourceMembers) {
       if (budget.mCap.*of == 0) {
         budget.mBudget.*of = 0; // Nothing was granted while it had no limit.
       }
@@ -171,7 +166,7 @@
     return;
   }
   budget->mAsOf = aAsOf;
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     if (aBudget.*of > budget->mBudget.*of) {
       aDispatcher.mPlacementDue = true;
     }
@@ -241,7 +236,7 @@
   const AccountBudget& budget = *aJob.mBudget;
   const Resources committed = CommittedUse(budget);
   std::size_t tasks = aMost;
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     const std::int64_t demand = aSpec.mDemand.*of;
     if (budget.mCap.*of <= 0 || demand <= 0) {
       continue;
@@ -278,10 +273,11 @@
   const AccountBudget& budget = *aTask.mJob->mBudget;
   const Resources committed = CommittedUse(budget);
   const Resources& demand = SpecOf(aTask).mDemand;
-  return std::all_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
-    return budget.mCap.*aOf <= 0 || demand.*aOf <= 0 ||
-           committed.*aOf <= budget.mBudget.*aOf;
-  });
+  return std::all_of(
+    kResourceMembers.begin(), kResourceMembers.end(), [&](auto aOf) {
+      return budget.mCap.*aOf <= 0 || demand.*aOf <= 0 ||
+             committed.*aOf <= budget.mBudget.*aOf;
+    });
 }
 
 bool
@@ -331,8 +327,8 @@
     const StepSpec& spec = entry.mJob->mSpec.mSteps[entry.mStep];
     Resources needed = budget->mUse->mLongRunning;
     AddTasks(needed, spec, spec.mGang ? spec.mTaskCount : 1);
-    const bool everFits =
-      std::all_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
+    const bool everFits = std::all_of(
+      kResourceMembers.begin(), kResourceMembers.end(), [&](auto aOf) {
         return budget->mCap.*aOf <= 0 || spec.mDemand.*aOf <= 0 ||
                needed.*aOf <= budget->mBudget.*aOf;
       });
--- a/Libraries/LibDispatch/AccountUse.h
+++ b/Libraries/LibDispatch/AccountUse.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <string_view>
 
 #include <LibDispatch/JobSpec.h>
@@ -9,6 +11,13 @@
 
 struct Dispatcher;
 
+/// The members of Resources, for comparisons one by one.
+inline constexpr std::array<std::int64_t Resources::*, 3> kResourceMembers = {
+  &Resources::mMilliCores,
+  &Resources::mMemoryMb,
+  &Resources::mAccelerators
+};
+
 /// What the tasks of a client account take that may be running on the shard's
 /// runners: in the phases Starting, Running and Stopping.
 struct AccountUse
