--- a/Libraries/LibDispatch/AccountBudget.cpp
+++ b/Libraries/LibDispatch/AccountBudget.cpp
@@ -12,29 +12,29 @@
 /// Time for which the budget of an interrupted long-running task is kept for
 /// it. If it finds no room for longer, other tasks of the account run instead.
 constexpr Seconds kBudgetKeptFor{ 10 };
+/// A step for which there was no room counts as having none for this long. It
+/// can't be tried again while the account has no budget.
+constexpr Seconds kNoRoomRemembered{ 5 };
+/// Largest number of steps of an account whose demand is stated.
+constexpr std::size_t kMaxDemandUnits = 200;
 /// Interval of the log events of an account that waits for its budget, and
 /// largest number of accounts in each.
 constexpr Seconds kWaitsLogInterval{ 1 };
 constexpr std::size_t kMaxLoggedAccounts = 20;
 
-/// The members of Resources, which are compared one by one.
-constexpr std::int64_t Resources::*kMembers[] = { &Resources::mMilliCores,
-                                                  &Resources::mMemoryMb,
-                                                  &Resources::mAccelerators };
-
 bool
 HasAny(const Resources& aAmount)
 {
-  return std::any_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
-    return aAmount.*aOf > 0;
-  });
+  return std::any_of(kResourceMembers.begin(),
+                     kResourceMembers.end(),
+                     [&](auto aOf) { return aAmount.*aOf > 0; });
 }
 
 /// Adds what a number of tasks of a step demand.
 void
 AddTasks(Resources& aTotal, const StepSpec& aSpec, std::size_t aTasks)
 {
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     aTotal.*of += static_cast<std::int64_t>(aTasks) * aSpec.mDemand.*of;
   }
 }
@@ -69,7 +69,7 @@
 {
   Resources largest;
   for (const Runner& runner : aDispatcher.mRunners) {
-    for (const auto of : kMembers) {
+    for (const auto of : kResourceMembers) {
       largest.*of = std::max(largest.*of, runner.mSpec.mCapacity.*of);
     }
   }
@@ -117,6 +117,17 @@
   }
 }
 
+/// @return the number of waiting long-running tasks for which budget is kept
+std::size_t
+LatelyInterrupted(const Step& aStep, MonotonicTime aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const Task& aTask) {
+      return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
+             aNow - *aTask.mInterruptedAt < kBudgetKeptFor;
+    }));
+}
+
 } // namespace
 
 void
@@ -134,7 +145,7 @@
     }
     AccountBudget& budget = budgets[name];
     budget.mUse = &aDispatcher.mAccountUse[name];
-    for (const auto of : kMembers) {
+    for (const auto of : kResourceMembers) {
       if (budget.mCap.*of == 0) {
         budget.mBudget.*of = 0; // Nothing was granted while it had no limit.
       }
@@ -171,7 +182,7 @@
     return;
   }
   budget->mAsOf = aAsOf;
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     if (aBudget.*of > budget->mBudget.*of) {
       aDispatcher.mPlacementDue = true;
     }
@@ -241,7 +252,7 @@
   const AccountBudget& budget = *aJob.mBudget;
   const Resources committed = CommittedUse(budget);
   std::size_t tasks = aMost;
-  for (const auto of : kMembers) {
+  for (const auto of : kResourceMembers) {
     const std::int64_t demand = aSpec.mDemand.*of;
     if (budget.mCap.*of <= 0 || demand <= 0) {
       continue;
@@ -278,10 +289,11 @@
   const AccountBudget& budget = *aTask.mJob->mBudget;
   const Resources committed = CommittedUse(budget);
   const Resources& demand = SpecOf(aTask).mDemand;
-  return std::all_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
-    return budget.mCap.*aOf <= 0 || demand.*aOf <= 0 ||
-           committed.*aOf <= budget.mBudget.*aOf;
-  });
+  return std::all_of(
+    kResourceMembers.begin(), kResourceMembers.end(), [&](auto aOf) {
+      return budget.mCap.*aOf <= 0 || demand.*aOf <= 0 ||
+             committed.*aOf <= budget.mBudget.*aOf;
+    });
 }
 
 bool
@@ -305,12 +317,7 @@
     return;
   }
   const StepSpec& spec = aEntry.mJob->mSpec.mSteps[aEntry.mStep];
-  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
-  const auto interrupted = static_cast<std::size_t>(
-    std::count_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
-      return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
-             aNow - *aTask.mInterruptedAt < kBudgetKeptFor;
-    }));
+  const std::size_t interrupted = LatelyInterrupted(StepOf(aEntry), aNow);
   const std::size_t kept =
     TasksWithinBudget(*aEntry.mJob, spec, std::max(aHeldRunners, interrupted));
   AddTasks(aEntry.mJob->mBudget->mKept, spec, kept);
@@ -331,8 +338,8 @@
     const StepSpec& spec = entry.mJob->mSpec.mSteps[entry.mStep];
     Resources needed = budget->mUse->mLongRunning;
     AddTasks(needed, spec, spec.mGang ? spec.mTaskCount : 1);
-    const bool everFits =
-      std::all_of(std::begin(kMembers), std::end(kMembers), [&](auto aOf) {
+    const bool everFits = std::all_of(
+      kResourceMembers.begin(), kResourceMembers.end(), [&](auto aOf) {
         return budget->mCap.*aOf <= 0 || spec.mDemand.*aOf <= 0 ||
                needed.*aOf <= budget->mBudget.*aOf;
       });
@@ -343,6 +350,52 @@
   }
 }
 
+std::map<std::string_view, AccountDemand>
+DemandByAccount(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::map<std::string_view, AccountDemand> demands;
+  for (const auto& [name, budget] : aDispatcher.mAccountBudgets) {
+    AccountDemand& demand = demands[name];
+    demand.mUse = CappedUse(*budget.mUse);
+    demand.mAssumed = budget.mAssumed;
+  }
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    const Job& job = *entry.mJob;
+    if (job.mBudget == nullptr ||
+        FindStartableQueue(aDispatcher, job) == nullptr) {
+      continue;
+    }
+    AccountDemand& demand = demands[job.mSpec.mAccount];
+    const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
+    const Step& step = StepOf(entry);
+    const std::size_t interrupted = LatelyInterrupted(step, aNow);
+    AddTasks(demand.mInterrupted, spec, interrupted);
+    std::size_t waiting = step.mWaitingTasks;
+    if (!aDispatcher.mRecovered) {
+      waiting = static_cast<std::size_t>(std::count_if(
+        step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
+          return aTask.mPhase == TaskPhase::Waiting &&
+                 !MayRunUnseen(aDispatcher, aTask);
+        }));
+    }
+    waiting -= std::min(waiting, interrupted);
+    if (waiting == 0 || demand.mUnits.size() == kMaxDemandUnits ||
+        (spec.mGang && waiting < spec.mTaskCount)) {
+      continue;
+    }
+    DemandUnit unit{ spec.mDemand, waiting, false };
+    unit.mLacksRoom = step.mNoRoomAt > MonotonicTime{} &&
+                      aNow - step.mNoRoomAt < kNoRoomRemembered;
+    if (spec.mGang) {
+      unit.mDemand = {};
+      AddTasks(unit.mDemand, spec, spec.mTaskCount);
+      unit.mCount = 1;
+    }
+    demand.mUnits.push_back(unit);
+  }
+  return demands;
+}
+
 bool
 ExceedsRunner(const Runner& aRunner, const TaskRef& aTask)
 {
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -164,7 +164,8 @@
     route.mQueue.mName = "queue";
     route.mQueue.mService = "service";
     route.mQueue.mMaxAttempts = 3;
-    state.mConfiguration = Configuration{ 1, { route }, mAccounts };
+    state.mConfiguration =
+      Configuration{ mConfigurationVersion, { route }, mAccounts, {} };
     aDone(ReadResult::Read, std::move(state));
   };
   port.mReadRunners =
