LibDispatch, platform: Wait for a preferred rack where it pays

Cause: tasks with a data rack were started elsewhere whenever a runner there was full, however soon it was free, and a step that requests a single rack was spread (mSameRack was ignored). Change: bounds.remote_factor is the ratio of a task's duration outside its preferred rack; with 1, the default, nothing changes. PlacementWait decides from the gain, the expected wait, the deadline and the loss of the rack; PreferredRacks summarizes the racks once in a pass and hooks into placement.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -85,6 +85,10 @@
   /// Limit of start orders in one placement pass, so that a pass takes no more
   /// than a few milliseconds.
   std::uint32_t mMaxStartsPerPass = 64;
+  /// Ratio of a task's duration on a runner outside its preferred rack to that
+  /// inside it. The deployment sets it; with 1, no task waits for a rack, and
+  /// steps choose none for their tasks.
+  double mRemoteFactor = 1;
 };
 
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,6 +19,7 @@
 #include <LibDispatch/Interference.h>
 #include <LibDispatch/Job.h>
 #include <LibDispatch/OrderLimit.h>
+#include <LibDispatch/PreferredRackState.h>
 #include <LibDispatch/Runner.h>
 #include <LibTime/Time.h>
 
@@ -72,6 +74,13 @@
   /// Starts of jobs that had nothing running for too long, see IdleJobs.h.
   std::uint64_t mOverdueStarts = 0;
   std::uint64_t mQuarantines = 0;
+  // Tasks with a preferred rack, where the setting mRemoteFactor is above 1.
+  std::uint64_t mPlaceWaits = 0; ///< Waits that have begun.
+  /// Waits that have ended, by WaitEnd. Those of cancelled jobs are not
+  /// counted.
+  std::array<std::uint64_t, kWaitEndNames.size()> mPlaceWaitsEnded{};
+  std::uint64_t mStartsInPreferredRack = 0;
+  std::uint64_t mStartsElsewhere = 0;
 };
 
 /// Starts that overdue jobs may take before all others, see IdleJobs.h.
@@ -196,6 +205,7 @@
 
   Interference mInterference;
   OrderLimit mOrderLimit;
+  PreferredRackState mPreferredRacks;
   /// Start orders that have no answer yet, of all runners.
   std::uint32_t mUnansweredStarts = 0;
   /// No placement pass runs before this time, so that passes leave processor
--- a/Libraries/LibDispatch/Explaining.cpp
+++ b/Libraries/LibDispatch/Explaining.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/RunnerRating.h>
 
 namespace paddle::dispatch {
@@ -63,6 +64,9 @@
                                   aDispatcher.mEarlierLeasesUntil - aNow)
                                   .count());
     }
+    if (WaitsForRack(aDispatcher, entry)) {
+      details += " for_rack=" + PreferredRack(ref);
+    }
     for (std::size_t i = 0; i < counts.size(); ++i) {
       if (counts[i] > 0) {
         details += " ";
--- a/Libraries/LibDispatch/IdleJobs.cpp
+++ b/Libraries/LibDispatch/IdleJobs.cpp
@@ -12,6 +12,7 @@
 
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/PlacementOrder.h>
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/RunnerRating.h>
 #include <LibDispatch/TaskStarts.h>
 
@@ -84,6 +85,7 @@
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     if (queue == nullptr || !IsIdleBestEffort(entry) ||
+        WaitsForRack(aDispatcher, entry) ||
         OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
       continue;
     }
@@ -258,7 +260,8 @@
       continue; // The step has been placed in this pass.
     }
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
-    if (queue == nullptr || !IsIdleBestEffort(entry)) {
+    if (queue == nullptr || !IsIdleBestEffort(entry) ||
+        WaitsForRack(aDispatcher, entry)) {
       continue;
     }
     const auto idleAt = aDispatcher.mIdleInTimeAt.find(queue->mService);
@@ -304,7 +307,7 @@
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     if (queue != nullptr && IsIdleBestEffort(entry) &&
-        AgeOf(entry, aNow) < kYoungAge) {
+        !WaitsForRack(aDispatcher, entry) && AgeOf(entry, aNow) < kYoungAge) {
       loads[queue->mService].mYoungJobsWait = true;
     }
   }
@@ -396,6 +399,18 @@
 
 } // namespace
 
+bool
+IsIdleForLong(const TaskRef& aTask, MonotonicTime aNow)
+{
+  const Job& job = *aTask.mJob;
+  if (SpecOf(aTask).mKind == StepKind::LongRunning || job.mActiveRuns > 0) {
+    return false;
+  }
+  return aNow - job.mIdleSince >= kMaxIdleTime ||
+         (IsBestEffort(aTask) &&
+          aNow - job.mOccurrences.at(aTask.mOccurrence).mBegunAt >= kOldAge);
+}
+
 std::uint32_t
 StartOverdueJobs(Dispatcher& aDispatcher,
                  std::span<const RunnerIndex> aCandidates,
--- a/Libraries/LibDispatch/IdleJobs.h
+++ b/Libraries/LibDispatch/IdleJobs.h
@@ -24,6 +24,11 @@
 // shares processors starts at a low pace and is throttled before other tasks,
 // see AdjustPace().
 
+/// @return whether nothing of the task's job has run for so long that the task
+///         must take any place: the job is overdue, or old and best-effort
+bool
+IsIdleForLong(const TaskRef& aTask, MonotonicTime aNow);
+
 /// Starts tasks of overdue jobs, those that have been idle longest first, and
 /// holds a runner for one with reserved processors that fits nowhere. It must
 /// be called before other finite jobs are placed in a pass.
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <LibDispatch/JobSpec.h>
+#include <LibDispatch/PlacementWait.h>
 #include <LibDispatch/UtilizationFilter.h>
 
 namespace paddle::dispatch {
@@ -120,6 +121,9 @@
   /// Number of runs of a long-running task that failed early, one after the
   /// other.
   std::uint32_t mEarlyFailures = 0;
+  /// Wait for a runner in the preferred rack. Of a gang, only the first member
+  /// has one.
+  PlaceWait mPlaceWait;
   std::string mCheckpoint;  ///< Latest checkpoint, or empty.
   std::uint32_t mShard = 0; ///< Shard that has the task in phase Elsewhere.
 };
@@ -141,6 +145,15 @@
   /// Sum of the estimated durations along the longest path from this step to
   /// the end of the job.
   Millis mRemainingCriticalPath{ 0 };
+  /// Rack in which the tasks of a step run that requests a single one; empty
+  /// if none has been started, or if the setting mRemoteFactor is 1.
+  std::string mGroupRack;
+  bool mSpread = false; ///< Whether a task has been started outside that rack.
+  /// Durations of the latest completed tasks, as they are or would be in the
+  /// preferred rack. Only of steps that have one.
+  std::vector<Millis> mDurations;
+  /// Estimate of a task, corrected by these; 0 if there are none.
+  Millis mCorrectedEstimate{ 0 };
   /// Utilization of a serving step without interference.
   UtilizationFilter mUtilizationFilter;
 };
--- a/Libraries/LibDispatch/JobMoves.cpp
+++ b/Libraries/LibDispatch/JobMoves.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include <LibDispatch/Internal.h>
+#include <LibDispatch/PreferredRacks.h>
 
 namespace paddle::dispatch {
 
@@ -41,7 +42,8 @@
   std::vector<Job*> jobs;
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     Job& job = *entry.mJob;
-    if (aNow - job.mIdleSince > aIdleTime && MayMove(aDispatcher, job)) {
+    if (aNow - job.mIdleSince > aIdleTime && MayMove(aDispatcher, job) &&
+        !WaitsForRack(aDispatcher, entry)) {
       jobs.push_back(&job);
     }
   }
--- a/Libraries/LibDispatch/JobSpec.h
+++ b/Libraries/LibDispatch/JobSpec.h
@@ -65,9 +65,10 @@
   Reservation mReservation = Reservation::Reserved;
   bool mWritesCheckpoints = false; ///< A task can resume from a checkpoint.
   bool mGang = false; ///< All tasks start together and end together.
-  // FIXME: Placement ignores mSameRack, mSpeculationAllowed and
-  // mMaxInterruptedTasks.
-  bool mSameRack = false; ///< The tasks run slower when spread over racks.
+  /// The tasks run slower when spread over racks. It has an effect where the
+  /// setting mRemoteFactor is above 1.
+  bool mSameRack = false;
+  // FIXME: Placement ignores mSpeculationAllowed and mMaxInterruptedTasks.
   /// A second copy of a slow task may run in parallel.
   bool mSpeculationAllowed = false;
   std::string mRequiredLabel; ///< Label that the runner must have, or empty.
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -8,6 +8,7 @@
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/IdleJobs.h>
 #include <LibDispatch/PlacementOrder.h>
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/RunnerRating.h>
 #include <LibDispatch/TaskStarts.h>
 
@@ -120,6 +121,7 @@
                      candidates.end());
   }
   UpdateStartReach(aDispatcher, aNow);
+  BeginRackPass(aDispatcher);
   for (const RunnerIndex index : candidates) {
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
   }
@@ -158,6 +160,7 @@
     const bool mayHold = full && interrupted && !spec.mGang &&
                          spec.mReservation == Reservation::Reserved;
     if (unplaceable.Covers(spec, queue->mService)) {
+      NoteUnplaced(aDispatcher, entry, 0, queue->mService, aNow);
       if (full) {
         NoteNoRoom(step, aNow);
       }
@@ -191,9 +194,13 @@
           continue;
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
-        const RunnerIndex runner = ChooseRunner(
-          aDispatcher, candidates, ref, queue->mService, Overcommit::No, aNow);
+        const auto [runner, waits] =
+          ChoosePlace(aDispatcher, candidates, ref, queue->mService, aNow);
+        if (waits) {
+          continue;
+        }
         if (runner == kNoRunner) {
+          NoteUnplaced(aDispatcher, entry, i, queue->mService, aNow);
           unplaceable.Add(spec, queue->mService);
           if (full) {
             NoteNoRoom(step, aNow);
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include <LibDispatch/PreferredRacks.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -58,6 +60,7 @@
     CountUnansweredStart(aDispatcher, runner, -1);
   }
   std::erase(runner.mTasks, aTask);
+  NoteRoomLeft(aDispatcher, aTask, aNow);
   aDispatcher.mFreedRunners.push_back(task.mRunner);
   task.mRunner = kNoRunner;
   if (--aTask.mJob->mActiveRuns == 0) {
@@ -343,6 +346,7 @@
   task.mPhase = TaskPhase::Running;
   task.mStartUnanswered = false;
   aTask.mJob->mBegan = true;
+  NoteStarted(aDispatcher, aTask, aNow);
   if (task.mInterruptedAt) {
     Emit(aDispatcher,
          "task_restarted",
@@ -732,6 +736,7 @@
   }
   runner.mTasks.push_back(aTask);
   TaskOf(aTask).mRunner = aRunner;
+  NoteAssigned(aDispatcher, aTask);
   ++aTask.mJob->mActiveRuns;
 }
 
@@ -776,6 +781,7 @@
   const bool finite = spec.mKind == StepKind::Finite;
   if (aOutcome == RunOutcome::Done && finite) {
     ++aDispatcher.mCounters.mDone;
+    NoteDuration(aDispatcher, aTask, runner, aNow);
     MarkDirty(aDispatcher, job);
     if (spec.mGang) {
       FinishGang(aDispatcher, aTask, aNow);
--- a/Libraries/LibDispatch/RunnerRating.cpp
+++ b/Libraries/LibDispatch/RunnerRating.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include <LibDispatch/PreferredRacks.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -17,8 +19,8 @@
 // basic unit is one core that is left unreserved on the runner.
 
 /// Cost of a runner on which the task takes longer: one that is far from its
-/// input data or still warming up, or on which the task failed last. It exceeds
-/// the number of cores of a runner.
+/// input data or the other tasks of its step, or still warming up, or on which
+/// the task failed last. It exceeds the number of cores of a runner.
 constexpr double kSlowRunnerCost = 1000;
 /// Cost, for a serving task, of a runner that has no long-running tasks yet,
 /// and of one that serves other images. Both exceed the number of cores of a
@@ -337,8 +339,11 @@
     }
     cost = std::get<double>(rating);
   }
-  if (!spec.mDataRack.empty() && runner.mSpec.mRack != spec.mDataRack) {
-    cost += kSlowRunnerCost;
+  const std::string& rack = PreferredRack(aTask);
+  if (!rack.empty() && runner.mSpec.mRack != rack) {
+    cost += spec.mDataRack.empty() && spec.mKind == StepKind::LongRunning
+              ? kOtherRackCost
+              : kSlowRunnerCost;
   }
   if (runner.mSpec.mWarmUpRemaining.count() > 0) {
     cost += kSlowRunnerCost;
--- a/Libraries/LibDispatch/RunnerRating.h
+++ b/Libraries/LibDispatch/RunnerRating.h
@@ -39,6 +39,11 @@
   "disturbs"
 };
 
+/// Cost, for a long-running task, of a runner outside the rack in which the
+/// other tasks of its step run. It is lower than that of a data centre in which
+/// start orders may get no answer, because the task must run soon.
+inline constexpr double kOtherRackCost = 350;
+
 /// Cost of a runner for a task, or the reason why it can't take the task.
 using PlacementRating = std::variant<double, Obstacle>;
 
--- a/Libraries/LibDispatch/TaskStarts.cpp
+++ b/Libraries/LibDispatch/TaskStarts.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/PreferredRacks.h>
+
 namespace paddle::dispatch {
 
 void
@@ -42,14 +44,18 @@
     SpecOf(aTask).mDemand.mMilliCores;
 }
 
+namespace {
+
+/// Starts all tasks of a gang on some of the candidates, or none.
+/// @return whether they were started
 bool
-StartGang(Dispatcher& aDispatcher,
-          std::span<const RunnerIndex> aCandidates,
-          const WaitingStep& aWaiting,
-          const std::string& aService,
-          Overcommit aOvercommit,
-          MonotonicTime aNow,
-          Actions& aActions)
+StartGangOn(Dispatcher& aDispatcher,
+            std::span<const RunnerIndex> aCandidates,
+            const WaitingStep& aWaiting,
+            const std::string& aService,
+            Overcommit aOvercommit,
+            MonotonicTime aNow,
+            Actions& aActions)
 {
   Job& job = *aWaiting.mJob;
   Step& step = StepOf(aWaiting);
@@ -102,4 +108,28 @@
   return true;
 }
 
+} // namespace
+
+bool
+StartGang(Dispatcher& aDispatcher,
+          std::span<const RunnerIndex> aCandidates,
+          const WaitingStep& aWaiting,
+          const std::string& aService,
+          Overcommit aOvercommit,
+          MonotonicTime aNow,
+          Actions& aActions)
+{
+  const auto startOn = [&](std::span<const RunnerIndex> aRunners) {
+    return StartGangOn(
+      aDispatcher, aRunners, aWaiting, aService, aOvercommit, aNow, aActions);
+  };
+  const GangPlace place = ChooseGangPlace(
+    aDispatcher, aCandidates, aWaiting, aService, aOvercommit, aNow);
+  if (place.mWaits) {
+    return false;
+  }
+  return (!place.mCandidates.empty() && startOn(place.mCandidates)) ||
+         startOn(aCandidates);
+}
+
 } // namespace paddle::dispatch
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/PreferredRacks.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -323,6 +325,7 @@
     ExplainWaiting(aDispatcher, aNow);
     ExplainAwaitedRunners(aDispatcher, aNow);
     EmitCapacity(aDispatcher, aNow);
+    EmitPlaceWaits(aDispatcher);
   }
 }
 
--- a/Tests/Platform/TestMessages.cpp
+++ b/Tests/Platform/TestMessages.cpp
@@ -24,6 +24,7 @@
                               "limits.cpu_share=0.1\n"
                               "limits.cpu_cores=1\n"
                               "bounds.max_hold_ms=6000\n"
+                              "bounds.remote_factor=1.5\n"
                               "some.new.field=x\n";
 
 } // namespace
@@ -38,6 +39,7 @@
   CHECK_TRUE(Succeeded(settings));
   LONGS_EQUAL(100, ValueOf(settings).mMilliCores);
   CHECK_TRUE(ValueOf(settings).mDispatch.mMaxLease == Millis(6000));
+  DOUBLES_EQUAL(1.5, ValueOf(settings).mDispatch.mRemoteFactor, 0.001);
 }
 
 // Guards against a process that starts with incomplete settings, and against an
