--- a/Libraries/LibDispatch/IdleJobs.cpp
+++ b/Libraries/LibDispatch/IdleJobs.cpp
@@ -13,6 +13,7 @@
 #include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/PlacementOrder.h>
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/RunnerRating.h>
 #include <LibDispatch/TaskStarts.h>
 
@@ -85,6 +86,7 @@
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     if (queue == nullptr || !IsIdleBestEffort(entry) || !MayStartNext(entry) ||
+        WaitsForRack(aDispatcher, entry) ||
         OutlookOf(entry, aNow) != DeadlineOutlook::InTime) {
       continue;
     }
@@ -267,7 +269,8 @@
       continue; // The step has been placed in this pass.
     }
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
-    if (queue == nullptr || !IsIdleBestEffort(entry)) {
+    if (queue == nullptr || !IsIdleBestEffort(entry) ||
+        WaitsForRack(aDispatcher, entry)) {
       continue;
     }
     const auto idle = aDispatcher.mIdleInTimeAt.find(queue->mService);
@@ -318,7 +321,7 @@
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     const QueueSpec* queue = FindStartableQueue(aDispatcher, *entry.mJob);
     if (queue != nullptr && IsIdleBestEffort(entry) && MayStartNext(entry) &&
-        AgeOf(entry, aNow) < kYoungAge) {
+        !WaitsForRack(aDispatcher, entry) && AgeOf(entry, aNow) < kYoungAge) {
       ServiceLoad& load = loads[queue->mService];
       (IsSurplus(aDispatcher, *entry.mJob) ? load.mYoungSurplusJobsWait
                                            : load.mYoungJobsWait) = true;
@@ -418,6 +421,18 @@
 
 } // namespace
 
+bool
+IsIdleForLong(const TaskRef& aTask, MonotonicTime aNow)
+{
+  const Job& job = *aTask.mJob;
+  if (SpecOf(aTask).mKind == StepKind::LongRunning || job.mActiveRuns > 0) {
+    return false;
+  }
+  return aNow - job.mIdleSince >= kMaxIdleTime ||
+         (IsBestEffort(aTask) &&
+          aNow - job.mOccurrences.at(aTask.mOccurrence).mBegunAt >= kOldAge);
+}
+
 std::uint32_t
 StartOverdueJobs(Dispatcher& aDispatcher,
                  std::span<const RunnerIndex> aCandidates,
--- a/Libraries/LibDispatch/JobMoves.cpp
+++ b/Libraries/LibDispatch/JobMoves.cpp
@@ -5,6 +5,7 @@
 
 #include <LibDispatch/AccountBudget.h>
 #include <LibDispatch/Internal.h>
+#include <LibDispatch/PreferredRacks.h>
 
 namespace paddle::dispatch {
 
@@ -49,7 +50,7 @@
   for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
     Job& job = *entry.mJob;
     if (aNow - IdleForRoomSince(job) > aIdleTime && MayStartNext(entry) &&
-        MayMove(aDispatcher, job)) {
+        MayMove(aDispatcher, job) && !WaitsForRack(aDispatcher, entry)) {
       jobs.push_back(&job);
     }
   }
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -10,6 +10,7 @@
 #include <LibDispatch/HeldRunners.h>
 #include <LibDispatch/IdleJobs.h>
 #include <LibDispatch/PlacementOrder.h>
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/RunnerRating.h>
 #include <LibDispatch/TaskStarts.h>
 
@@ -128,6 +129,7 @@
                      candidates.end());
   }
   UpdateStartReach(aDispatcher, aNow);
+  BeginRackPass(aDispatcher);
   for (const RunnerIndex index : candidates) {
     SummarizeServingLoad(aDispatcher, aDispatcher.mRunners[index], aNow);
   }
@@ -183,7 +185,8 @@
                          spec.mReservation == Reservation::Reserved;
     const bool leavesRoom = full && !aDispatcher.mSurplusRanges.empty() &&
                             !surplus && !interrupted && !spec.mGang;
-    const auto noteNoRoom = [&] {
+    const auto noteNoRoom = [&](std::uint32_t aFirstUnplaced) {
+      NoteUnplaced(aDispatcher, entry, aFirstUnplaced, queue->mService, aNow);
       if (full) {
         NoteNoRoom(step, aNow);
       }
@@ -202,7 +205,7 @@
       }
     };
     if (unplaceable.Covers(job, spec, queue->mService)) {
-      noteNoRoom();
+      noteNoRoom(0);
       continue;
     }
     const std::vector<RunnerIndex> forSurplus =
@@ -239,11 +242,14 @@
           break;
         }
         const TaskRef ref{ &job, entry.mOccurrence, entry.mStep, i };
-        const RunnerIndex runner = ChooseRunner(
-          aDispatcher, suitable, ref, queue->mService, Overcommit::No, aNow);
+        const auto [runner, waits] =
+          ChoosePlace(aDispatcher, suitable, ref, queue->mService, aNow);
+        if (waits) {
+          continue;
+        }
         if (runner == kNoRunner) {
           unplaceable.Add(job, spec, queue->mService);
-          noteNoRoom();
+          noteNoRoom(i);
           break;
         }
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <LibDispatch/AccountBudget.h>
+#include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/Speculation.h>
 
 namespace paddle::dispatch {
@@ -335,6 +336,7 @@
     ExplainWaiting(aDispatcher, aNow);
     ExplainAwaitedRunners(aDispatcher, aNow);
     EmitCapacity(aDispatcher, aNow);
+    EmitPlaceWaits(aDispatcher);
   }
 }
 
--- a/Tests/Platform/TestMessages.cpp
+++ b/Tests/Platform/TestMessages.cpp
@@ -25,6 +25,7 @@
                               "limits.cpu_cores=1\n"
                               "limits.memory_mb=260\n"
                               "bounds.max_hold_ms=6000\n"
+                              "bounds.remote_factor=1.5\n"
                               "some.new.field=x\n";
 
 } // namespace
@@ -41,6 +42,7 @@
   CHECK_TRUE(ValueOf(settings).mMemoryBytes == 260UL << 20);
   CHECK_FALSE(ValueOf(settings).mMaxDescriptors.has_value());
   CHECK_TRUE(ValueOf(settings).mDispatch.mMaxLease == Millis(6000));
+  DOUBLES_EQUAL(1.5, ValueOf(settings).mDispatch.mRemoteFactor, 0.001);
 }
 
 // Guards against a process that starts with incomplete settings, and against an
