LibNode: Share the caps of accounts between shards

The list of runners states capacities once an account has a cap, so that a later owner counts unlisted runners; earlier versions ignore the member. Steps without room demand no budget while others want it. Metrics of use, budget and cap; budget_changed.

--- a/Libraries/LibDispatch/AccountBudget.cpp
+++ b/Libraries/LibDispatch/AccountBudget.cpp
@@ -12,6 +12,11 @@
 /// Time for which the budget of an interrupted long-running task is kept for
 /// it. If it finds no room for longer, other tasks of the account run instead.
 constexpr Seconds kBudgetKeptFor{ 10 };
+/// A step for which there was no room counts as having none for this long. It
+/// can't be tried again while the account has no budget.
+constexpr Seconds kNoRoomRemembered{ 5 };
+/// Largest number of steps of an account whose demand is stated.
+constexpr std::size_t kMaxDemandUnits = 200;
 /// Interval of the log events of an account that waits for its budget, and
 /// largest number of accounts in each.
 constexpr Seconds kWaitsLogInterval{ 1 };
@@ -112,6 +117,17 @@
   }
 }
 
+/// @return the number of waiting long-running tasks for which budget is kept
+std::size_t
+LatelyInterrupted(const Step& aStep, MonotonicTime aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const Task& aTask) {
+      return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
+             aNow - *aTask.mInterruptedAt < kBudgetKeptFor;
+    }));
+}
+
 } // namespace
 
 void
@@ -301,12 +317,7 @@
     return;
   }
   const StepSpec& spec = aEntry.mJob->mSpec.mSteps[aEntry.mStep];
-  const std::vector<Task>& tasks = StepOf(aEntry).mTasks;
-  const auto interrupted = static_cast<std::size_t>(
-    std::count_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
-      return aTask.mPhase == TaskPhase::Waiting && aTask.mInterruptedAt &&
-             aNow - *aTask.mInterruptedAt < kBudgetKeptFor;
-    }));
+  const std::size_t interrupted = LatelyInterrupted(StepOf(aEntry), aNow);
   const std::size_t kept =
     TasksWithinBudget(*aEntry.mJob, spec, std::max(aHeldRunners, interrupted));
   AddTasks(aEntry.mJob->mBudget->mKept, spec, kept);
@@ -339,6 +350,52 @@
   }
 }
 
+std::map<std::string_view, AccountDemand>
+DemandByAccount(const Dispatcher& aDispatcher, MonotonicTime aNow)
+{
+  std::map<std::string_view, AccountDemand> demands;
+  for (const auto& [name, budget] : aDispatcher.mAccountBudgets) {
+    AccountDemand& demand = demands[name];
+    demand.mUse = CappedUse(*budget.mUse);
+    demand.mAssumed = budget.mAssumed;
+  }
+  for (const WaitingStep& entry : aDispatcher.mWaitingSteps) {
+    const Job& job = *entry.mJob;
+    if (job.mBudget == nullptr ||
+        FindStartableQueue(aDispatcher, job) == nullptr) {
+      continue;
+    }
+    AccountDemand& demand = demands[job.mSpec.mAccount];
+    const StepSpec& spec = job.mSpec.mSteps[entry.mStep];
+    const Step& step = StepOf(entry);
+    const std::size_t interrupted = LatelyInterrupted(step, aNow);
+    AddTasks(demand.mInterrupted, spec, interrupted);
+    std::size_t waiting = step.mWaitingTasks;
+    if (!aDispatcher.mRecovered) {
+      waiting = static_cast<std::size_t>(std::count_if(
+        step.mTasks.begin(), step.mTasks.end(), [&](const Task& aTask) {
+          return aTask.mPhase == TaskPhase::Waiting &&
+                 !MayRunUnseen(aDispatcher, aTask);
+        }));
+    }
+    waiting -= std::min(waiting, interrupted);
+    if (waiting == 0 || demand.mUnits.size() == kMaxDemandUnits ||
+        (spec.mGang && waiting < spec.mTaskCount)) {
+      continue;
+    }
+    DemandUnit unit{ spec.mDemand, waiting, false };
+    unit.mLacksRoom = step.mNoRoomAt > MonotonicTime{} &&
+                      aNow - step.mNoRoomAt < kNoRoomRemembered;
+    if (spec.mGang) {
+      unit.mDemand = {};
+      AddTasks(unit.mDemand, spec, spec.mTaskCount);
+      unit.mCount = 1;
+    }
+    demand.mUnits.push_back(unit);
+  }
+  return demands;
+}
+
 bool
 ExceedsRunner(const Runner& aRunner, const TaskRef& aTask)
 {
--- a/Libraries/LibDispatch/AccountBudget.h
+++ b/Libraries/LibDispatch/AccountBudget.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include <LibDispatch/AccountGrants.h>
 #include <LibDispatch/AccountUse.h>
 #include <LibDispatch/PlacementOrder.h>
 
@@ -103,6 +104,11 @@
 KeepBudgetForFirst(const Dispatcher& aDispatcher,
                    std::span<const WaitingStep> aEntries);
 
+/// @return what the accounts with a cap use and demand in this shard, by
+/// account
+std::map<std::string_view, AccountDemand>
+DemandByAccount(const Dispatcher& aDispatcher, MonotonicTime aNow);
+
 /// A runner that has not answered a new owner is assumed to run tasks of one
 /// account that demand all of its processors. Best-effort tasks could demand
 /// several times as much.
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -140,6 +140,8 @@
   /// Since when placement passes over all runners have found no room for a
   /// waiting task.
   std::optional<MonotonicTime> mNoRoomSince;
+  /// When such a pass last found none; the zero time if it found room since.
+  MonotonicTime mNoRoomAt;
   /// Sum of the estimated durations along the longest path from this step to
   /// the end of the job.
   Millis mRemainingCriticalPath{ 0 };
--- a/Libraries/LibDispatch/Placing.cpp
+++ b/Libraries/LibDispatch/Placing.cpp
@@ -60,6 +60,7 @@
   if (!aStep.mNoRoomSince) {
     aStep.mNoRoomSince = aNow;
   }
+  aStep.mNoRoomAt = aNow;
 }
 
 } // namespace
@@ -195,8 +196,12 @@
                     aNow,
                     aActions)) {
         started += static_cast<std::uint32_t>(step.mTasks.size());
-      } else if (interrupted) {
-        KeepBudget(entry, 0, aNow);
+        step.mNoRoomAt = {};
+      } else {
+        step.mNoRoomAt = full ? aNow : step.mNoRoomAt;
+        if (interrupted) {
+          KeepBudget(entry, 0, aNow);
+        }
       }
     } else {
       for (std::uint32_t i = 0;
@@ -221,6 +226,7 @@
         Start(aDispatcher, ref, runner, aDispatcher.mNextRun++, aNow, aActions);
         AddNeighbourLoad(aDispatcher, aDispatcher.mRunners[runner], ref, aNow);
         step.mNoRoomSince.reset();
+        step.mNoRoomAt = {};
         ++started;
       }
     }
--- a/Libraries/LibNode/JobRows.cpp
+++ b/Libraries/LibNode/JobRows.cpp
@@ -21,6 +21,8 @@
 constexpr Json::ArrayIndex kLeasesEndPosition = 6;
 /// Position of the flag that the record is final.
 constexpr Json::ArrayIndex kRecordFinalPosition = 7;
+/// Position of the runner's capacity, which earlier versions don't read.
+constexpr Json::ArrayIndex kCapacityPosition = 8;
 
 // The Put functions leave out members that have their default value: rows are
 // read and written often, and traffic to and from the store costs money.
@@ -160,6 +162,12 @@
   if (aRunner.mRecordFinal) {
     entry[kRecordFinalPosition] = true;
   }
+  const dispatch::Resources& capacity = aRunner.mSpec.mCapacity;
+  if (capacity != dispatch::Resources{}) {
+    for (const auto of : dispatch::kResourceMembers) {
+      entry[kCapacityPosition].append(Json::Int64(capacity.*of));
+    }
+  }
   return entry;
 }
 
@@ -685,6 +693,15 @@
     runner.mRecordFinal = entry.size() > kRecordFinalPosition &&
                           entry[kRecordFinalPosition].isBool() &&
                           entry[kRecordFinalPosition].asBool();
+    const Json::Value& capacity = entry.size() > kCapacityPosition
+                                    ? entry[kCapacityPosition]
+                                    : Json::Value::nullSingleton();
+    Json::ArrayIndex position = 0;
+    for (const auto of : dispatch::kResourceMembers) {
+      if (capacity.isArray() && position < capacity.size()) {
+        runner.mSpec.mCapacity.*of = capacity[position++].asInt64();
+      }
+    }
     runners.push_back(std::move(runner));
   }
   return runners;
--- a/Libraries/LibNode/JobRows.h
+++ b/Libraries/LibNode/JobRows.h
@@ -89,7 +89,8 @@
 ParseProgress(std::string_view aText);
 
 /// Formats the row that tells a later owner on which runners tasks of the shard
-/// may still run. The row states times on the store's clock.
+/// may still run. The row states times on the store's clock, and the capacities
+/// of runners that have one.
 std::string
 FormatRunners(std::span<const dispatch::InheritedRunner> aRunners,
               const StoreClock& aClock);
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -44,6 +44,10 @@
   [[nodiscard]] const std::optional<Configuration>& Config() const;
   /// @return the version by which clients are served now, and its age
   [[nodiscard]] ConfigurationCopy ConfigurationInForce() const;
+  /// @return lines of the metrics page with the use, the budget and the cap of
+  ///         the client accounts that have one, in the shards of this node:
+  ///         "account_use_milli_cores/ACCOUNT/SHARD 4000"
+  [[nodiscard]] std::string AccountMetrics() const;
   [[nodiscard]] ClientFrontEnd& FrontEnd();
 
   /// Decides on a request for which the configuration in force has no route.
--- a/Libraries/LibNode/RowPartitions.cpp
+++ b/Libraries/LibNode/RowPartitions.cpp
@@ -31,6 +31,12 @@
   return mTransactionsSpanPartitions ? "shard-" + std::to_string(aShard) : "";
 }
 
+std::string
+RowPartitions::OfBudgets() const
+{
+  return mTransactionsSpanPartitions ? "budgets" : "";
+}
+
 std::string
 RowPartitions::OfJob(std::string_view aJob) const
 {
--- a/Libraries/LibNode/RowPartitions.h
+++ b/Libraries/LibNode/RowPartitions.h
@@ -25,6 +25,9 @@
   /// @return the partition of a shard's progress, which only the shard's owner
   ///         writes
   [[nodiscard]] std::string OfProgress(std::uint32_t aShard) const;
+  /// @return the partition of the budgets of client accounts, which the owners
+  ///         of all shards write
+  [[nodiscard]] std::string OfBudgets() const;
   /// @return the partition of the rows that any node may write about a job: its
   ///         status row and its inbox rows
   [[nodiscard]] std::string OfJob(std::string_view aJob) const;
--- a/Libraries/LibNode/ShardCommits.cpp
+++ b/Libraries/LibNode/ShardCommits.cpp
@@ -387,7 +387,8 @@
   if (aNow - mRunnersStoredAt < kRunnersInterval || aNow < mListRetryAt) {
     return false;
   }
-  if (mAnyListedNotStored) {
+  if (mAnyListedNotStored ||
+      mListHasCapacities == mDispatcher.mAccountBudgets.empty()) {
     return true;
   }
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
@@ -493,6 +494,12 @@
       mRunnersBeingStored.emplace_back().mSpec = spec;
     }
   }
+  mListHasCapacities = !mDispatcher.mAccountBudgets.empty();
+  if (!mListHasCapacities) {
+    for (dispatch::InheritedRunner& entry : mRunnersBeingStored) {
+      entry.mSpec.mCapacity = {};
+    }
+  }
   mStoringRunners = true;
   mFinalListSent = mSteppingDown;
   mRunnersStoredAt = now;
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -28,6 +28,8 @@
   mClaim.mPendingAsOfMs = std::max<std::int64_t>(1, mClaim.mPendingAsOfMs);
   mDispatcher.mSettings = aContext.mSettings.mDispatch;
   mDispatcher.mEpoch = aClaim.mEpoch;
+  // The number of shards is known only from SetCluster() on.
+  mDispatcher.mBudgetSource = dispatch::BudgetSource::Grants;
   if (mClaim.mRecordsSince == 0) {
     mClaim.mRecordsSince = aClaim.mEpoch;
   }
@@ -206,6 +208,8 @@
     accounts.push_back(account.mSpec);
   }
   dispatch::SetAccounts(mState->mDispatcher, accounts);
+  mState->mBudgets.mNextReadAt = {}; // A lowered cap needs a read of the row.
+  mState->ConsiderBudgets(mState->mContext.Now());
 }
 
 void
@@ -269,6 +273,7 @@
     return;
   }
   if (state.MayCommandRunners(aNow)) {
+    state.ConsiderBudgets(aNow);
     dispatch::Actions actions;
     dispatch::ObserveLag(state.mDispatcher.mOrderLimit,
                          state.mContext.mTimerLag);
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include <LibDispatch/AccountGrants.h>
 #include <LibDispatch/Dispatcher.h>
 #include <LibNode/JobRows.h>
 #include <LibNode/NodeContext.h>
@@ -130,6 +131,28 @@
   std::uint32_t mCount = 0;
 };
 
+/// The shard's budget for a client account with a cap.
+struct ShardBudget
+{
+  dispatch::AccountGrants mGrants;
+  dispatch::Resources mLogged; ///< The grant as last logged.
+  MonotonicTime mLoggedAt;
+  std::uint64_t mSuppressed = 0; ///< Changes since then that were not logged.
+};
+
+/// The shard's budgets, see ShardBudgets.cpp.
+struct ShardBudgets
+{
+  /// Also of accounts that have no cap any more: a write may still be applied.
+  std::map<std::string, ShardBudget> mByAccount;
+  bool mReadInFlight = false;
+  bool mWriteInFlight = false;
+  MonotonicTime mNextReadAt;
+  MonotonicTime mNextWriteAt;
+  std::string mLastWritten; ///< Last account of the latest transaction.
+  MonotonicTime mUnreadableLoggedAt;
+};
+
 /// State of a shard's owner. The handlers of its calls share it, so that it
 /// lives until the last of them was called.
 struct ShardOwner::State : std::enable_shared_from_this<State>
@@ -346,6 +369,26 @@
   /// Forgets the job's rows that have been removed.
   void ForgetTakenRows(const std::string& aJob, std::size_t aCount);
 
+  // The shard's parts of the caps of client accounts (ShardBudgets.cpp), see
+  // LibDispatch/AccountGrants.h. With one shard, nothing is read or written.
+  /// Sets the budgets, and reads and writes the rows of budgets if that is due.
+  void ConsiderBudgets(MonotonicTime aNow);
+  void ReadBudgets(MonotonicTime aNow);
+  void HandleBudgetsRead(const ReadOutcome& aRead, MonotonicTime aSentAt);
+  /// Sends some of the decided rows in one transaction.
+  void WriteBudgets(
+    const std::map<std::string, dispatch::GrantDecision>& aWrites,
+    MonotonicTime aNow);
+  void HandleBudgetsWritten(
+    const std::map<std::string, dispatch::GrantsRow>& aSent,
+    const TransactionOutcome& aOutcome,
+    MonotonicTime aSentAt);
+  /// Logs that a row was stored that changes the shard's grant.
+  void LogBudgetChange(const std::string& aAccount,
+                       const dispatch::GrantsRow& aRow);
+  [[nodiscard]] dispatch::GrantContext GrantContextOf(
+    const dispatch::AccountBudget& aBudget) const;
+
   void Log(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
   /// Ends all work on the shard, because this node no longer owns it.
   void LoseOwnership(std::string_view aReason);
@@ -391,6 +434,9 @@
   MonotonicTime mRunnersStoredAt;   ///< When the list was last sent.
   /// No list is sent before this time, because one was rejected.
   MonotonicTime mListRetryAt;
+  /// Whether the list that was stored or sent last states the capacities of
+  /// runners, which a later owner needs if accounts have caps.
+  bool mListHasCapacities = false;
   /// Whether the last list was rejected, so that the next one has no records.
   bool mListRejected = false;
   /// Whether the list that is being stored, or has been stored, is the last one
@@ -443,6 +489,7 @@
   std::deque<std::string> mEndedOrder; ///< The same jobs, the oldest first.
   /// The job that is being handed over to another shard.
   std::optional<JobMove> mMove;
+  ShardBudgets mBudgets;
   MonotonicTime mNextMoveAt; ///< No job is chosen for that before this time.
   std::vector<std::string> mUncheckedJobs; ///< Jobs for HoldWideJobs().
   std::vector<WideJob> mWideJobs;
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -276,6 +276,7 @@
 ShardOwner::State::BeginServing(MonotonicTime aNow)
 {
   mStage = ShardStage::Serving;
+  ConsiderBudgets(aNow);
   for (RunnerRenewal& renewal : mRenewals) {
     renewal.mNextRenewalAt = aNow;
   }
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -186,6 +186,7 @@
       page +=
         "configuration_age_ms " + std::to_string(copy.mAge->count()) + "\n";
     }
+    page += mNode->AccountMetrics();
     aReply({ 200, "text/plain", std::move(page), {} });
     return;
   }
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -156,7 +156,7 @@
 ClusterSimulation::MakeDirectoryPort(const Caller& aCaller)
 {
   DirectoryPort port;
-  port.mReadOperatorState = [](Millis, const OperatorStateHandler& aDone) {
+  port.mReadOperatorState = [this](Millis, const OperatorStateHandler& aDone) {
     OperatorState state;
     Route route;
     route.mHost = "host";
@@ -164,7 +164,8 @@
     route.mQueue.mName = "queue";
     route.mQueue.mService = "service";
     route.mQueue.mMaxAttempts = 3;
-    state.mConfiguration = Configuration{ 1, { route }, {} };
+    state.mConfiguration =
+      Configuration{ mConfigurationVersion, { route }, mAccounts, {} };
     aDone(ReadResult::Read, std::move(state));
   };
   port.mReadRunners =
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -172,6 +172,9 @@
   EventLog mLog{ "test", { 0, 0, 0 } };
   Metrics mMetrics;
   MonotonicTime mNow{ Seconds(1000) };
+  /// Client accounts of the operator's configuration, and its version.
+  std::vector<ClientAccount> mAccounts;
+  std::int64_t mConfigurationVersion = 1;
   RowPartitions mPartitions; ///< For the nodes that are started from now on.
   int mStarts = 0;           ///< Number of starts that runners carried out.
   std::int64_t mNextIncarnation = 1;
