LibNode, LibDispatch, Tests: Satisfy the linter

Cause: three findings in the files of account budgets. Change: no structured binding in a lambda, a reserved vector, and a conversion that is stated. TestLibNode -g ShardBudget (8 tests) and TestLibDispatch -g Account (15) pass.

--- a/Libraries/LibDispatch/AccountBudget.cpp
+++ b/Libraries/LibDispatch/AccountBudget.cpp
@@ -431,6 +431,7 @@
   }
   // Those that were logged longest ago come first.
   std::vector<std::string_view> accounts;
+  accounts.reserve(waiting.size());
   for (const auto& [account, tasks] : waiting) {
     accounts.push_back(account);
   }
--- a/Libraries/LibNode/ShardBudgets.cpp
+++ b/Libraries/LibNode/ShardBudgets.cpp
@@ -255,7 +255,8 @@
       budgets.emplace(name, &budget);
     }
     std::size_t listed = 0;
-    for (const auto& [name, budget] : budgets) {
+    for (const auto& [name, found] : budgets) {
+      const dispatch::AccountBudget* budget = found;
       if (++listed > kMaxAccountsOnPage) {
         break;
       }
--- a/Tests/LibDispatch/TestAccountBudget.cpp
+++ b/Tests/LibDispatch/TestAccountBudget.cpp
@@ -135,7 +135,7 @@
     std::multimap<MonotonicTime, std::function<void()>> late;
     std::int64_t most = 0;
     for (int i = 0; i < 60; ++i) {
-      const std::int64_t milliCores = 1000 * (1 + below(6));
+      const auto milliCores = static_cast<std::int64_t>(1000 * (1 + below(6)));
       StepSpec step = BestEffortStep(1 + below(5), milliCores, "image");
       switch (below(4)) {
         case 0:
