LibDispatch: Ask the account's budget whether it has a cap

Cause: Speculation.cpp looked up an account's cap, which FindBudget() already tells, and a new condition stood between a comment and the line it explains. Change: FindBudget() instead of the look-up; the comment is back at its line. No decision changes. Measured: TestLibDispatch passes, 207 tests (known failures left out); formatter and linter pass on both files.

--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -249,14 +249,14 @@
   // therefore counts even if, by a stale record, the earlier run may still run.
   const bool current = (task.mRunner == aRunner && task.mRun == aEnd.mRun) ||
                        aEnd.mRun > task.mRun;
-  // The ends of several runs arrive in any order, because they are on different
-  // runners.
   const bool firstCopyDone = !current && aEnd.mKind == EndKind::Done &&
                              aEnd.mRun < task.mRun &&
                              MayRunCopies(aDispatcher, ref);
   if (firstCopyDone) {
     GiveUpRun(aDispatcher, ref, aNow, aActions);
   }
+  // The ends of several runs arrive in any order, because they are on different
+  // runners.
   const bool former = task.mPhase == TaskPhase::Waiting &&
                       (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
   if (!current && !former) {
--- a/Libraries/LibDispatch/Speculation.cpp
+++ b/Libraries/LibDispatch/Speculation.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include <LibDispatch/AccountBudget.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -13,14 +15,6 @@
 /// time, more than one answer was lost.
 constexpr Millis kSilenceBeforeCopy{ 600 };
 
-bool
-HasCap(const Dispatcher& aDispatcher, const Job& aJob)
-{
-  const auto account = aDispatcher.mAccounts.find(aJob.mSpec.mAccount);
-  return account != aDispatcher.mAccounts.end() &&
-         account->second.mCap != Resources{};
-}
-
 } // namespace
 
 bool
@@ -33,7 +27,7 @@
   return spec.mSpeculationAllowed && spec.mKind == StepKind::Finite &&
          !spec.mGang && task.mPhase == TaskPhase::Running && task.mReported &&
          aTask.mJob->mPhase == JobPhase::Active &&
-         !HasCap(aDispatcher, *aTask.mJob);
+         FindBudget(aDispatcher, aTask.mJob->mSpec.mAccount) == nullptr;
 }
 
 void
