--- a/review/standins-3/Main.cpp
+++ b/review/standins-3/Main.cpp
@@ -84,11 +84,21 @@
          "platform.form=table\nplatform.cross_shard=true\n"
          "platform.address="
       << address(aStorePort);
+    Start();
+  }
+
+  /// Starts the process.
+  void Start()
+  {
+    const std::string settings = mFolder + "/settings.conf";
     const std::string log = mFolder + "/log";
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(
-      &actions, STDOUT_FILENO, log.c_str(), O_CREAT | O_WRONLY, 0600);
+    posix_spawn_file_actions_addopen(&actions,
+                                     STDOUT_FILENO,
+                                     log.c_str(),
+                                     O_CREAT | O_WRONLY | O_APPEND,
+                                     0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     std::string program = "target/savorypaddle-node";
     std::string variable = "SAVORYPADDLE_CONFIG=" + settings;
@@ -106,13 +116,19 @@
     posix_spawn_file_actions_destroy(&actions);
   }
 
-  ~Node()
+  void Kill()
   {
     if (mPid > 0) {
       sNodePid = 0;
       ::kill(mPid, SIGKILL);
       ::waitpid(mPid, nullptr, 0);
+      mPid = -1;
     }
+  }
+
+  ~Node()
+  {
+    Kill();
     if (std::getenv("KEEP_LOG") == nullptr) {
       std::filesystem::remove_all(mFolder);
     }
@@ -148,7 +164,9 @@
 /// A store, runners in one rack, and a node.
 struct Deployment
 {
-  Deployment(const std::string& aFolder, int aRunners)
+  /// @param aLabelled number of runners that have the label "x", the others
+  ///                  have "a"
+  Deployment(const std::string& aFolder, int aRunners, int aLabelled = 0)
     : mRecord(aFolder + "/record.txt")
   {
     mStore.Write(
@@ -164,8 +182,12 @@
       R"({"max_header_bytes":16384,"max_body_bytes":262144,)"
       R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
     for (int i = 1; i <= aRunners; ++i) {
-      mRunners.push_back(std::make_unique<Runner>(
-        "i-" + std::to_string(i), mStore, mRuns, mGangs, mRecord));
+      mRunners.push_back(std::make_unique<Runner>("i-" + std::to_string(i),
+                                                  i <= aLabelled ? "x" : "a",
+                                                  mStore,
+                                                  mRuns,
+                                                  mGangs,
+                                                  mRecord));
     }
     mNode = std::make_unique<Node>("front-a-1", mStore.Port());
   }
@@ -461,6 +483,160 @@
   return alone > 0 ? kBroken : kHeld;
 }
 
+/// A lasting task loses its runner. The only other one with its label has a
+/// finite task of 70 s and too little room for it, but room for small work.
+int
+PlayHeld(const std::string& aFolder, bool aTrouble)
+{
+  constexpr int kRunners = 8;
+  constexpr std::int64_t kFinishMs = 14000;
+  constexpr std::int64_t kIdleMs = 3000;
+  Deployment deployment(aFolder, kRunners, 2);
+  if (!deployment.mNode->AwaitReady(15000)) {
+    return kNotRun;
+  }
+  SleepMs(4000);
+  const auto body = [](const std::string& aSpec, const std::string& aStep) {
+    return R"({"spec":")" + aSpec + R"(","steps":[{"count":1,"requires":"x",)" +
+           aStep + "}]}";
+  };
+  const std::string lasting = JobId(1);
+  const std::string small = JobId(3);
+  const std::string firstTask = lasting + ".0.0.0";
+  const auto runnerOf = [&](const std::string& aTask) {
+    Runner* found = nullptr;
+    for (const Run& run : deployment.mRuns.All()) {
+      for (const std::unique_ptr<Runner>& runner : deployment.mRunners) {
+        if (run.mTask == aTask && run.mRunner == runner->Id()) {
+          found = runner.get();
+        }
+      }
+    }
+    return found;
+  };
+  deployment.Submit(
+    lasting,
+    body(
+      "ms=900000000",
+      R"("cpu":12000,"mem_mb":1000,"estimate_ms":1000,"long_running":true)"));
+  SleepMs(1000);
+  deployment.Submit(
+    JobId(2),
+    body("ms=70000", R"("cpu":6000,"mem_mb":1000,"estimate_ms":70000)"));
+  SleepMs(2000);
+  Runner* const first = runnerOf(firstTask);
+  Runner* const second = runnerOf(JobId(2) + ".0.0.0");
+  if (first == nullptr || second == nullptr || first == second) {
+    return kNotRun;
+  }
+  if (aTrouble) {
+    first->LosePowerForGood();
+  }
+  SleepMs(9000);
+  const std::int64_t submittedMs = SteadyMs();
+  if (!deployment.Submit(
+        small, body("ms=300", R"("cpu":500,"mem_mb":500,"estimate_ms":300)"))) {
+    return kNotRun;
+  }
+  SleepMs(kFinishMs + kIdleMs + 1000);
+  std::int64_t waitedMs = -1;
+  for (const Run& run : deployment.mRuns.All()) {
+    if (run.mTask == small + ".0.0.0" && waitedMs < 0) {
+      waitedMs = run.mStartedMs - submittedMs;
+    }
+  }
+  const std::string summary =
+    "started after ms=" + std::to_string(waitedMs) +
+    " (-1: not at all) state=" + deployment.State(small);
+  deployment.mRecord.Write(summary);
+  std::printf("%s\n", summary.c_str());
+  return waitedMs < 0 || waitedMs > kFinishMs + kIdleMs ? kBroken : kHeld;
+}
+
+/// A runner restarts, another one is lost, and the node is killed and starts
+/// again. The lasting task of the lost runner has room everywhere.
+int
+PlayWaits(const std::string& aFolder, bool aTrouble)
+{
+  constexpr int kRunners = 8;
+  constexpr int kLasting = 4;
+  constexpr std::int64_t kCalmMs = 4000;
+  constexpr std::int64_t kIdleMs = 3000;
+  Deployment deployment(aFolder, kRunners);
+  if (!deployment.mNode->AwaitReady(15000)) {
+    return kNotRun;
+  }
+  SleepMs(4000);
+  const std::string lasting = JobId(900000);
+  deployment.Submit(
+    lasting,
+    R"({"spec":"ms=900000000","steps":[{"count":4,"cpu":3000,"mem_mb":1000,)"
+    R"("estimate_ms":1000,"long_running":true,"anti_affinity":1}]})");
+  SleepMs(1000);
+  std::int64_t calmFromMs = 0;
+  const std::int64_t beginMs = SteadyMs();
+  std::thread trouble([&] {
+    SleepMs(3000);
+    std::set<std::string> used;
+    for (const Run& run : deployment.mRuns.All()) {
+      if (run.mTask.starts_with(lasting)) {
+        used.insert(run.mRunner);
+      }
+    }
+    Runner* restarts = nullptr;
+    Runner* leaves = nullptr;
+    for (const std::unique_ptr<Runner>& runner : deployment.mRunners) {
+      (used.contains(runner->Id()) ? leaves : restarts) = runner.get();
+    }
+    if (aTrouble && restarts != nullptr && leaves != nullptr) {
+      restarts->LosePower(400);
+      SleepMs(2500);
+      leaves->LosePowerForGood();
+      SleepMs(500);
+      deployment.mRecord.Write("node killed");
+      deployment.mNode->Kill();
+      SleepMs(500);
+      deployment.mNode->Start();
+      deployment.mRecord.Write("node started");
+    }
+    calmFromMs = SteadyMs();
+  });
+  const std::string step = R"("anti_affinity":1)";
+  SubmitUntil(deployment, beginMs + 30000, 400, Body(8, 500, 900, "," + step));
+  trouble.join();
+  SleepMs(3000);
+  // For how long any of the lasting tasks had no run, from 4 s of calm on and 6
+  // s after the last one, see the rule.
+  constexpr std::int64_t kAfterRunMs = 6000;
+  std::int64_t longestMs = 0;
+  for (int task = 0; task < kLasting; ++task) {
+    const std::string name = lasting + ".0.0." + std::to_string(task);
+    std::int64_t endedMs = 0;
+    for (const Run& run : deployment.mRuns.All()) {
+      if (run.mTask != name) {
+        continue;
+      }
+      if (endedMs != 0) {
+        longestMs = std::max(longestMs,
+                             run.mStartedMs - std::max(calmFromMs + kCalmMs,
+                                                       endedMs + kAfterRunMs));
+      }
+      endedMs = run.mEndedMs;
+    }
+    if (endedMs != 0) {
+      longestMs = std::max(
+        longestMs,
+        SteadyMs() - std::max(calmFromMs + kCalmMs, endedMs + kAfterRunMs));
+    }
+  }
+  const std::string summary =
+    "longest time without a run, as the rule counts it, ms=" +
+    std::to_string(longestMs);
+  deployment.mRecord.Write(summary);
+  std::printf("%s\n", summary.c_str());
+  return longestMs >= kIdleMs ? kBroken : kHeld;
+}
+
 int
 Play(const std::string& aCase, const std::string& aFolder)
 {
@@ -472,6 +648,12 @@
   if (aCase == "gang") {
     return PlayGang(aFolder, trouble);
   }
+  if (aCase == "held") {
+    return PlayHeld(aFolder, trouble);
+  }
+  if (aCase == "waits") {
+    return PlayWaits(aFolder, trouble);
+  }
   if (aCase == "reborn") {
     return PlayReborn(aFolder, trouble);
   }
--- a/review/standins-3/Runner.cpp
+++ b/review/standins-3/Runner.cpp
@@ -127,11 +127,13 @@
 }
 
 Runner::Runner(std::string aId,
+               std::string aLabel,
                Store& aStore,
                Runs& aRuns,
                Gangs& aGangs,
                Record& aRecord)
   : mId(std::move(aId))
+  , mLabel(std::move(aLabel))
   , mStore(aStore)
   , mRuns(aRuns)
   , mGangs(aGangs)
@@ -193,7 +195,9 @@
                R"({"service":"desk","address":"127.0.0.1:)" +
                  std::to_string(mServer->Port()) +
                  R"(","zone":"a","version":"v1","slots":8,"state":"ready",)"
-                 R"("cold_remaining_ms":0,"labels":["a","r1-1"],)"
+                 R"("cold_remaining_ms":0,"labels":[")" +
+                 mLabel +
+                 R"(","r1-1"],)"
                  R"("capacity":{"cpu":16000,"mem_mb":64000,"gpu":0},"born":)" +
                  std::to_string(mBornMs) +
                  ",\"seq\":" + std::to_string(++mSequence) + "}");
@@ -207,21 +211,25 @@
 }
 
 void
-Runner::LosePower(std::int64_t aForMs)
+Runner::CutPower()
 {
-  {
-    const std::lock_guard lock(mMutex);
-    mUp = false;
-    for (const auto& [task, active] : mActive) {
-      mRuns.End(active.mIndex, "crashed");
-      if (!active.mGang.empty()) {
-        mGangs.Leave(active.mGang);
-      }
+  const std::lock_guard lock(mMutex);
+  mUp = false;
+  for (const auto& [task, active] : mActive) {
+    mRuns.End(active.mIndex, "crashed");
+    if (!active.mGang.empty()) {
+      mGangs.Leave(active.mGang);
     }
-    mActive.clear();
-    mEnded.notify_all();
-    mRecord.Write("power lost " + mId);
   }
+  mActive.clear();
+  mEnded.notify_all();
+  mRecord.Write("power lost " + mId);
+}
+
+void
+Runner::LosePower(std::int64_t aForMs)
+{
+  CutPower();
   SleepMs(aForMs);
   const std::lock_guard lock(mMutex);
   Boot();
@@ -230,6 +238,25 @@
   mRecord.Write("power back " + mId + " born=" + std::to_string(mBornMs));
 }
 
+void
+Runner::LosePowerForGood()
+{
+  CutPower();
+  const std::lock_guard lock(mMutex);
+  mLateOrders.emplace_back([this] {
+    for (std::int64_t passed = 0; passed < 3 * kHeartbeatMs;
+         passed += kStepMs) {
+      SleepMs(kStepMs);
+      const std::lock_guard late(mMutex);
+      if (mStopped) {
+        return;
+      }
+    }
+    mStore.Remove("servers", mId);
+    mRecord.Write("not listed any more " + mId);
+  });
+}
+
 void
 Runner::EndRun(const std::string& aTask, const std::string& aHow)
 {
@@ -459,7 +486,7 @@
   std::string running;
   for (const auto& [task, active] : mActive) {
     running += std::string(running.empty() ? "" : ",") + "[\"" + task + "\"," +
-               std::to_string(active.mNumber) + ",\"\",50,0]";
+               std::to_string(active.mNumber) + ",\"\",100,0]";
   }
   std::string finished;
   for (std::size_t i = 0; i < std::min(kEndsInAnswer, mFinished.size()); ++i) {
--- a/review/standins-3/Runner.h
+++ b/review/standins-3/Runner.h
@@ -99,7 +99,9 @@
   /// Decides on an order.
   using Disruption = std::function<Lateness(const Request&)>;
 
+  /// @param aLabel its first label
   Runner(std::string aId,
+         std::string aLabel,
          Store& aStore,
          Runs& aRuns,
          Gangs& aGangs,
@@ -115,6 +117,9 @@
   /// and are reset when something arrives on them after the host is back. The
   /// runner then starts again under the same id.
   void LosePower(std::int64_t aForMs);
+  /// Cuts the power of the runner's host for good. Its entry is removed after
+  /// three ping intervals.
+  void LosePowerForGood();
   [[nodiscard]] const std::string& Id() const { return mId; }
 
 private:
@@ -150,7 +155,10 @@
   void ExtendLease(std::int64_t aEndMs);
   [[nodiscard]] std::int64_t ClockMs() const;
 
+  void CutPower();
+
   std::string mId;
+  std::string mLabel;
   Store& mStore;
   Runs& mRuns;
   Gangs& mGangs;
