--- a/review/standins-3/Main.cpp
+++ b/review/standins-3/Main.cpp
@@ -414,32 +414,51 @@
   return Conclude(deployment, jobs, true);
 }
 
-/// The host of a runner loses power for 0.4 s, one after the other, and the
-/// runner starts again under its id.
+/// Each runner has a lasting task, and tasks of 0.15 s come eight at a time,
+/// every 1.5 s. The host of the runner that got the last ones loses power for
+/// 0.4 s, and the runner starts again under its id and is listed at once.
 int
 PlayReborn(const std::string& aFolder, bool aTrouble)
 {
   constexpr int kRunners = 8;
   constexpr std::int64_t kDownMs = 400;
-  constexpr std::int64_t kPauseMs = 4700;
-  constexpr int kCrashes = 9;
+  constexpr std::int64_t kBurstMs = 1500;
+  constexpr std::int64_t kPhaseMs = 1000;
+  constexpr int kBursts = 40;
+  constexpr int kBurstsBetween = 4;
   Deployment deployment(aFolder, kRunners);
   if (!deployment.mNode->AwaitReady(15000)) {
     return kNotRun;
   }
-  const std::int64_t beginMs = SteadyMs();
-  std::thread trouble([&] {
-    SleepMs(4000);
-    for (int crash = 0; crash < kCrashes && aTrouble; ++crash) {
-      // It gets the next tasks.
-      BusiestRunner(deployment).LosePower(kDownMs);
-      SleepMs(kPauseMs);
+  SleepMs(4000);
+  deployment.Submit(
+    JobId(900000),
+    R"({"spec":"ms=900000000","steps":[{"count":8,"cpu":1000,"mem_mb":1000,)"
+    R"("estimate_ms":1000,"long_running":true,"anti_affinity":1}]})");
+  SleepMs(2000);
+  std::vector<std::string> jobs;
+  for (int burst = 0; burst < kBursts; ++burst) {
+    const std::int64_t beginMs = SteadyMs();
+    if (deployment.Submit(JobId(burst), Body(8, 500, 150, {}))) {
+      jobs.push_back(JobId(burst));
     }
-  });
-  const std::vector<std::string> jobs =
-    SubmitUntil(deployment, beginMs + 50000, 40, Body(1, 1000, 200, {}));
-  trouble.join();
-  SleepMs(15000);
+    const bool crashes = aTrouble && burst % kBurstsBetween == 2;
+    SleepMs(std::max<std::int64_t>(0, beginMs + kPhaseMs - SteadyMs()));
+    if (crashes) {
+      Runner* last = deployment.mRunners.front().get();
+      for (const Run& run : deployment.mRuns.All()) {
+        for (const std::unique_ptr<Runner>& runner : deployment.mRunners) {
+          last =
+            run.mTask.starts_with(JobId(burst)) && run.mRunner == runner->Id()
+              ? runner.get()
+              : last;
+        }
+      }
+      last->LosePower(kDownMs);
+    }
+    SleepMs(std::max<std::int64_t>(0, beginMs + kBurstMs - SteadyMs()));
+  }
+  SleepMs(12000);
   return Conclude(deployment, jobs, false);
 }
 
--- a/review/standins-3/Runner.cpp
+++ b/review/standins-3/Runner.cpp
@@ -18,9 +18,6 @@
 constexpr std::int64_t kGangTimeoutMs = 3000;
 constexpr std::int64_t kHeartbeatMs = 1500;
 constexpr std::size_t kEndsInAnswer = 500;
-/// Time after which the list of runners shows a runner's start, as the site
-/// file states it (lag_ms).
-constexpr std::int64_t kDiscoveryLagMs = 800;
 
 std::int64_t
 Number(const rapidjson::Value& aObject, const char* aName)
@@ -234,7 +231,7 @@
   const std::lock_guard lock(mMutex);
   Boot();
   mUp = true;
-  mRegisterAtMs = SteadyMs() + kDiscoveryLagMs;
+  Register();
   mRecord.Write("power back " + mId + " born=" + std::to_string(mBornMs));
 }
 
