LibDispatch: Let each reported end count for its task, whatever the phase

Cause: ApplyEnd() asked MayRunCopies() whether the end of an earlier run counts. That function tells whether a copy may be started now, which is no longer so while the copy's start order has no answer, after the account got a cap, or once the job has ended. The end was dropped and acknowledged.

Change: an end as done makes its task done whichever run has ended. A later run is stopped and keeps its room until it has ended (StopCause::TaskDone), also for gangs. A job is not handed over while a run that was given up may go on here, and such a run is not forgotten while a report is full. Ends without effect on their task are logged.

--- a/Libraries/LibDispatch/Commits.cpp
+++ b/Libraries/LibDispatch/Commits.cpp
@@ -97,8 +97,8 @@
       StepProgress stored;
       for (std::uint32_t t = 0; t < step.mTasks.size(); ++t) {
         const Task& task = step.mTasks[t];
-        stored.mDone.push_back(task.mPhase == TaskPhase::Done);
-        if (task.mPhase == TaskPhase::Done) {
+        stored.mDone.push_back(IsDone(task));
+        if (IsDone(task)) {
           continue;
         }
         if (task.mPhase == TaskPhase::Elsewhere) {
--- a/Libraries/LibDispatch/Internal.h
+++ b/Libraries/LibDispatch/Internal.h
@@ -153,6 +153,10 @@
 void
 EraseIfFinished(Dispatcher& aDispatcher, Job& aJob);
 
+/// @return the name of the phase in the log
+std::string_view
+NameOf(TaskPhase aPhase);
+
 /// @return the task of that name; mJob is null if there is none
 TaskRef
 FindTask(Dispatcher& aDispatcher, const TaskName& aName);
--- a/Libraries/LibDispatch/Job.h
+++ b/Libraries/LibDispatch/Job.h
@@ -54,7 +54,8 @@
   None,
   StartUnanswered, ///< The start order got no answer, so the task may run.
   Cancelled,       ///< The job was cancelled or has failed.
-  Moved            ///< The task is to continue on another runner.
+  Moved,           ///< The task is to continue on another runner.
+  TaskDone         ///< Another run of the task is done, see IsDone().
 };
 
 /// CPU use ratio that is assumed until a task has reported. It lies between the
@@ -130,6 +131,16 @@
   std::uint32_t mShard = 0; ///< Shard that has the task in phase Elsewhere.
 };
 
+/// @return whether the task is done. A later run of it, whose end is not known
+///         yet, may still be on a runner.
+inline bool
+IsDone(const Task& aTask)
+{
+  return aTask.mPhase == TaskPhase::Done ||
+         (aTask.mPhase == TaskPhase::Stopping &&
+          aTask.mStopCause == StopCause::TaskDone);
+}
+
 /// State of one step of one occurrence.
 struct Step
 {
--- a/Libraries/LibDispatch/JobMoves.cpp
+++ b/Libraries/LibDispatch/JobMoves.cpp
@@ -22,6 +22,23 @@
   }
 }
 
+/// @return whether a run of the job that no task accounts for may go on. The
+///         other shard would not hear of its end.
+bool
+HasOrphanRun(const Dispatcher& aDispatcher, const Job& aJob)
+{
+  return std::any_of(aDispatcher.mRunners.begin(),
+                     aDispatcher.mRunners.end(),
+                     [&](const Runner& aRunner) {
+                       return std::any_of(aRunner.mOrphans.begin(),
+                                          aRunner.mOrphans.end(),
+                                          [&](const OrphanRun& aOrphan) {
+                                            return aOrphan.mTask.mJob ==
+                                                   aJob.mSpec.mId;
+                                          });
+                     });
+}
+
 } // namespace
 
 bool
@@ -32,7 +49,8 @@
          aJob.mPhase == JobPhase::Active && aJob.mActiveRuns == 0 &&
          aJob.mSpec.mOccurrences == 0 && !aJob.mDirty && !aJob.mHeld &&
          !aJob.mHomeShard && aJob.mTasksElsewhere == 0 &&
-         !aDispatcher.mRejectedJobs.contains(aJob.mArrivalNumber);
+         !aDispatcher.mRejectedJobs.contains(aJob.mArrivalNumber) &&
+         !HasOrphanRun(aDispatcher, aJob);
 }
 
 MonotonicTime
--- a/Libraries/LibDispatch/Names.cpp
+++ b/Libraries/LibDispatch/Names.cpp
@@ -67,6 +67,26 @@
   };
 }
 
+std::string_view
+NameOf(TaskPhase aPhase)
+{
+  switch (aPhase) {
+    case TaskPhase::Waiting:
+      return "waiting";
+    case TaskPhase::Starting:
+      return "starting";
+    case TaskPhase::Running:
+      return "running";
+    case TaskPhase::Stopping:
+      return "stopping";
+    case TaskPhase::Done:
+      return "done";
+    case TaskPhase::Elsewhere:
+      return "elsewhere";
+  }
+  return "unknown";
+}
+
 TaskRef
 FindTask(Dispatcher& aDispatcher, const TaskName& aName)
 {
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -137,8 +137,7 @@
 HasExhaustedTask(const Job& aJob, std::uint32_t aMaxAttempts)
 {
   const auto exhausted = [&](const Task& aTask) {
-    return aTask.mPhase != TaskPhase::Done &&
-           aTask.mFailedRuns.size() >= aMaxAttempts;
+    return !IsDone(aTask) && aTask.mFailedRuns.size() >= aMaxAttempts;
   };
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::size_t i = 0; i < occurrence.mSteps.size(); ++i) {
@@ -152,6 +151,28 @@
   return false;
 }
 
+/// Removes an occurrence of a repeated job that has ended, unless tasks of it
+/// are on runners. Each occurrence has its own tasks.
+void
+EraseEndedOccurrence(Job& aJob, std::uint32_t aNumber)
+{
+  const Occurrence& occurrence = aJob.mOccurrences.at(aNumber);
+  if (aJob.mSpec.mOccurrences == 0 ||
+      occurrence.mStepsDone < occurrence.mSteps.size()) {
+    return;
+  }
+  const bool idle = std::all_of(
+    occurrence.mSteps.begin(), occurrence.mSteps.end(), [](const Step& aStep) {
+      return std::all_of(
+        aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
+          return aTask.mRunner == kNoRunner;
+        });
+    });
+  if (idle) {
+    aJob.mOccurrences.erase(aNumber);
+  }
+}
+
 /// Advances the occurrence and the job after a task of a finite step is done.
 void
 AdvanceJob(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
@@ -172,49 +193,100 @@
     job.mPhase = JobPhase::Completed;
     ++aDispatcher.mCounters.mJobsCompleted;
   }
-  if (job.mSpec.mOccurrences > 0) {
-    // Each occurrence has its own tasks, so one that has ended can be removed
-    // as soon as none of its tasks runs.
-    const bool idle =
-      std::all_of(occurrence.mSteps.begin(),
-                  occurrence.mSteps.end(),
-                  [](const Step& aStep) {
-                    return std::all_of(aStep.mTasks.begin(),
-                                       aStep.mTasks.end(),
-                                       [](const Task& aOther) {
-                                         return aOther.mRunner == kNoRunner;
-                                       });
-                  });
-    if (idle) {
-      job.mOccurrences.erase(aTask.mOccurrence);
-    }
-  }
+  EraseEndedOccurrence(job, aTask.mOccurrence);
   aDispatcher.mCommitUrgent = true;
 }
 
-/// Marks all tasks of a gang done after one of them is done.
+/// Marks a task done. A run that may still go on is stopped, and keeps its
+/// resources until it has ended.
+/// @param aRun number of the run that is done; those of a gang end together
 void
-FinishGang(Dispatcher& aDispatcher, const TaskRef& aTask, MonotonicTime aNow)
+MarkDone(Dispatcher& aDispatcher,
+         const TaskRef& aTask,
+         std::int64_t aRun,
+         MonotonicTime aNow,
+         Actions& aActions)
 {
+  Task& task = TaskOf(aTask);
+  if (IsDone(task)) {
+    return;
+  }
   Step& step = StepOf(aTask);
-  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
-    const TaskRef member{ aTask.mJob, aTask.mOccurrence, aTask.mStep, i };
-    Task& task = TaskOf(member);
-    if (task.mPhase == TaskPhase::Done) {
-      continue;
-    }
-    if (task.mRunner != kNoRunner) {
-      RemoveFromRunner(aDispatcher, member, aNow);
+  ++step.mDoneTasks;
+  if (task.mRunner != kNoRunner && task.mRun != aRun) {
+    if (task.mPhase != TaskPhase::Stopping) {
+      BeginStop(aDispatcher, aTask, StopCause::TaskDone, aNow, aActions);
     }
-    if (task.mPhase == TaskPhase::Waiting) {
-      --step.mWaitingTasks;
+    task.mStopCause = StopCause::TaskDone;
+    return;
+  }
+  if (task.mRunner != kNoRunner) {
+    RemoveFromRunner(aDispatcher, aTask, aNow);
+  } else {
+    --step.mWaitingTasks;
+  }
+  task.mPhase = TaskPhase::Done;
+}
+
+/// Marks a task of a finite step done, or all tasks of its gang, and advances
+/// its job. The job and its occurrence may be removed.
+/// @param aRun number of the run that is done
+void
+CompleteTask(Dispatcher& aDispatcher,
+             const TaskRef& aTask,
+             std::int64_t aRun,
+             MonotonicTime aNow,
+             Actions& aActions)
+{
+  Job& job = *aTask.mJob;
+  ++aDispatcher.mCounters.mDone;
+  MarkDirty(aDispatcher, job);
+  if (SpecOf(aTask).mGang) {
+    for (std::uint32_t i = 0; i < StepOf(aTask).mTasks.size(); ++i) {
+      MarkDone(aDispatcher,
+               { aTask.mJob, aTask.mOccurrence, aTask.mStep, i },
+               aRun,
+               aNow,
+               aActions);
     }
-    task.mPhase = TaskPhase::Done;
-    ++step.mDoneTasks;
+  } else {
+    MarkDone(aDispatcher, aTask, aRun, aNow, aActions);
   }
+  UpdateWaiting(aDispatcher, job, aTask.mOccurrence, aTask.mStep);
+  AdvanceJob(aDispatcher, aTask, aNow);
 }
 
-/// Applies one end that a runner reports.
+/// Logs an end that doesn't change its task.
+void
+LogEndWithoutEffect(const Dispatcher& aDispatcher,
+                    std::string_view aEvent,
+                    const Runner& aRunner,
+                    const EndEntry& aEnd,
+                    const TaskRef& aTask)
+{
+  if (aEnd.mKind != EndKind::Done && aEnd.mKind != EndKind::Failed) {
+    return; // Most of these were ordered here.
+  }
+  const Task& task = TaskOf(aTask);
+  Emit(
+    aDispatcher,
+    aEvent,
+    aTask.mJob,
+    "task=" + FormatTaskName(aEnd.mTask) + " run=" + std::to_string(aEnd.mRun) +
+      " end=" + (aEnd.mKind == EndKind::Done ? "done" : "failed") +
+      " runner=" + aRunner.mSpec.mId +
+      " latest_run=" + std::to_string(task.mRun) + " latest_runner=" +
+      (task.mRunner == kNoRunner
+         ? "none"
+         : aDispatcher.mRunners[task.mRunner].mSpec.mId) +
+      " phase=" + std::string(NameOf(task.mPhase)) + " stored=" +
+      (aTask.mJob->mChangeSequence <= aDispatcher.mStoredThrough ? "1" : "0"));
+}
+
+/// Applies one end that a runner reports. What it says holds for the task
+/// whichever of its runs has ended, and whatever the task's phase: the task is
+/// done, or has failed once more. Only the end of the latest run also tells
+/// that the task must run again.
 void
 ApplyEnd(Dispatcher& aDispatcher,
          RunnerIndex aRunner,
@@ -232,39 +304,49 @@
     return;
   }
   Task& task = TaskOf(ref);
+  const bool present = task.mRunner == aRunner && task.mRun == aEnd.mRun;
   if (task.mPhase == TaskPhase::Elsewhere) {
-    return; // All runs had ended here before the task was handed over.
-  }
-  if (task.mPhase == TaskPhase::Done) {
-    Emit(
-      aDispatcher,
-      "end_superfluous",
-      ref.mJob,
-      "task=" + FormatTaskName(aEnd.mTask) + " run=" +
-        std::to_string(aEnd.mRun) + " runner=" + runner.mSpec.mId + " stored=" +
-        (ref.mJob->mChangeSequence <= aDispatcher.mStoredThrough ? "1" : "0"));
+    // All runs had ended here, or their leases had, before the task was handed
+    // over.
+    LogEndWithoutEffect(
+      aDispatcher, "end_of_task_elsewhere", runner, aEnd, ref);
     return;
   }
-  // A later run was only started after the earlier one had ended. Its end
-  // therefore counts even if, by a stale record, the earlier run may still run.
-  const bool current = (task.mRunner == aRunner && task.mRun == aEnd.mRun) ||
-                       aEnd.mRun > task.mRun;
-  const bool firstCopyDone = !current && aEnd.mKind == EndKind::Done &&
-                             aEnd.mRun < task.mRun &&
-                             MayRunCopies(aDispatcher, ref);
-  if (firstCopyDone) {
-    GiveUpRun(aDispatcher, ref, aNow, aActions);
+  if (IsDone(task)) {
+    LogEndWithoutEffect(aDispatcher, "end_superfluous", runner, aEnd, ref);
+    if (present) {
+      EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
+    }
+    return;
+  }
+  if (!present && aEnd.mKind == EndKind::Done &&
+      SpecOf(ref).mKind == StepKind::Finite) {
+    // The first run to finish counts, whatever has become of a later one: once
+    // the end is acknowledged, no owner hears of it again.
+    LogEndWithoutEffect(aDispatcher, "other_run_done", runner, aEnd, ref);
+    ref.mJob->mBegan = true;
+    UpdateRunnerHealth(
+      aDispatcher, runner, ref.mJob->mSpec.mId, RunOutcome::Done, aNow);
+    CompleteTask(aDispatcher, ref, aEnd.mRun, aNow, aActions);
+    return;
   }
   // The ends of several runs arrive in any order, because they are on different
   // runners.
-  const bool former = task.mPhase == TaskPhase::Waiting &&
-                      (aEnd.mRun >= task.mRun || aEnd.mKind == EndKind::Done);
-  if (!current && !former) {
+  const bool latest =
+    present || aEnd.mRun > task.mRun ||
+    (aEnd.mRun == task.mRun && task.mPhase == TaskPhase::Waiting);
+  if (!latest) {
+    LogEndWithoutEffect(aDispatcher, "end_of_former_run", runner, aEnd, ref);
     if (aEnd.mKind == EndKind::Failed) {
       CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
     }
     return;
   }
+  if (!present && task.mRunner != kNoRunner) {
+    // The end is that of a later run than the one that is known. The earlier
+    // one has ended as well, unless copies of the task may run.
+    GiveUpRun(aDispatcher, ref, aNow, aActions);
+  }
   task.mRun = std::max(task.mRun, aEnd.mRun);
   ref.mJob->mBegan = true;
   const RunOutcome outcome = aEnd.mKind == EndKind::Done ? RunOutcome::Done
@@ -380,15 +462,22 @@
              RunnerIndex aRunner,
              const RunningEntry& aEntry,
              std::vector<OrphanRun>& aOrphans,
-             MonotonicTime aNow)
+             MonotonicTime aNow,
+             Actions& aActions)
 {
   const TaskRef ref = FindTask(aDispatcher, aEntry.mTask);
   if (ref.mJob != nullptr) {
     Task& task = TaskOf(ref);
     if (task.mRunner != aRunner || task.mRun != aEntry.mRun) {
-      if (aEntry.mRun > task.mRun && task.mRunner != kNoRunner) {
-        Actions none;
-        EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, none);
+      if (aEntry.mRun > task.mRun && task.mRunner != kNoRunner &&
+          !IsDone(task)) {
+        // As for the end of a later run. A runner has one run of a task.
+        if (task.mRunner == aRunner) {
+          EndRun(
+            aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
+        } else {
+          GiveUpRun(aDispatcher, ref, aNow, aActions);
+        }
       }
       if (AdoptRun(aDispatcher, aRunner, ref, aEntry.mRun, aNow)) {
         MarkSeen(ref);
@@ -561,6 +650,25 @@
   }
 }
 
+/// Keeps the runs that are not listed as running any more, but whose ends a
+/// later report may bring.
+/// @param aOrphans the listed ones, to which they are added
+void
+KeepUnlistedOrphans(const std::vector<OrphanRun>& aKnown,
+                    std::vector<OrphanRun>& aOrphans)
+{
+  for (const OrphanRun& known : aKnown) {
+    const bool listed = std::any_of(
+      aOrphans.begin(), aOrphans.end(), [&](const OrphanRun& aOrphan) {
+        return aOrphan.mRun == known.mRun &&
+               FormatTaskName(aOrphan.mTask) == FormatTaskName(known.mTask);
+      });
+    if (!listed) {
+      aOrphans.push_back(known);
+    }
+  }
+}
+
 /// Ends the runs of tasks that the runner reports neither as running nor as
 /// ended.
 void
@@ -767,13 +875,14 @@
   const StepSpec& spec = SpecOf(aTask);
   Step& step = StepOf(aTask);
   const RunnerIndex runner = task.mRunner;
+  const bool done = IsDone(task);
   if (runner != kNoRunner) {
     RemoveFromRunner(aDispatcher, aTask, aNow);
-    if (task.mPhase != TaskPhase::Waiting) {
+    if (task.mPhase != TaskPhase::Waiting && !done) {
       ++step.mWaitingTasks;
     }
   }
-  task.mPhase = TaskPhase::Waiting;
+  task.mPhase = done ? TaskPhase::Done : TaskPhase::Waiting;
   task.mReported = false;
   task.mStopCause = StopCause::None;
   task.mStopAnsweredAt.reset();
@@ -788,22 +897,20 @@
     EraseIfFinished(aDispatcher, job);
     return;
   }
+  if (done) {
+    EraseEndedOccurrence(job, aTask.mOccurrence);
+    return;
+  }
   if (newCheckpoint) {
     MarkDirty(aDispatcher, job);
   }
   const bool finite = spec.mKind == StepKind::Finite;
   if (aOutcome == RunOutcome::Done && finite) {
-    ++aDispatcher.mCounters.mDone;
     NoteDuration(aDispatcher, aTask, runner, aNow);
-    MarkDirty(aDispatcher, job);
-    if (spec.mGang) {
-      FinishGang(aDispatcher, aTask, aNow);
-    } else {
-      task.mPhase = TaskPhase::Done;
-      --step.mWaitingTasks;
-      ++step.mDoneTasks;
-    }
-  } else if (aOutcome == RunOutcome::Failed && finite) {
+    CompleteTask(aDispatcher, aTask, aRun, aNow, aActions);
+    return;
+  }
+  if (aOutcome == RunOutcome::Failed && finite) {
     task.mFailedOn = runner;
     CountFailure(aDispatcher, aTask, aRun, aNow, aActions);
     if (job.mPhase != JobPhase::Active) {
@@ -823,9 +930,6 @@
     task.mEarlyFailures = early ? task.mEarlyFailures + 1 : 0;
   }
   UpdateWaiting(aDispatcher, job, aTask.mOccurrence, aTask.mStep);
-  if (task.mPhase == TaskPhase::Done) {
-    AdvanceJob(aDispatcher, aTask, aNow);
-  }
 }
 
 void
@@ -852,6 +956,7 @@
          " runner=" + aDispatcher.mRunners[task.mRunner].mSpec.mId + " cause=" +
          (aCause == StopCause::StartUnanswered ? "no_answer"
           : aCause == StopCause::Cancelled     ? "cancelled"
+          : aCause == StopCause::TaskDone      ? "task_done"
                                                : "moved"));
 }
 
@@ -941,7 +1046,7 @@
   std::vector<OrphanRun> orphans;
   for (const RunningEntry& entry : aReport.mRunning) {
     const bool starting = IsStarting(aDispatcher, entry.mTask, entry.mRun);
-    ApplyRunning(aDispatcher, aRunner, entry, orphans, aNow);
+    ApplyRunning(aDispatcher, aRunner, entry, orphans, aNow, aActions);
     if (starting) {
       // The answer to the start order may be late, or lost.
       OrderFirstPace(
@@ -949,6 +1054,9 @@
     }
   }
   EndProbation(aDispatcher, runner, aNow);
+  if (aReport.mEnds.size() >= kMaxEndsPerReport) {
+    KeepUnlistedOrphans(runner.mOrphans, orphans);
+  }
   runner.mOrphans = std::move(orphans);
   for (OrphanRun& orphan : runner.mOrphans) {
     if (aNow - orphan.mStopSentAt >= aDispatcher.mSettings.mStopRetryInterval) {
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -168,6 +168,8 @@
         FakeRunner& runner =
           mRunners[mDispatcher.mRunners[start->mRunner].mSpec.mId];
         ++mStarts;
+        mStartsAfterNotedEnd +=
+          mNotedDone.contains(FormatTaskName(name)) ? 1 : 0;
         if (mStartsNotSentTo.contains(
               mDispatcher.mRunners[start->mRunner].mSpec.mDataCentre)) {
           mUnsentStarts.push_back({ *start, mNow + kOrderTimeout });
@@ -313,7 +315,11 @@
     return;
   }
   std::erase_if(fake.mEnds, [&](const EndEntry& aEnd) {
-    return aEnd.mNumber <= plan.mAcknowledgedEnd;
+    const bool noted = aEnd.mNumber <= plan.mAcknowledgedEnd;
+    if (noted && aEnd.mKind == EndKind::Done) {
+      mNotedDone.insert(FormatTaskName(aEnd.mTask));
+    }
+    return noted;
   });
   fake.mLeaseEndMs = std::max(fake.mLeaseEndMs, plan.mLeaseEndMs);
   RunnerReport report;
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -126,6 +126,10 @@
   std::vector<StartTask> mLostStarts;
   std::vector<PaceTask> mPaceOrders;
   std::uint32_t mStarts = 0; ///< Number of start orders, lost ones included.
+  /// Tasks of which a runner was told that an end as done was taken note of.
+  std::set<std::string> mNotedDone;
+  /// Number of start orders for tasks among these.
+  std::uint32_t mStartsAfterNotedEnd = 0;
   /// Largest number of runs that any task had at the same time, after an order
   /// to start it.
   std::size_t mMostRunsOfATask = 0;
