LibNode: State the end of leases on restarted runners by runner

Cause: late renewals for the former process of a runner may extend the leases on the present one for 18.18 s. The shard's row had one time for all runners, so the next owner waited for it before it started any task that it had not seen.

Change: the row states that time by runner, and beside it the time that holds for all others. Owners of earlier versions still read one time that covers all runners, and rows without the new members mean what they did; a row that is too large for them falls back to it. earlier_leases and runner_awaited tell which time is waited for.

RunnerList.ARecordBeforeAnEarlierVersionIsNotBelieved writes the row of an earlier version by hand; it now leaves out the new members, as such a version does. Its checks are the same.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -145,7 +145,7 @@
   std::int64_t mEpoch = 0;   ///< Fencing token of every order.
   std::int64_t mNextRun = 1; ///< Number of the next run.
   /// Time until which runners that have not answered this owner may still run
-  /// tasks of an earlier owner.
+  /// tasks of an earlier owner, but for Runner::mExtendedLeasesExpireAt.
   MonotonicTime mEarlierLeasesUntil;
   /// No lease is granted beyond this time. A later owner counts on it.
   MonotonicTime mLeaseLimit = MonotonicTime::max();
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -234,6 +234,9 @@
   /// Time by which all leases of earlier owners have ended, if one has stored
   /// it.
   std::optional<MonotonicTime> mRecordedLeasesExpireAt;
+  /// Time by which the leases have ended that renewals of earlier owners for a
+  /// former process of the runner may have extended, if one has stated it.
+  std::optional<MonotonicTime> mExtendedLeasesExpireAt;
 
   /// Highest number of a reported end that has been applied to its task, or is
   /// one of mUnattributedEnds.
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -326,10 +326,11 @@
 MonotonicTime
 EarlierLeasesEnd(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
+  const Runner& runner = aDispatcher.mRunners[aRunner];
   const MonotonicTime latest = aDispatcher.mEarlierLeasesUntil;
-  return std::min(
-    latest,
-    aDispatcher.mRunners[aRunner].mRecordedLeasesExpireAt.value_or(latest));
+  return std::max(
+    std::min(latest, runner.mRecordedLeasesExpireAt.value_or(latest)),
+    runner.mExtendedLeasesExpireAt.value_or(MonotonicTime{}));
 }
 
 bool
--- a/Libraries/LibDispatch/Ticking.cpp
+++ b/Libraries/LibDispatch/Ticking.cpp
@@ -231,8 +231,10 @@
     std::string_view rule;
     MonotonicTime until = runner.mLeasesExpireAt;
     if (runner.mPhase == RunnerPhase::AwaitingReport && runner.mInherited) {
-      rule = "earlier_owner";
-      until = std::max(until, EarlierLeasesEnd(aDispatcher, i));
+      const MonotonicTime end = EarlierLeasesEnd(aDispatcher, i);
+      rule = end == runner.mExtendedLeasesExpireAt ? "former_process"
+                                                   : "earlier_owner";
+      until = std::max(until, end);
     } else if (runner.mPhase == RunnerPhase::Live && runner.mSilent &&
                !runner.mTasks.empty()) {
       rule = runner.mEndsAwaited    ? "unheard_ends"
@@ -255,8 +257,9 @@
            std::to_string(
              std::chrono::duration_cast<Millis>(until - aNow).count()) +
            " tasks=" +
-           (rule == "earlier_owner" ? "any"
-                                    : std::to_string(runner.mTasks.size())) +
+           (runner.mPhase == RunnerPhase::AwaitingReport
+              ? "any"
+              : std::to_string(runner.mTasks.size())) +
            " listed=" + (runner.mListed ? "1" : "0"));
   }
   if (awaited > 0) {
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::string_view kShardPrefix = "shard/";
+// Members of the shard's row, see ShardRow.
+constexpr const char* kCommonLeasesEnd = "common_leases_end_ms";
+constexpr const char* kRunnerLeasesEnd = "runner_leases_end_ms";
 
 std::optional<NodeRow>
 ParseNodeRow(std::string_view aText)
@@ -238,6 +241,12 @@
     value["pending_as_of_ms"] = Json::Int64(aRow.mPendingAsOfMs);
   }
   value["leases_end_ms"] = Json::Int64(aRow.mLeasesEndMs);
+  if (aRow.mCommonLeasesEndMs != 0) {
+    value[kCommonLeasesEnd] = Json::Int64(aRow.mCommonLeasesEndMs);
+    for (const auto& [id, endMs] : aRow.mRunnerLeasesEndMs) {
+      value[kRunnerLeasesEnd][id] = Json::Int64(endMs);
+    }
+  }
   value["isolated_leases_end_ms"] = Json::Int64(aRow.mIsolatedLeasesEndMs);
   value["earlier_isolated_leases_end_ms"] =
     Json::Int64(aRow.mEarlierIsolatedLeasesEndMs);
@@ -250,7 +259,13 @@
     return text;
   }
   value["pending"] = Json::Value(Json::objectValue);
-  const std::size_t others = WriteJson(value).size();
+  std::size_t others = WriteJson(value).size();
+  if (others > aMaxBytes) {
+    // The time that covers all runners holds instead.
+    value.removeMember(kCommonLeasesEnd);
+    value.removeMember(kRunnerLeasesEnd);
+    others = WriteJson(value).size();
+  }
   value["pending"] =
     LargestPending(aRow.mPending, aMaxBytes - std::min(aMaxBytes, others));
   return WriteJson(value);
@@ -281,6 +296,13 @@
   row.mStartWaitMs = (*value)["start_wait_ms"].asInt64();
   row.mPendingAsOfMs = (*value)["pending_as_of_ms"].asInt64();
   row.mLeasesEndMs = (*value)["leases_end_ms"].asInt64();
+  row.mCommonLeasesEndMs = (*value)[kCommonLeasesEnd].asInt64();
+  const Json::Value& runnerEnds = (*value)[kRunnerLeasesEnd];
+  if (runnerEnds.isObject()) {
+    for (const std::string& id : runnerEnds.getMemberNames()) {
+      row.mRunnerLeasesEndMs.emplace(id, runnerEnds[id].asInt64());
+    }
+  }
   row.mIsolatedLeasesEndMs = (*value)["isolated_leases_end_ms"].asInt64();
   row.mEarlierIsolatedLeasesEndMs =
     (*value)["earlier_isolated_leases_end_ms"].asInt64();
@@ -392,6 +414,8 @@
         row.mRow.mOwner.empty() ? EarlierOwner::Released : EarlierOwner::Ended;
       claim.mRowSeenAt = row.mVersionSeenAt;
       claim.mLeasesEndMs = row.mRow.mLeasesEndMs;
+      claim.mCommonLeasesEndMs = row.mRow.mCommonLeasesEndMs;
+      claim.mRunnerLeasesEndMs = row.mRow.mRunnerLeasesEndMs;
       claim.mIsolatedLeasesEndMs = row.mRow.mIsolatedLeasesEndMs;
       claim.mEarlierIsolatedLeasesEndMs = row.mRow.mEarlierIsolatedLeasesEndMs;
       claim.mRecordsSince = row.mRow.mRecordsSince;
--- a/Libraries/LibNode/Cluster.h
+++ b/Libraries/LibNode/Cluster.h
@@ -78,6 +78,14 @@
   /// owner grants without a further renewal of this row. 0: not known, because
   /// an earlier version of this program wrote the row.
   std::int64_t mLeasesEndMs = 0;
+  /// The same for the leases of all runners but those in mRunnerLeasesEndMs. 0:
+  /// mLeasesEndMs holds for each runner. Owners of earlier versions know only
+  /// mLeasesEndMs, which covers both.
+  std::int64_t mCommonLeasesEndMs = 0;
+  /// The same for single runners, by id, whose leases may end later: those that
+  /// have restarted, since renewals for their former process may reach the
+  /// present one.
+  std::map<std::string, std::int64_t> mRunnerLeasesEndMs;
   /// The same for the leases that the owner grants beyond that while the store
   /// does not answer, see NodeSettings::mMajorityContactAge. Another owner that
   /// has reached a majority of the runners ends them earlier.
@@ -168,6 +176,8 @@
   MonotonicTime mRowSeenAt; ///< When this node first read that version.
   /// The same members of the earlier owner's ShardRow.
   std::int64_t mLeasesEndMs = 0;
+  std::int64_t mCommonLeasesEndMs = 0;
+  std::map<std::string, std::int64_t> mRunnerLeasesEndMs;
   std::int64_t mIsolatedLeasesEndMs = 0;
   std::int64_t mEarlierIsolatedLeasesEndMs = 0;
   std::int64_t mRecordsSince = 0;
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -34,9 +34,11 @@
     return;
   }
   const StoreClock& clock = mContext.mStoreClock;
+  const std::int64_t endMs = mClaim.mCommonLeasesEndMs > 0
+                               ? mClaim.mCommonLeasesEndMs
+                               : mClaim.mLeasesEndMs;
   const std::optional<MonotonicTime> end =
-    mClaim.mLeasesEndMs > 0 ? TimeReached(clock, mClaim.mLeasesEndMs)
-                            : std::nullopt;
+    endMs > 0 ? TimeReached(clock, endMs) : std::nullopt;
   if (!end) {
     // An owner of an earlier version grants long leases until its own lease
     // ends, which counts from before its last renewal was seen.
@@ -52,6 +54,9 @@
     return aStoreMs > 0 ? TimeReached(clock, aStoreMs).value_or(*end)
                         : MonotonicTime{};
   };
+  for (const auto& [id, runnerEndMs] : mClaim.mRunnerLeasesEndMs) {
+    mEarlierRunnerLeasesEnd[id] = reached(runnerEndMs);
+  }
   mEarlierIsolatedLeasesEnd = reached(mClaim.mIsolatedLeasesEndMs);
   if (mClaim.mEarlierOwner != EarlierOwner::MayAct) {
     mEarlierIsolatedLeasesEnd =
@@ -70,6 +75,46 @@
     mContext.mSettings.mDispatch.mLeaseExpiryMargin;
 }
 
+void
+ShardOwner::State::ApplyEarlierRunnerLeases()
+{
+  // A runner that is not in the list runs nothing: it was added before its
+  // first task was started, and has left.
+  std::erase_if(mEarlierRunnerLeasesEnd, [&](const auto& aEntry) {
+    return !mDispatcher.mRunnerById.contains(aEntry.first);
+  });
+  for (const auto& [id, end] : mEarlierRunnerLeasesEnd) {
+    mDispatcher.mRunners[mDispatcher.mRunnerById.find(id)->second]
+      .mExtendedLeasesExpireAt =
+      end + mContext.mSettings.mDispatch.mLeaseExpiryMargin;
+  }
+}
+
+std::map<std::string, MonotonicTime>
+ShardOwner::State::RunnerLeaseEnds() const
+{
+  const NodeSettings& settings = mContext.mSettings;
+  std::map<std::string, MonotonicTime> ends;
+  for (const auto& [id, end] : mEarlierRunnerLeasesEnd) {
+    const auto runner = mDispatcher.mRunnerById.find(id);
+    if (runner == mDispatcher.mRunnerById.end() ||
+        mDispatcher.mRunners[runner->second].mInherited) {
+      ends.emplace(id, end);
+    }
+  }
+  for (const dispatch::Runner& runner : mDispatcher.mRunners) {
+    // A late renewal for the former process of a runner may extend the leases
+    // of the new one.
+    if (runner.mRestartSeenAt > MonotonicTime{} && !runner.mTasks.empty()) {
+      MonotonicTime& end = ends[runner.mSpec.mId];
+      end = std::max(end,
+                     runner.mRestartSeenAt + settings.mLongestOrderDelay +
+                       OrdinaryLease(settings));
+    }
+  }
+  return ends;
+}
+
 void
 ShardOwner::State::CountFencedRunner(dispatch::RunnerIndex aRunner,
                                      std::int64_t aIncarnation,
@@ -192,16 +237,17 @@
     }
     isolatedEnd = {};
   }
-  for (const dispatch::Runner& runner : mDispatcher.mRunners) {
-    // A late renewal for the former process of a runner may extend the leases
-    // of the new one.
-    if (runner.mRestartSeenAt > MonotonicTime{} && !runner.mTasks.empty()) {
-      end = std::max(end,
-                     runner.mRestartSeenAt + settings.mLongestOrderDelay +
-                       OrdinaryLease(settings));
+  aRow.mCommonLeasesEndMs = LatestStoreTime(clock, end).value_or(0);
+  for (const auto& [id, runnerEnd] : RunnerLeaseEnds()) {
+    if (runnerEnd > end) {
+      aRow.mRunnerLeasesEndMs.emplace(
+        id, LatestStoreTime(clock, runnerEnd).value_or(0));
     }
   }
-  aRow.mLeasesEndMs = LatestStoreTime(clock, end).value_or(0);
+  aRow.mLeasesEndMs = aRow.mCommonLeasesEndMs;
+  for (const auto& [id, runnerEndMs] : aRow.mRunnerLeasesEndMs) {
+    aRow.mLeasesEndMs = std::max(aRow.mLeasesEndMs, runnerEndMs);
+  }
   if (aRow.mLeasesEndMs == 0) {
     return; // The store's clock was never read.
   }
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -201,9 +201,15 @@
   /// Sets until when the dispatcher may grant leases and whether it may start
   /// tasks, according to the age of the last stored renewal.
   void UpdateLeaseLimit(MonotonicTime aNow);
+  /// Applies the ends of the leases on single runners that earlier owners have
+  /// stated to the inherited runners.
+  void ApplyEarlierRunnerLeases();
   /// Sets the members of the shard's row that tell a later owner until when
   /// leases may last. The row must be sent now.
   void SetLeaseEnds(ShardRow& aRow, MonotonicTime aNow) const;
+  /// @return until when the leases on single runners may last, by id, that
+  ///         other leases of the shard do not outlast
+  [[nodiscard]] std::map<std::string, MonotonicTime> RunnerLeaseEnds() const;
 
   // The inbox (ShardInbox.cpp).
   /// Waits for changes of the inbox, applies them, and waits for the next.
@@ -410,6 +416,9 @@
   /// a majority of fenced runners brings forward.
   MonotonicTime mEarlierLeasesEnd;
   MonotonicTime mEarlierIsolatedLeasesEnd;
+  /// The same for single runners, by id, whose leases may end later. Runners
+  /// that have answered this owner reject the earlier ones, and don't count.
+  std::map<std::string, MonotonicTime> mEarlierRunnerLeasesEnd;
   /// The runners' processes in the list that the earlier owner stored last, by
   /// RunnerIndex, and those of them that reject it by now.
   std::vector<dispatch::RunnerProcess> mInheritedProcesses;
--- a/Libraries/LibNode/ShardTaking.cpp
+++ b/Libraries/LibNode/ShardTaking.cpp
@@ -165,6 +165,7 @@
     mEarlierIsolatedLeasesEnd = {};
   }
   UpdateEarlierLeases();
+  ApplyEarlierRunnerLeases();
   Log(
     LogLevel::Notice,
     "earlier_leases",
@@ -172,7 +173,8 @@
       " isolated_remaining_ms=" + RemainingMs(mEarlierIsolatedLeasesEnd, aNow) +
       " rule=" + (mClaim.mLeasesEndMs > 0 ? "shard_row" : "longest_leases") +
       " runners=" + std::to_string(mDispatcher.mRunners.size()) +
-      " recorded=" + std::to_string(recorded));
+      " recorded=" + std::to_string(recorded) +
+      " restarted=" + std::to_string(mEarlierRunnerLeasesEnd.size()));
   mStage = ShardStage::Fencing;
   mFencingEndsAt = aNow + settings.mFencingTimeout;
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
--- a/Tests/LibNode/TestCluster.cpp
+++ b/Tests/LibNode/TestCluster.cpp
@@ -202,6 +202,33 @@
   }
 }
 
+// Guards against an owner that loses its shard because the ends of the leases
+// on hundreds of restarted runners make its row larger than the store takes.
+// The time that covers all runners must hold then.
+TEST(Cluster, ARowWithoutRoomForSingleRunnersStatesTheTimeForAll)
+{
+  ShardRow row;
+  row.mOwner = "a";
+  row.mLeasesEndMs = 9;
+  row.mCommonLeasesEndMs = 5;
+  const std::string name(60, 'n');
+  for (int i = 0; i < 600; ++i) {
+    row.mRunnerLeasesEndMs.emplace(name + std::to_string(i), 9);
+  }
+  row.mPending.emplace("queue", 3);
+  const std::optional<ShardRow> whole = ParseShardRow(FormatShardRow(row));
+  LONGS_EQUAL(5, whole->mCommonLeasesEndMs);
+  CHECK_TRUE(row.mRunnerLeasesEndMs == whole->mRunnerLeasesEndMs);
+  constexpr std::size_t kSmallBound = 14000;
+  const std::string text = FormatShardRow(row, kSmallBound);
+  CHECK_TRUE(text.size() <= kSmallBound);
+  const std::optional<ShardRow> read = ParseShardRow(text);
+  LONGS_EQUAL(9, read->mLeasesEndMs);
+  LONGS_EQUAL(0, read->mCommonLeasesEndMs);
+  CHECK_TRUE(read->mRunnerLeasesEndMs.empty());
+  LONGS_EQUAL(3, read->mPending.at("queue"));
+}
+
 // Guards against rows that outgrow the figures in the table of
 // docs/platform.md, which hold for names of 60 bytes and the largest numbers.
 TEST(Cluster, RowsHaveTheDocumentedSizes)
@@ -229,6 +256,12 @@
   shard.mStartWaitMs = INT64_MAX;
   shard.mTakesMovedJobs = true;
   LONGS_EQUAL(544, FormatShardRow(shard).size());
+  shard.mCommonLeasesEndMs = INT64_MAX;
+  LONGS_EQUAL(587, FormatShardRow(shard).size());
+  shard.mRunnerLeasesEndMs.emplace(name, INT64_MAX);
+  LONGS_EQUAL(695, FormatShardRow(shard).size());
+  shard.mRunnerLeasesEndMs.emplace(name + "2", INT64_MAX);
+  LONGS_EQUAL(779, FormatShardRow(shard).size());
 }
 
 // Guards against leaving out numbers of pending jobs that fit, see the table of
--- a/Tests/LibNode/TestRunnerList.cpp
+++ b/Tests/LibNode/TestRunnerList.cpp
@@ -305,6 +305,9 @@
     row.mOwner.clear();
     row.mEpoch += 1;
     row.mLeasesEndMs += 6000;
+    // They know no other end of leases.
+    row.mCommonLeasesEndMs = 0;
+    row.mRunnerLeasesEndMs.clear();
     std::string text = FormatShardRow(row);
     if (earlierVersion) {
       const std::string member =
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1119,6 +1119,82 @@
   mFailures.Check();
 }
 
+// Guards against a task that runs twice because a second change of owner
+// forgets until when a late renewal may have extended the leases on a restarted
+// runner, which neither owner reaches.
+TEST(TakeoverSimulation, ALateRenewalDoublesNoTaskAfterTwoChanges)
+{
+  for (const int lateness : { 2000, 4000, 6000, 7000 }) {
+    for (const int between : { 100, 1000, 2500 }) {
+      Scenario scenario(4);
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = id != scenario.mRunner;
+      }
+      cluster.AdvanceTime(Seconds(2));
+      cluster.SetPath(
+        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
+      cluster.AdvanceTime(Millis(1100));
+      cluster.RestartRunner(scenario.mRunner);
+      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      cluster.AdvanceTime(Millis(1500));
+      scenario.CutFromOtherNodes();
+      cluster.KillNode(scenario.mOwner);
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = false;
+      }
+      const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
+      cluster.AdvanceTime(Millis(between));
+      cluster.KillNode(next);
+      cluster.AdvanceTime(Seconds(25));
+      mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
+                      Text(Millis(between)) + " after the first change",
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
+// Guards against a new owner that waits for a time in the shard's row although
+// its runner has left the list, and against one that takes the time of an
+// earlier version's row for that of single runners.
+TEST(TakeoverSimulation, ATimeOfARunnerThatIsNotListedDelaysNoTask)
+{
+  for (const bool earlierVersion : { false, true }) {
+    Scenario scenario;
+    ClusterSimulation& cluster = scenario.mCluster;
+    for (const char* node : { "a", "b", "c" }) {
+      cluster.KillNode(node);
+    }
+    const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+    ShardRow row = cluster.Shard();
+    row.mLeasesEndMs += 12000;
+    row.mRunnerLeasesEndMs["gone"] = row.mLeasesEndMs;
+    if (earlierVersion) {
+      row.mCommonLeasesEndMs = 0;
+      row.mRunnerLeasesEndMs.clear();
+    }
+    StoreTransaction transaction;
+    transaction.mPuts.push_back({ kClusterTable,
+                                  cluster.mPartitions.OfShards(),
+                                  ShardKey(0),
+                                  FormatShardRow(row),
+                                  0,
+                                  false });
+    cluster.mStore.Port().mTransact(
+      transaction, Millis(0), [](const TransactionOutcome&) {});
+    const MonotonicTime lostAt = cluster.mNow;
+    for (const char* node : { "a", "b", "c" }) {
+      cluster.StartNode(node);
+    }
+    const std::string late =
+      scenario.CheckRunning(tasks, lostAt, lostAt + Seconds(9));
+    CHECK_EQUAL(earlierVersion, !late.empty());
+    STRCMP_EQUAL("", cluster.Overlap().c_str());
+  }
+}
+
 // Guards against an owner that gives up its tasks, or starts no more, while the
 // store is unavailable for nine seconds although all runners answer.
 TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
