LibNode: State the end of leases on a restarted runner before its first task

What callers might see: a task runs twice for about 1 s (TWICE) after a change of owner.

Cause: after a runner has restarted, no task is started there before a row of the shard is stored that tells until when late renewals may extend its leases. That row left out runners without tasks, and the runner has none before its first start. An owner that was killed before its next renewal left no statement.

Change: the row states the time for each restarted runner that may get tasks.

--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -102,10 +102,12 @@
       ends.emplace(id, end);
     }
   }
-  for (const dispatch::Runner& runner : mDispatcher.mRunners) {
+  for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
+    const dispatch::Runner& runner = mDispatcher.mRunners[i];
     // A late renewal for the former process of a runner may extend the leases
-    // of the new one.
-    if (runner.mRestartSeenAt > MonotonicTime{} && !runner.mTasks.empty()) {
+    // of the new one. It is stated before the first task is started there.
+    if (runner.mRestartSeenAt > MonotonicTime{} &&
+        !dispatch::HasLeft(mDispatcher, i)) {
       MonotonicTime& end = ends[runner.mSpec.mId];
       end = std::max(end,
                      runner.mRestartSeenAt + settings.mLongestOrderDelay +
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1119,6 +1119,40 @@
   mFailures.Check();
 }
 
+// Guards against the same hazard as ALateRenewalOfARestartedRunnerDoublesNoTask
+// for a task that has just been started on the new process: the shard's row
+// must state the end of its leases before.
+TEST(TakeoverSimulation, ALateRenewalDoublesNoTaskThatHasJustBegun)
+{
+  for (const int lateness : { 2000, 4000, 6000 }) {
+    for (int killedAfter = 200; killedAfter <= 1400; killedAfter += 25) {
+      Scenario scenario(4);
+      ClusterSimulation& cluster = scenario.mCluster;
+      cluster.AdvanceTime(Seconds(1));
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = id != scenario.mRunner;
+      }
+      cluster.AdvanceTime(Seconds(2));
+      cluster.SetPath(
+        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
+      cluster.AdvanceTime(Millis(1100));
+      cluster.RestartRunner(scenario.mRunner);
+      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      cluster.AdvanceTime(Millis(killedAfter));
+      scenario.CutFromOtherNodes();
+      cluster.KillNode(scenario.mOwner);
+      for (auto& [id, runner] : cluster.mRunners) {
+        runner.mDraining = false;
+      }
+      cluster.AdvanceTime(Seconds(25));
+      mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
+                      Text(Millis(killedAfter)) + " after the restart",
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against a task that runs twice because a second change of owner
 // forgets until when a late renewal may have extended the leases on a restarted
 // runner, which neither owner reaches.
@@ -1156,6 +1190,24 @@
   mFailures.Check();
 }
 
+// Guards against an owner of an earlier version, which knows only the time that
+// covers all runners, and would start the tasks of a restarted one too early.
+TEST(TakeoverSimulation, TheTimeForAllRunnersCoversARestartedOne)
+{
+  Scenario scenario;
+  ClusterSimulation& cluster = scenario.mCluster;
+  cluster.RestartRunner(scenario.mRunner);
+  cluster.AdvanceTime(Seconds(1));
+  const ShardRow row = cluster.Shard();
+  LONGS_EQUAL(1, row.mRunnerLeasesEndMs.size());
+  const std::int64_t endMs = row.mRunnerLeasesEndMs.at(scenario.mRunner);
+  CHECK_TRUE(endMs > row.mCommonLeasesEndMs + 10000);
+  LONGS_EQUAL(endMs, row.mLeasesEndMs);
+  cluster.AdvanceTime(Seconds(20));
+  CHECK_TRUE(cluster.Shard().mRunnerLeasesEndMs.empty());
+  LONGS_EQUAL(cluster.Shard().mCommonLeasesEndMs, cluster.Shard().mLeasesEndMs);
+}
+
 // Guards against a new owner that waits for a time in the shard's row although
 // its runner has left the list, and against one that takes the time of an
 // earlier version's row for that of single runners.
