PlatformAdapter: Acknowledge ends only to the process that reported them

Cause: each renewal carried the number of the last stored end of the runner's former process. The new one numbers its ends anew and forgot those up to that number, which the owner had never read.

Change: the first renewal after a lost connection acknowledges nothing. What is sent on a connection that has brought a list of runs reaches the process that sent it, or none.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -47,10 +47,10 @@
 
 /// @return the request as it is sent
 std::string
-Serialize(const HttpCall& aCall, std::string_view aHost)
+Serialize(const HttpCall& aCall, std::string_view aBody, std::string_view aHost)
 {
   std::string text;
-  text.reserve(160 + aCall.mTarget.size() + aCall.mBody.size());
+  text.reserve(160 + aCall.mTarget.size() + aBody.size());
   text += aCall.mMethod;
   text += ' ';
   text += aCall.mTarget;
@@ -63,13 +63,13 @@
     text += value;
     text += "\r\n";
   }
-  if (!aCall.mBody.empty()) {
+  if (!aBody.empty()) {
     text += "Content-Type: application/json\r\n";
   }
   text += "Content-Length: ";
-  text += std::to_string(aCall.mBody.size());
+  text += std::to_string(aBody.size());
   text += "\r\n\r\n";
-  text += aCall.mBody;
+  text += aBody;
   return text;
 }
 
@@ -233,6 +233,9 @@
   Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
   MonotonicTime mLatestAnsweredCall; ///< When that one was sent.
+  /// Whether the peer is certainly the process that the latest answer is from,
+  /// and which has been identified.
+  bool mPeerKnown = false;
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mIdle;
@@ -465,7 +468,11 @@
     Withdraw(aConnection);
     return;
   }
-  aConnection->mOutgoing = Serialize(aConnection->mCurrent->mCall, mAddress);
+  const HttpCall& call = aConnection->mCurrent->mCall;
+  aConnection->mOutgoing = Serialize(
+    call,
+    mPeerKnown ? call.mBody : call.mBodyForUnknownPeer.value_or(call.mBody),
+    mAddress);
   ExpectAnswer(*aConnection);
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
@@ -620,6 +627,9 @@
       ServeQueueAfterRest();
     }
   }
+  // This also holds if the connection was closed after the answer: a peer that
+  // closes each one would otherwise never be known.
+  mPeerKnown = connection.mHistory.mPeerIdentified;
   done(std::move(aAnswer));
 }
 
@@ -630,6 +640,7 @@
     return;
   }
   aConnection->mClosed = true;
+  mPeerKnown = false;
   error_code ignored;
   aConnection->mSocket.close(ignored);
   std::erase(mConnections, aConnection);
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -34,6 +34,8 @@
 {
   /// Reading of the peer's clock in the latest answer.
   std::optional<std::int64_t> mPeerClockMs;
+  /// Whether one has told which process the peer is.
+  bool mPeerIdentified = false;
 };
 
 /// Decides about the answer to a call from its content. It must find Earlier
@@ -50,6 +52,10 @@
   HttpHeaders mHeaders;
   std::string mBody;
   Millis mTimeout{ 1000 };
+  /// Body to send instead of mBody if another process may have taken the peer's
+  /// place since it was identified: a connection was lost since, or the peer
+  /// was never identified, see AnswerHistory::mPeerIdentified.
+  std::optional<std::string> mBodyForUnknownPeer = std::nullopt;
   /// The time-out starts anew once a connection has been opened for the call.
   /// Otherwise, repetitions on new connections may never be answered over a
   /// slow link, because opening one takes as long as an answer.
--- /dev/null
+++ b/Tests/Platform/TestRunnerClient.cpp
@@ -0,0 +1,200 @@
+// Boost 1.74's coroutine support needs <utility> before Asio.
+#include <utility>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <LibTime/BootClock.h>
+
+#include "../../platform/RunnerClient.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace paddle;
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// A runner on the loopback address that answers renewals, and notes up to
+/// which end each of them acknowledges its ends.
+class FakeRunner
+{
+public:
+  explicit FakeRunner(boost::asio::io_context& aLoop)
+    : mLoop(aLoop)
+    , mAcceptor(aLoop,
+                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+  {
+    Accept();
+  }
+
+  [[nodiscard]] std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+  /// Ends all connections, as a restart does.
+  void CloseConnections()
+  {
+    for (const ConnectionPtr& connection : std::exchange(mConnections, {})) {
+      error_code ignored;
+      connection->mSocket.close(ignored);
+    }
+  }
+
+  std::vector<std::string> mAcknowledged; ///< Texts of last_seen, in order.
+  bool mHealthy = true;                   ///< Otherwise the status is 503.
+  bool mKeepsConnections = true;
+
+private:
+  struct Connection
+  {
+    explicit Connection(boost::asio::io_context& aLoop)
+      : mSocket(aLoop)
+    {
+    }
+    tcp::socket mSocket;
+    std::array<char, 1024> mBuffer{};
+    std::string mIncoming;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Accept()
+  {
+    auto connection = std::make_shared<Connection>(mLoop);
+    mAcceptor.async_accept(connection->mSocket,
+                           [this, connection](error_code aError) {
+                             if (!aError) {
+                               mConnections.push_back(connection);
+                               Read(connection);
+                               Accept();
+                             }
+                           });
+  }
+
+  void Read(const ConnectionPtr& aConnection)
+  {
+    aConnection->mSocket.async_read_some(
+      boost::asio::buffer(aConnection->mBuffer),
+      [this, aConnection](error_code aError, std::size_t aCount) {
+        if (aError) {
+          return;
+        }
+        aConnection->mIncoming.append(aConnection->mBuffer.data(), aCount);
+        if (aConnection->mIncoming.ends_with('}')) {
+          Answer(aConnection, std::exchange(aConnection->mIncoming, {}));
+        }
+        Read(aConnection);
+      });
+  }
+
+  void Answer(const ConnectionPtr& aConnection, const std::string& aRequest)
+  {
+    const std::string member = "\"last_seen\":";
+    const std::size_t at = aRequest.find(member) + member.size();
+    mAcknowledged.push_back(
+      aRequest.substr(at, aRequest.find_first_of(",}", at) - at));
+    mClockMs += 10;
+    const std::string clock = R"({"clock_ms":)" + std::to_string(mClockMs);
+    const std::string body =
+      mHealthy ? clock + R"(,"born":1,"running":[],"finished":[]})"
+               : clock + "}";
+    const std::string answer =
+      std::string(mHealthy ? "HTTP/1.1 200 OK\r\n"
+                           : "HTTP/1.1 503 Service Unavailable\r\n") +
+      (mKeepsConnections ? "" : "Connection: close\r\n") +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    boost::asio::write(aConnection->mSocket, boost::asio::buffer(answer));
+  }
+
+  boost::asio::io_context& mLoop;
+  tcp::acceptor mAcceptor;
+  std::vector<ConnectionPtr> mConnections;
+  std::int64_t mClockMs = 1000;
+};
+
+} // namespace
+
+TEST_GROUP(RunnerClient)
+{
+  boost::asio::io_context mLoop{ 1 };
+  Deadlines mDeadlines;
+  FakeRunner mRunner{ mLoop };
+  platform::RunnerClient mClient{ mLoop, mDeadlines, [](std::string) {} };
+  RunnerPort mPort = mClient.Port();
+
+  /// Sends a renewal that acknowledges the ends up to 7.
+  /// @return its result
+  RunnerResult Renew()
+  {
+    RenewalOrder order;
+    order.mFencingToken = 3;
+    order.mAcknowledgedEnd = 7;
+    std::optional<RunnerResult> result;
+    mPort.mRenew(
+      { mRunner.Address(), "i-1" }, order, [&](const RenewalOutcome& aOutcome) {
+        result = aOutcome.mResult;
+      });
+    while (!result) {
+      mLoop.restart();
+      mLoop.run_one_for(Millis(10));
+      mDeadlines.Expire(BootTime());
+    }
+    return *result;
+  }
+
+  void CheckAcknowledged(const char* aTexts)
+  {
+    std::string texts;
+    for (const std::string& text : mRunner.mAcknowledged) {
+      texts += (texts.empty() ? "" : " ") + text;
+    }
+    STRCMP_EQUAL(aTexts, texts.c_str());
+  }
+};
+
+// Guards against ends that a restarted runner forgets unread, because a renewal
+// carries the number of an end of its former process: their tasks would run
+// again although they are done.
+TEST(RunnerClient, ARenewalAcknowledgesNothingToAnUnknownProcess)
+{
+  Renew();
+  Renew();
+  mRunner.CloseConnections();
+  while (Renew() != RunnerResult::Done) {
+    // The renewal was sent on the connection that has ended.
+  }
+  Renew();
+  CheckAcknowledged("0 7 0 7");
+}
+
+// Guards against taking the process for known by an answer that does not tell
+// which one it is.
+TEST(RunnerClient, AnUnhealthyRunnerDoesNotTellItsProcess)
+{
+  mRunner.mHealthy = false;
+  Renew();
+  Renew();
+  mRunner.mHealthy = true;
+  Renew();
+  Renew();
+  CheckAcknowledged("0 0 0 7");
+}
+
+// Guards against ends that are never acknowledged to a runner that closes each
+// connection after its answer.
+TEST(RunnerClient, ARunnerThatClosesConnectionsIsKnownByItsAnswers)
+{
+  mRunner.mKeepsConnections = false;
+  Renew();
+  Renew();
+  Renew();
+  CheckAcknowledged("0 7 7");
+}
