--- a/Tests/Platform/TestRunnerClient.cpp
+++ b/Tests/Platform/TestRunnerClient.cpp
@@ -127,7 +127,8 @@
   boost::asio::io_context mLoop{ 1 };
   Deadlines mDeadlines;
   FakeRunner mRunner{ mLoop };
-  platform::RunnerClient mClient{ mLoop, mDeadlines, [](std::string) {} };
+  platform::RunnerClient mClient{ mLoop, mDeadlines, [](const std::string&) {
+                                 } };
   RunnerPort mPort = mClient.Port();
 
   /// Sends a renewal that acknowledges the ends up to 7.
