LibDispatch: Complete no cancelled job by the end of an earlier run

Change: such an end is logged and changes nothing. The function that logs ends is named after what it logs.

Evidence: AFirstRunDoesNotCompleteACancelledJob fails without the change.

--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -256,16 +256,17 @@
   AdvanceJob(aDispatcher, aTask, aNow);
 }
 
-/// Logs an end that doesn't change its task.
+/// Logs an end as done or failed that is not that of the task's latest run, or
+/// of a task that is done.
 void
-LogEndWithoutEffect(const Dispatcher& aDispatcher,
-                    std::string_view aEvent,
-                    const Runner& aRunner,
-                    const EndEntry& aEnd,
-                    const TaskRef& aTask)
+LogUnexpectedEnd(const Dispatcher& aDispatcher,
+                 std::string_view aEvent,
+                 const Runner& aRunner,
+                 const EndEntry& aEnd,
+                 const TaskRef& aTask)
 {
   if (aEnd.mKind != EndKind::Done && aEnd.mKind != EndKind::Failed) {
-    return; // Most of these were ordered here.
+    return; // Most of the others were ordered here.
   }
   const Task& task = TaskOf(aTask);
   Emit(
@@ -308,12 +309,11 @@
   if (task.mPhase == TaskPhase::Elsewhere) {
     // All runs had ended here, or their leases had, before the task was handed
     // over.
-    LogEndWithoutEffect(
-      aDispatcher, "end_of_task_elsewhere", runner, aEnd, ref);
+    LogUnexpectedEnd(aDispatcher, "end_of_task_elsewhere", runner, aEnd, ref);
     return;
   }
   if (IsDone(task)) {
-    LogEndWithoutEffect(aDispatcher, "end_superfluous", runner, aEnd, ref);
+    LogUnexpectedEnd(aDispatcher, "end_superfluous", runner, aEnd, ref);
     if (present) {
       EndRun(aDispatcher, ref, RunOutcome::Interrupted, 0, {}, aNow, aActions);
     }
@@ -323,7 +323,10 @@
       SpecOf(ref).mKind == StepKind::Finite) {
     // The first run to finish counts, whatever has become of a later one: once
     // the end is acknowledged, no owner hears of it again.
-    LogEndWithoutEffect(aDispatcher, "other_run_done", runner, aEnd, ref);
+    LogUnexpectedEnd(aDispatcher, "other_run_done", runner, aEnd, ref);
+    if (ref.mJob->mPhase != JobPhase::Active) {
+      return; // Its runs are being stopped, and nothing of it is started.
+    }
     ref.mJob->mBegan = true;
     UpdateRunnerHealth(
       aDispatcher, runner, ref.mJob->mSpec.mId, RunOutcome::Done, aNow);
@@ -336,7 +339,7 @@
     present || aEnd.mRun > task.mRun ||
     (aEnd.mRun == task.mRun && task.mPhase == TaskPhase::Waiting);
   if (!latest) {
-    LogEndWithoutEffect(aDispatcher, "end_of_former_run", runner, aEnd, ref);
+    LogUnexpectedEnd(aDispatcher, "end_of_former_run", runner, aEnd, ref);
     if (aEnd.mKind == EndKind::Failed) {
       CountFailure(aDispatcher, ref, aEnd.mRun, aNow, aActions);
     }
--- a/Tests/LibDispatch/TestTaskEnds.cpp
+++ b/Tests/LibDispatch/TestTaskEnds.cpp
@@ -152,6 +152,22 @@
   CheckDoneForGood(world);
 }
 
+// Guards against a cancelled job that is shown as completed, because the first
+// run of its last task ends while the copy is being stopped.
+TEST(TaskEnds, AFirstRunDoesNotCompleteACancelledJob)
+{
+  DispatchWorld world;
+  const CopyUnderWay copy =
+    StartCopySlowly(world, Seconds(3), MakeJob("job", { CopiedStep(1) }));
+  CancelJob(world.mDispatcher, "job", world.mNow, world.mActions);
+  world.PerformOrders();
+  EndFirstRun(world, copy, EndKind::Done);
+  world.AdvanceTime(Seconds(20));
+  CHECK_TRUE(world.mEndedJobs["job"] == JobPhase::Cancelled);
+  LONGS_EQUAL(0, world.RunningTasks());
+  CHECK_TRUE(world.mDispatcher.mJobs.empty());
+}
+
 // Guards against a runner that gets more than its room: a copy whose task is
 // done may be started late, and keeps its place until that is impossible.
 TEST(TaskEnds, ACopyOfADoneTaskKeepsItsPlace)
