--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -64,6 +64,33 @@
     }
   }
 
+  /// Restarts mRunner, which alone gets tasks from then on, while a renewal for
+  /// its former process is under way.
+  /// @param aLateness time after which that renewal is carried out
+  void RestartRunnerDuringARenewal(Millis aLateness)
+  {
+    mCluster.AdvanceTime(Seconds(1));
+    for (auto& [id, runner] : mCluster.mRunners) {
+      runner.mDraining = id != mRunner;
+    }
+    mCluster.AdvanceTime(Seconds(2));
+    mCluster.SetPath(mOwner, mRunner, { false, aLateness });
+    mCluster.AdvanceTime(Millis(1100));
+    mCluster.RestartRunner(mRunner);
+    mCluster.SetPath(mOwner, mRunner, kHealed);
+  }
+
+  /// Kills the owner. No other node reaches mRunner, and all runners may get
+  /// tasks again.
+  void KillOwnerBesideCutOffRunner()
+  {
+    CutFromOtherNodes();
+    mCluster.KillNode(mOwner);
+    for (auto& [id, runner] : mCluster.mRunners) {
+      runner.mDraining = false;
+    }
+  }
+
   /// Advances the clock until the shard has the owner after @p aEpoch.
   /// @return the owner's name
   std::string AwaitOwnerAfter(std::int64_t aEpoch)
@@ -1038,22 +1065,9 @@
     for (const int killedAfter : { 1500, 2500, 4000 }) {
       Scenario scenario(4);
       ClusterSimulation& cluster = scenario.mCluster;
-      cluster.AdvanceTime(Seconds(1));
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = id != scenario.mRunner;
-      }
-      cluster.AdvanceTime(Seconds(2));
-      cluster.SetPath(
-        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
-      cluster.AdvanceTime(Millis(1100));
-      cluster.RestartRunner(scenario.mRunner);
-      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      scenario.RestartRunnerDuringARenewal(Millis(lateness));
       cluster.AdvanceTime(Millis(killedAfter));
-      scenario.CutFromOtherNodes();
-      cluster.KillNode(scenario.mOwner);
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = false;
-      }
+      scenario.KillOwnerBesideCutOffRunner();
       cluster.AdvanceTime(Seconds(25));
       mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
                       Text(Millis(killedAfter)) + " after the restart",
@@ -1128,22 +1142,9 @@
     for (int killedAfter = 200; killedAfter <= 1400; killedAfter += 25) {
       Scenario scenario(4);
       ClusterSimulation& cluster = scenario.mCluster;
-      cluster.AdvanceTime(Seconds(1));
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = id != scenario.mRunner;
-      }
-      cluster.AdvanceTime(Seconds(2));
-      cluster.SetPath(
-        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
-      cluster.AdvanceTime(Millis(1100));
-      cluster.RestartRunner(scenario.mRunner);
-      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      scenario.RestartRunnerDuringARenewal(Millis(lateness));
       cluster.AdvanceTime(Millis(killedAfter));
-      scenario.CutFromOtherNodes();
-      cluster.KillNode(scenario.mOwner);
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = false;
-      }
+      scenario.KillOwnerBesideCutOffRunner();
       cluster.AdvanceTime(Seconds(25));
       mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
                       Text(Millis(killedAfter)) + " after the restart",
@@ -1162,22 +1163,9 @@
     for (const int between : { 100, 1000, 2500 }) {
       Scenario scenario(4);
       ClusterSimulation& cluster = scenario.mCluster;
-      cluster.AdvanceTime(Seconds(1));
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = id != scenario.mRunner;
-      }
-      cluster.AdvanceTime(Seconds(2));
-      cluster.SetPath(
-        scenario.mOwner, scenario.mRunner, { false, Millis(lateness) });
-      cluster.AdvanceTime(Millis(1100));
-      cluster.RestartRunner(scenario.mRunner);
-      cluster.SetPath(scenario.mOwner, scenario.mRunner, kHealed);
+      scenario.RestartRunnerDuringARenewal(Millis(lateness));
       cluster.AdvanceTime(Millis(1500));
-      scenario.CutFromOtherNodes();
-      cluster.KillNode(scenario.mOwner);
-      for (auto& [id, runner] : cluster.mRunners) {
-        runner.mDraining = false;
-      }
+      scenario.KillOwnerBesideCutOffRunner();
       const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
       cluster.AdvanceTime(Millis(between));
       cluster.KillNode(next);
