--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1527,7 +1527,9 @@
 // mix of faults.
 TEST(TakeoverSimulation, ALongRunningTaskIsBackAfterAMixOfFaults)
 {
-  mFailures.Add("seed 701", RandomSchedule(701).Play());
+  for (const std::uint64_t seed : { 372, 627, 701, 1001 }) {
+    mFailures.Add("seed " + std::to_string(seed), RandomSchedule(seed).Play());
+  }
   mFailures.Check();
 }
 
