LibDispatch, LibNode: Fence restarted runners against orders to the former process

What callers saw: tasks whose end as done had been acknowledged ran again, several of one runner at a time, or ran on two runners.

Cause: the fencing token of an order tells owners of a shard apart, but not the processes of a runner. A new process has seen no token, knows of no stop, and its clock and its numbers of ends begin anew; so it carries out whatever its owner had sent to the former one: starts, renewals that extend leases, and renewals that acknowledge ends. Class: an order to a former process acts on the next one.

An order that is rejected because the runner's token was raised since does not cost the shard. A stop that a former process has answered does not count for the new one.

Evidence: with tokens that don't rise, these fail: FencingTokens ALateStartAtARestartedRunnerRunsNoDoneTask, ...DoublesNoRunningTask, TheAnswerThatTellsOfARestartDoesNotCount, Runners ALateStartAtARestartedRunnerDoublesNoTask, Takeover WaitsForAnUnansweredStartAfterAnAnswerOfTheNewProcess and Node AnOutdatedOrderToARestartedRunnerCostsNoShard. All of TestLibDispatch and TestLibNode pass. Of the red schedules of ALateOrderAtARestartedRunnerDoublesNoTask three of six hold; in the others the order arrives within 0.7 s of the restart, before the first contact.

Tests changed: the shard's epoch rises by NextEpoch() instead of 1. Runners.ALateStartAtARestartedRunnerDoublesNoTask required that the task waits for 11.4 s; the late order now has its token, and the task must run once, and run.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -142,7 +142,8 @@
 struct Dispatcher
 {
   DispatchSettings mSettings;
-  std::int64_t mEpoch = 0;   ///< Fencing token of every order.
+  /// Lowest fencing token of the orders of this owner, see FencingTokens.h.
+  std::int64_t mEpoch = 0;
   std::int64_t mNextRun = 1; ///< Number of the next run.
   /// Time until which runners that have not answered this owner may still run
   /// tasks of an earlier owner, but for Runner::mExtendedLeasesExpireAt.
@@ -495,6 +496,7 @@
 /// Content of the next lease renewal of a runner.
 struct RenewalPlan
 {
+  std::int64_t mFencingToken = 0;
   /// The runner's ends up to this number are stored, and it may forget them.
   std::int64_t mAcknowledgedEnd = 0;
   /// End of the leases of its runs, on the runner's clock. 0: no lease is
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include <LibDispatch/FencingTokens.h>
 #include <LibDispatch/PreferredRacks.h>
 #include <LibDispatch/Speculation.h>
 
@@ -696,6 +697,7 @@
     // process and does not tell until when the new one may carry it out.
     const bool startOrderExpired =
       startLeaseEnded ||
+      RejectsStartOrder(aDispatcher.mRunners[aRunner], task) ||
       aSentAt - task.mStartedAt >
         kLatestSend + aDispatcher.mSettings.mLongestOrderDelay;
     const bool settled =
@@ -1022,6 +1024,7 @@
     runner.mHighestLeaseMs =
       aReport.mClockMs + aDispatcher.mSettings.mMaxLease.count();
   }
+  NoteTokenSeen(aDispatcher, aRunner, aReport, aNow);
   UpdateLeaseExpiry(aDispatcher, runner);
 
   BeginReportedOccurrences(aDispatcher, aReport, aNow);
--- a/Libraries/LibDispatch/Runner.h
+++ b/Libraries/LibDispatch/Runner.h
@@ -203,6 +203,14 @@
   MonotonicTime mClockRequestedAt; ///< When the request for it was sent.
   /// When this owner learned that the runner has a new process.
   MonotonicTime mRestartSeenAt;
+  /// Number of new processes under its id that this owner has learned of.
+  std::int64_t mRestarts = 0;
+  /// Whether the present process may carry out orders to a former one, which
+  /// arrive late: it has not answered yet to its own fencing token. It gets no
+  /// task until then.
+  bool mTakesFormerOrders = false;
+  MonotonicTime mFormerOrdersEndedAt; ///< When that answer arrived.
+  std::int64_t mRenewalToken = 0;     ///< Fencing token of the latest renewal.
   /// Latest lease end that was ever sent to the runner, on its own clock.
   std::int64_t mHighestLeaseMs = 0;
   /// Time on this process's clock from which all leases have certainly ended.
--- a/Libraries/LibDispatch/RunnerRating.cpp
+++ b/Libraries/LibDispatch/RunnerRating.cpp
@@ -263,7 +263,8 @@
         aDispatcher.mSettings.mMaxClockReadingAge) {
     return Obstacle::NotLive;
   }
-  if (aRunner.mRestartSeenAt > aDispatcher.mRenewedAt) {
+  if (aRunner.mTakesFormerOrders ||
+      aRunner.mFormerOrdersEndedAt > aDispatcher.mRenewedAt) {
     // A renewal that was meant for its former process may have extended its
     // leases beyond the limit that the store knows.
     return Obstacle::NotLive;
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include <LibDispatch/AccountBudget.h>
+#include <LibDispatch/FencingTokens.h>
 
 namespace paddle::dispatch {
 
@@ -125,6 +126,7 @@
             Actions& aActions)
 {
   Runner& runner = aDispatcher.mRunners[aRunner];
+  RaiseToken(runner, aNow);
   // A start order that the former process did not answer may still reach the
   // new process, which would carry it out. Its run is therefore stopped first.
   // An order that was answered may have been carried out by the new process as
@@ -170,7 +172,6 @@
   runner.mOnProbation = false;
   runner.mSpec.mIncarnation = aIncarnation;
   runner.mSpecOutdated = true;
-  runner.mRestartSeenAt = aNow;
   runner.mPhase = RunnerPhase::AwaitingReport;
   for (const TaskRef& ref : unanswered) {
     BeginStop(aDispatcher, ref, StopCause::StartUnanswered, aNow, aActions);
@@ -179,7 +180,9 @@
        "runner_restarted",
        nullptr,
        "runner=" + runner.mSpec.mId +
-         " incarnation=" + std::to_string(aIncarnation));
+         " incarnation=" + std::to_string(aIncarnation) +
+         " token=" + std::to_string(FencingTokenFor(aDispatcher, aRunner)) +
+         " unanswered_starts=" + std::to_string(unanswered.size()));
 }
 
 void
@@ -517,11 +520,14 @@
   Runner& runner = aDispatcher.mRunners[aRunner];
   const DispatchSettings& settings = aDispatcher.mSettings;
   RenewalPlan plan;
+  plan.mFencingToken = FencingTokenFor(aDispatcher, aRunner);
+  runner.mRenewalToken = plan.mFencingToken;
   plan.mAcknowledgedEnd = runner.mHighestStoredEnd;
   const bool mayHaveRuns = !runner.mTasks.empty() || !runner.mOrphans.empty();
-  // A runner with a record is granted no lease until the record is removed, so
-  // its answer is needed at once.
-  if (mayHaveRuns && !runner.mRecordStored) {
+  // A runner with a record is granted no lease until the record is removed, and
+  // a new process takes orders to the former one until it has answered, so
+  // their answers are needed at once.
+  if (mayHaveRuns && !runner.mRecordStored && !runner.mTakesFormerOrders) {
     const OrderLimit& limit = aDispatcher.mOrderLimit;
     plan.mLongPollTimeout =
       runner.mLongRunningTasks > 0 && runner.mBestEffortMilliCores > 0
--- a/Libraries/LibNode/Cluster.cpp
+++ b/Libraries/LibNode/Cluster.cpp
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include <LibBase/JsonReader.h>
+#include <LibDispatch/FencingTokens.h>
 
 namespace paddle {
 
@@ -407,7 +408,7 @@
     if (found != aView.mShardRows.end()) {
       const Observed<ShardRow>& row = found->second;
       claim.mRowVersion = row.mVersion;
-      claim.mEpoch = row.mRow.mEpoch + 1;
+      claim.mEpoch = dispatch::NextEpoch(row.mRow.mEpoch);
       claim.mPending = row.mRow.mPending;
       claim.mPendingAsOfMs = row.mRow.mPendingAsOfMs;
       claim.mEarlierOwner =
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -105,9 +105,9 @@
   for (dispatch::RunnerIndex i = 0; i < mDispatcher.mRunners.size(); ++i) {
     const dispatch::Runner& runner = mDispatcher.mRunners[i];
     // A late renewal for the former process of a runner may extend the leases
-    // of the new one. It is stated before the first task is started there.
-    if (runner.mRestartSeenAt > MonotonicTime{} &&
-        !dispatch::HasLeft(mDispatcher, i)) {
+    // of the new one, until that rejects it. No task is started there before a
+    // renewal of the shard is stored that was sent later.
+    if (runner.mTakesFormerOrders && !dispatch::HasLeft(mDispatcher, i)) {
       MonotonicTime& end = ends[runner.mSpec.mId];
       end = std::max(end,
                      runner.mRestartSeenAt + settings.mLongestOrderDelay +
--- a/Libraries/LibNode/ShardOwner.cpp
+++ b/Libraries/LibNode/ShardOwner.cpp
@@ -290,13 +290,8 @@
         runner.mListed || !runner.mTasks.empty() ||
         runner.mPhase == dispatch::RunnerPhase::AwaitingReport;
       RunnerRenewal& renewal = state.RenewalOf(i);
-      // A new process of a runner has not seen this epoch's token yet, and
-      // would carry out a late order of an earlier owner.
-      const bool unfenced =
-        runner.mPhase == dispatch::RunnerPhase::AwaitingReport &&
-        runner.mRestartSeenAt > renewal.mSentAt;
       if (wanted && !renewal.mInFlight &&
-          (unfenced || aNow >= renewal.mNextRenewalAt)) {
+          (state.AwaitsToken(i) || aNow >= renewal.mNextRenewalAt)) {
         state.Renew(i, aNow);
       }
     }
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -1,3 +1,4 @@
+#include <LibDispatch/FencingTokens.h>
 #include <LibNode/ShardState.h>
 #include <LibTime/BootClock.h>
 
@@ -70,7 +71,7 @@
   renewal.mSentAt = aNow;
   const dispatch::RenewalPlan plan =
     dispatch::PlanRenewal(mDispatcher, aRunner, aNow);
-  const RenewalOrder order{ mDispatcher.mEpoch,
+  const RenewalOrder order{ plan.mFencingToken,
                             plan.mAcknowledgedEnd,
                             plan.mLeaseEndMs,
                             plan.mLongPollTimeout };
@@ -83,6 +84,7 @@
      aRunner,
      aNow,
      address = target.mAddress,
+     token = plan.mFencingToken,
      longPollTimeout = plan.mLongPollTimeout](const RenewalOutcome& aOutcome) {
       if (self->mOwnershipLost) {
         return;
@@ -92,6 +94,12 @@
           self->TargetOf(aRunner).mAddress == address) {
         self->HandleReplaced(aRunner);
       }
+      if (aOutcome.mResult == RunnerResult::Fenced) {
+        self->HandleFenced(aRunner, token, "renew");
+        if (self->mOwnershipLost) {
+          return;
+        }
+      }
       self->HandleRenewal(aRunner, aOutcome, aNow, longPollTimeout);
     });
 }
@@ -107,6 +115,32 @@
   CountFencedRunner(aRunner, INT64_MAX, now);
 }
 
+bool
+ShardOwner::State::AwaitsToken(dispatch::RunnerIndex aRunner) const
+{
+  const dispatch::Runner& runner = mDispatcher.mRunners[aRunner];
+  return runner.mTakesFormerOrders &&
+         runner.mRenewalToken < dispatch::FencingTokenFor(mDispatcher, aRunner);
+}
+
+void
+ShardOwner::State::HandleFenced(dispatch::RunnerIndex aRunner,
+                                std::int64_t aToken,
+                                std::string_view aOrder)
+{
+  if (aToken == dispatch::FencingTokenFor(mDispatcher, aRunner)) {
+    LoseOwnership("fenced");
+    return;
+  }
+  // The order was sent before this owner learned of the runner's new process,
+  // which has seen a higher token since.
+  Log(LogLevel::Info,
+      "order_outdated",
+      "order=" + std::string(aOrder) +
+        " runner=" + mDispatcher.mRunners[aRunner].mSpec.mId +
+        " token=" + std::to_string(aToken));
+}
+
 void
 ShardOwner::State::HandleRenewal(dispatch::RunnerIndex aRunner,
                                  const RenewalOutcome& aOutcome,
@@ -116,10 +150,6 @@
   const MonotonicTime now = mContext.Now();
   RunnerRenewal& renewal = RenewalOf(aRunner);
   renewal.mInFlight = false;
-  if (aOutcome.mResult == RunnerResult::Fenced) {
-    LoseOwnership("fenced");
-    return;
-  }
   if (aOutcome.mResult != RunnerResult::Done) {
     if (renewal.mBackOff == Millis(0) &&
         !mDispatcher.mRunners[aRunner].mTasks.empty()) {
@@ -167,6 +197,15 @@
     BeginCommit(now);
   }
   const dispatch::Runner& runner = mDispatcher.mRunners[aRunner];
+  if (AwaitsToken(aRunner)) {
+    // The answer has told of a new process, which rejects late orders to the
+    // former one only after the next renewal.
+    renewal.mNextRenewalAt = now;
+    if (MayCommandRunners(now)) {
+      Renew(aRunner, now);
+    }
+    return;
+  }
   const bool mayRunTasks = !runner.mTasks.empty() || !runner.mOrphans.empty();
   if (!mayRunTasks && runner.mUnstoredEnds.empty()) {
     renewal.mNextRenewalAt =
@@ -255,7 +294,7 @@
                     aStart.mRun,
                     ref.mJob->mSpec.mPayload,
                     aStart.mLeaseEndMs,
-                    mDispatcher.mEpoch,
+                    dispatch::FencingTokenFor(mDispatcher, aStart.mRunner),
                     task.mCheckpoint,
                     {} };
   const MonotonicTime sentAt = mContext.Now();
@@ -277,13 +316,16 @@
      text,
      run = aStart.mRun,
      index = aStart.mRunner,
+     token = order.mFencingToken,
      sentAt](RunnerResult aResult) {
       if (self->mOwnershipLost) {
         return;
       }
       if (aResult == RunnerResult::Fenced) {
-        self->LoseOwnership("fenced");
-        return;
+        self->HandleFenced(index, token, "start");
+        if (self->mOwnershipLost) {
+          return;
+        }
       }
       dispatch::StartResult result = dispatch::StartResult::Refused;
       if (aResult == RunnerResult::Done) {
@@ -331,23 +373,26 @@
 ShardOwner::State::PerformStop(const dispatch::StopTask& aStop)
 {
   auto self = shared_from_this();
+  const std::int64_t token =
+    dispatch::FencingTokenFor(mDispatcher, aStop.mRunner);
   mContext.mRunners.mStop(
     TargetOf(aStop.mRunner),
-    { dispatch::FormatTaskName(aStop.mTask),
-      aStop.mRun,
-      mDispatcher.mEpoch,
-      0 },
-    [self, aStop](RunnerResult aResult) {
+    { dispatch::FormatTaskName(aStop.mTask), aStop.mRun, token, 0 },
+    [self, aStop, token](RunnerResult aResult) {
       if (self->mOwnershipLost) {
         return;
       }
       if (aResult == RunnerResult::Fenced) {
-        self->LoseOwnership("fenced");
+        self->HandleFenced(aStop.mRunner, token, "stop");
         return;
       }
       if (aResult != RunnerResult::Done) {
         return; // The dispatcher repeats the stop until the run has ended.
       }
+      if (token !=
+          dispatch::FencingTokenFor(self->mDispatcher, aStop.mRunner)) {
+        return; // A former process has answered, which binds no later one.
+      }
       dispatch::HandleStopAnswered(self->mDispatcher,
                                    aStop.mRunner,
                                    aStop.mTask,
@@ -369,7 +414,7 @@
     TargetOf(aPace.mRunner),
     { dispatch::FormatTaskName(aPace.mTask),
       aPace.mRun,
-      mDispatcher.mEpoch,
+      dispatch::FencingTokenFor(mDispatcher, aPace.mRunner),
       aPace.mPacePercent },
     [self, aPace](RunnerResult aResult) {
       if (!self->mOwnershipLost && aResult != RunnerResult::Done) {
--- a/Libraries/LibNode/ShardState.h
+++ b/Libraries/LibNode/ShardState.h
@@ -234,6 +234,17 @@
   void Renew(dispatch::RunnerIndex aRunner, MonotonicTime aNow);
   /// Handles that another process has the address of a runner.
   void HandleReplaced(dispatch::RunnerIndex aRunner);
+  /// @return whether the runner has a new process to which no renewal was sent
+  ///         since: it would carry out late orders to the former one
+  [[nodiscard]] bool AwaitsToken(dispatch::RunnerIndex aRunner) const;
+  /// Handles an order that a runner has rejected because it has seen a higher
+  /// fencing token. Another node owns the shard then, unless the order went to
+  /// a former process of the runner.
+  /// @param aToken token of the order
+  /// @param aOrder name of the order, for the log
+  void HandleFenced(dispatch::RunnerIndex aRunner,
+                    std::int64_t aToken,
+                    std::string_view aOrder);
   /// Handles the answer of a runner to a renewal, or that there was none.
   /// @param aSentAt          when the renewal was sent
   /// @param aLongPollTimeout how long the runner could delay its answer
--- a/Tests/LibDispatch/DispatchWorld.cpp
+++ b/Tests/LibDispatch/DispatchWorld.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <LibDispatch/FencingTokens.h>
+
 namespace paddle::dispatch {
 
 namespace {
@@ -195,7 +197,8 @@
         }
         CarryOutStart(mDispatcher.mRunners[start->mRunner].mSpec.mId,
                       { FormatTaskName(name), start->mRun },
-                      start->mLeaseEndMs);
+                      start->mLeaseEndMs,
+                      FencingTokenFor(mDispatcher, start->mRunner));
         HandleStartResult(mDispatcher,
                           start->mRunner,
                           name,
@@ -229,9 +232,14 @@
 void
 DispatchWorld::CarryOutStart(const std::string& aRunner,
                              const Run& aRun,
-                             std::int64_t aLeaseEndMs)
+                             std::int64_t aLeaseEndMs,
+                             std::int64_t aFencingToken)
 {
   FakeRunner& runner = mRunners.at(aRunner);
+  if (aFencingToken < runner.mFencingToken) {
+    return;
+  }
+  runner.mFencingToken = aFencingToken;
   runner.mRunning.push_back(aRun);
   runner.mLeaseEndMs = std::max(runner.mLeaseEndMs, aLeaseEndMs);
   mMostRunsOfATask = std::max(mMostRunsOfATask, RunsOf(mRunners, aRun.mTask));
@@ -263,10 +271,16 @@
   const RunnerIndex index = aStart.mRunner;
   const std::int64_t run = aStart.mRun;
   mOnTheWay.emplace(mNow + aRoundTrip * 3 / 2,
-                    [this, name, index, run, leaseEndMs = aStart.mLeaseEndMs] {
+                    [this,
+                     name,
+                     index,
+                     run,
+                     leaseEndMs = aStart.mLeaseEndMs,
+                     token = FencingTokenFor(mDispatcher, index)] {
                       CarryOutStart(mDispatcher.mRunners[index].mSpec.mId,
                                     { FormatTaskName(name), run },
-                                    leaseEndMs);
+                                    leaseEndMs,
+                                    token);
                     });
   const Millis answerTime = std::min(aRoundTrip * 2, kOrderTimeout);
   const StartResult result = aRoundTrip * 2 > kOrderTimeout
@@ -314,6 +328,7 @@
     HandleNoReport(mDispatcher, aRunner, mNow);
     return;
   }
+  fake.mFencingToken = plan.mFencingToken;
   std::erase_if(fake.mEnds, [&](const EndEntry& aEnd) {
     const bool noted = aEnd.mNumber <= plan.mAcknowledgedEnd;
     if (noted && aEnd.mKind == EndKind::Done) {
@@ -473,6 +488,7 @@
   runner.mStopped.clear();
   runner.mNextEnd = 1;
   runner.mLeaseEndMs = 0;
+  runner.mFencingToken = 0;
   ++runner.mIncarnation;
   for (RunnerSpec& spec : mListed) {
     if (spec.mId == aRunner) {
--- a/Tests/LibDispatch/DispatchWorld.h
+++ b/Tests/LibDispatch/DispatchWorld.h
@@ -35,6 +35,7 @@
     double mClockRate = 1;
     /// End of the leases of its runs, on its own clock.
     std::int64_t mLeaseEndMs = 0;
+    std::int64_t mFencingToken = 0; ///< Highest token seen.
   };
 
   DispatchWorld();
@@ -88,9 +89,12 @@
   void SendSlowly(const StartTask& aStart, Millis aRoundTrip);
   void SendSlowly(const StopTask& aStop, Millis aRoundTrip);
   // Carry out an order at a runner.
+  /// @param aFencingToken token of the order; a lower one than the runner has
+  ///                      seen has no effect
   void CarryOutStart(const std::string& aRunner,
                      const Run& aRun,
-                     std::int64_t aLeaseEndMs);
+                     std::int64_t aLeaseEndMs,
+                     std::int64_t aFencingToken);
   void CarryOutStop(const std::string& aRunner,
                     const TaskName& aTask,
                     std::int64_t aRun);
--- a/Tests/LibDispatch/TestAccountBudget.cpp
+++ b/Tests/LibDispatch/TestAccountBudget.cpp
@@ -11,6 +11,8 @@
 #include <LibDispatch/JobMoves.h>
 #include <LibDispatch/JobParts.h>
 
+#include <LibDispatch/FencingTokens.h>
+
 #include "DispatchWorld.h"
 
 #include <CppUTest/TestHarness.h>
@@ -163,17 +165,21 @@
             world.mDispatcher.mRunners[lost.mRunner].mSpec.mId;
           const DispatchWorld::Run run{ FormatTaskName(NameOf(lost.mTask)),
                                         lost.mRun };
-          late.emplace(world.mNow + Millis(below(12000)),
-                       [&world, runner, run, end = lost.mLeaseEndMs] {
-                         // A runner rejects an order whose lease has ended,
-                         // or whose run it was ordered to stop.
-                         const DispatchWorld::FakeRunner& fake =
-                           world.mRunners[runner];
-                         if (end > world.ClockOf(fake) &&
-                             !fake.mStopped.contains({ run.mTask, run.mRun })) {
-                           world.CarryOutStart(runner, run, end);
-                         }
-                       });
+          late.emplace(
+            world.mNow + Millis(below(12000)),
+            [&world,
+             runner,
+             run,
+             end = lost.mLeaseEndMs,
+             token = FencingTokenFor(world.mDispatcher, lost.mRunner)] {
+              // A runner rejects an order whose lease has ended,
+              // or whose run it was ordered to stop.
+              const DispatchWorld::FakeRunner& fake = world.mRunners[runner];
+              if (end > world.ClockOf(fake) &&
+                  !fake.mStopped.contains({ run.mTask, run.mRun })) {
+                world.CarryOutStart(runner, run, end, token);
+              }
+            });
         }
         world.CheckCap();
         most = std::max(most, world.Running().mMilliCores);
--- a/Tests/LibDispatch/TestRunners.cpp
+++ b/Tests/LibDispatch/TestRunners.cpp
@@ -1,5 +1,7 @@
 #include <string>
 
+#include <LibDispatch/FencingTokens.h>
+
 #include "DispatchWorld.h"
 
 #include <CppUTest/TestHarness.h>
@@ -119,8 +121,10 @@
   world.AdvanceTime(world.mDispatcher.mSettings.mMaxLease - Millis(500));
   LONGS_EQUAL(1, world.mStarts);
   const StartTask& lost = world.mLostStarts[0];
-  world.CarryOutStart(
-    "r0", { FormatTaskName(NameOf(lost.mTask)), lost.mRun }, lost.mLeaseEndMs);
+  world.CarryOutStart("r0",
+                      { FormatTaskName(NameOf(lost.mTask)), lost.mRun },
+                      lost.mLeaseEndMs,
+                      FencingTokenFor(world.mDispatcher, lost.mRunner));
   world.AdvanceTime(Seconds(3));
   LONGS_EQUAL(1, world.mMostRunsOfATask);
 }
@@ -364,17 +368,19 @@
   world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
   world.mDropStarts = false;
   const StartTask lost = world.mLostStarts.at(0);
+  const std::int64_t token = FencingTokenFor(world.mDispatcher, lost.mRunner);
   LONGS_EQUAL(0, lost.mRunner);
   world.AdvanceTime(Millis(500));
   world.Restart("r0");
   world.AdvanceTime(Millis(11400));
-  LONGS_EQUAL(1, world.mStarts);
   world.CarryOutStart("r0",
                       { FormatTaskName(NameOf(lost.mTask)), lost.mRun },
                       world.ClockOf(world.mRunners["r0"]) +
-                        world.mDispatcher.mSettings.mMaxLease.count());
+                        world.mDispatcher.mSettings.mMaxLease.count(),
+                      token);
   world.AdvanceTime(Seconds(5));
   LONGS_EQUAL(1, world.mMostRunsOfATask);
+  CHECK_TRUE(world.IsRunning("job.0.0.0"));
 }
 
 // Guards against a runner that gets no second task while the one that decides
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -1,4 +1,5 @@
 #include <climits>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -668,3 +669,34 @@
   CHECK_TRUE(outcomes[1].mResult == ReadResult::Failed);
   CHECK_TRUE(outcomes[1].mRows.empty());
 }
+
+// Guards against an owner that gives its shard up because a restarted runner
+// rejects an order that was sent before the restart was known.
+TEST(Node, AnOutdatedOrderToARestartedRunnerCostsNoShard)
+{
+  Begin();
+  RunnerPort& runners = mCluster.mNodes.at("a").mContext.mRunners;
+  RunnerTarget target;
+  std::function<void(RunnerResult)> answer;
+  runners.mStart = [&, start = runners.mStart](
+                     const RunnerTarget& aTarget,
+                     const StartOrder& aOrder,
+                     const std::function<void(RunnerResult)>& aDone) {
+    if (answer) {
+      start(aTarget, aOrder, aDone);
+      return;
+    }
+    target = aTarget;
+    answer = aDone;
+  };
+  CHECK_TRUE(mCluster.Submit("a", kJob) == ClientAnswer::Accepted);
+  CHECK_TRUE(answer != nullptr);
+  const std::int64_t epoch = mCluster.Shard().mEpoch;
+  mCluster.RestartRunner(target.mId);
+  mCluster.AdvanceTime(Seconds(3));
+  answer(RunnerResult::Fenced);
+  mCluster.AdvanceTime(Seconds(3));
+  LONGS_EQUAL(epoch, mCluster.Shard().mEpoch);
+  STRCMP_EQUAL("a", mCluster.Shard().mOwner.c_str());
+  LONGS_EQUAL(1, mCluster.Running(kTask));
+}
--- a/Tests/LibNode/TestRunnerList.cpp
+++ b/Tests/LibNode/TestRunnerList.cpp
@@ -2,6 +2,8 @@
 #include <string>
 #include <vector>
 
+#include <LibDispatch/FencingTokens.h>
+
 #include "ClusterSimulation.h"
 
 #include <CppUTest/TestHarness.h>
@@ -336,7 +338,8 @@
       cluster.StartNode(node);
     }
     cluster.AwaitOwner(row.mEpoch + 1, Seconds(30));
-    LONGS_EQUAL(earlierVersion ? row.mEpoch + 1 : row.mRecordsSince,
+    LONGS_EQUAL(earlierVersion ? dispatch::NextEpoch(row.mEpoch)
+                               : row.mRecordsSince,
                 cluster.Shard().mRecordsSince);
     STRCMP_EQUAL("", shard.NotRunningAt(changeAt + Seconds(20)).c_str());
     STRCMP_EQUAL("", cluster.Overlap().c_str());
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <LibDispatch/FencingTokens.h>
+
 #include "ClusterSimulation.h"
 
 #include <CppUTest/TestHarness.h>
@@ -278,7 +280,7 @@
           }
         }
         std::string problem;
-        if (cluster.Shard().mEpoch != scenario.mEpoch + 1) {
+        if (cluster.Shard().mEpoch != dispatch::NextEpoch(scenario.mEpoch)) {
           problem = "the owner changed too early\n";
         }
         if (second == Change::Kill) {
@@ -286,7 +288,7 @@
         } else {
           cluster.mNodes.at(next).mNode->Drain();
         }
-        scenario.AwaitOwnerAfter(scenario.mEpoch + 1);
+        scenario.AwaitOwnerAfter(dispatch::NextEpoch(scenario.mEpoch));
         changeAt = cluster.mNow;
         cluster.WakeNode(scenario.mOwner, OnWaking::AnswersFirst);
         const MonotonicTime limit =
@@ -439,7 +441,7 @@
     const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
     cluster.AdvanceTime(Millis(killedAfter));
     cluster.KillNode(next);
-    cluster.AwaitOwner(scenario.mEpoch + 2, Seconds(30));
+    cluster.AwaitOwner(dispatch::NextEpoch(scenario.mEpoch) + 1, Seconds(30));
     // The leases have ended by now, or do so within a second.
     const MonotonicTime limit =
       std::max(lostAt + Seconds(7), cluster.mNow + Seconds(1));
@@ -1116,7 +1118,7 @@
           const std::string next = scenario.AwaitOwnerAfter(scenario.mEpoch);
           cluster.AdvanceTime(Millis(500));
           change(next);
-          scenario.AwaitOwnerAfter(scenario.mEpoch + 1);
+          scenario.AwaitOwnerAfter(dispatch::NextEpoch(scenario.mEpoch));
         }
         const MonotonicTime limit =
           std::max(lostAt + Seconds(9), cluster.mNow + Seconds(7));
