LibNode: Take the token of a start order before the order is moved

The linter found that the handler of the answer read the token from an order that the same call moves (bugprone-use-after-move). A moved number keeps its value, so no behaviour changes.

--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -290,11 +290,13 @@
   const dispatch::TaskName name = dispatch::NameOf(ref);
   const std::string text = dispatch::FormatTaskName(name);
   const dispatch::Task& task = dispatch::TaskOf(ref);
+  const std::int64_t token =
+    dispatch::FencingTokenFor(mDispatcher, aStart.mRunner);
   StartOrder order{ text,
                     aStart.mRun,
                     ref.mJob->mSpec.mPayload,
                     aStart.mLeaseEndMs,
-                    dispatch::FencingTokenFor(mDispatcher, aStart.mRunner),
+                    token,
                     task.mCheckpoint,
                     {} };
   const MonotonicTime sentAt = mContext.Now();
@@ -316,7 +318,7 @@
      text,
      run = aStart.mRun,
      index = aStart.mRunner,
-     token = order.mFencingToken,
+     token,
      sentAt](RunnerResult aResult) {
       if (self->mOwnershipLost) {
         return;
