PlatformAdapter: Compare the process whose ends a renewal acknowledges

Tests show that a renewal carries the number of the last stored end of a runner's former process to the new one, which forgets ends that nobody has read. Their tasks run again.

Cause: since, any list of runs on a connection made the peer known. The owner may not have used that list: its born is lower than that of the former process because the host's clock was set back, or a row of it can't be read. A renewal may also have been planned before the owner heard of the new process. The number was then still that of the former one.

Change: a renewal states the process whose ends its number counts, each connection keeps the identity that its own answers tell, and the pool compares both when it writes the request. The simulated cluster's port does the same when it sends a renewal, so that one that is late keeps its number.

Evidence: AProcessIsAcknowledgedNoEndOfAnotherOne, ARestartedRunnerIsAcknowledgedItsOwnEnds and AnUnreadableListMakesNoProcessAcknowledged failed before (7 instead of 0) and pass. Node.AcknowledgesEndsToNoOtherProcess failed before with the unchanged simulation (the end was forgotten), with the changed simulation and an owner that states no process (no end was ever acknowledged), and passes. PeerIdentity.IsThatOfTheAnswersOnTheConnection fails if the pool keeps the identity of its latest answer for all connections.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -169,6 +169,8 @@
   void RestartDeadline(const ConnectionPtr& aConnection);
   /// Sends the call on a connection that is open and idle.
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
+  /// @return the body of the current call for the peer of its connection
+  [[nodiscard]] std::string_view BodyFor(const Connection& aConnection) const;
   void Write(const ConnectionPtr& aConnection);
   /// Prepares the connection for the first byte of an answer.
   static void ExpectAnswer(Connection& aConnection);
@@ -233,9 +235,9 @@
   Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
   MonotonicTime mLatestAnsweredCall; ///< When that one was sent.
-  /// Whether the peer is certainly the process that the latest answer is from,
-  /// and which has been identified.
-  bool mPeerKnown = false;
+  /// Identity of the peer's process if it closed the connection after the
+  /// latest answer. A peer that closes each one would otherwise never be known.
+  std::optional<std::int64_t> mClosingPeer;
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mIdle;
@@ -459,6 +461,18 @@
   aConnection.mReceivedBytes = aConnection.mInput.size();
 }
 
+std::string_view
+HttpPool::State::BodyFor(const Connection& aConnection) const
+{
+  const HttpCall& call = aConnection.mCurrent->mCall;
+  const std::optional<std::int64_t>& peer =
+    aConnection.mHistory.mPeerIdentity ? aConnection.mHistory.mPeerIdentity
+                                       : mClosingPeer;
+  return call.mBodyForOthers && call.mBodyForOthers->mPeerIdentity != peer
+           ? call.mBodyForOthers->mBody
+           : call.mBody;
+}
+
 void
 HttpPool::State::Write(const ConnectionPtr& aConnection)
 {
@@ -468,11 +482,8 @@
     Withdraw(aConnection);
     return;
   }
-  const HttpCall& call = aConnection->mCurrent->mCall;
-  aConnection->mOutgoing = Serialize(
-    call,
-    mPeerKnown ? call.mBody : call.mBodyForUnknownPeer.value_or(call.mBody),
-    mAddress);
+  aConnection->mOutgoing =
+    Serialize(aConnection->mCurrent->mCall, BodyFor(*aConnection), mAddress);
   ExpectAnswer(*aConnection);
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
@@ -627,9 +638,8 @@
       ServeQueueAfterRest();
     }
   }
-  // This also holds if the connection was closed after the answer: a peer that
-  // closes each one would otherwise never be known.
-  mPeerKnown = connection.mHistory.mPeerIdentified;
+  mClosingPeer =
+    connection.mClosed ? connection.mHistory.mPeerIdentity : std::nullopt;
   done(std::move(aAnswer));
 }
 
@@ -640,7 +650,7 @@
     return;
   }
   aConnection->mClosed = true;
-  mPeerKnown = false;
+  mClosingPeer.reset();
   error_code ignored;
   aConnection->mSocket.close(ignored);
   std::erase(mConnections, aConnection);
--- a/Libraries/LibAsyncHttp/HttpTypes.h
+++ b/Libraries/LibAsyncHttp/HttpTypes.h
@@ -34,8 +34,16 @@
 {
   /// Reading of the peer's clock in the latest answer.
   std::optional<std::int64_t> mPeerClockMs;
-  /// Whether one has told which process the peer is.
-  bool mPeerIdentified = false;
+  /// Identity of the peer's process, once an answer has told it.
+  std::optional<std::int64_t> mPeerIdentity;
+};
+
+/// Body of a call for all peers but one process. The caller defines what
+/// identifies a process, see AnswerHistory::mPeerIdentity.
+struct BodyForOthers
+{
+  std::int64_t mPeerIdentity = 0; ///< The process that HttpCall::mBody is for.
+  std::string mBody;
 };
 
 /// Decides about the answer to a call from its content. It must find Earlier
@@ -52,10 +60,10 @@
   HttpHeaders mHeaders;
   std::string mBody;
   Millis mTimeout{ 1000 };
-  /// Body to send instead of mBody if another process may have taken the peer's
-  /// place since it was identified: a connection was lost since, or the peer
-  /// was never identified, see AnswerHistory::mPeerIdentified.
-  std::optional<std::string> mBodyForUnknownPeer = std::nullopt;
+  /// Body to send instead of mBody unless the answers on the connection are
+  /// from the process that mBody is for. Another one may have taken its place
+  /// before the connection was opened.
+  std::optional<BodyForOthers> mBodyForOthers = std::nullopt;
   /// The time-out starts anew once a connection has been opened for the call.
   /// Otherwise, repetitions on new connections may never be answered over a
   /// slow link, because opening one takes as long as an answer.
--- a/Libraries/LibNode/RunnerPort.h
+++ b/Libraries/LibNode/RunnerPort.h
@@ -27,13 +27,16 @@
   /// than the highest it has seen.
   std::int64_t mFencingToken = 0;
   /// Number of the last ended run that the owner has stored; the runner need
-  /// not report it and those before it any more. The port sends it only to the
-  /// process that has answered last: another one under the same id numbers its
-  /// ends anew, and would forget some that were not read.
+  /// not report it and those before it any more. The port sends it only if the
+  /// answers on the connection are from mAcknowledgedProcess: another process
+  /// under the same id numbers its ends anew, and would forget some that were
+  /// not read.
   std::int64_t mAcknowledgedEnd = 0;
   std::int64_t mLeaseEndMs = 0; ///< On the runner's clock; 0: no lease.
   /// The runner answers when a run ends, but at the latest after this time.
   Millis mLongPollTimeout{ 0 };
+  /// Process whose ends mAcknowledgedEnd counts, see RunnerSpec::mIncarnation.
+  std::int64_t mAcknowledgedProcess = 0;
 };
 
 /// The result of an order to a runner.
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -73,7 +73,8 @@
   const RenewalOrder order{ mDispatcher.mEpoch,
                             plan.mAcknowledgedEnd,
                             plan.mLeaseEndMs,
-                            plan.mLongPollTimeout };
+                            plan.mLongPollTimeout,
+                            mDispatcher.mRunners[aRunner].mSpec.mIncarnation };
   auto self = shared_from_this();
   RunnerTarget target = TargetOf(aRunner);
   mContext.mRunners.mRenew(
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -291,13 +291,21 @@
                  aCaller](const RunnerTarget& aTarget,
                           const RenewalOrder& aOrder,
                           const std::function<void(RenewalOutcome)>& aDone) {
+    // The port decides by its connection when it sends the order, which another
+    // process may carry out late.
+    RenewalOrder order = aOrder;
+    const auto runner = mRunners.find(aTarget.mId);
+    if (runner != mRunners.end() &&
+        runner->second.mIncarnation != order.mAcknowledgedProcess) {
+      order.mAcknowledgedEnd = 0;
+    }
     SendOrder<RenewalOutcome>(
       aCaller,
       aTarget.mId,
       aOrder.mLongPollTimeout + kRenewalTimeout,
-      [this, id = aTarget.mId, aOrder](
+      [this, id = aTarget.mId, order](
         FakeRunner&, const std::function<void(RenewalOutcome)>& aAnswer) {
-        CarryOutRenewal(id, aOrder, aAnswer);
+        CarryOutRenewal(id, order, aAnswer);
       },
       aDone);
   };
--- a/Tests/LibNode/TestNode.cpp
+++ b/Tests/LibNode/TestNode.cpp
@@ -60,6 +60,31 @@
   LONGS_EQUAL(1, mCluster.mStarts);
 }
 
+// Guards against ends that a restarted runner forgets unread: if its host's
+// clock was set back before the restart, its reports are not used, and the
+// number of the last stored end is still that of the former process. Also
+// guards against ends that are never acknowledged.
+TEST(Node, AcknowledgesEndsToNoOtherProcess)
+{
+  Begin();
+  mCluster.Submit("a", kJob);
+  const std::string id = mCluster.RunnerOf(kTask);
+  ClusterSimulation::FakeRunner& runner = mCluster.mRunners.at(id);
+  mCluster.EndRun(kTask, dispatch::EndKind::Done);
+  LONGS_EQUAL(1, runner.mEnds.size());
+  mCluster.AdvanceTime(Seconds(2));
+  LONGS_EQUAL(0, runner.mEnds.size());
+  mCluster.RestartRunner(id);
+  runner.mIncarnation = 0;
+  runner.mEnds.push_back({ runner.mNextEnd++,
+                           *dispatch::ParseTaskName(kTask),
+                           1,
+                           dispatch::EndKind::Done,
+                           {} });
+  mCluster.AdvanceTime(Seconds(10));
+  LONGS_EQUAL(1, runner.mEnds.size());
+}
+
 // Guards against a wait for jobs that goes on for seconds on a connection that
 // has fallen silent, while accepted jobs wait. The store's client lets it last
 // 0.7 s longer, and the wait has to end before clients give up.
--- a/Tests/Platform/TestRunnerClient.cpp
+++ b/Tests/Platform/TestRunnerClient.cpp
@@ -50,7 +50,10 @@
   }
 
   std::vector<std::string> mAcknowledged; ///< Texts of last_seen, in order.
+  std::int64_t mBorn = 1;                 ///< Identifies its process.
+  std::string mFinished;                  ///< Rows of the ends in its lists.
   bool mHealthy = true;                   ///< Otherwise the status is 503.
+  bool mTellsClock = true;
   bool mKeepsConnections = true;
 
 private:
@@ -104,8 +107,10 @@
     mClockMs += 10;
     const std::string clock = R"({"clock_ms":)" + std::to_string(mClockMs);
     const std::string body =
-      mHealthy ? clock + R"(,"born":1,"running":[],"finished":[]})"
-               : clock + "}";
+      mHealthy ? clock + R"(,"born":)" + std::to_string(mBorn) +
+                   R"(,"running":[],"finished":[)" + mFinished + "]}"
+      : mTellsClock ? clock + "}"
+                    : "{}";
     const std::string answer =
       std::string(mHealthy ? "HTTP/1.1 200 OK\r\n"
                            : "HTTP/1.1 503 Service Unavailable\r\n") +
@@ -131,13 +136,15 @@
                                  } };
   RunnerPort mPort = mClient.Port();
 
-  /// Sends a renewal that acknowledges the ends up to 7.
+  /// Sends a renewal that acknowledges the ends of a process.
   /// @return its result
-  RunnerResult Renew()
+  RunnerResult Renew(std::int64_t aAcknowledgedEnd = 7,
+                     std::int64_t aProcess = 1)
   {
     RenewalOrder order;
     order.mFencingToken = 3;
-    order.mAcknowledgedEnd = 7;
+    order.mAcknowledgedEnd = aAcknowledgedEnd;
+    order.mAcknowledgedProcess = aProcess;
     std::optional<RunnerResult> result;
     mPort.mRenew(
       { mRunner.Address(), "i-1" }, order, [&](const RenewalOutcome& aOutcome) {
@@ -151,6 +158,18 @@
     return *result;
   }
 
+  /// Replaces the runner's process, and sends renewals until the new one has
+  /// answered the first.
+  void Restart(std::int64_t aBorn)
+  {
+    mRunner.mBorn = aBorn;
+    mRunner.CloseConnections();
+    const std::size_t received = mRunner.mAcknowledged.size();
+    while (mRunner.mAcknowledged.size() == received) {
+      Renew(); // The first one is sent on the connection that has ended.
+    }
+  }
+
   void CheckAcknowledged(const char* aTexts)
   {
     std::string texts;
@@ -199,3 +218,40 @@
   Renew();
   CheckAcknowledged("0 7 7");
 }
+
+// Guards against ends that a restarted runner forgets unread although it has
+// been heard: its report may not have been used, because the host's clock was
+// set back before the restart, and the owner still counts the ends of the
+// former process.
+TEST(RunnerClient, AProcessIsAcknowledgedNoEndOfAnotherOne)
+{
+  Renew();
+  Renew();
+  Restart(0);
+  Renew();
+  Renew();
+  CheckAcknowledged("0 7 0 0 0");
+}
+
+// Guards against ends that are never acknowledged to a restarted runner.
+TEST(RunnerClient, ARestartedRunnerIsAcknowledgedItsOwnEnds)
+{
+  Renew();
+  Restart(2);
+  Renew(3, 2);
+  // The owner has planned this one before it heard of the new process.
+  Renew(7, 1);
+  CheckAcknowledged("0 0 3 0");
+}
+
+// Guards against acknowledging ends of the former process to one whose list
+// can't be read, so that its own ends are not known.
+TEST(RunnerClient, AnUnreadableListMakesNoProcessAcknowledged)
+{
+  Renew();
+  Renew();
+  mRunner.mFinished = R"([1,"no name of a task",1,"done",""])";
+  Restart(2);
+  CHECK_TRUE(Renew() == RunnerResult::Unknown);
+  CheckAcknowledged("0 7 0 0");
+}
