LibAsyncHttp: Forget the peer's process when its connection ends

Tests show that a renewal on a new connection carries the number of an end of a runner's former process, after the former connection was closed right behind an answer.

Cause: HttpPool::Finish() closed the connection, which forgot the peer, and then set its process again, for runners that close each connection after their answer. That also held for a runner that closes a connection which it had kept, as a server that shuts down does, and for a connection that this side closed because the origin of the answer was unproved. In both cases the next connection may lead to another process.

Change: the process is only kept if the peer announces the end of the connection in the first answer on it. A restart between such an answer and the next connection is still not noticed; without the exception, the ends of such a runner would never be acknowledged.

Evidence: AnAnswerOfUnprovedOriginEndsTheKnowledgeOfTheProcess and ARunnerThatEndsAKeptConnectionIsNotKnown failed before (7 instead of 0) and pass; ARunnerThatClosesConnectionsIsKnownByItsAnswers passes unchanged. TestLibAsyncHttp, TestPlatform, TestLibDispatch and TestLibNode held once, without the known failures.

--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -120,6 +120,7 @@
     bool mExtended = false;
     bool mConnected = false;
     bool mClosed = false;
+    bool mAnswered = false;  ///< A call has been answered on it.
     MonotonicTime mOpenedAt; ///< When it was established.
     MonotonicTime mHeardAt;  ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
@@ -183,10 +184,17 @@
   /// Lets the answer take input; finishes the call once it is complete.
   /// @param aInput new bytes, which follow those in Connection::mInput
   void Consume(const ConnectionPtr& aConnection, std::string_view aInput);
+  /// Whether a connection can be used again after an answer.
+  enum class Reuse
+  {
+    Allowed,
+    Unsafe,      ///< The answer may be that of another call.
+    ClosedByPeer ///< The peer has announced that it closes the connection.
+  };
   /// Completes the current call and reuses or closes the connection.
   void Finish(const ConnectionPtr& aConnection,
               HttpAnswer aAnswer,
-              bool aReusable);
+              Reuse aReuse);
   /// Closes the connection; opens another one if a call is queued.
   void Close(const ConnectionPtr& aConnection);
   /// Why a call fails.
@@ -235,8 +243,9 @@
   Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
   MonotonicTime mLatestAnsweredCall; ///< When that one was sent.
-  /// Identity of the peer's process if it closed the connection after the
-  /// latest answer. A peer that closes each one would otherwise never be known.
+  /// Identity of the peer's process if it closed the connection of the latest
+  /// answer, which was the first one on it. A peer that closes each connection
+  /// would otherwise never be known.
   std::optional<std::int64_t> mClosingPeer;
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
@@ -610,14 +619,17 @@
     }
     return;
   }
-  Finish(
-    aConnection, std::move(answer), keepAlive && origin == AnswerOrigin::Own);
+  Finish(aConnection,
+         std::move(answer),
+         origin != AnswerOrigin::Own ? Reuse::Unsafe
+         : keepAlive                 ? Reuse::Allowed
+                                     : Reuse::ClosedByPeer);
 }
 
 void
 HttpPool::State::Finish(const ConnectionPtr& aConnection,
                         HttpAnswer aAnswer,
-                        bool aReusable)
+                        Reuse aReuse)
 {
   Connection& connection = *aConnection;
   if (connection.mDeadline) {
@@ -629,7 +641,8 @@
   connection.mCurrent.reset();
   connection.mReader.reset();
   RecordAnswer(sentAt);
-  if (!aReusable || mStopped || !connection.mInput.empty()) {
+  const bool firstAnswer = !std::exchange(connection.mAnswered, true);
+  if (aReuse != Reuse::Allowed || mStopped || !connection.mInput.empty()) {
     Close(aConnection);
   } else {
     Read(aConnection);
@@ -638,8 +651,11 @@
       ServeQueueAfterRest();
     }
   }
-  mClosingPeer =
-    connection.mClosed ? connection.mHistory.mPeerIdentity : std::nullopt;
+  // A connection that was kept until now is closed by a process that ends, and
+  // the next one may lead to its successor.
+  mClosingPeer = aReuse == Reuse::ClosedByPeer && firstAnswer
+                   ? connection.mHistory.mPeerIdentity
+                   : std::nullopt;
   done(std::move(aAnswer));
 }
 
--- a/Tests/Platform/TestRunnerClient.cpp
+++ b/Tests/Platform/TestRunnerClient.cpp
@@ -255,3 +255,33 @@
   CHECK_TRUE(Renew() == RunnerResult::Unknown);
   CheckAcknowledged("0 7 0 0");
 }
+
+// Guards against acknowledging ends on a new connection after an answer that
+// can't be told from that of another call, and for which the former connection
+// was closed.
+TEST(RunnerClient, AnAnswerOfUnprovedOriginEndsTheKnowledgeOfTheProcess)
+{
+  Renew();
+  Renew();
+  mRunner.mHealthy = false;
+  mRunner.mTellsClock = false;
+  Renew();
+  mRunner.mHealthy = true;
+  mRunner.mBorn = 2;
+  Renew();
+  CheckAcknowledged("0 7 7 0");
+}
+
+// Guards against acknowledging the ends of a runner that shuts down to its next
+// process: a server closes the connections that it has kept until then.
+TEST(RunnerClient, ARunnerThatEndsAKeptConnectionIsNotKnown)
+{
+  Renew();
+  Renew();
+  mRunner.mKeepsConnections = false;
+  Renew();
+  mRunner.mKeepsConnections = true;
+  mRunner.mBorn = 2;
+  Renew();
+  CheckAcknowledged("0 7 7 0");
+}
