--- a/Libraries/LibAsyncHttp/HttpPool.cpp
+++ b/Libraries/LibAsyncHttp/HttpPool.cpp
@@ -120,6 +120,7 @@
     bool mExtended = false;
     bool mConnected = false;
     bool mClosed = false;
+    bool mAnswered = false;  ///< A call has been answered on it.
     MonotonicTime mOpenedAt; ///< When it was established.
     MonotonicTime mHeardAt;  ///< When it was opened, or bytes last arrived.
     std::optional<Deadlines::Key> mDeadline;
@@ -169,6 +170,8 @@
   void RestartDeadline(const ConnectionPtr& aConnection);
   /// Sends the call on a connection that is open and idle.
   void Assign(const ConnectionPtr& aConnection, PendingCall aPending);
+  /// @return the body of the current call for the peer of its connection
+  [[nodiscard]] std::string_view BodyFor(const Connection& aConnection) const;
   void Write(const ConnectionPtr& aConnection);
   /// Prepares the connection for the first byte of an answer.
   static void ExpectAnswer(Connection& aConnection);
@@ -181,10 +184,17 @@
   /// Lets the answer take input; finishes the call once it is complete.
   /// @param aInput new bytes, which follow those in Connection::mInput
   void Consume(const ConnectionPtr& aConnection, std::string_view aInput);
+  /// Whether a connection can be used again after an answer.
+  enum class Reuse
+  {
+    Allowed,
+    Unsafe,      ///< The answer may be that of another call.
+    ClosedByPeer ///< The peer has announced that it closes the connection.
+  };
   /// Completes the current call and reuses or closes the connection.
   void Finish(const ConnectionPtr& aConnection,
               HttpAnswer aAnswer,
-              bool aReusable);
+              Reuse aReuse);
   /// Closes the connection; opens another one if a call is queued.
   void Close(const ConnectionPtr& aConnection);
   /// Why a call fails.
@@ -233,9 +243,10 @@
   Millis mMaxIdleTime;
   std::uint64_t mLastQueueNumber = 0;
   MonotonicTime mLatestAnsweredCall; ///< When that one was sent.
-  /// Whether the peer is certainly the process that the latest answer is from,
-  /// and which has been identified.
-  bool mPeerKnown = false;
+  /// Identity of the peer's process if it closed the connection of the latest
+  /// answer, which was the first one on it. A peer that closes each connection
+  /// would otherwise never be known.
+  std::optional<std::int64_t> mClosingPeer;
   bool mStopped = false;
   std::vector<ConnectionPtr> mConnections;
   std::vector<ConnectionPtr> mIdle;
@@ -459,6 +470,18 @@
   aConnection.mReceivedBytes = aConnection.mInput.size();
 }
 
+std::string_view
+HttpPool::State::BodyFor(const Connection& aConnection) const
+{
+  const HttpCall& call = aConnection.mCurrent->mCall;
+  const std::optional<std::int64_t>& peer =
+    aConnection.mHistory.mPeerIdentity ? aConnection.mHistory.mPeerIdentity
+                                       : mClosingPeer;
+  return call.mBodyForOthers && call.mBodyForOthers->mPeerIdentity != peer
+           ? call.mBodyForOthers->mBody
+           : call.mBody;
+}
+
 void
 HttpPool::State::Write(const ConnectionPtr& aConnection)
 {
@@ -468,11 +491,8 @@
     Withdraw(aConnection);
     return;
   }
-  const HttpCall& call = aConnection->mCurrent->mCall;
-  aConnection->mOutgoing = Serialize(
-    call,
-    mPeerKnown ? call.mBody : call.mBodyForUnknownPeer.value_or(call.mBody),
-    mAddress);
+  aConnection->mOutgoing =
+    Serialize(aConnection->mCurrent->mCall, BodyFor(*aConnection), mAddress);
   ExpectAnswer(*aConnection);
   aConnection->mMayBeSent = true;
   aConnection->mCurrent->mSentAt = BootTime();
@@ -599,14 +619,17 @@
     }
     return;
   }
-  Finish(
-    aConnection, std::move(answer), keepAlive && origin == AnswerOrigin::Own);
+  Finish(aConnection,
+         std::move(answer),
+         origin != AnswerOrigin::Own ? Reuse::Unsafe
+         : keepAlive                 ? Reuse::Allowed
+                                     : Reuse::ClosedByPeer);
 }
 
 void
 HttpPool::State::Finish(const ConnectionPtr& aConnection,
                         HttpAnswer aAnswer,
-                        bool aReusable)
+                        Reuse aReuse)
 {
   Connection& connection = *aConnection;
   if (connection.mDeadline) {
@@ -618,7 +641,8 @@
   connection.mCurrent.reset();
   connection.mReader.reset();
   RecordAnswer(sentAt);
-  if (!aReusable || mStopped || !connection.mInput.empty()) {
+  const bool firstAnswer = !std::exchange(connection.mAnswered, true);
+  if (aReuse != Reuse::Allowed || mStopped || !connection.mInput.empty()) {
     Close(aConnection);
   } else {
     Read(aConnection);
@@ -627,9 +651,11 @@
       ServeQueueAfterRest();
     }
   }
-  // This also holds if the connection was closed after the answer: a peer that
-  // closes each one would otherwise never be known.
-  mPeerKnown = connection.mHistory.mPeerIdentified;
+  // A connection that was kept until now is closed by a process that ends, and
+  // the next one may lead to its successor.
+  mClosingPeer = aReuse == Reuse::ClosedByPeer && firstAnswer
+                   ? connection.mHistory.mPeerIdentity
+                   : std::nullopt;
   done(std::move(aAnswer));
 }
 
@@ -640,7 +666,7 @@
     return;
   }
   aConnection->mClosed = true;
-  mPeerKnown = false;
+  mClosingPeer.reset();
   error_code ignored;
   aConnection->mSocket.close(ignored);
   std::erase(mConnections, aConnection);
--- a/Libraries/LibNode/ShardRunners.cpp
+++ b/Libraries/LibNode/ShardRunners.cpp
@@ -74,7 +74,8 @@
   const RenewalOrder order{ plan.mFencingToken,
                             plan.mAcknowledgedEnd,
                             plan.mLeaseEndMs,
-                            plan.mLongPollTimeout };
+                            plan.mLongPollTimeout,
+                            mDispatcher.mRunners[aRunner].mSpec.mIncarnation };
   auto self = shared_from_this();
   RunnerTarget target = TargetOf(aRunner);
   mContext.mRunners.mRenew(
