--- a/Tests/Soak/Check.cpp
+++ b/Tests/Soak/Check.cpp
@@ -26,15 +26,20 @@
   return aTask.substr(0, aTask.find('.'));
 }
 
+std::string
+NameOf(const Run& aRun)
+{
+  return aRun.mTask + " run=" + std::to_string(aRun.mNumber) + " on " +
+         aRun.mRunner;
+}
+
 class Checker
 {
 public:
-  Checker(const std::vector<TroubleTime>& aTrouble,
-          StoreGate& aStore,
-          Record& aRecord)
-    : mTrouble(aTrouble)
-    , mStore(aStore)
+  Checker(StoreGate& aStore, Record& aRecord)
+    : mStore(aStore)
     , mRecord(aRecord)
+    , mTrouble(aRecord.Trouble())
   {
   }
 
@@ -117,9 +122,7 @@
   void Add(const Run& aRun, const std::string& aText)
   {
     ++mVerdict.mBroken;
-    mBreaches.push_back("TWICE " + aRun.mTask +
-                        " run=" + std::to_string(aRun.mNumber) + " on " +
-                        aRun.mRunner + " " + aText);
+    mBreaches.push_back("TWICE " + NameOf(aRun) + " " + aText);
   }
 
   void AddUnlessOutOfTouch(const Run& aRun, const std::string& aText)
@@ -129,9 +132,7 @@
       return;
     }
     ++mVerdict.mExcused;
-    mBreaches.push_back("excused " + aRun.mTask +
-                        " run=" + std::to_string(aRun.mNumber) + " on " +
-                        aRun.mRunner + " " + aText);
+    mBreaches.push_back("excused " + NameOf(aRun) + " " + aText);
   }
 
   void WriteRun(const Run& aRun)
@@ -144,19 +145,20 @@
     const auto time = [&](std::int64_t aAtMs) {
       return aAtMs == 0 ? std::string(" never") : mRecord.Time(aAtMs);
     };
-    mRecord.Print(
+    mRecord.Write(
+      {},
       "  " + aRun.mTask + " run=" + std::to_string(aRun.mNumber) + " on " +
-      aRun.mRunner + " token=" + std::to_string(aRun.mToken) + " by" + owners +
-      (trouble.empty() ? " in touch" : " trouble: " + trouble) + "; sent" +
-      time(aRun.mSentMs) + " started" + time(aRun.mStartedMs) +
-      (aRun.mLate ? " late" : "") + " ended" + time(aRun.mEndedMs) + " " +
-      aRun.mHow + " noted" + time(aRun.mNotedMs));
+        aRun.mRunner + " token=" + std::to_string(aRun.mToken) + " by" +
+        owners + (trouble.empty() ? " in touch" : " trouble: " + trouble) +
+        "; sent" + time(aRun.mSentMs) + " started" + time(aRun.mStartedMs) +
+        (aRun.mLate ? " late" : "") + " ended" + time(aRun.mEndedMs) + " " +
+        aRun.mHow + " noted" + time(aRun.mNotedMs));
   }
 
   void WriteHistory(const std::vector<Run>& aRuns, const Job& aJob)
   {
     for (const std::string& breach : mBreaches) {
-      mRecord.Print(breach);
+      mRecord.Write({}, breach);
     }
     if (++mHistories > kMaxHistories) {
       return;
@@ -174,14 +176,14 @@
     for (const Record::Line& line :
          mRecord.About({ subjects.begin(), subjects.end() })) {
       if (line.mAtMs >= beginMs - kHistoryMs && line.mAtMs <= endMs + 1000) {
-        mRecord.Print("  |" + mRecord.Time(line.mAtMs) + " " + line.mText);
+        mRecord.Write({}, "  |" + mRecord.Time(line.mAtMs) + " " + line.mText);
       }
     }
   }
 
-  const std::vector<TroubleTime>& mTrouble;
   StoreGate& mStore;
   Record& mRecord;
+  const std::vector<TroubleTime> mTrouble;
   Verdict mVerdict;
   std::vector<std::string> mBreaches; ///< Of the runs that are checked.
   std::size_t mHistories = 0;
@@ -190,11 +192,7 @@
 } // namespace
 
 Verdict
-CheckRuns(const std::vector<Run>& aRuns,
-          const std::vector<Job>& aJobs,
-          const std::vector<TroubleTime>& aTrouble,
-          StoreGate& aStore,
-          Record& aRecord)
+CheckRuns(const std::vector<Job>& aJobs, StoreGate& aStore, Record& aRecord)
 {
   std::map<std::string, const Job*> jobs;
   for (const Job& job : aJobs) {
@@ -202,12 +200,12 @@
   }
   // Runs by task, those of a gang by its step.
   std::map<std::string, std::vector<Run>> groups;
-  for (const Run& run : aRuns) {
+  for (const Run& run : aRecord.Runs()) {
     const Job& job = *jobs.at(JobOf(run.mTask));
     groups[job.mGang ? run.mTask.substr(0, run.mTask.rfind('.')) : run.mTask]
       .push_back(run);
   }
-  Checker checker(aTrouble, aStore, aRecord);
+  Checker checker(aStore, aRecord);
   for (const auto& [name, runs] : groups) {
     checker.Check(runs, *jobs.at(JobOf(name)));
   }
--- a/Tests/Soak/Check.h
+++ b/Tests/Soak/Check.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <set>
-#include <string>
 #include <vector>
 
 #include "Jobs.h"
@@ -30,10 +28,6 @@
 ///
 /// An end as done of one member of a gang stands for all members.
 Verdict
-CheckRuns(const std::vector<Run>& aRuns,
-          const std::vector<Job>& aJobs,
-          const std::vector<TroubleTime>& aTrouble,
-          StoreGate& aStore,
-          Record& aRecord);
+CheckRuns(const std::vector<Job>& aJobs, StoreGate& aStore, Record& aRecord);
 
 } // namespace paddle::soak
--- a/Tests/Soak/Dice.h
+++ b/Tests/Soak/Dice.h
@@ -6,7 +6,8 @@
 
 namespace paddle::soak {
 
-/// The only source of randomness, shared by all threads.
+/// A source of random numbers, shared by threads. All seeds but the first are
+/// drawn from another one.
 class Dice
 {
 public:
@@ -15,6 +16,12 @@
   {
   }
 
+  void Seed(std::uint64_t aSeed)
+  {
+    const std::lock_guard lock(mMutex);
+    mEngine.seed(aSeed);
+  }
+
   /// @return a whole number of the range, both ends included
   std::int64_t Between(std::int64_t aLow, std::int64_t aHigh)
   {
@@ -23,7 +30,6 @@
     const auto size = static_cast<std::uint64_t>(aHigh - aLow) + 1;
     return aLow + static_cast<std::int64_t>(mEngine() % size);
   }
-
   bool Chance(int aPercent) { return Between(1, 100) <= aPercent; }
 
 private:
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -14,16 +14,15 @@
 // Exit status: 0: the rule held, 1: it was broken, 2: the play could not run,
 // or too little was done for a verdict.
 
-#include <atomic>
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <system_error>
-#include <thread>
-#include <unistd.h>
-#include <variant>
+#include <vector>
 
 #include "Check.h"
 #include "Clients.h"
@@ -48,54 +47,33 @@
 constexpr std::int64_t kBeginMs = 4000;
 constexpr std::int64_t kCalmMs = 15000;
 constexpr std::int64_t kReadyMs = 15000;
-/// A play that takes this much longer than planned is ended.
-constexpr unsigned kOvertimeS = 60;
 
-/// Ends the nodes and this process on SIGINT, SIGTERM and SIGALRM.
-class SignalWatch
+/// The signals that end a play. The main thread waits for them; they are
+/// blocked in all threads.
+sigset_t
+EndingSignals()
 {
-public:
-  /// Must be made before any other thread, which would get the signals.
-  SignalWatch()
-  {
-    sigemptyset(&mSignals);
-    for (const int signal : { SIGINT, SIGTERM, SIGALRM }) {
-      sigaddset(&mSignals, signal);
-    }
-    ::pthread_sigmask(SIG_BLOCK, &mSignals, nullptr);
-  }
-  ~SignalWatch()
-  {
-    mStopped = true;
-    if (mThread.joinable()) {
-      mThread.join();
-    }
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : { SIGINT, SIGTERM, SIGALRM }) {
+    sigaddset(&signals, signal);
   }
-  SignalWatch(const SignalWatch&) = delete;
-  SignalWatch& operator=(const SignalWatch&) = delete;
+  return signals;
+}
 
-  void Begin(NodeProcesses& aNodes)
-  {
-    mThread = std::thread([this, &aNodes] {
-      while (!mStopped) {
-        const timespec wait{ 0, 100'000'000 };
-        const int signal = ::sigtimedwait(&mSignals, nullptr, &wait);
-        if (signal > 0) {
-          for (const std::unique_ptr<NodeProcess>& node : aNodes) {
-            node->End();
-          }
-          std::fprintf(stderr, "soak: ended by signal %d\n", signal);
-          ::_exit(kNotRun);
-        }
-      }
-    });
+/// Waits for a time.
+/// @return whether no signal came that ends the play
+bool
+Wait(std::int64_t aMs)
+{
+  const sigset_t signals = EndingSignals();
+  const timespec time{ aMs / 1000, aMs % 1000 * 1'000'000 };
+  const int signal = ::sigtimedwait(&signals, nullptr, &time);
+  if (signal > 0) {
+    std::fprintf(stderr, "soak: ended by signal %d\n", signal);
   }
-
-private:
-  sigset_t mSignals{};
-  std::atomic<bool> mStopped = false;
-  std::thread mThread;
-};
+  return signal < 0;
+}
 
 /// Writes what the operators configure.
 void
@@ -122,13 +100,12 @@
   for (const std::unique_ptr<NodeProcess>& node : aNodes) {
     while (!node->IsReady()) {
       if (review::SteadyMs() > untilMs) {
-        std::fprintf(stderr,
-                     "soak: node %s was not ready within %d s\n",
-                     node->Name().c_str(),
-                     static_cast<int>(kReadyMs / 1000));
+        std::fprintf(stderr, "soak: %s is not ready\n", node->Name().c_str());
+        return false;
+      }
+      if (!Wait(50)) {
         return false;
       }
-      review::SleepMs(50);
     }
   }
   return true;
@@ -138,14 +115,13 @@
 int
 Conclude(const Options& aOptions,
          const std::vector<Job>& aJobs,
-         const std::vector<Run>& aRuns,
          const Verdict& aVerdict,
-         const Trouble::Counts& aTrouble,
+         const Trouble& aTrouble,
          Record& aRecord)
 {
-  int accepted = 0;
-  int expected = 0; // To complete.
-  int completed = 0;
+  std::size_t accepted = 0;
+  std::size_t expected = 0; // To complete.
+  std::size_t completed = 0;
   for (const Job& job : aJobs) {
     accepted += job.mAccepted ? 1 : 0;
     if (job.mAccepted && !job.mCancelSent && !job.mLongRunning &&
@@ -154,48 +130,43 @@
       completed += job.mCompletedMs != 0 ? 1 : 0;
     }
   }
-  int noted = 0;
-  int late = 0;
-  for (const Run& run : aRuns) {
+  std::size_t noted = 0;
+  std::size_t late = 0;
+  const std::vector<Run> runs = aRecord.Runs();
+  for (const Run& run : runs) {
     noted += run.mNotedMs != 0 ? 1 : 0;
     late += run.mLate ? 1 : 0;
   }
-  const std::string summary = "seed=" + std::to_string(aOptions.mSeed) +
-                              " jobs=" + std::to_string(aJobs.size()) +
-                              " accepted=" + std::to_string(accepted) +
-                              " expected=" + std::to_string(expected) +
-                              " completed=" + std::to_string(completed) +
-                              " runs=" + std::to_string(aRuns.size()) +
-                              " started_late=" + std::to_string(late) +
-                              " ends_noted=" + std::to_string(noted) +
-                              " trouble=" + std::to_string(aTrouble.mEvents) +
-                              " nodes_ended_themselves=" +
-                              std::to_string(aTrouble.mNodesEndedThemselves) +
-                              " excused=" + std::to_string(aVerdict.mExcused) +
-                              " broken=" + std::to_string(aVerdict.mBroken);
-  aRecord.Print(summary);
-  std::printf("%s\n", summary.c_str());
+  std::ostringstream summary;
+  summary << "seed=" << aOptions.mSeed << " jobs=" << aJobs.size()
+          << " accepted=" << accepted << " expected=" << expected
+          << " completed=" << completed << " runs=" << runs.size()
+          << " started_late=" << late << " ends_noted=" << noted
+          << " trouble=" << aTrouble.Events()
+          << " nodes_ended_themselves=" << aTrouble.NodesEndedThemselves()
+          << " excused=" << aVerdict.mExcused << " broken=" << aVerdict.mBroken;
+  aRecord.Write({}, summary.str());
+  std::printf("%s\n", summary.str().c_str());
   if (aVerdict.mBroken > 0) {
     return kBroken;
   }
-  if (expected == 0 || 2 * completed < expected) {
-    std::fprintf(stderr, "soak: fewer than half of the jobs completed\n");
-    return kNotRun;
-  }
-  if (aTrouble.mNodesEndedThemselves > 0) {
-    std::fprintf(stderr, "soak: a node ended by itself\n");
+  if (expected == 0 || 2 * completed < expected ||
+      aTrouble.NodesEndedThemselves() > 0) {
+    std::fprintf(stderr,
+                 "soak: fewer than half of the jobs completed, or a node ended "
+                 "by itself\n");
     return kNotRun;
   }
   return kHeld;
 }
 
 int
-Play(const Options& aOptions, SignalWatch& aSignals)
+Play(const Options& aOptions)
 {
   std::error_code error;
   std::filesystem::create_directories(aOptions.mFolder, error);
   Record record(aOptions.mFolder + "/record.txt");
-  if (error || !record.IsOpen()) {
+  if (!record.IsOpen()) {
     std::fprintf(
       stderr, "soak: can't write into %s\n", aOptions.mFolder.c_str());
     return kNotRun;
@@ -204,42 +175,37 @@
   review::Store store;
   WriteConfiguration(store);
   StoreGate gate(store.Port(), record, dice);
-  Runs runs;
   Gangs gangs;
-  RunnerWorld world{ store, record, runs,
-                     gangs, dice,   aOptions.mTrouble.contains("outlive") };
+  RunnerWorld world{ store, record, gangs, dice };
+  world.mOrdersOutliveProcess = std::count(aOptions.mTrouble.begin(),
+                                           aOptions.mTrouble.end(),
+                                           std::string(kOutlive)) > 0;
   NodeProcesses nodes;
   constexpr int kPortsOfNode = 3;
-  const std::uint16_t port = FreePorts(kPortsOfNode * aOptions.mNodes);
+  const int port = FreePorts(kPortsOfNode * aOptions.mNodes);
   for (int i = 0; i < aOptions.mNodes; ++i) {
     nodes.push_back(std::make_unique<NodeProcess>(
-      i,
-      static_cast<std::uint16_t>(port + kPortsOfNode * i),
-      gate.Port(),
-      aOptions.mFolder));
-  }
-  aSignals.Begin(nodes);
-  TroubleTimes times;
-  Trouble trouble(aOptions, world, nodes, gate, times);
-  for (const std::unique_ptr<NodeProcess>& node : nodes) {
-    node->Start();
+      i, port + kPortsOfNode * i, gate.Port(), aOptions.mFolder));
+    nodes.back()->Start();
   }
+  Trouble trouble(aOptions, world, nodes, gate);
   if (!AwaitReady(nodes)) {
     return kNotRun;
   }
-  const std::int64_t forMs = aOptions.mSeconds * std::int64_t{ 1000 };
-  Clients clients(DrawJobs(dice, forMs + kBeginMs), nodes, record, dice);
+  const std::int64_t forMs =
+    kBeginMs + aOptions.mSeconds * std::int64_t{ 1000 };
+  Clients clients(DrawJobs(dice, forMs), nodes, record, dice);
   trouble.Begin(review::SteadyMs() + kBeginMs);
   clients.Begin();
-  review::SleepMs(kBeginMs + forMs + kCalmMs);
+  const bool played = Wait(forMs + kCalmMs);
+  trouble.End();
   const std::vector<Job> jobs = clients.End();
-  const Trouble::Counts counts = trouble.End();
-  for (const std::unique_ptr<NodeProcess>& node : nodes) {
-    node->End();
+  nodes.clear();
+  if (!played) {
+    return kNotRun;
   }
-  const std::vector<Run> all = runs.All();
-  const Verdict verdict = CheckRuns(all, jobs, times.All(), gate, record);
-  return Conclude(aOptions, jobs, all, verdict, counts, record);
+  const Verdict verdict = CheckRuns(jobs, gate, record);
+  return Conclude(aOptions, jobs, verdict, trouble, record);
 }
 
 } // namespace
@@ -250,24 +216,12 @@
 main(int aCount, char** aArguments)
 {
   using namespace paddle::soak;
-  const auto parsed = ParseOptions(aCount, aArguments);
-  if (const auto* error = std::get_if<std::string>(&parsed)) {
-    std::fprintf(stderr, "soak: %s\n", error->c_str());
-    return kNotRun;
-  }
-  const Options& options = std::get<Options>(parsed);
-  if (options.mList) {
-    for (const TroubleKind& kind : kTroubleKinds) {
-      std::printf("%-8s %s%s\n",
-                  kind.mName,
-                  kind.mText,
-                  kind.mByDefault ? "" : " (not by default)");
-    }
-    return kHeld;
-  }
-  SignalWatch signals;
-  ::alarm(static_cast<unsigned>(options.mSeconds) +
-          static_cast<unsigned>((kBeginMs + kCalmMs + kReadyMs) / 1000) +
-          kOvertimeS);
-  return Play(options, signals);
+  Options options;
+  const int status = ParseOptions(aCount, aArguments, options);
+  if (status >= 0) {
+    return status;
+  }
+  const sigset_t signals = EndingSignals();
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return Play(options);
 }
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-std::uint16_t
+int
 FreePorts(int aCount)
 {
   constexpr int kLowest = 12000;
@@ -46,18 +46,18 @@
       port = first - 1;
     }
   }
-  return static_cast<std::uint16_t>(first);
+  return first;
 }
 
 NodeProcess::NodeProcess(int aIndex,
-                         std::uint16_t aFirstPort,
+                         int aFirstPort,
                          std::uint16_t aStorePort,
                          const std::string& aFolder)
   : mName("front-" + std::string(1, static_cast<char>('a' + aIndex % 3)) + "-" +
           std::to_string(aIndex + 1))
   , mSettings(aFolder + "/" + mName + ".conf")
   , mLog(aFolder + "/" + mName + ".log")
-  , mClientPort(aFirstPort)
+  , mClientPort(static_cast<std::uint16_t>(aFirstPort))
   , mReadyPort(static_cast<std::uint16_t>(aFirstPort + 1))
 {
   const auto address = [](int aPort) {
@@ -86,16 +86,12 @@
 
 NodeProcess::~NodeProcess()
 {
-  End();
+  Kill();
 }
 
 void
 NodeProcess::Start()
 {
-  const std::lock_guard lock(mMutex);
-  if (mEnded || mPid != 0) {
-    return;
-  }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(
@@ -127,7 +123,6 @@
 void
 NodeProcess::Signal(int aSignal)
 {
-  const std::lock_guard lock(mMutex);
   if (mPid != 0) {
     ::kill(mPid, aSignal);
   }
@@ -136,7 +131,6 @@
 bool
 NodeProcess::HasEnded()
 {
-  const std::lock_guard lock(mMutex);
   if (mPid != 0 && ::waitpid(mPid, nullptr, WNOHANG) == mPid) {
     mPid = 0;
   }
@@ -146,7 +140,6 @@
 void
 NodeProcess::Kill()
 {
-  const std::lock_guard lock(mMutex);
   if (mPid != 0) {
     ::kill(mPid, SIGKILL);
     ::waitpid(mPid, nullptr, 0);
@@ -154,16 +147,6 @@
   }
 }
 
-void
-NodeProcess::End()
-{
-  {
-    const std::lock_guard lock(mMutex);
-    mEnded = true;
-  }
-  Kill();
-}
-
 bool
 NodeProcess::IsReady() const
 {
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -13,28 +12,26 @@
 namespace paddle::soak {
 
 /// A node's process, with its settings and its log in the folder of the play.
+/// The destructor ends it.
 class NodeProcess
 {
 public:
   /// @param aIndex     selects its zone
   /// @param aFirstPort of three
   NodeProcess(int aIndex,
-              std::uint16_t aFirstPort,
+              int aFirstPort,
               std::uint16_t aStorePort,
               const std::string& aFolder);
   ~NodeProcess();
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
 
-  /// Starts the process. Does nothing after End().
   void Start();
   void Signal(int aSignal);
   /// @return whether the process has ended
   [[nodiscard]] bool HasEnded();
   /// Ends the process with SIGKILL.
   void Kill();
-  /// The same, and it is not started again.
-  void End();
   [[nodiscard]] bool IsReady() const;
 
   [[nodiscard]] const std::string& Name() const { return mName; }
@@ -49,16 +46,14 @@
   const std::string mLog;      ///< Path of its log.
   const std::uint16_t mClientPort;
   const std::uint16_t mReadyPort;
-  std::mutex mMutex; ///< Protects the members below.
-  pid_t mPid = 0;    ///< 0: there is no process.
-  bool mEnded = false;
+  pid_t mPid = 0; ///< 0: there is no process.
 };
 
 using NodeProcesses = std::vector<std::unique_ptr<NodeProcess>>;
 
 /// @return the first of several ports that are free now, below those that the
 ///         system gives to connections, so that a node can start again
-std::uint16_t
+int
 FreePorts(int aCount);
 
 } // namespace paddle::soak
--- a/Tests/Soak/Record.cpp
+++ b/Tests/Soak/Record.cpp
@@ -1,6 +1,7 @@
 #include "Record.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Http.h"
 
@@ -28,31 +29,20 @@
 Record::Time(std::int64_t aAtMs) const
 {
   char text[32];
-  std::snprintf(
-    text, sizeof text, "%8.3f", static_cast<double>(aAtMs - mBeginMs) / 1000);
+  const double seconds = static_cast<double>(aAtMs - mBeginMs) / 1000;
+  std::snprintf(text, sizeof text, "%8.3f", seconds);
   return text;
 }
 
-void
-Record::Put(std::int64_t aAtMs, const std::string& aText)
-{
-  std::fprintf(mFile, "%s %s\n", Time(aAtMs).c_str(), aText.c_str());
-}
-
 void
 Record::Write(const std::string& aSubject, const std::string& aText)
 {
   const std::lock_guard lock(mMutex);
   const std::int64_t now = SteadyMs();
-  mBySubject[aSubject].push_back({ now, aText });
-  Put(now, aText);
-}
-
-void
-Record::Print(const std::string& aText)
-{
-  const std::lock_guard lock(mMutex);
-  Put(SteadyMs(), aText);
+  if (!aSubject.empty()) {
+    mBySubject[aSubject].push_back({ now, aText });
+  }
+  std::fprintf(mFile, "%s %s\n", Time(now).c_str(), aText.c_str());
 }
 
 std::vector<Record::Line>
@@ -61,10 +51,8 @@
   const std::lock_guard lock(mMutex);
   std::vector<Line> lines;
   for (const std::string& subject : aSubjects) {
-    const auto found = mBySubject.find(subject);
-    if (found != mBySubject.end()) {
-      lines.insert(lines.end(), found->second.begin(), found->second.end());
-    }
+    const std::vector<Line>& found = mBySubject[subject];
+    lines.insert(lines.end(), found.begin(), found.end());
   }
   std::stable_sort(
     lines.begin(), lines.end(), [](const Line& aLeft, const Line& aRight) {
@@ -74,7 +62,7 @@
 }
 
 std::size_t
-Runs::Begin(Run aRun)
+Record::BeginRun(Run aRun)
 {
   const std::lock_guard lock(mMutex);
   mRuns.push_back(std::move(aRun));
@@ -82,7 +70,7 @@
 }
 
 void
-Runs::End(std::size_t aIndex, const std::string& aHow, std::int64_t aAtMs)
+Record::EndRun(std::size_t aIndex, const std::string& aHow, std::int64_t aAtMs)
 {
   const std::lock_guard lock(mMutex);
   mRuns[aIndex].mEndedMs = aAtMs;
@@ -90,44 +78,42 @@
 }
 
 void
-Runs::Note(std::size_t aIndex)
+Record::NoteRun(std::size_t aIndex)
 {
   const std::lock_guard lock(mMutex);
   mRuns[aIndex].mNotedMs = SteadyMs();
 }
 
 std::vector<Run>
-Runs::All()
+Record::Runs()
 {
   const std::lock_guard lock(mMutex);
   return mRuns;
 }
 
 void
-TroubleTimes::Begin(const std::string& aName)
+Record::BeginTrouble(const std::string& aName)
 {
   const std::lock_guard lock(mMutex);
-  mTimes.push_back({ aName, SteadyMs(), INT64_MAX });
+  mTrouble.push_back({ aName, SteadyMs(), INT64_MAX });
 }
 
 void
-TroubleTimes::End(const std::string& aName)
+Record::EndTrouble(const std::string& aName)
 {
   const std::lock_guard lock(mMutex);
-  const auto open =
-    std::find_if(mTimes.rbegin(), mTimes.rend(), [&](const TroubleTime& aTime) {
-      return aTime.mName == aName && aTime.mUntilMs == INT64_MAX;
-    });
-  if (open != mTimes.rend()) {
-    open->mUntilMs = SteadyMs();
+  for (TroubleTime& time : mTrouble) {
+    if (time.mName == aName && time.mUntilMs == INT64_MAX) {
+      time.mUntilMs = SteadyMs();
+    }
   }
 }
 
 std::vector<TroubleTime>
-TroubleTimes::All()
+Record::Trouble()
 {
   const std::lock_guard lock(mMutex);
-  return mTimes;
+  return mTrouble;
 }
 
 } // namespace paddle::soak
--- a/Tests/Soak/Record.h
+++ b/Tests/Soak/Record.h
@@ -9,42 +9,6 @@
 
 namespace paddle::soak {
 
-/// What the stand-ins have seen: the lines of record.txt, and the same lines by
-/// what they are about, for the history of a breach.
-class Record
-{
-public:
-  struct Line
-  {
-    std::int64_t mAtMs = 0; ///< Steady clock.
-    std::string mText;
-  };
-
-  /// @param aPath of the file; it is replaced
-  explicit Record(const std::string& aPath);
-  ~Record();
-  Record(const Record&) = delete;
-  Record& operator=(const Record&) = delete;
-
-  [[nodiscard]] bool IsOpen() const { return mFile != nullptr; }
-  /// @param aSubject id of a task or runner, "nodes" or "store"
-  void Write(const std::string& aSubject, const std::string& aText);
-  /// Writes a line that belongs to no history.
-  void Print(const std::string& aText);
-  /// @return the lines about any of the subjects, in the order of their times
-  std::vector<Line> About(const std::vector<std::string>& aSubjects);
-  /// @return the time as record.txt shows it
-  [[nodiscard]] std::string Time(std::int64_t aAtMs) const;
-
-private:
-  void Put(std::int64_t aAtMs, const std::string& aText);
-
-  std::int64_t mBeginMs;
-  std::FILE* mFile;
-  std::mutex mMutex; ///< Protects the members below.
-  std::map<std::string, std::vector<Line>> mBySubject;
-};
-
 /// One run of a task, as its runner has seen it.
 struct Run
 {
@@ -62,21 +26,6 @@
   std::int64_t mNotedMs = 0;
 };
 
-/// All runs on all runners, in the order of their starts.
-class Runs
-{
-public:
-  /// @return the index of the run
-  std::size_t Begin(Run aRun);
-  void End(std::size_t aIndex, const std::string& aHow, std::int64_t aAtMs);
-  void Note(std::size_t aIndex);
-  [[nodiscard]] std::vector<Run> All();
-
-private:
-  std::mutex mMutex;
-  std::vector<Run> mRuns;
-};
-
 /// A time in which a node or the store was in trouble.
 struct TroubleTime
 {
@@ -85,18 +34,51 @@
   std::int64_t mUntilMs = INT64_MAX;
 };
 
-/// The times of trouble of the nodes and the store.
-class TroubleTimes
+/// What the stand-ins have seen: the runs in the order of their starts, the
+/// times of trouble, and the lines of record.txt, which are also kept by what
+/// they are about.
+class Record
 {
 public:
-  void Begin(const std::string& aName);
+  struct Line
+  {
+    std::int64_t mAtMs = 0; ///< Steady clock.
+    std::string mText;
+  };
+
+  /// @param aPath of record.txt; it is replaced
+  explicit Record(const std::string& aPath);
+  ~Record();
+  Record(const Record&) = delete;
+  Record& operator=(const Record&) = delete;
+
+  [[nodiscard]] bool IsOpen() const { return mFile != nullptr; }
+  /// @param aSubject id of a task, job or runner, "nodes" or "store"; empty for
+  ///                 a line that belongs to no history
+  void Write(const std::string& aSubject, const std::string& aText);
+  /// @return the lines about the subjects, in the order of their times
+  std::vector<Line> About(const std::vector<std::string>& aSubjects);
+  /// @return the time as record.txt shows it
+  [[nodiscard]] std::string Time(std::int64_t aAtMs) const;
+
+  /// @return the index of the run
+  std::size_t BeginRun(Run aRun);
+  void EndRun(std::size_t aIndex, const std::string& aHow, std::int64_t aAtMs);
+  void NoteRun(std::size_t aIndex);
+  std::vector<Run> Runs();
+
+  void BeginTrouble(const std::string& aName);
   /// Ends the latest trouble of the name.
-  void End(const std::string& aName);
-  [[nodiscard]] std::vector<TroubleTime> All();
+  void EndTrouble(const std::string& aName);
+  std::vector<TroubleTime> Trouble();
 
 private:
-  std::mutex mMutex;
-  std::vector<TroubleTime> mTimes;
+  std::int64_t mBeginMs;
+  std::FILE* mFile;
+  std::mutex mMutex; ///< Protects the members below.
+  std::map<std::string, std::vector<Line>> mBySubject;
+  std::vector<Run> mRuns;
+  std::vector<TroubleTime> mTrouble;
 };
 
 } // namespace paddle::soak
--- a/Tests/Soak/Runner.cpp
+++ b/Tests/Soak/Runner.cpp
@@ -109,7 +109,7 @@
 {
   const std::int64_t passed = SteadyMs() - mSteadyBaseMs;
   return mClockBaseMs +
-         (mClockSlow ? passed * kSlowClockPercent / 100 : passed);
+         (mTrouble.mClockSlow ? passed * kSlowClockPercent / 100 : passed);
 }
 
 std::int64_t
@@ -117,18 +117,7 @@
 {
   const std::int64_t passed = aClockMs - mClockBaseMs;
   return mSteadyBaseMs +
-         (mClockSlow ? passed * 100 / kSlowClockPercent : passed);
-}
-
-void
-Runner::ToggleClock()
-{
-  const Lock lock(mMutex);
-  Advance();
-  mClockBaseMs = ClockMs();
-  mSteadyBaseMs = SteadyMs();
-  mClockSlow = !mClockSlow;
-  Note(mClockSlow ? "clock is 2% slow" : "clock is right");
+         (mTrouble.mClockSlow ? passed * 100 / kSlowClockPercent : passed);
 }
 
 void
@@ -143,7 +132,7 @@
     R"({"service":"desk","address":"127.0.0.1:)" +
       std::to_string(mServer->Port()) + R"(","zone":")" + mZone +
       R"(","version":"v1","slots":8,"state":")" +
-      (mDraining ? "draining" : "ready") +
+      (mTrouble.mDraining ? "draining" : "ready") +
       R"(","cold_remaining_ms":0,"labels":["a","r1-1"],)"
       R"("capacity":{"cpu":16000,"mem_mb":64000,"gpu":0},"born":)" +
       std::to_string(mBornMs) + ",\"seq\":" + std::to_string(++mSequence) +
@@ -159,32 +148,16 @@
 }
 
 void
-Runner::DelayOrders(std::int64_t aForMs, int aPercent)
-{
-  const Lock lock(mMutex);
-  mDelayUntilMs = SteadyMs() + aForMs;
-  mDelayPercent = aPercent;
-  Note("delays " + std::to_string(aPercent) + "% of the orders for " +
-       std::to_string(aForMs) + " ms");
-}
-
-void
-Runner::FallSilent(std::int64_t aForMs, bool aHeartbeats)
+Runner::Disrupt(const std::string& aText,
+                const std::function<void(Disruption&)>& aChange)
 {
   const Lock lock(mMutex);
-  mSilentUntilMs = SteadyMs() + aForMs;
-  mNoHeartbeatUntilMs = aHeartbeats ? 0 : mSilentUntilMs;
-  Note("silent for " + std::to_string(aForMs) + " ms" +
-       (aHeartbeats ? "" : ", without heartbeats"));
-  mChanged.notify_all();
-}
-
-void
-Runner::LoseAnswers(std::int64_t aForMs)
-{
-  const Lock lock(mMutex);
-  mLoseAnswersUntilMs = SteadyMs() + aForMs;
-  Note("loses its answers for " + std::to_string(aForMs) + " ms");
+  Advance();
+  mClockBaseMs = ClockMs(); // Its rate may change.
+  mSteadyBaseMs = SteadyMs();
+  aChange(mTrouble);
+  mHeartbeatAtMs = 0;
+  Note(aText);
 }
 
 void
@@ -194,7 +167,7 @@
   mUp = false;
   const std::int64_t now = SteadyMs();
   for (const auto& [task, active] : mActive) {
-    mWorld.mRuns.End(active.mIndex, aHow, now);
+    mWorld.mRecord.EndRun(active.mIndex, aHow, now);
     mWorld.mRecord.Write(
       task, "end " + RunText(task, active.mNumber) + " on " + mId + " " + aHow);
     if (!active.mGang.empty()) {
@@ -219,7 +192,7 @@
 {
   const Lock lock(mMutex);
   Boot(aClockBackMs > 0 ? mBornMs - aClockBackMs : review::UnixMs());
-  mSilentUntilMs = 0;
+  mTrouble.mSilentUntilMs = 0;
   mUp = true;
   Register();
   Note("restarted, born=" + std::to_string(mBornMs) +
@@ -234,7 +207,7 @@
     EndProcess("crashed");
   }
   mLeft = true;
-  mDelayUntilMs = 0;
+  mTrouble.mDelayUntilMs = 0;
   Note("left for good");
   if (aRemoveEntry) {
     Unregister();
@@ -250,17 +223,6 @@
   mChanged.notify_all();
 }
 
-void
-Runner::Drain()
-{
-  const Lock lock(mMutex);
-  mDraining = true;
-  Note("draining");
-  if (mUp) {
-    Register();
-  }
-}
-
 void
 Runner::EndRun(const std::string& aTask,
                const std::string& aHow,
@@ -275,7 +237,7 @@
   highest = std::max(highest, active.mNumber);
   mFinished.push_back(
     { mNextEnd++, aTask, active.mNumber, aHow, active.mIndex, false });
-  mWorld.mRuns.End(active.mIndex, aHow, aAtMs);
+  mWorld.mRecord.EndRun(active.mIndex, aHow, aAtMs);
   mWorld.mRecord.Write(aTask,
                        "end " + RunText(aTask, active.mNumber) + " on " + mId +
                          " " + aHow +
@@ -352,7 +314,7 @@
   while (!mStopped) {
     mChanged.wait_for(lock, std::chrono::milliseconds(kStepMs));
     const std::int64_t now = SteadyMs();
-    if (mUp && now >= mHeartbeatAtMs && now >= mNoHeartbeatUntilMs) {
+    if (mUp && now >= mHeartbeatAtMs && now >= mTrouble.mNoHeartbeatUntilMs) {
       Register();
     }
     if (mRegistered && now >= mLastHeartbeatMs + kEntryLifeMs) {
@@ -403,7 +365,8 @@
       aRequest.mConnection <= mResetUpTo) {
     return { 0, {}, Response::Fate::Reset };
   }
-  if (order.mSentMs < mDelayUntilMs && mWorld.mDice.Chance(mDelayPercent)) {
+  if (order.mSentMs < mTrouble.mDelayUntilMs &&
+      mWorld.mDice.Chance(mTrouble.mDelayPercent)) {
     const std::int64_t delayMs = mWorld.mDice.Between(2000, 12000);
     const std::string text = mId + " leaves unanswered for " +
                              std::to_string(delayMs) +
@@ -416,7 +379,7 @@
     return { 0, {}, Response::Fate::Unanswered };
   }
   const auto awaitEndOfSilence = [&] {
-    while (SteadyMs() < mSilentUntilMs && !interrupted()) {
+    while (SteadyMs() < mTrouble.mSilentUntilMs && !interrupted()) {
       mChanged.wait_for(lock, std::chrono::milliseconds(kStepMs * 4));
     }
   };
@@ -430,7 +393,7 @@
   awaitEndOfSilence();
   if (aRequest.mConnection <= mResetUpTo) {
     response.mFate = Response::Fate::Reset;
-  } else if (interrupted() || SteadyMs() < mLoseAnswersUntilMs) {
+  } else if (interrupted() || SteadyMs() < mTrouble.mLoseAnswersUntilMs) {
     response.mFate = Response::Fate::Unanswered;
   }
   return response;
@@ -495,7 +458,7 @@
     added.mGang = task.substr(0, task.rfind('.')) + "/" + std::to_string(run);
     mWorld.mGangs.Join(added.mGang, members, added.mStartedMs);
   }
-  added.mIndex = mWorld.mRuns.Begin(std::move(started));
+  added.mIndex = mWorld.mRecord.BeginRun(std::move(started));
   mWorld.mRecord.Write(task, text);
   return Answer(200);
 }
@@ -525,36 +488,32 @@
   return Answer(200);
 }
 
-void
-Runner::Acknowledge(std::int64_t aLastSeen)
+Response
+Runner::Hold(const Order& aOrder, Lock& aLock)
 {
+  rapidjson::Document body;
+  platform::ParseJson(aOrder.mRequest.mBody, body);
+  if (!TakeToken(Number(body, "fencing_token"))) {
+    return Answer(409, "fence");
+  }
+  ExtendLease(Number(body, "deadline_ms"));
+  const std::int64_t lastSeen = Number(body, "last_seen");
   std::erase_if(mFinished, [&](const End& aEnd) {
-    if (aEnd.mNumber > aLastSeen) {
+    if (aEnd.mNumber > lastSeen) {
       return false;
     }
     if (!aEnd.mLapsed) {
-      mWorld.mRuns.Note(aEnd.mIndex);
+      mWorld.mRecord.NoteRun(aEnd.mIndex);
     }
     mWorld.mRecord.Write(aEnd.mTask,
                          "noted " + RunText(aEnd.mTask, aEnd.mRun) + " " +
                            aEnd.mHow + " on " + mId +
                            " number=" + std::to_string(aEnd.mNumber) +
-                           " last_seen=" + std::to_string(aLastSeen) +
-                           (aEnd.mLapsed ? " after a lapse" : ""));
+                           " last_seen=" + std::to_string(lastSeen) +
+                           (aEnd.mLapsed ? " after a lapse" : "") +
+                           (aOrder.mLate ? " by a late renewal" : ""));
     return true;
   });
-}
-
-Response
-Runner::Hold(const Order& aOrder, Lock& aLock)
-{
-  rapidjson::Document body;
-  platform::ParseJson(aOrder.mRequest.mBody, body);
-  if (!TakeToken(Number(body, "fencing_token"))) {
-    return Answer(409, "fence");
-  }
-  ExtendLease(Number(body, "deadline_ms"));
-  Acknowledge(Number(body, "last_seen"));
   const std::int64_t boot = mBootNumber;
   const std::int64_t until =
     SteadyMs() + std::min(kMaxWaitMs, Number(body, "wait_ms"));
--- a/Tests/Soak/Runner.h
+++ b/Tests/Soak/Runner.h
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -22,7 +23,6 @@
 {
   review::Store& mStore;
   Record& mRecord;
-  Runs& mRuns;
   Gangs& mGangs;
   Dice& mDice;
   /// Whether a late order is also carried out by a process that has restarted.
@@ -41,13 +41,22 @@
   Runner(const Runner&) = delete;
   Runner& operator=(const Runner&) = delete;
 
-  /// For a time, a share of the orders gets no answer and is carried out late.
-  void DelayOrders(std::int64_t aForMs, int aPercent);
-  /// Neither reads nor answers for a time.
-  /// @param aHeartbeats whether its entry is still written
-  void FallSilent(std::int64_t aForMs, bool aHeartbeats);
-  /// Carries orders out for a time, but all answers are lost.
-  void LoseAnswers(std::int64_t aForMs);
+  /// Trouble of a runner that is up; the times are on the steady clock.
+  struct Disruption
+  {
+    int mDelayPercent = 0; ///< Of the orders are carried out late.
+    std::int64_t mDelayUntilMs = 0;
+    std::int64_t mSilentUntilMs = 0;      ///< Neither reads nor answers.
+    std::int64_t mNoHeartbeatUntilMs = 0; ///< Its entry is not written.
+    std::int64_t mLoseAnswersUntilMs = 0; ///< Orders are carried out.
+    bool mDraining = false;
+    bool mClockSlow = false; ///< By 2%.
+  };
+
+  /// @param aText for the record
+  /// @param aChange changes the trouble that it has
+  void Disrupt(const std::string& aText,
+               const std::function<void(Disruption&)>& aChange);
   /// Cuts the power of its host: its process ends, connections stay silent.
   void CutPower();
   /// Starts another process under the same id.
@@ -59,10 +68,6 @@
   ///                     heartbeats
   void Leave(bool aRemoveEntry);
   void ResetConnections();
-  void Drain();
-  /// Makes its steady clock 2% slow, or right again.
-  void ToggleClock();
-
   [[nodiscard]] const std::string& Id() const { return mId; }
 
 private:
@@ -97,7 +102,6 @@
   review::Response Start(const Order& aOrder);
   review::Response Stop(const Order& aOrder);
   review::Response Hold(const Order& aOrder, Lock& aLock);
-  void Acknowledge(std::int64_t aLastSeen);
   [[nodiscard]] std::string ListOfRuns() const;
   [[nodiscard]] review::Response Answer(int aStatus,
                                         const std::string& aReason = {}) const;
@@ -128,21 +132,15 @@
   bool mUp = true;
   bool mLeft = false;
   bool mStopped = false; ///< By the destructor.
-  bool mDraining = false;
+  Disruption mTrouble;
   std::int64_t mBootNumber = 0;
   std::map<std::uint64_t, std::int64_t> mBootOfConnection;
   std::uint64_t mLastConnection = 0;
   std::uint64_t mResetUpTo = 0; ///< These connections are reset.
-  std::int64_t mDelayUntilMs = 0;
-  int mDelayPercent = 0;
-  std::int64_t mSilentUntilMs = 0;
-  std::int64_t mNoHeartbeatUntilMs = 0;
-  std::int64_t mLoseAnswersUntilMs = 0;
   std::multimap<std::int64_t, Order> mLateOrders; ///< By the time they are due.
   std::int64_t mHeartbeatAtMs = 0;                ///< When it is due.
   std::int64_t mLastHeartbeatMs = 0;
   bool mRegistered = false;
-  bool mClockSlow = false;
   // What one process knows.
   std::int64_t mBornMs = 0;
   std::int64_t mClockBaseMs = 0;  ///< Reading of its clock at mSteadyBaseMs.
--- a/Tests/Soak/StoreGate.cpp
+++ b/Tests/Soak/StoreGate.cpp
@@ -76,6 +76,12 @@
   bool mOpen = false;
 };
 
+Response
+Failure(Response::Fate aFate)
+{
+  return { 0, {}, aFate };
+}
+
 std::string
 Format(const Request& aRequest)
 {
@@ -91,6 +97,15 @@
 
 } // namespace
 
+const char*
+TextOf(StoreTrouble aTrouble)
+{
+  constexpr const char* kTexts[] = {
+    "well", "silent", "unavailable", "losing answers to writes", "slow"
+  };
+  return kTexts[static_cast<std::size_t>(aTrouble)];
+}
+
 StoreGate::StoreGate(std::uint16_t aStorePort, Record& aRecord, Dice& aDice)
   : mStorePort(aStorePort)
   , mRecord(aRecord)
@@ -180,19 +195,17 @@
 StoreGate::Handle(const Request& aRequest)
 {
   // Each connection is served by a thread of its own.
-  thread_local std::unique_ptr<Connection> tStore;
+  thread_local std::unique_ptr<Connection> sStore;
   const auto isReset = [&] {
     const std::lock_guard lock(mMutex);
     return aRequest.mConnection <= mResetUpTo;
   };
-  const Response reset{ 0, {}, Response::Fate::Reset };
-  const Response unanswered{ 0, {}, Response::Fate::Unanswered };
   if (isReset()) {
-    return reset;
+    return Failure(Response::Fate::Reset);
   }
   const StoreTrouble trouble = Trouble();
   if (trouble == StoreTrouble::Silent) {
-    return unanswered;
+    return Failure(Response::Fate::Unanswered);
   }
   if (trouble == StoreTrouble::Unavailable) {
     return { 503, "{}" };
@@ -200,24 +213,26 @@
   if (trouble == StoreTrouble::Slow) {
     review::SleepMs(mDice.Between(100, 900));
   }
-  if (!tStore) {
-    tStore = std::make_unique<Connection>(mStorePort);
+  if (!sStore) {
+    sStore = std::make_unique<Connection>(mStorePort);
   }
-  const std::optional<Response> response = tStore->Call(Format(aRequest));
+  const std::optional<Response> response = sStore->Call(Format(aRequest));
   if (!response) {
-    return reset;
+    return Failure(Response::Fate::Reset);
   }
   const bool isWrite = aRequest.mPath == "/savorypaddle/rows-tx";
   if (isWrite && response->mStatus == 200) {
     ReadOwners(aRequest.mBody);
   }
   if (isWrite && trouble == StoreTrouble::LosesWrites && mDice.Chance(50)) {
-    return mDice.Chance(50) ? unanswered : reset;
+    return Failure(mDice.Chance(50) ? Response::Fate::Unanswered
+                                    : Response::Fate::Reset);
   }
   if (isReset()) {
-    return reset;
+    return Failure(Response::Fate::Reset);
   }
-  return Trouble() == StoreTrouble::Silent ? unanswered : *response;
+  return Trouble() == StoreTrouble::Silent ? Failure(Response::Fate::Unanswered)
+                                           : *response;
 }
 
 } // namespace paddle::soak
--- a/Tests/Soak/StoreGate.h
+++ b/Tests/Soak/StoreGate.h
@@ -22,6 +22,9 @@
   Slow         ///< They take 0.1 s to 0.9 s longer.
 };
 
+const char*
+TextOf(StoreTrouble aTrouble);
+
 /// Stands before the store: it passes the nodes' calls on, brings trouble over
 /// them, and reads from them which node owns a shard.
 class StoreGate
--- a/Tests/Soak/Timers.h
+++ b/Tests/Soak/Timers.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <condition_variable>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <mutex>
-#include <thread>
-#include <vector>
+#include <memory>
+#include <utility>
 
 namespace paddle::soak {
 
@@ -14,24 +14,33 @@
 class Timers
 {
 public:
-  explicit Timers(int aThreads);
-  ~Timers();
-  Timers(const Timers&) = delete;
-  Timers& operator=(const Timers&) = delete;
+  explicit Timers(std::size_t aThreads)
+    : mPool(aThreads)
+  {
+  }
 
   /// @param aAtMs on the steady clock
-  void At(std::int64_t aAtMs, std::function<void()> aCall);
+  void At(std::int64_t aAtMs, std::function<void()> aCall)
+  {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      mPool,
+      std::chrono::steady_clock::time_point(std::chrono::milliseconds(aAtMs)));
+    timer->async_wait([timer, call = std::move(aCall)](auto aError) {
+      if (!aError) {
+        call();
+      }
+    });
+  }
+
   /// Waits for the calls under way, and drops the others.
-  void Stop();
+  void Stop()
+  {
+    mPool.stop();
+    mPool.join();
+  }
 
 private:
-  void Serve();
-
-  std::mutex mMutex; ///< Protects the members below.
-  std::condition_variable mChanged;
-  std::multimap<std::int64_t, std::function<void()>> mCalls;
-  bool mStopped = false;
-  std::vector<std::thread> mThreads;
+  boost::asio::thread_pool mPool;
 };
 
 } // namespace paddle::soak
--- a/Tests/Soak/Trouble.cpp
+++ b/Tests/Soak/Trouble.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <map>
 #include <utility>
 
 namespace paddle::soak {
@@ -11,33 +10,23 @@
 
 namespace {
 
-/// Mean time between two events of a kind while the kind occurs.
-const std::map<std::string, std::int64_t> kPauseMs{
-  { "late", 3000 },  { "silent", 3000 }, { "power", 3500 }, { "reset", 4500 },
-  { "clock", 6000 }, { "stop", 7000 },   { "kill", 9000 },  { "term", 12000 },
-  { "hup", 12000 },  { "store", 9000 },  { "drain", 8000 },
-};
 /// For this long a kind occurs or doesn't, so that kinds overlap in different
 /// ways and some of the time is quiet for nodes and store.
 constexpr std::int64_t kPhaseMs = 10000;
 constexpr int kPhasePercent = 60;
 constexpr std::int64_t kTermMs = 6000;
 constexpr std::int64_t kWatchMs = 250;
-/// Trouble that lasts is over this long after the last event can begin.
-constexpr std::int64_t kLastMs = 1000;
 
 } // namespace
 
 Trouble::Trouble(const Options& aOptions,
                  RunnerWorld& aWorld,
                  NodeProcesses& aNodes,
-                 StoreGate& aStore,
-                 TroubleTimes& aTimes)
+                 StoreGate& aStore)
   : mOptions(aOptions)
   , mWorld(aWorld)
   , mNodes(aNodes)
   , mStore(aStore)
-  , mTimes(aTimes)
 {
   for (int i = 0; i < mOptions.mRunners; ++i) {
     Join(0);
@@ -47,92 +36,86 @@
 void
 Trouble::Begin(std::int64_t aAtMs)
 {
-  for (const Event& event : Draw()) {
-    mTimers.At(aAtMs + event.mAtMs, [this, event] { Happen(event); });
+  mEndAtMs = aAtMs + mOptions.mSeconds * std::int64_t{ 1000 };
+  for (const TroubleKind& kind : kTroubleKinds) {
+    if (kind.mPauseMs > 0 && std::count(mOptions.mTrouble.begin(),
+                                        mOptions.mTrouble.end(),
+                                        kind.mName) > 0) {
+      Draw(kind);
+    }
   }
   mTimers.At(aAtMs, [this] { WatchNodes(); });
 }
 
-Trouble::Counts
-Trouble::End()
-{
-  mTimers.Stop();
-  return mCounts;
-}
-
 void
-Trouble::After(std::int64_t aMs, std::function<void()> aCall)
-{
-  mTimers.At(SteadyMs() + aMs, std::move(aCall));
-}
-
-std::vector<Trouble::Event>
-Trouble::Draw()
+Trouble::Draw(const TroubleKind& aKind)
 {
-  std::vector<Event> events;
-  const std::int64_t endMs = mOptions.mSeconds * std::int64_t{ 1000 };
+  Dice& dice = mWorld.mDice;
+  const std::int64_t pauseMs = aKind.mPauseMs;
   const bool always = mOptions.mTrouble.size() <= 2;
-  for (const std::string& kind : mOptions.mTrouble) {
-    const auto pause = kPauseMs.find(kind);
-    if (pause == kPauseMs.end()) {
-      continue;
+  bool occurs = false;
+  std::int64_t phaseEndsMs = 0;
+  std::int64_t atMs = mEndAtMs - mOptions.mSeconds * std::int64_t{ 1000 } +
+                      dice.Between(0, pauseMs);
+  for (; atMs < mEndAtMs; atMs += dice.Between(1, 2 * pauseMs)) {
+    if (atMs >= phaseEndsMs) {
+      phaseEndsMs = atMs + kPhaseMs;
+      occurs = always || dice.Chance(kPhasePercent);
     }
-    std::int64_t phaseEndsMs = 0;
-    bool occurs = false;
-    std::int64_t atMs = mWorld.mDice.Between(0, pause->second);
-    while (atMs < endMs) {
-      if (atMs >= phaseEndsMs) {
-        phaseEndsMs = atMs + kPhaseMs;
-        occurs = always || mWorld.mDice.Chance(kPhasePercent);
-      }
-      if (occurs) {
-        DrawSeries(kind, atMs, events);
-      }
-      atMs += mWorld.mDice.Between(1, 2 * pause->second);
+    const std::int64_t target = dice.Between(0, INT32_MAX);
+    const std::int64_t count = dice.Chance(25) ? dice.Between(2, 4) : 1;
+    std::int64_t eventMs = atMs;
+    for (std::int64_t i = 0; i < count && occurs; ++i) {
+      const std::int64_t seed = dice.Between(0, INT32_MAX);
+      mTimers.At(eventMs, [this, &aKind, target, seed] {
+        mTarget = static_cast<std::uint64_t>(target);
+        mDice.Seed(static_cast<std::uint64_t>(seed));
+        Happen(aKind.mName);
+      });
+      eventMs += dice.Between(300, 3000);
     }
   }
-  return events;
 }
 
 void
-Trouble::DrawSeries(const std::string& aKind,
-                    std::int64_t aAtMs,
-                    std::vector<Event>& aEvents)
+Trouble::Happen(const std::string& aKind)
 {
-  Event event{ aKind, aAtMs, {} };
-  const std::int64_t count =
-    mWorld.mDice.Chance(25) ? mWorld.mDice.Between(2, 4) : 1;
-  for (std::int64_t i = 0; i < count; ++i) {
-    // The first number selects the target, which a series keeps.
-    for (std::size_t j = i == 0 ? 0 : 1; j < event.mDrawn.size(); ++j) {
-      event.mDrawn[j] = mWorld.mDice.Between(0, 9999);
-    }
-    aEvents.push_back(event);
-    event.mAtMs += mWorld.mDice.Between(300, 3000);
+  ++mEvents;
+  if (aKind == "late") {
+    DelayOrders();
+  } else if (aKind == "silent") {
+    Silence();
+  } else if (aKind == "power") {
+    CutPower();
+  } else if (aKind == "reset") {
+    Reset();
+  } else if (aKind == "clock") {
+    ChangeClock();
+  } else if (aKind == "store") {
+    DisturbStore();
+  } else if (aKind == "drain") {
+    Drain();
+  } else {
+    DisturbNode(aKind);
   }
 }
 
 void
-Trouble::Happen(const Event& aEvent)
+Trouble::After(std::int64_t aMs, std::function<void()> aCall)
+{
+  mTimers.At(SteadyMs() + aMs, std::move(aCall));
+}
+
+std::int64_t
+Trouble::Time(std::int64_t aLow, std::int64_t aHigh)
 {
-  ++mCounts.mEvents;
-  static const std::map<std::string, void (Trouble::*)(const Event&)> kEvents{
-    { "late", &Trouble::DelayOrders },  { "silent", &Trouble::Silence },
-    { "power", &Trouble::CutPower },    { "reset", &Trouble::Reset },
-    { "clock", &Trouble::ChangeClock }, { "stop", &Trouble::DisturbNode },
-    { "kill", &Trouble::DisturbNode },  { "term", &Trouble::DisturbNode },
-    { "hup", &Trouble::DisturbNode },   { "store", &Trouble::DisturbStore },
-    { "drain", &Trouble::Drain },
-  };
-  // Trouble does not outlast the play's time of trouble by much.
-  Event event = aEvent;
-  event.mAtMs = std::max<std::int64_t>(
-    300, mOptions.mSeconds * std::int64_t{ 1000 } + kLastMs - aEvent.mAtMs);
-  (this->*kEvents.at(event.mKind))(event);
+  const std::int64_t drawn =
+    mDice.Between(aLow, mDice.Chance(50) ? aHigh : (aLow + aHigh) / 3);
+  return std::min(drawn, std::max(aLow, mEndAtMs + 1000 - SteadyMs()));
 }
 
 std::vector<Trouble::Member*>
-Trouble::Pick(std::int64_t aDrawn, std::size_t aCount)
+Trouble::Pick(std::size_t aCount)
 {
   std::vector<Member*> members;
   for (const std::unique_ptr<Member>& member : mMembers) {
@@ -140,207 +123,222 @@
       members.push_back(member.get());
     }
   }
-  if (members.empty()) {
-    return members;
+  if (!members.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(mTarget % members.size());
+    std::rotate(members.begin(), members.begin() + first, members.end());
   }
-  const std::size_t first =
-    static_cast<std::size_t>(aDrawn) * members.size() / 10000;
-  std::rotate(members.begin(),
-              members.begin() + static_cast<std::ptrdiff_t>(first),
-              members.end());
   members.resize(std::min(members.size(), aCount));
   return members;
 }
 
 void
-Trouble::DelayOrders(const Event& aEvent)
+Trouble::DelayOrders()
 {
-  const std::size_t count = aEvent.Chance(1, 50)   ? 1
-                            : aEvent.Chance(1, 75) ? 4
-                                                   : mMembers.size();
-  for (Member* member : Pick(aEvent.mDrawn[0], count)) {
-    member->mRunner->DelayOrders(
-      std::min(aEvent.mAtMs, aEvent.Of(2, 1000, 5000)),
-      static_cast<int>(aEvent.Of(3, 10, count == 1 ? 100 : 70)));
+  const std::size_t count =
+    mDice.Chance(50) ? 1 : (mDice.Chance(50) ? 4 : mMembers.size());
+  const std::int64_t forMs = Time(1000, 5000);
+  const auto percent =
+    static_cast<int>(mDice.Between(10, count == 1 ? 100 : 70));
+  for (Member* member : Pick(count)) {
+    member->mRunner->Disrupt("delays " + std::to_string(percent) +
+                               "% of the orders for " + std::to_string(forMs) +
+                               " ms",
+                             [&](Runner::Disruption& aDisruption) {
+                               aDisruption.mDelayPercent = percent;
+                               aDisruption.mDelayUntilMs = SteadyMs() + forMs;
+                             });
   }
 }
 
 void
-Trouble::Silence(const Event& aEvent)
+Trouble::Silence()
 {
-  for (Member* member : Pick(aEvent.mDrawn[0], aEvent.Chance(1, 20) ? 3 : 1)) {
-    const std::int64_t forMs = std::min(
-      aEvent.mAtMs, aEvent.Of(2, 300, aEvent.Chance(5, 50) ? 2500 : 9000));
-    if (aEvent.Chance(3, 65)) {
-      member->mRunner->FallSilent(forMs, aEvent.Chance(4, 60));
-    } else {
-      member->mRunner->LoseAnswers(forMs);
+  const std::int64_t forMs = Time(300, 9000);
+  const std::string text = " for " + std::to_string(forMs) + " ms";
+  for (Member* member : Pick(mDice.Chance(20) ? 3 : 1)) {
+    const std::int64_t untilMs = SteadyMs() + forMs;
+    if (mDice.Chance(35)) {
+      member->mRunner->Disrupt("loses its answers" + text,
+                               [&](Runner::Disruption& aDisruption) {
+                                 aDisruption.mLoseAnswersUntilMs = untilMs;
+                               });
+      continue;
     }
+    const bool heartbeats = mDice.Chance(60);
+    member->mRunner->Disrupt(
+      "silent" + text + (heartbeats ? "" : ", without heartbeats"),
+      [&](Runner::Disruption& aDisruption) {
+        aDisruption.mSilentUntilMs = untilMs;
+        aDisruption.mNoHeartbeatUntilMs = heartbeats ? 0 : untilMs;
+      });
   }
 }
 
 void
-Trouble::CutPower(const Event& aEvent)
+Trouble::Restart(Member& aMember, std::int64_t aAfterMs, std::int64_t aBackMs)
 {
-  const std::int64_t downMs =
-    aEvent.Of(2, 100, aEvent.Chance(3, 50) ? 800 : 3000);
-  for (Member* member : Pick(aEvent.mDrawn[0], aEvent.Chance(4, 15) ? 3 : 1)) {
-    if (aEvent.Chance(1, 60)) {
-      member->mDown = true;
-      member->mRunner->CutPower();
-      After(downMs, [member] {
-        member->mRunner->Restart(0);
-        member->mDown = false;
-      });
-    } else {
-      // Back under another id, or gone while another runner joins: the entry of
-      // the old id stays for three heartbeats.
-      member->mLeaving = true;
-      member->mRunner->Leave(false);
-      Join(downMs);
+  aMember.mDown = true;
+  aMember.mRunner->CutPower();
+  After(aAfterMs, [&aMember, aBackMs] {
+    aMember.mRunner->Restart(aBackMs);
+    aMember.mDown = false;
+  });
+}
+
+void
+Trouble::CutPower()
+{
+  const std::int64_t downMs = Time(100, 3000);
+  const bool back = mDice.Chance(60);
+  for (Member* member : Pick(mDice.Chance(15) ? 3 : 1)) {
+    if (back) {
+      Restart(*member, downMs, 0);
+      continue;
     }
+    // Back under another id, or gone while another runner joins: the entry of
+    // the old id stays for three heartbeats.
+    member->mLeaving = true;
+    member->mRunner->Leave(false);
+    Join(downMs);
   }
 }
 
 void
-Trouble::Reset(const Event& aEvent)
+Trouble::Reset()
 {
-  if (aEvent.Chance(1, 30)) {
+  if (mDice.Chance(30)) {
     mWorld.mRecord.Write("store", "connections of the store reset");
-    mTimes.Begin("store");
-    mTimes.End("store");
+    mWorld.mRecord.BeginTrouble("store");
+    mWorld.mRecord.EndTrouble("store");
     mStore.ResetConnections();
     return;
   }
-  for (Member* member :
-       Pick(aEvent.mDrawn[0], aEvent.Chance(2, 20) ? mMembers.size() : 1)) {
+  for (Member* member : Pick(mDice.Chance(20) ? mMembers.size() : 1)) {
     member->mRunner->ResetConnections();
   }
 }
 
 void
-Trouble::ChangeClock(const Event& aEvent)
+Trouble::ChangeClock()
 {
-  for (Member* member : Pick(aEvent.mDrawn[0], 1)) {
-    if (aEvent.Chance(1, 50)) {
-      member->mRunner->ToggleClock();
+  const bool setBack = mDice.Chance(50);
+  for (Member* member : Pick(1)) {
+    if (setBack) {
+      Restart(*member, Time(100, 1000), mDice.Between(1, 2000));
       continue;
     }
-    member->mDown = true;
-    member->mRunner->CutPower();
-    After(aEvent.Of(2, 100, 1000), [member, aEvent] {
-      member->mRunner->Restart(aEvent.Of(3, 1, 2000));
-      member->mDown = false;
+    member->mRunner->Disrupt("clock becomes 2% slow, or right again",
+                             [](Runner::Disruption& aDisruption) {
+                               aDisruption.mClockSlow = !aDisruption.mClockSlow;
+                             });
+  }
+}
+
+void
+Trouble::DisturbNode(const std::string& aKind)
+{
+  // Half of the events meet a node that owns a shard.
+  const std::string owner =
+    mDice.Chance(50) ? mStore.NewestOwner() : std::string();
+  NodeProcess* node = mNodes[mTarget % mNodes.size()].get();
+  for (const std::unique_ptr<NodeProcess>& other : mNodes) {
+    node = other->Name() == owner ? other.get() : node;
+  }
+  if (node->mInTrouble) {
+    return;
+  }
+  mWorld.mRecord.BeginTrouble(node->Name());
+  mWorld.mRecord.Write("nodes", node->Name() + " gets " + aKind);
+  if (aKind == "hup") {
+    node->Signal(SIGHUP);
+    mWorld.mRecord.EndTrouble(node->Name());
+    return;
+  }
+  node->mInTrouble = true;
+  if (aKind == "kill") {
+    node->Kill();
+    RestartNode(*node);
+  } else if (aKind == "term") {
+    node->Signal(SIGTERM);
+    AwaitEnd(*node, SteadyMs() + kTermMs);
+  } else {
+    node->Signal(SIGSTOP);
+    After(Time(500, 8000), [this, node] {
+      node->Signal(SIGCONT);
+      node->mInTrouble = false;
+      mWorld.mRecord.EndTrouble(node->Name());
+      mWorld.mRecord.Write("nodes", node->Name() + " continues");
     });
   }
 }
 
 void
-Trouble::Terminate(NodeProcess& aNode, std::int64_t aPauseMs)
+Trouble::AwaitEnd(NodeProcess& aNode, std::int64_t aKillAtMs)
 {
-  const std::int64_t killAtMs = SteadyMs() + kTermMs;
-  aNode.Signal(SIGTERM);
-  const auto await = [this, &aNode, aPauseMs, killAtMs](auto aAgain) -> void {
-    if (!aNode.HasEnded()) {
-      if (SteadyMs() < killAtMs) {
-        After(50, [aAgain] { aAgain(aAgain); });
-        return;
-      }
-      mWorld.mRecord.Write("nodes", aNode.Name() + " killed after SIGTERM");
-      aNode.Kill();
-    }
-    RestartNode(aNode, aPauseMs);
-  };
-  await(await);
+  if (!aNode.HasEnded() && SteadyMs() < aKillAtMs) {
+    After(50, [this, &aNode, aKillAtMs] { AwaitEnd(aNode, aKillAtMs); });
+    return;
+  }
+  aNode.Kill();
+  RestartNode(aNode);
 }
 
 void
-Trouble::RestartNode(NodeProcess& aNode, std::int64_t aAfterMs)
+Trouble::RestartNode(NodeProcess& aNode)
 {
-  After(aAfterMs, [this, &aNode] {
+  After(Time(100, 4000), [this, &aNode] {
     mWorld.mRecord.Write("nodes", aNode.Name() + " started again");
     aNode.Start();
     aNode.mInTrouble = false;
-    mTimes.End(aNode.Name());
+    mWorld.mRecord.EndTrouble(aNode.Name());
   });
 }
 
 void
-Trouble::DisturbNode(const Event& aEvent)
+Trouble::WatchNodes()
 {
-  const auto count = static_cast<std::int64_t>(mNodes.size());
-  std::int64_t first = aEvent.Of(0, 0, count - 1);
-  // Half of the events meet a node that owns a shard.
-  const std::string owner = mStore.NewestOwner();
-  for (std::int64_t i = 0; i < count && aEvent.Chance(4, 50); ++i) {
-    first = mNodes[static_cast<std::size_t>(i)]->Name() == owner ? i : first;
-  }
-  const bool isHup = aEvent.mKind == "hup";
-  for (std::int64_t i = 0; i < count; ++i) {
-    NodeProcess& node = *mNodes[static_cast<std::size_t>((first + i) % count)];
-    if (node.mInTrouble) {
-      continue;
-    }
-    mTimes.Begin(node.Name());
-    mWorld.mRecord.Write("nodes", node.Name() + " gets " + aEvent.mKind);
-    node.mInTrouble = !isHup;
-    const std::int64_t pauseMs = aEvent.Of(1, 100, 4000);
-    if (isHup) {
-      node.Signal(SIGHUP);
-      mTimes.End(node.Name());
-    } else if (aEvent.mKind == "kill") {
-      node.Kill();
-      RestartNode(node, pauseMs);
-    } else if (aEvent.mKind == "term") {
-      Terminate(node, pauseMs);
-    } else {
-      node.Signal(SIGSTOP);
-      After(std::min(aEvent.mAtMs, aEvent.Of(2, 500, 8000)), [this, &node] {
-        node.Signal(SIGCONT);
-        node.mInTrouble = false;
-        mTimes.End(node.Name());
-        mWorld.mRecord.Write("nodes", node.Name() + " continues");
-      });
+  for (const std::unique_ptr<NodeProcess>& node : mNodes) {
+    if (!node->mInTrouble && node->HasEnded()) {
+      ++mNodesEnded;
+      mWorld.mRecord.Write("nodes", node->Name() + " has ended by itself");
+      mWorld.mRecord.BeginTrouble(node->Name());
+      node->mInTrouble = true;
+      RestartNode(*node);
     }
-    return;
   }
+  After(kWatchMs, [this] { WatchNodes(); });
 }
 
 void
-Trouble::DisturbStore(const Event& aEvent)
+Trouble::DisturbStore()
 {
   if (mStoreInTrouble) {
     return;
   }
-  constexpr std::array kKinds{
-    std::pair{ StoreTrouble::Silent, "silent" },
-    std::pair{ StoreTrouble::Unavailable, "unavailable" },
-    std::pair{ StoreTrouble::LosesWrites, "losing answers to writes" },
-    std::pair{ StoreTrouble::Slow, "slow" }
-  };
-  const auto& [trouble, text] = kKinds[static_cast<std::size_t>(
-    aEvent.Of(1, 0, static_cast<std::int64_t>(kKinds.size()) - 1))];
+  const auto trouble = static_cast<StoreTrouble>(mDice.Between(1, 4));
   mStoreInTrouble = true;
-  mTimes.Begin("store");
+  mWorld.mRecord.BeginTrouble("store");
+  mWorld.mRecord.Write("store", std::string("the store is ") + TextOf(trouble));
   mStore.SetTrouble(trouble);
-  mWorld.mRecord.Write("store", std::string("the store is ") + text);
-  After(std::min(aEvent.mAtMs, aEvent.Of(2, 500, 8000)), [this] {
+  After(Time(500, 8000), [this] {
     mStore.SetTrouble(StoreTrouble::None);
     mStoreInTrouble = false;
-    mTimes.End("store");
+    mWorld.mRecord.EndTrouble("store");
     mWorld.mRecord.Write("store", "the store is well");
   });
 }
 
 void
-Trouble::Drain(const Event& aEvent)
+Trouble::Drain()
 {
-  for (Member* member : Pick(aEvent.mDrawn[0], 1)) {
+  for (Member* member : Pick(1)) {
     member->mLeaving = true;
-    member->mRunner->Drain();
-    After(aEvent.Of(1, 1000, 6000), [this, member, aEvent] {
+    member->mRunner->Disrupt("draining", [](Runner::Disruption& aDisruption) {
+      aDisruption.mDraining = true;
+    });
+    After(Time(1000, 6000), [this, member, joinMs = mDice.Between(0, 2000)] {
       member->mRunner->Leave(true);
-      Join(aEvent.Of(2, 0, 2000));
+      Join(joinMs);
     });
   }
 }
@@ -348,35 +346,14 @@
 void
 Trouble::Join(std::int64_t aAfterMs)
 {
-  const auto join = [this] {
-    ++mJoined;
-    auto member = std::make_unique<Member>();
-    member->mRunner =
-      std::make_unique<Runner>("i-" + std::to_string(mJoined), mJoined, mWorld);
-    mWorld.mRecord.Write(member->mRunner->Id(),
-                         member->mRunner->Id() + " joins");
-    mMembers.push_back(std::move(member));
-  };
-  if (aAfterMs == 0) {
-    join();
-  } else {
-    After(aAfterMs, join);
-  }
-}
-
-void
-Trouble::WatchNodes()
-{
-  for (const std::unique_ptr<NodeProcess>& node : mNodes) {
-    if (!node->mInTrouble && node->HasEnded()) {
-      ++mCounts.mNodesEndedThemselves;
-      mWorld.mRecord.Write("nodes", node->Name() + " has ended by itself");
-      mTimes.Begin(node->Name());
-      node->mInTrouble = true;
-      RestartNode(*node, 500);
-    }
+  if (aAfterMs > 0) {
+    After(aAfterMs, [this] { Join(0); });
+    return;
   }
-  After(kWatchMs, [this] { WatchNodes(); });
+  const std::string id = "i-" + std::to_string(++mJoined);
+  mWorld.mRecord.Write(id, id + " joins");
+  mMembers.push_back(std::make_unique<Member>());
+  mMembers.back()->mRunner = std::make_unique<Runner>(id, mJoined, mWorld);
 }
 
 } // namespace paddle::soak
