LibDispatch: Grant no lease that outlasts the restart of a lost task

Cause: the longest lease that the deployment allows (bounds.max_hold_ms, 10 s there) was the lease that was granted. The tasks of a lost runner wait for the end of its leases, 10.45 s, while a long-running task has to run again after 9 s.

Change: an owner grants 6 s, or what the deployment allows if that is less. What earlier owners may have granted is still taken as what the deployment allows. The line "started" has both.

--- a/Libraries/LibDispatch/DispatchSettings.h
+++ b/Libraries/LibDispatch/DispatchSettings.h
@@ -10,8 +10,13 @@
 /// deployment sets none.
 struct DispatchSettings
 {
-  /// Longest lease that a runner may be granted. The deployment sets it.
+  /// Longest lease that a runner may be granted. The deployment sets it. An
+  /// earlier owner may have granted as much.
   Millis mMaxLease{ 6000 };
+  /// Longest lease that this owner grants, whatever longer one the deployment
+  /// allows. The tasks of a runner that is lost run again only once its leases
+  /// have ended, and a long-running task has to run again after 9 s.
+  Millis mLongestGrantedLease{ 6000 };
   /// Longest lease that a runner is granted on the strength of an answer of a
   /// majority of the runners, while the store does not answer. It is short, as
   /// a later owner waits for it; a renewal is sent each 0.4 s then.
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -337,6 +337,10 @@
 Millis
 LongestDuration(const DispatchSettings& aSettings, Millis aLease);
 
+/// @return the longest lease that an owner of this version grants
+[[nodiscard]] Millis
+LongestGrant(const DispatchSettings& aSettings);
+
 /// @return all runs that the runner may have
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner);
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -396,6 +396,12 @@
                                          aSettings.mClockDriftFactor));
 }
 
+Millis
+LongestGrant(const DispatchSettings& aSettings)
+{
+  return std::min(aSettings.mMaxLease, aSettings.mLongestGrantedLease);
+}
+
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
@@ -554,8 +560,9 @@
 {
   const DispatchSettings& settings = aDispatcher.mSettings;
   const auto left = std::chrono::floor<Millis>(aDispatcher.mLeaseLimit - aNow);
-  if (left >= LongestDuration(settings, settings.mMaxLease)) {
-    return settings.mMaxLease;
+  const Millis longest = LongestGrant(settings);
+  if (left >= LongestDuration(settings, longest)) {
+    return longest;
   }
   return std::max(
     Millis(0),
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -10,6 +10,15 @@
 ///         of a renewal of the shard's lease
 Millis
 OrdinaryLease(const NodeSettings& aSettings)
+{
+  return dispatch::LongestDuration(aSettings.mDispatch,
+                                   dispatch::LongestGrant(aSettings.mDispatch));
+}
+
+/// @return the longest time that such a lease of an owner of an earlier version
+///         lasts
+Millis
+EarlierOrdinaryLease(const NodeSettings& aSettings)
 {
   return dispatch::LongestDuration(aSettings.mDispatch,
                                    aSettings.mDispatch.mMaxLease);
@@ -43,7 +52,7 @@
     // An owner of an earlier version grants long leases until its own lease
     // ends, which counts from before its last renewal was seen.
     mEarlierLeasesEnd =
-      OrdinaryLease(settings) +
+      EarlierOrdinaryLease(settings) +
       (mClaim.mEarlierOwner == EarlierOwner::MayAct
          ? std::max(aNow, mClaim.mRowSeenAt + settings.mShardLeaseDuration)
          : aNow);
--- a/Services/Node/NodeProcess.cpp
+++ b/Services/Node/NodeProcess.cpp
@@ -389,13 +389,17 @@
                  now);
     }
   }
-  mLog.Write(LogLevel::Notice,
-             "started",
-             "node=" + mSettings.mNodeName +
-               " data_centre=" + mSettings.mDataCentre +
-               " incarnation=" + std::to_string(mContext.mSelf.mIncarnation) +
-               " milli_cores=" + std::to_string(mSettings.mMilliCores),
-             now);
+  mLog.Write(
+    LogLevel::Notice,
+    "started",
+    "node=" + mSettings.mNodeName + " data_centre=" + mSettings.mDataCentre +
+      " incarnation=" + std::to_string(mContext.mSelf.mIncarnation) +
+      " milli_cores=" + std::to_string(mSettings.mMilliCores) +
+      " allowed_lease_ms=" +
+      std::to_string(mSettings.mDispatch.mMaxLease.count()) +
+      " longest_lease_ms=" +
+      std::to_string(dispatch::LongestGrant(mSettings.mDispatch).count()),
+    now);
   mNode->Begin();
   WaitForTick();
   WaitForSignal();
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -533,3 +533,33 @@
   CHECK_TRUE(world.RunnerOf("long.0.0.0") != runner);
   LONGS_EQUAL(3, world.mStarts);
 }
+
+// Guards against a long-running task that waits beside runners with room until
+// a lease as long as the deployment allows has ended.
+TEST(Leases, ALongAllowedLeaseDelaysNoTaskOfALostRunner)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(10);
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.AdvanceTime(Seconds(3));
+  world.Leave(world.RunnerOf("job.0.0.0"));
+  CHECK_FALSE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(world.TimeUntilRunning("job.0.0.0") <= kLongestLease + kAtOnce);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against a lease that is longer than the deployment allows.
+TEST(Leases, NoLeaseIsLongerThanTheDeploymentAllows)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(4);
+  world.ListRunners(1);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  for (int i = 0; i < 40; ++i) {
+    world.AdvanceTime(Millis(50));
+    const DispatchWorld::FakeRunner& runner = world.mRunners["r0"];
+    CHECK_TRUE(LeaseEndOf(world, runner) > world.mNow);
+    CHECK_TRUE(LeaseEndOf(world, runner) <= world.mNow + Seconds(4));
+  }
+}
--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -13,7 +13,6 @@
 constexpr Millis kMessageStep{ 5 };
 /// Time that an order takes to a runner, and its answer back.
 constexpr Millis kLatency{ 5 };
-constexpr Millis kMaxLease{ 6000 };
 /// Time after which the caller gives up an order that got no answer. A renewal
 /// has its long poll in addition.
 constexpr Millis kOrderTimeout{ 900 };
@@ -390,7 +389,7 @@
 {
   aRunner.mLeaseEndMs =
     std::max(aRunner.mLeaseEndMs,
-             std::min(aLeaseEndMs, ClockOf(aRunner) + kMaxLease.count()));
+             std::min(aLeaseEndMs, ClockOf(aRunner) + mMaxLease.count()));
 }
 
 void
@@ -552,6 +551,7 @@
   node.mContext.mSelf.mMilliCores = 100;
   node.mContext.mPartitions = mPartitions;
   node.mContext.mSettings.mStoreLimits = mStore.mLimits;
+  node.mContext.mSettings.mDispatch.mMaxLease = mMaxLease;
   node.mContext.mStore = MakeStorePort(caller);
   node.mContext.mRunners = MakeRunnerPort(caller);
   node.mContext.mDirectory = MakeDirectoryPort(caller);
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -166,6 +166,9 @@
   [[nodiscard]] std::int64_t SinceBegin(MonotonicTime aTime) const;
 
   FakeStore mStore;
+  /// Longest lease that the deployment allows, for the runners and for the
+  /// nodes that are started from then on.
+  Millis mMaxLease{ 6000 };
   std::map<std::string, FakeRunner> mRunners;
   std::map<std::string, SimulatedNode> mNodes;
   Deadlines mDeadlines; ///< Of everything but the nodes.
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -34,9 +34,12 @@
 /// A cluster of three nodes that runs a job with long-running tasks.
 struct Scenario
 {
-  explicit Scenario(std::size_t aRunners = 8, std::uint32_t aTasks = kTasks)
+  explicit Scenario(std::size_t aRunners = 8,
+                    std::uint32_t aTasks = kTasks,
+                    Millis aMaxLease = Seconds(6))
     : mCluster(aRunners)
   {
+    mCluster.mMaxLease = aMaxLease;
     mCluster.StartNode("a");
     mCluster.AdvanceTime(Seconds(6));
     mCluster.StartNode("b");
@@ -1235,6 +1238,33 @@
   }
 }
 
+// Guards against a lost runner whose tasks wait for a lease as long as the
+// deployment allows, whether its owner goes on or dies before or after the
+// loss.
+TEST(TakeoverSimulation, LongAllowedLeasesDelayNoTaskOfALostRunner)
+{
+  for (const int killedAfter : { -500, 0, 1000, 3000, 60000 }) {
+    Scenario scenario(8, kTasks, Seconds(10));
+    ClusterSimulation& cluster = scenario.mCluster;
+    if (killedAfter < 0) {
+      cluster.KillNode(scenario.mOwner);
+      cluster.AdvanceTime(Millis(-killedAfter));
+    }
+    const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+    const MonotonicTime lostAt = cluster.mNow;
+    if (killedAfter >= 0 && killedAfter < 9000) {
+      cluster.AdvanceTime(Millis(killedAfter));
+      cluster.KillNode(scenario.mOwner);
+    }
+    std::string problem =
+      scenario.CheckRunning(tasks, lostAt, lostAt + Seconds(9));
+    problem += cluster.Overlap();
+    mFailures.Add(
+      "owner killed " + Text(Millis(killedAfter)) + " after the loss", problem);
+  }
+  mFailures.Check();
+}
+
 // Guards against an owner that gives up its tasks, or starts no more, while the
 // store is unavailable for nine seconds although all runners answer.
 TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
