LibDispatch: Take earlier owners' leases for ended at the stated time

Cause: from the first answer of a runner with tasks, the longest lease that the deployment allows (10 s there) was taken to be left, although the shard's row states when all leases of earlier owners end.

Change: the stated end counts, and 6 s at least. A restarted runner counts as before, as does a shard whose row states no end.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -147,6 +147,10 @@
   /// Time until which runners that have not answered this owner may still run
   /// tasks of an earlier owner, but for Runner::mExtendedLeasesExpireAt.
   MonotonicTime mEarlierLeasesUntil;
+  /// Time until which leases last that earlier owners have granted on the
+  /// strength of the store, but for Runner::mExtendedLeasesExpireAt; the zero
+  /// time if it is not known.
+  MonotonicTime mEarlierOrdinaryLeasesUntil;
   /// No lease is granted beyond this time. A later owner counts on it.
   MonotonicTime mLeaseLimit = MonotonicTime::max();
   /// Whether the runners are to answer often, because the owner may soon depend
@@ -298,6 +302,13 @@
 MonotonicTime
 EarlierLeasesEnd(const Dispatcher& aDispatcher, RunnerIndex aRunner);
 
+/// @return the longest time for which a runner that has just answered this
+///         owner for the first time has leases of an earlier one
+[[nodiscard]] Millis
+LongestEarlierLease(const Dispatcher& aDispatcher,
+                    const Runner& aRunner,
+                    MonotonicTime aNow);
+
 /// @return whether the runs that the runner may have should be recorded in the
 ///         store, so that a later owner can start other tasks without waiting
 ///         for the runner
--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -1020,7 +1020,7 @@
     // An earlier owner, or an order to the runner's former process, has granted
     // the leases of these runs, so they may last as long as any lease.
     runner.mHighestLeaseMs =
-      aReport.mClockMs + aDispatcher.mSettings.mMaxLease.count();
+      aReport.mClockMs + LongestEarlierLease(aDispatcher, runner, aNow).count();
   }
   UpdateLeaseExpiry(aDispatcher, runner);
 
--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -333,6 +333,28 @@
     runner.mExtendedLeasesExpireAt.value_or(MonotonicTime{}));
 }
 
+Millis
+LongestEarlierLease(const Dispatcher& aDispatcher,
+                    const Runner& aRunner,
+                    MonotonicTime aNow)
+{
+  const DispatchSettings& settings = aDispatcher.mSettings;
+  // A late order to the former process of a restarted runner counts from its
+  // arrival.
+  if (aDispatcher.mEarlierOrdinaryLeasesUntil == MonotonicTime{} ||
+      aRunner.mRestartSeenAt > MonotonicTime{}) {
+    return settings.mMaxLease;
+  }
+  const MonotonicTime end =
+    std::max(aDispatcher.mEarlierOrdinaryLeasesUntil,
+             aRunner.mExtendedLeasesExpireAt.value_or(MonotonicTime{}));
+  // An isolated owner may have granted short leases until this answer.
+  const Millis shortest =
+    std::max(LongestGrant(settings), settings.mIsolatedLease);
+  return std::min(settings.mMaxLease,
+                  std::max(shortest, std::chrono::ceil<Millis>(end - aNow)));
+}
+
 bool
 ShouldStoreRecord(const Dispatcher& aDispatcher,
                   RunnerIndex aRunner,
--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -82,6 +82,7 @@
   mDispatcher.mEarlierLeasesUntil =
     std::max(mEarlierLeasesEnd, mEarlierIsolatedLeasesEnd) +
     mContext.mSettings.mDispatch.mLeaseExpiryMargin;
+  mDispatcher.mEarlierOrdinaryLeasesUntil = mEarlierLeasesEnd;
 }
 
 void
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -563,3 +563,29 @@
     CHECK_TRUE(LeaseEndOf(world, runner) <= world.mNow + Seconds(4));
   }
 }
+
+// Guards against a lease of an earlier owner that counts as over too soon after
+// the first answer to the present one: it may last until the time that the
+// earlier owner has stated, or for a short lease, and on a restarted runner for
+// the longest one.
+TEST(Leases, EarlierLeasesLastUntilTheStatedEnd)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(10);
+  world.ListRunners(1);
+  Runner& runner = world.mDispatcher.mRunners[0];
+  const auto longest = [&] {
+    return LongestEarlierLease(world.mDispatcher, runner, world.mNow);
+  };
+  CHECK_TRUE(longest() == Seconds(10)); // Nothing is stated.
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow + Seconds(12);
+  CHECK_TRUE(longest() == Seconds(10));
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow + Seconds(8);
+  CHECK_TRUE(longest() == Seconds(8));
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow - Seconds(8);
+  CHECK_TRUE(longest() == Seconds(6));
+  runner.mExtendedLeasesExpireAt = world.mNow + Seconds(9);
+  CHECK_TRUE(longest() == Seconds(9));
+  runner.mRestartSeenAt = world.mNow;
+  CHECK_TRUE(longest() == Seconds(10));
+}
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1265,6 +1265,28 @@
   mFailures.Check();
 }
 
+// Guards against a runner that is lost just after it has answered a new owner,
+// and whose tasks wait for a lease as long as the deployment allows, although
+// the earlier owner granted shorter ones.
+TEST(TakeoverSimulation, LongAllowedLeasesDelayNoTaskAfterATakeover)
+{
+  for (const int lostAfter : { 200, 400, 800, 1500 }) {
+    Scenario scenario(8, kTasks, Seconds(10));
+    ClusterSimulation& cluster = scenario.mCluster;
+    cluster.KillNode(scenario.mOwner);
+    scenario.AwaitOwnerAfter(scenario.mEpoch);
+    cluster.AdvanceTime(Millis(lostAfter));
+    const std::vector<std::string> tasks = scenario.LoseRunner(Millis(0));
+    const MonotonicTime lostAt = cluster.mNow;
+    std::string problem =
+      scenario.CheckRunning(tasks, lostAt, lostAt + Seconds(9));
+    problem += cluster.Overlap();
+    mFailures.Add("lost " + Text(Millis(lostAfter)) + " after the takeover",
+                  problem);
+  }
+  mFailures.Check();
+}
+
 // Guards against an owner that gives up its tasks, or starts no more, while the
 // store is unavailable for nine seconds although all runners answer.
 TEST(TakeoverSimulation, AStoreOutageStopsNeitherTasksNorStarts)
