--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -336,6 +336,28 @@
     runner.mExtendedLeasesExpireAt.value_or(MonotonicTime{}));
 }
 
+Millis
+LongestEarlierLease(const Dispatcher& aDispatcher,
+                    const Runner& aRunner,
+                    MonotonicTime aNow)
+{
+  const DispatchSettings& settings = aDispatcher.mSettings;
+  // A late order to the former process of a restarted runner counts from its
+  // arrival.
+  if (aDispatcher.mEarlierOrdinaryLeasesUntil == MonotonicTime{} ||
+      aRunner.mRestartSeenAt > MonotonicTime{}) {
+    return settings.mMaxLease;
+  }
+  const MonotonicTime end =
+    std::max(aDispatcher.mEarlierOrdinaryLeasesUntil,
+             aRunner.mExtendedLeasesExpireAt.value_or(MonotonicTime{}));
+  // An isolated owner may have granted short leases until this answer.
+  const Millis shortest =
+    std::max(LongestGrant(settings), settings.mIsolatedLease);
+  return std::min(settings.mMaxLease,
+                  std::max(shortest, std::chrono::ceil<Millis>(end - aNow)));
+}
+
 bool
 ShouldStoreRecord(const Dispatcher& aDispatcher,
                   RunnerIndex aRunner,
@@ -399,6 +421,12 @@
                                          aSettings.mClockDriftFactor));
 }
 
+Millis
+LongestGrant(const DispatchSettings& aSettings)
+{
+  return std::min(aSettings.mMaxLease, aSettings.mLongestGrantedLease);
+}
+
 std::vector<PossibleRun>
 PossibleRuns(const Dispatcher& aDispatcher, RunnerIndex aRunner)
 {
@@ -560,8 +588,9 @@
 {
   const DispatchSettings& settings = aDispatcher.mSettings;
   const auto left = std::chrono::floor<Millis>(aDispatcher.mLeaseLimit - aNow);
-  if (left >= LongestDuration(settings, settings.mMaxLease)) {
-    return settings.mMaxLease;
+  const Millis longest = LongestGrant(settings);
+  if (left >= LongestDuration(settings, longest)) {
+    return longest;
   }
   return std::max(
     Millis(0),
--- a/Tests/LibDispatch/TestLeases.cpp
+++ b/Tests/LibDispatch/TestLeases.cpp
@@ -533,3 +533,59 @@
   CHECK_TRUE(world.RunnerOf("long.0.0.0") != runner);
   LONGS_EQUAL(3, world.mStarts);
 }
+
+// Guards against a long-running task that waits beside runners with room until
+// a lease as long as the deployment allows has ended.
+TEST(Leases, ALongAllowedLeaseDelaysNoTaskOfALostRunner)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(10);
+  world.ListRunners(4);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  world.AdvanceTime(Seconds(3));
+  world.Leave(world.RunnerOf("job.0.0.0"));
+  CHECK_FALSE(world.IsRunning("job.0.0.0"));
+  CHECK_TRUE(world.TimeUntilRunning("job.0.0.0") <= kLongestLease + kAtOnce);
+  LONGS_EQUAL(1, world.mMostRunsOfATask);
+}
+
+// Guards against a lease that is longer than the deployment allows.
+TEST(Leases, NoLeaseIsLongerThanTheDeploymentAllows)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(4);
+  world.ListRunners(1);
+  world.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  for (int i = 0; i < 40; ++i) {
+    world.AdvanceTime(Millis(50));
+    const DispatchWorld::FakeRunner& runner = world.mRunners["r0"];
+    CHECK_TRUE(LeaseEndOf(world, runner) > world.mNow);
+    CHECK_TRUE(LeaseEndOf(world, runner) <= world.mNow + Seconds(4));
+  }
+}
+
+// Guards against a lease of an earlier owner that counts as over too soon after
+// the first answer to the present one: it may last until the time that the
+// earlier owner has stated, or for a short lease, and on a restarted runner for
+// the longest one.
+TEST(Leases, EarlierLeasesLastUntilTheStatedEnd)
+{
+  DispatchWorld world;
+  world.mDispatcher.mSettings.mMaxLease = Seconds(10);
+  world.ListRunners(1);
+  Runner& runner = world.mDispatcher.mRunners[0];
+  const auto longest = [&] {
+    return LongestEarlierLease(world.mDispatcher, runner, world.mNow);
+  };
+  CHECK_TRUE(longest() == Seconds(10)); // Nothing is stated.
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow + Seconds(12);
+  CHECK_TRUE(longest() == Seconds(10));
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow + Seconds(8);
+  CHECK_TRUE(longest() == Seconds(8));
+  world.mDispatcher.mEarlierOrdinaryLeasesUntil = world.mNow - Seconds(8);
+  CHECK_TRUE(longest() == Seconds(6));
+  runner.mExtendedLeasesExpireAt = world.mNow + Seconds(9);
+  CHECK_TRUE(longest() == Seconds(9));
+  runner.mRestartSeenAt = world.mNow;
+  CHECK_TRUE(longest() == Seconds(10));
+}
