LibNode: State the longest allowed lease of a runner that has restarted

Owners now grant 6 s, also where the deployment allows 10 s. A late renewal for a former process states an end on that process's clock, so the new one may extend its leases by as much as the deployment allows, and the shard's row stated 6 s only. Until the new process rejects such orders the row states 12 s and the longest allowed lease from the restart on, then the longest allowed lease from its answer on.

--- a/Libraries/LibNode/ShardLeases.cpp
+++ b/Libraries/LibNode/ShardLeases.cpp
@@ -15,10 +15,12 @@
                                    dispatch::LongestGrant(aSettings.mDispatch));
 }
 
-/// @return the longest time that such a lease of an owner of an earlier version
-///         lasts
+/// @return the longest time that any lease lasts which the deployment allows:
+///         one of an owner of an earlier version, or one of a late order to a
+///         former process of a runner, whose clock the present one doesn't
+///         share
 Millis
-EarlierOrdinaryLease(const NodeSettings& aSettings)
+LongestAllowedLease(const NodeSettings& aSettings)
 {
   return dispatch::LongestDuration(aSettings.mDispatch,
                                    aSettings.mDispatch.mMaxLease);
@@ -52,7 +54,7 @@
     // An owner of an earlier version grants long leases until its own lease
     // ends, which counts from before its last renewal was seen.
     mEarlierLeasesEnd =
-      EarlierOrdinaryLease(settings) +
+      LongestAllowedLease(settings) +
       (mClaim.mEarlierOwner == EarlierOwner::MayAct
          ? std::max(aNow, mClaim.mRowSeenAt + settings.mShardLeaseDuration)
          : aNow);
@@ -117,11 +119,13 @@
     // A late renewal for the former process of a runner may extend the leases
     // of the new one, until that rejects it. No task is started there before a
     // renewal of the shard is stored that was sent later.
-    if (runner.mTakesFormerOrders && !dispatch::HasLeft(mDispatcher, i)) {
+    if (runner.mRestarts > 0 && !dispatch::HasLeft(mDispatcher, i)) {
+      const MonotonicTime latest =
+        runner.mTakesFormerOrders
+          ? runner.mRestartSeenAt + settings.mLongestOrderDelay
+          : runner.mFormerOrdersEndedAt;
       MonotonicTime& end = ends[runner.mSpec.mId];
-      end = std::max(end,
-                     runner.mRestartSeenAt + settings.mLongestOrderDelay +
-                       OrdinaryLease(settings));
+      end = std::max(end, latest + LongestAllowedLease(settings));
     }
   }
   return ends;
--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -1159,6 +1159,27 @@
   mFailures.Check();
 }
 
+// Guards against the same where the deployment allows longer leases than owners
+// grant: the end in a late renewal is on the former process's clock, so that it
+// may extend the new one's leases by as much as is allowed.
+TEST(TakeoverSimulation, ALateRenewalDoublesNoTaskWhereLongLeasesAreAllowed)
+{
+  for (const int lateness : { 1200, 1500, 2000, 4000 }) {
+    for (int killedAfter = 200; killedAfter <= 1400; killedAfter += 50) {
+      Scenario scenario(4, kTasks, Seconds(10));
+      ClusterSimulation& cluster = scenario.mCluster;
+      scenario.RestartRunnerDuringARenewal(Millis(lateness));
+      cluster.AdvanceTime(Millis(killedAfter));
+      scenario.KillOwnerBesideCutOffRunner();
+      cluster.AdvanceTime(Seconds(30));
+      mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
+                      Text(Millis(killedAfter)) + " after the restart",
+                    cluster.Overlap());
+    }
+  }
+  mFailures.Check();
+}
+
 // Guards against a task that runs twice because a second change of owner
 // forgets until when a late renewal may have extended the leases on a restarted
 // runner, which neither owner reaches.
