Tests: Check noted ends in random schedules of finite tasks

The random schedules of takeovers have long-running tasks, which are never done, and check only that runs don't overlap. Starts after a noted end as done were checked for LibDispatch alone, with one owner's view of the leases.

ClusterSimulation now keeps, for each end as done, whether the runner's lease lapsed before the renewal that acknowledged it, on the runner's own clock. Orders can be late, or lose their answers, at random, and a node can be stopped between reading its clock and sending an order. A renewal acknowledges ends only to the process that has listed them, as RunnerClient does.

--- a/Tests/LibNode/ClusterSimulation.cpp
+++ b/Tests/LibNode/ClusterSimulation.cpp
@@ -79,6 +79,13 @@
   port.mTransact = [this, aCaller, store](const StoreTransaction& aTransaction,
                                           Millis aTimeout,
                                           const TransactionHandler& aDone) {
+    if (SimulatedNode& node = mNodes.at(aCaller.mNode); node.mFrozen) {
+      node.mPendingCalls.push_back(
+        [this, aCaller, aTransaction, aTimeout, aDone] {
+          MakeStorePort(aCaller).mTransact(aTransaction, aTimeout, aDone);
+        });
+      return;
+    }
     const auto giveUp = [this, aCaller, aTimeout, aDone] {
       mDeadlines.Add(mNow + aTimeout, [this, aCaller, aDone] {
         Deliver(aCaller, [aDone] { aDone({}); });
@@ -208,12 +215,60 @@
            : PathTo(aCaller, aRunner).mRoundTrip;
 }
 
+std::int64_t
+ClusterSimulation::KnownProcess(const Caller& aCaller,
+                                const std::string& aRunner) const
+{
+  const auto known = mKnownProcesses.find({ aCaller.mProcess, aRunner });
+  return known == mKnownProcesses.end() ? 0 : known->second;
+}
+
 template<typename Result>
 void
 ClusterSimulation::SendOrder(
   const Caller& aCaller,
   const std::string& aRunner,
   Millis aTimeout,
+  const std::function<void(FakeRunner&, std::function<void(Result)>)>&
+    aCarryOut,
+  const std::function<void(Result)>& aDone,
+  const std::function<bool()>& aStillWanted)
+{
+  SimulatedNode& node = mNodes.at(aCaller.mNode);
+  const OrderFate fate =
+    mDrawFate && !node.mFrozen ? mDrawFate(aRunner) : OrderFate{};
+  if (fate.mStandsStill > Millis(0)) {
+    FreezeNode(aCaller.mNode);
+    mDeadlines.Add(mNow + fate.mStandsStill, [this, aCaller] {
+      if (mNodes.at(aCaller.mNode).mProcess == aCaller.mProcess) {
+        WakeNode(aCaller.mNode,
+                 ++mWakings % 2 == 0 ? OnWaking::AnswersFirst
+                                     : OnWaking::TickFirst);
+      }
+    });
+  }
+  if (!node.mFrozen) {
+    SendOrderNow<Result>(aCaller, aRunner, aTimeout, fate, aCarryOut, aDone);
+    return;
+  }
+  node.mPendingCalls.push_back([=, this] {
+    if constexpr (std::is_same_v<Result, RunnerResult>) {
+      if (aStillWanted && !aStillWanted()) {
+        aDone(RunnerResult::NotSent);
+        return;
+      }
+    }
+    SendOrderNow<Result>(aCaller, aRunner, aTimeout, {}, aCarryOut, aDone);
+  });
+}
+
+template<typename Result>
+void
+ClusterSimulation::SendOrderNow(
+  const Caller& aCaller,
+  const std::string& aRunner,
+  Millis aTimeout,
+  const OrderFate& aFate,
   const std::function<void(FakeRunner&, std::function<void(Result)>)>&
     aCarryOut,
   const std::function<void(Result)>& aDone)
@@ -228,7 +283,8 @@
       return Result{};
     }
   };
-  const Path path = PathTo(aCaller, aRunner);
+  Path path = PathTo(aCaller, aRunner);
+  path.mLateness = std::max(path.mLateness, aFate.mLateness);
   constexpr bool kRenews = std::is_same_v<Result, RenewalOutcome>;
   const std::pair connection{ aCaller.mProcess, aRunner };
   const Millis opening = kRenews ? OpeningTime(aCaller, aRunner) : Millis(0);
@@ -249,38 +305,52 @@
     return;
   }
   const bool late = path.mLateness > Millis(0);
+  const bool lost = late || aFate.mAnswerLost;
+  const auto sentTo = mRunners.find(aRunner);
+  const std::int64_t incarnation =
+    sentTo == mRunners.end() ? 0 : sentTo->second.mIncarnation;
   const auto answer = [=, this](Result aResult) {
     mDeadlines.Add(mNow + oneWay, [=, this] {
-      if (late || PathTo(aCaller, aRunner).mCut ||
+      if (lost || PathTo(aCaller, aRunner).mCut ||
           std::exchange(*answered, true)) {
         return;
       }
-      if (kRenews) {
+      if constexpr (kRenews) {
         mOpenConnections.insert(connection);
+        if (aResult.mResult == RunnerResult::Done) {
+          mKnownProcesses[connection] = aResult.mReport.mIncarnation;
+        }
       }
       Deliver(aCaller, [aDone, aResult] { aDone(aResult); });
     });
   };
-  mDeadlines.Add(mNow + (late ? path.mLateness : opening + oneWay),
-                 [this, aCaller, aRunner, aCarryOut, answer, late] {
-                   const auto runner = mRunners.find(aRunner);
-                   // A late order is past the cut already.
-                   const bool cut = !late && PathTo(aCaller, aRunner).mCut;
-                   if (runner == mRunners.end() || cut) {
-                     return;
-                   }
-                   if (runner->second.mReplaced) {
-                     Result rejected{};
-                     if constexpr (kRenews) {
-                       rejected.mResult = RunnerResult::WrongRunner;
-                     } else {
-                       rejected = RunnerResult::WrongRunner;
-                     }
-                     answer(rejected);
-                   } else if (runner->second.mUp) {
-                     aCarryOut(runner->second, answer);
-                   }
-                 });
+  mDeadlines.Add(
+    mNow + (late ? path.mLateness : opening + oneWay),
+    [this, aCaller, aRunner, aCarryOut, answer, late, incarnation] {
+      const auto runner = mRunners.find(aRunner);
+      // A late order is past the cut already.
+      const bool cut = !late && PathTo(aCaller, aRunner).mCut;
+      if (runner == mRunners.end() || cut) {
+        return;
+      }
+      if (late && !mLateOrdersReachNextProcess &&
+          runner->second.mIncarnation != incarnation) {
+        return;
+      }
+      if (runner->second.mReplaced) {
+        Result rejected{};
+        if constexpr (kRenews) {
+          rejected.mResult = RunnerResult::WrongRunner;
+        } else {
+          rejected = RunnerResult::WrongRunner;
+        }
+        answer(rejected);
+      } else if (runner->second.mUp) {
+        mCarriesOutLate = late;
+        aCarryOut(runner->second, answer);
+        mCarriesOutLate = false;
+      }
+    });
 }
 
 RunnerPort
@@ -291,13 +361,25 @@
                  aCaller](const RunnerTarget& aTarget,
                           const RenewalOrder& aOrder,
                           const std::function<void(RenewalOutcome)>& aDone) {
+    // Ends are acknowledged only to the process that has listed them.
+    const std::int64_t process = KnownProcess(aCaller, aTarget.mId);
+    const auto runner = mRunners.find(aTarget.mId);
+    RenewalOrder order = aOrder;
+    if (runner == mRunners.end() || runner->second.mIncarnation != process) {
+      order.mAcknowledgedEnd = 0;
+    }
     SendOrder<RenewalOutcome>(
       aCaller,
       aTarget.mId,
       aOrder.mLongPollTimeout + kRenewalTimeout,
-      [this, id = aTarget.mId, aOrder](
-        FakeRunner&, const std::function<void(RenewalOutcome)>& aAnswer) {
-        CarryOutRenewal(id, aOrder, aAnswer);
+      [this, id = aTarget.mId, order, process](
+        FakeRunner& aRunner,
+        const std::function<void(RenewalOutcome)>& aAnswer) {
+        RenewalOrder carriedOut = order;
+        if (!mCarriesOutLate && process != aRunner.mIncarnation) {
+          carriedOut.mAcknowledgedEnd = 0; // Its connection has been lost.
+        }
+        CarryOutRenewal(id, carriedOut, aAnswer);
       },
       aDone);
   };
@@ -313,7 +395,8 @@
         FakeRunner&, const std::function<void(RunnerResult)>& aAnswer) {
         aAnswer(CarryOutStart(id, aOrder));
       },
-      aDone);
+      aDone,
+      aOrder.mStillWanted);
   };
   port.mStop = [this, aCaller](const RunnerTarget& aTarget,
                                const RunChangeOrder& aOrder,
@@ -384,6 +467,17 @@
   runner.mClockRate = aRate;
 }
 
+void
+ClusterSimulation::NoteLapse(FakeRunner& aRunner) const
+{
+  if (ClockOf(aRunner) < aRunner.mLeaseEndMs) {
+    return;
+  }
+  for (UnnotedEnd& end : aRunner.mUnnotedEnds) {
+    end.mLapsed = true;
+  }
+}
+
 void
 ClusterSimulation::ExtendLease(FakeRunner& aRunner,
                                std::int64_t aLeaseEndMs) const
@@ -407,7 +501,15 @@
     return;
   }
   runner.mFencingToken = aOrder.mFencingToken;
+  NoteLapse(runner);
   ExtendLease(runner, aOrder.mLeaseEndMs);
+  std::erase_if(runner.mUnnotedEnds, [&](const UnnotedEnd& aEnd) {
+    const bool acknowledged = aEnd.mNumber <= aOrder.mAcknowledgedEnd;
+    if (acknowledged && !aEnd.mLapsed) {
+      mNotedEnds[aEnd.mTask].push_back({ aRunner, aEnd.mRun, aEnd.mAt, mNow });
+    }
+    return acknowledged;
+  });
   std::erase_if(runner.mEnds, [&](const dispatch::EndEntry& aEnd) {
     return aEnd.mNumber <= aOrder.mAcknowledgedEnd;
   });
@@ -452,6 +554,7 @@
     return RunnerResult::Fenced;
   }
   runner.mFencingToken = aOrder.mFencingToken;
+  NoteLapse(runner);
   ExtendLease(runner, aOrder.mLeaseEndMs);
   if (aOrder.mLeaseEndMs <= ClockOf(runner)) {
     return RunnerResult::LeaseAlreadyEnded;
@@ -469,7 +572,8 @@
   }
   ++mStarts;
   runner.mRunning.push_back({ aOrder.mTask, aOrder.mRun });
-  mHistory[aOrder.mTask].push_back({ aRunner, aOrder.mRun, mNow, {} });
+  mHistory[aOrder.mTask].push_back(
+    { aRunner, aOrder.mRun, mNow, {}, mCarriesOutLate });
   return RunnerResult::Done;
 }
 
@@ -514,6 +618,10 @@
   });
   std::int64_t& highest = runner.mHighestEndedRun[run.mTask];
   highest = std::max(highest, run.mRun);
+  if (aKind == dispatch::EndKind::Done) {
+    runner.mUnnotedEnds.push_back(
+      { runner.mNextEnd, run.mTask, run.mRun, mNow, false });
+  }
   runner.mEnds.push_back({ runner.mNextEnd++,
                            *dispatch::ParseTaskName(run.mTask),
                            run.mRun,
@@ -530,6 +638,7 @@
 ClusterSimulation::ExpireLeases()
 {
   for (auto& [id, runner] : mRunners) {
+    NoteLapse(runner);
     if (runner.mRunning.empty() || ClockOf(runner) < runner.mLeaseEndMs) {
       continue;
     }
@@ -574,6 +683,7 @@
   node.mNode.reset();
   node.mFrozen = false;
   node.mPendingAnswers.clear();
+  node.mPendingCalls.clear();
   node.mDeadlines = {};
 }
 
@@ -590,13 +700,21 @@
   if (!std::exchange(node.mFrozen, false) || !node.mNode) {
     return;
   }
+  for (const std::function<void()>& call :
+       std::exchange(node.mPendingCalls, {})) {
+    call();
+  }
   if (aOrder == OnWaking::TickFirst) {
     node.mDeadlines.Expire(ClockOf(node));
     node.mNode->Tick(ClockOf(node));
   }
-  for (const std::function<void()>& answer :
+  for (std::function<void()>& answer :
        std::exchange(node.mPendingAnswers, {})) {
-    answer();
+    if (node.mFrozen) { // By an order that an answer has led to.
+      node.mPendingAnswers.push_back(std::move(answer));
+    } else {
+      answer();
+    }
   }
 }
 
@@ -798,6 +916,42 @@
   return {};
 }
 
+std::string
+ClusterSimulation::StartAfterEnd(
+  const std::function<bool(const RunRecord&, const NotedEnd&)>& aIsAfter) const
+{
+  for (const auto& [task, ends] : mNotedEnds) {
+    const std::vector<RunRecord>& records = mHistory.at(task);
+    for (const NotedEnd& end : ends) {
+      if (std::any_of(
+            records.begin(), records.end(), [&](const RunRecord& aRecord) {
+              return aIsAfter(aRecord, end);
+            })) {
+        return HistoryOf(task) + " run " + std::to_string(end.mRun) + " on " +
+               end.mRunner + " done at " + std::to_string(SinceBegin(end.mAt)) +
+               ", noted at " + std::to_string(SinceBegin(end.mNotedAt));
+      }
+    }
+  }
+  return {};
+}
+
+std::string
+ClusterSimulation::StartAfterNotedEnd() const
+{
+  return StartAfterEnd([](const RunRecord& aRecord, const NotedEnd& aEnd) {
+    return aRecord.mFrom > aEnd.mAt;
+  });
+}
+
+std::string
+ClusterSimulation::OrderAfterNotedEnd() const
+{
+  return StartAfterEnd([](const RunRecord& aRecord, const NotedEnd& aEnd) {
+    return !aRecord.mLate && aRecord.mFrom > aEnd.mNotedAt + Seconds(1);
+  });
+}
+
 std::string
 ClusterSimulation::HistoryOf(const std::string& aTask) const
 {
--- a/Tests/LibNode/ClusterSimulation.h
+++ b/Tests/LibNode/ClusterSimulation.h
@@ -25,11 +25,39 @@
     std::string mTask;
     std::int64_t mRun = 0;
   };
+  /// An end as done that no renewal has acknowledged yet.
+  struct UnnotedEnd
+  {
+    std::int64_t mNumber = 0;
+    std::string mTask;
+    std::int64_t mRun = 0;
+    MonotonicTime mAt;
+    bool mLapsed = false; ///< Whether the runner's lease has lapsed since.
+  };
+  /// An end as done that was acknowledged by a renewal which the runner carried
+  /// out, and before which its lease had not lapsed since the end.
+  struct NotedEnd
+  {
+    std::string mRunner;
+    std::int64_t mRun = 0;
+    MonotonicTime mAt;
+    MonotonicTime mNotedAt;
+  };
+  /// What becomes of an order, beside the state of its path.
+  struct OrderFate
+  {
+    /// It is carried out after this time and gets no answer; 0: in time.
+    Millis mLateness{ 0 };
+    bool mAnswerLost = false; ///< It is carried out in time.
+    /// The node's process is stopped before the order leaves, for this time.
+    Millis mStandsStill{ 0 };
+  };
   /// One process of a runner, or several in turn under the same id.
   struct FakeRunner
   {
     std::vector<FakeRun> mRunning;
     std::vector<dispatch::EndEntry> mEnds;
+    std::vector<UnnotedEnd> mUnnotedEnds; ///< Those of mEnds that are done.
     std::int64_t mNextEnd = 1;
     std::int64_t mFencingToken = 0; ///< Highest token seen.
     /// On the runner's clock; everything on the runner ends then.
@@ -78,6 +106,8 @@
     MonotonicTime mClockSet{ Seconds(1000) };           ///< Its reading at
     MonotonicTime mClockSetAt{ Seconds(1000) };         ///< this time.
     std::vector<std::function<void()>> mPendingAnswers; ///< While frozen.
+    /// Calls made by a process that was stopped just before they leave.
+    std::vector<std::function<void()>> mPendingCalls;
     Deadlines mDeadlines; ///< Of the node's own components.
   };
   /// A run of a task, from its start on a runner to its end there.
@@ -87,6 +117,7 @@
     std::int64_t mRun = 0;
     MonotonicTime mFrom;
     std::optional<MonotonicTime> mTo; ///< Nothing: it still runs.
+    bool mLate = false; ///< Whether the order was carried out late.
   };
   /// Stands for all nodes or all runners in the key of a path.
   static constexpr const char* kAll = "*";
@@ -145,6 +176,10 @@
   void SetClockRate(const std::string& aRunner, double aRate);
   /// Sets the rate at which a node's clock goes on from its present reading.
   void SetNodeClockRate(const std::string& aName, double aRate);
+  /// Ends a run at a runner that stays up, which reports the end.
+  void EndRunAt(const std::string& aRunner,
+                const FakeRun& aRun,
+                dispatch::EndKind aKind);
   /// Ends the run of a task at the first runner that runs it.
   void EndRun(const std::string& aTask, dispatch::EndKind aKind);
   /// @return the number of runs of the task, over all runners
@@ -158,6 +193,13 @@
   /// @return a description of two runs of a task that overlapped in time, or an
   ///         empty text if there are none
   [[nodiscard]] std::string Overlap() const;
+  /// @return a description of a task of which a run began after an end as done
+  ///         that was noted before or later, or an empty text if there is none
+  [[nodiscard]] std::string StartAfterNotedEnd() const;
+  /// @return a description of a task of which a run began over a second after
+  ///         an end as done was noted, by an order that was not late, or an
+  ///         empty text if there is none
+  [[nodiscard]] std::string OrderAfterNotedEnd() const;
   /// @return the runs of a task as a text, with times since the beginning
   [[nodiscard]] std::string HistoryOf(const std::string& aTask) const;
   /// @return the shard's row, as its owner last wrote it
@@ -179,7 +221,12 @@
   int mStarts = 0;           ///< Number of starts that runners carried out.
   std::int64_t mNextIncarnation = 1;
   std::map<std::pair<std::string, std::string>, Path> mPaths;
-  std::map<std::string, std::vector<RunRecord>> mHistory; ///< By task.
+  std::map<std::string, std::vector<RunRecord>> mHistory;  ///< By task.
+  std::map<std::string, std::vector<NotedEnd>> mNotedEnds; ///< By task.
+  /// Decides about each order of a node that is not stopped, if set.
+  std::function<OrderFate(const std::string& aRunner)> mDrawFate;
+  /// Whether late orders to the former process of a runner reach the new one.
+  bool mLateOrdersReachNextProcess = true;
 
 private:
   /// Identifies the process of a node that makes a call.
@@ -189,6 +236,12 @@
     std::uint64_t mProcess = 0;
   };
 
+  /// @return a description of the first task of which a run began after an end
+  ///         that was noted, as @p aIsAfter decides, or an empty text
+  [[nodiscard]] std::string StartAfterEnd(
+    const std::function<bool(const RunRecord&, const NotedEnd&)>& aIsAfter)
+    const;
+
   StorePort MakeStorePort(const Caller& aCaller);
   RunnerPort MakeRunnerPort(const Caller& aCaller);
   DirectoryPort MakeDirectoryPort(const Caller& aCaller);
@@ -201,13 +254,31 @@
   /// @return the time until the connection for a renewal is open
   [[nodiscard]] Millis OpeningTime(const Caller& aCaller,
                                    const std::string& aRunner) const;
+  /// @return incarnation of the runner's process that has last answered a
+  ///         renewal of the caller, or 0
+  [[nodiscard]] std::int64_t KnownProcess(const Caller& aCaller,
+                                          const std::string& aRunner) const;
   /// Sends an order to a runner.
   /// @param aCarryOut is called at the runner with a function that answers
+  /// @param aStillWanted whether the order is still to be sent, if set; asked
+  ///                     when a node that stood still sends it
   template<typename Result>
   void SendOrder(
     const Caller& aCaller,
     const std::string& aRunner,
     Millis aTimeout,
+    const std::function<void(FakeRunner&, std::function<void(Result)>)>&
+      aCarryOut,
+    const std::function<void(Result)>& aDone,
+    const std::function<bool()>& aStillWanted = {});
+
+  /// Sends an order now, as SendOrder() describes.
+  template<typename Result>
+  void SendOrderNow(
+    const Caller& aCaller,
+    const std::string& aRunner,
+    Millis aTimeout,
+    const OrderFate& aFate,
     const std::function<void(FakeRunner&, std::function<void(Result)>)>&
       aCarryOut,
     const std::function<void(Result)>& aDone);
@@ -224,10 +295,8 @@
 
   [[nodiscard]] std::int64_t ClockOf(const FakeRunner& aRunner) const;
   void ExtendLease(FakeRunner& aRunner, std::int64_t aLeaseEndMs) const;
-  /// Ends a run at a runner that stays up, which reports the end.
-  void EndRunAt(const std::string& aRunner,
-                const FakeRun& aRun,
-                dispatch::EndKind aKind);
+  /// Notes for the ends of a runner that its lease has lapsed, if it has.
+  void NoteLapse(FakeRunner& aRunner) const;
   /// Records that a run has ended.
   void RecordEnd(const std::string& aRunner, const FakeRun& aRun);
   /// Ends everything on the runners whose leases have ended.
@@ -237,9 +306,14 @@
   [[nodiscard]] MonotonicTime ClockOf(const SimulatedNode& aNode) const;
 
   std::uint64_t mNextProcess = 1;
+  bool mCarriesOutLate = false; ///< Whether the present order is late.
+  int mWakings = 0;             ///< After nodes stood still before an order.
   /// Processes of nodes and runners between which the connection for renewals
   /// is open. It is closed when a renewal gets no answer in time.
   std::set<std::pair<std::uint64_t, std::string>> mOpenConnections;
+  /// By process of a node and by runner: incarnation of the runner's process
+  /// that last answered a renewal. Ends of another one are not acknowledged.
+  std::map<std::pair<std::uint64_t, std::string>, std::int64_t> mKnownProcesses;
 };
 
 } // namespace paddle
