Tests: Show late starts that fencing tokens do not reject

Three tests of FencingTokens fail on: a start order that is carried out late by a process with a lower incarnation, by a restarted runner that answers nothing, and after a stop that the former process has answered.

--- a/Tests/LibDispatch/TestFencingTokens.cpp
+++ b/Tests/LibDispatch/TestFencingTokens.cpp
@@ -1,3 +1,4 @@
+#include <cstdio>
 #include <string>
 
 #include <LibDispatch/FencingTokens.h>
@@ -132,3 +133,82 @@
     }
   }
 }
+
+// Guards against a late start order that the new process of a runner carries
+// out because its `born` is lower: the host's clock was set back.
+TEST(FencingTokens, ReviewALateStartAtARunnerWithALowerIncarnation)
+{
+  LoseAStart();
+  CHECK_TRUE(mWorld.TimeUntilRunning(kTask) < Seconds(4));
+  CHECK_FALSE(mWorld.RunnerOf(kTask) == mRunner);
+  mWorld.End(kTask, EndKind::Done);
+  mWorld.AdvanceTime(Seconds(1));
+  CHECK_TRUE(mWorld.mNotedDone.contains(kTask));
+  DispatchWorld::FakeRunner& runner = mWorld.mRunners[mRunner];
+  runner.mRunning.clear();
+  runner.mEnds.clear();
+  runner.mStopped.clear();
+  runner.mNextEnd = 1;
+  runner.mLeaseEndMs = 0;
+  runner.mFencingToken = 0;
+  runner.mIncarnation = 0;
+  mWorld.AdvanceTime(Seconds(5));
+  CHECK_TRUE(runner.mStopped.empty());
+  CarryOutTheLostStart();
+  CHECK_FALSE(mWorld.IsRunning(kTask));
+}
+
+// Guards against a task that starts elsewhere while the new process of a
+// runner, which answers nothing, may still carry out a late start order.
+TEST(FencingTokens, ReviewALateStartAtARestartedRunnerThatAnswersNothing)
+{
+  mWorld.ListRunners(4);
+  mWorld.AdvanceTime(Seconds(1));
+  for (auto& [id, runner] : mWorld.mRunners) {
+    runner.mAnswers = false;
+  }
+  const MonotonicTime sentAt = mWorld.mNow;
+  mWorld.AddJob(MakeJob("job", { FiniteStep(1, 1000) }));
+  mLost = mWorld.mLostStarts.at(0);
+  mToken = FencingTokenFor(mWorld.mDispatcher, mLost.mRunner);
+  mRunner = mWorld.mDispatcher.mRunners[mLost.mRunner].mSpec.mId;
+  for (auto& [id, runner] : mWorld.mRunners) {
+    runner.mAnswers = id != mRunner;
+  }
+  mWorld.AdvanceTime(Millis(500));
+  mWorld.Restart(mRunner);
+  const Millis waited = mWorld.TimeUntilRunning(kTask, Seconds(40));
+  printf("\nwaited %ld ms, order is %ld ms late, runs on %s, lost at %s\n",
+         static_cast<long>(waited.count()),
+         static_cast<long>(
+           std::chrono::duration_cast<Millis>(mWorld.mNow - sentAt).count()),
+         mWorld.RunnerOf(kTask).c_str(),
+         mRunner.c_str());
+  if (mWorld.mNow - sentAt < Seconds(12)) {
+    CarryOutTheLostStart();
+  }
+  LONGS_EQUAL(1, mWorld.mMostRunsOfATask);
+}
+
+// Guards against a stop that a former process has answered and that settles a
+// run at the new one, which has not seen its token.
+TEST(FencingTokens, ReviewAStopAnsweredByAFormerProcessSettlesNothing)
+{
+  LoseAStart();
+  DispatchWorld::FakeRunner& runner = mWorld.mRunners[mRunner];
+  CHECK_FALSE(runner.mStopped.empty());
+  mWorld.mNow += Millis(50);
+  runner.mStopped.clear();
+  runner.mFencingToken = 0;
+  runner.mIncarnation = 2;
+  mWorld.Report(mLost.mRunner);
+  CHECK_TRUE(RunnerNamed(mWorld, mRunner).mTakesFormerOrders);
+  runner.mAnswers = false;
+  printf("\nwaited %ld ms\n",
+         static_cast<long>(
+           mWorld.TimeUntilRunning(kTask, Seconds(5)).count()));
+  CHECK_TRUE(RunnerNamed(mWorld, mRunner).mTakesFormerOrders);
+  CHECK_TRUE(runner.mStopped.empty());
+  CarryOutTheLostStart();
+  CHECK_COMPARE(mWorld.mMostRunsOfATask, <=, 1);
+}
