--- a/Tests/LibDispatch/TestFencingTokens.cpp
+++ b/Tests/LibDispatch/TestFencingTokens.cpp
@@ -212,3 +212,22 @@
   CarryOutTheLostStart();
   CHECK_COMPARE(mWorld.mMostRunsOfATask, <=, 1);
 }
+
+// Guards against a task that starts elsewhere while it runs at a new process
+// that its owner has not heard of: the order states an end on the clock of the
+// former one, so that the deployment's longest lease applies.
+TEST(FencingTokens, ReviewAStartAtAnUnknownProcessHasTheLongestAllowedLease)
+{
+  mWorld.mDispatcher.mSettings.mMaxLease = Millis(10000);
+  mWorld.ListRunners(4);
+  mWorld.AdvanceTime(Seconds(1));
+  mWorld.AddJob(MakeJob("job", { LongRunningStep(1, 1000) }));
+  mRunner = mWorld.RunnerOf(kTask);
+  DispatchWorld::FakeRunner& runner = mWorld.mRunners[mRunner];
+  runner.mIncarnation = 2;
+  runner.mLeaseEndMs = mWorld.ClockOf(runner) + 10000;
+  runner.mAnswers = false;
+  mWorld.AdvanceTime(Millis(9500));
+  printf("\nmost runs %zu, starts %u\n", mWorld.mMostRunsOfATask, mWorld.mStarts);
+  LONGS_EQUAL(1, mWorld.mMostRunsOfATask);
+}
