LibDispatch: Compare runs without a task in one function

ApplyEnd(), ApplyRunning() and KeepUnlistedOrphans() each compared the run number and the formatted name. No behaviour changes: TestLibDispatch and TestLibNode pass.

--- a/Libraries/LibDispatch/Reports.cpp
+++ b/Libraries/LibDispatch/Reports.cpp
@@ -19,6 +19,14 @@
 /// attempt takes 0.9 s.
 constexpr Millis kLatestSend{ 1000 };
 
+/// @return whether that is the run with this number of the task
+bool
+IsRun(const OrphanRun& aOrphan, const TaskName& aTask, std::int64_t aRun)
+{
+  return aOrphan.mRun == aRun &&
+         FormatTaskName(aOrphan.mTask) == FormatTaskName(aTask);
+}
+
 /// @return the use of the job's account, or null if it has none
 AccountUse*
 UseOfJob(Dispatcher& aDispatcher, const Job& aJob)
@@ -298,8 +306,7 @@
 {
   Runner& runner = aDispatcher.mRunners[aRunner];
   std::erase_if(runner.mOrphans, [&](const OrphanRun& aOrphan) {
-    return aOrphan.mRun == aEnd.mRun &&
-           FormatTaskName(aOrphan.mTask) == FormatTaskName(aEnd.mTask);
+    return IsRun(aOrphan, aEnd.mTask, aEnd.mRun);
   });
   const TaskRef ref = FindTask(aDispatcher, aEnd.mTask);
   if (ref.mJob == nullptr) {
@@ -506,9 +513,8 @@
     }
   }
   const std::vector<OrphanRun>& known = aDispatcher.mRunners[aRunner].mOrphans;
-  const std::string name = FormatTaskName(aEntry.mTask);
   for (const OrphanRun& orphan : known) {
-    if (orphan.mRun == aEntry.mRun && FormatTaskName(orphan.mTask) == name) {
+    if (IsRun(orphan, aEntry.mTask, aEntry.mRun)) {
       aOrphans.push_back(orphan);
       return;
     }
@@ -664,8 +670,7 @@
   for (const OrphanRun& known : aKnown) {
     const bool listed = std::any_of(
       aOrphans.begin(), aOrphans.end(), [&](const OrphanRun& aOrphan) {
-        return aOrphan.mRun == known.mRun &&
-               FormatTaskName(aOrphan.mTask) == FormatTaskName(known.mTask);
+        return IsRun(aOrphan, known.mTask, known.mRun);
       });
     if (!listed) {
       aOrphans.push_back(known);
