--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -142,7 +142,7 @@
     const bool startUnanswered =
       task.mPhase == TaskPhase::Starting ||
       (task.mPhase == TaskPhase::Stopping &&
-       task.mStopCause == StopCause::StartUnanswered && !task.mStopAnsweredAt);
+       task.mStopCause == StopCause::StartUnanswered);
     if (startUnanswered) {
       unanswered.push_back(ref);
       continue;
