--- a/Tests/LibNode/TestTakeover.cpp
+++ b/Tests/LibNode/TestTakeover.cpp
@@ -96,6 +96,22 @@
     }
   }
 
+  /// Restarts mRunner during a renewal that is carried out late, and kills the
+  /// owner beside it.
+  /// @param aKilledAfter time from the restart to the kill
+  /// @param aWatch       time after the kill
+  /// @return the runs that overlapped, see ClusterSimulation::Overlap()
+  std::string OverlapAfterALateRenewal(Millis aLateness,
+                                       Millis aKilledAfter,
+                                       Millis aWatch)
+  {
+    RestartRunnerDuringARenewal(aLateness);
+    mCluster.AdvanceTime(aKilledAfter);
+    KillOwnerBesideCutOffRunner();
+    mCluster.AdvanceTime(aWatch);
+    return mCluster.Overlap();
+  }
+
   /// Advances the clock until the shard has the owner after @p aEpoch.
   /// @return the owner's name
   std::string AwaitOwnerAfter(std::int64_t aEpoch)
@@ -1069,14 +1085,10 @@
   for (const int lateness : { 1500, 2000, 3000, 4000, 5000, 6000, 7000 }) {
     for (const int killedAfter : { 1500, 2500, 4000 }) {
       Scenario scenario(4);
-      ClusterSimulation& cluster = scenario.mCluster;
-      scenario.RestartRunnerDuringARenewal(Millis(lateness));
-      cluster.AdvanceTime(Millis(killedAfter));
-      scenario.KillOwnerBesideCutOffRunner();
-      cluster.AdvanceTime(Seconds(25));
       mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
                       Text(Millis(killedAfter)) + " after the restart",
-                    cluster.Overlap());
+                    scenario.OverlapAfterALateRenewal(
+                      Millis(lateness), Millis(killedAfter), Seconds(25)));
     }
   }
   mFailures.Check();
@@ -1146,14 +1158,10 @@
   for (const int lateness : { 2000, 4000, 6000 }) {
     for (int killedAfter = 200; killedAfter <= 1400; killedAfter += 25) {
       Scenario scenario(4);
-      ClusterSimulation& cluster = scenario.mCluster;
-      scenario.RestartRunnerDuringARenewal(Millis(lateness));
-      cluster.AdvanceTime(Millis(killedAfter));
-      scenario.KillOwnerBesideCutOffRunner();
-      cluster.AdvanceTime(Seconds(25));
       mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
                       Text(Millis(killedAfter)) + " after the restart",
-                    cluster.Overlap());
+                    scenario.OverlapAfterALateRenewal(
+                      Millis(lateness), Millis(killedAfter), Seconds(25)));
     }
   }
   mFailures.Check();
@@ -1167,14 +1175,10 @@
   for (const int lateness : { 1200, 1500, 2000, 4000 }) {
     for (int killedAfter = 200; killedAfter <= 1400; killedAfter += 50) {
       Scenario scenario(4, kTasks, Seconds(10));
-      ClusterSimulation& cluster = scenario.mCluster;
-      scenario.RestartRunnerDuringARenewal(Millis(lateness));
-      cluster.AdvanceTime(Millis(killedAfter));
-      scenario.KillOwnerBesideCutOffRunner();
-      cluster.AdvanceTime(Seconds(30));
       mFailures.Add("late by " + Text(Millis(lateness)) + ", killed " +
                       Text(Millis(killedAfter)) + " after the restart",
-                    cluster.Overlap());
+                    scenario.OverlapAfterALateRenewal(
+                      Millis(lateness), Millis(killedAfter), Seconds(30)));
     }
   }
   mFailures.Check();
