Tests: Let the runner client's stand-in use the scripted peer

FakeRunner had its own accepting and reading, which Tests/Support/ScriptedPeer.h has already. ScriptedPeer::Answer() takes further header fields. The expectations of the tests are unchanged; all of the RunnerClient group pass.

--- a/Tests/Platform/TestRunnerClient.cpp
+++ b/Tests/Platform/TestRunnerClient.cpp
@@ -1,15 +1,12 @@
 // Boost 1.74's coroutine support needs <utility> before Asio.
 #include <utility>
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include <LibTime/BootClock.h>
+#include <Support/ScriptedPeer.h>
 
 #include "../../platform/RunnerClient.h"
 
@@ -19,33 +16,26 @@
 
 namespace {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
 /// A runner on the loopback address that answers renewals, and notes up to
 /// which end each of them acknowledges its ends.
 class FakeRunner
 {
 public:
   explicit FakeRunner(boost::asio::io_context& aLoop)
-    : mLoop(aLoop)
-    , mAcceptor(aLoop,
-                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    : mPeer(aLoop,
+            [this](const std::string& aRequest, std::size_t aConnection) {
+              Answer(aConnection, aRequest);
+            })
   {
-    Accept();
   }
 
-  [[nodiscard]] std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
-  }
+  [[nodiscard]] std::string Address() const { return mPeer.Address(); }
 
   /// Ends all connections, as a restart does.
   void CloseConnections()
   {
-    for (const ConnectionPtr& connection : std::exchange(mConnections, {})) {
-      error_code ignored;
-      connection->mSocket.close(ignored);
+    for (std::size_t i = 0; i < mPeer.Connections(); ++i) {
+      mPeer.Close(i);
     }
   }
 
@@ -57,48 +47,7 @@
   bool mKeepsConnections = true;
 
 private:
-  struct Connection
-  {
-    explicit Connection(boost::asio::io_context& aLoop)
-      : mSocket(aLoop)
-    {
-    }
-    tcp::socket mSocket;
-    std::array<char, 1024> mBuffer{};
-    std::string mIncoming;
-  };
-  using ConnectionPtr = std::shared_ptr<Connection>;
-
-  void Accept()
-  {
-    auto connection = std::make_shared<Connection>(mLoop);
-    mAcceptor.async_accept(connection->mSocket,
-                           [this, connection](error_code aError) {
-                             if (!aError) {
-                               mConnections.push_back(connection);
-                               Read(connection);
-                               Accept();
-                             }
-                           });
-  }
-
-  void Read(const ConnectionPtr& aConnection)
-  {
-    aConnection->mSocket.async_read_some(
-      boost::asio::buffer(aConnection->mBuffer),
-      [this, aConnection](error_code aError, std::size_t aCount) {
-        if (aError) {
-          return;
-        }
-        aConnection->mIncoming.append(aConnection->mBuffer.data(), aCount);
-        if (aConnection->mIncoming.ends_with('}')) {
-          Answer(aConnection, std::exchange(aConnection->mIncoming, {}));
-        }
-        Read(aConnection);
-      });
-  }
-
-  void Answer(const ConnectionPtr& aConnection, const std::string& aRequest)
+  void Answer(std::size_t aConnection, const std::string& aRequest)
   {
     const std::string member = "\"last_seen\":";
     const std::size_t at = aRequest.find(member) + member.size();
@@ -111,17 +60,14 @@
                    R"(,"running":[],"finished":[)" + mFinished + "]}"
       : mTellsClock ? clock + "}"
                     : "{}";
-    const std::string answer =
-      std::string(mHealthy ? "HTTP/1.1 200 OK\r\n"
-                           : "HTTP/1.1 503 Service Unavailable\r\n") +
-      (mKeepsConnections ? "" : "Connection: close\r\n") +
-      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    boost::asio::write(aConnection->mSocket, boost::asio::buffer(answer));
+    mPeer.Send(
+      aConnection,
+      ScriptedPeer::Answer(body,
+                           mHealthy ? "200 OK" : "503 Service Unavailable",
+                           mKeepsConnections ? "" : "Connection: close\r\n"));
   }
 
-  boost::asio::io_context& mLoop;
-  tcp::acceptor mAcceptor;
-  std::vector<ConnectionPtr> mConnections;
+  ScriptedPeer mPeer;
   std::int64_t mClockMs = 1000;
 };
 
--- a/Tests/Support/ScriptedPeer.h
+++ b/Tests/Support/ScriptedPeer.h
@@ -54,12 +54,14 @@
     mConnections[aConnection]->mSocket.close(ignored);
   }
 
+  /// @param aHeader further header fields, each with its line end
   /// @return a whole answer
   static std::string Answer(std::string_view aBody,
-                            std::string_view aStatus = "200 OK")
+                            std::string_view aStatus = "200 OK",
+                            std::string_view aHeader = {})
   {
-    return "HTTP/1.1 " + std::string(aStatus) +
-           "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+    return "HTTP/1.1 " + std::string(aStatus) + "\r\n" + std::string(aHeader) +
+           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
            std::string(aBody);
   }
 
