--- a/Libraries/LibDispatch/Runners.cpp
+++ b/Libraries/LibDispatch/Runners.cpp
@@ -26,8 +26,9 @@
 /// Tasks whose start got no answer, and long-running ones, avoid the data
 /// centre for this time. The run may be given up only when its lease has ended,
 /// 6.3 s after the order, and a later renewal of the shard is stored, which
-/// takes 2 s at most; at a restarted runner, when a report shows that the order
-/// can't be carried out any more, after 13 s.
+/// takes 2 s at most; at a restarted runner, when it has answered to its new
+/// token, or a report shows that the order can't be carried out any more, after
+/// 13 s.
 constexpr Seconds kContactMemory{ 15 };
 
 /// @return the numbers as they count at @p aNow
